Lay the ground: records, kernel, HTTP and RPC drivers, checks

Ruled out: protobuf for our own messages. A conversion layer and generated stubs would double every record; msgspec encodes the NamedTuples of core directly over gRPC's generic handlers, so the build needs no generator. Conclusion: the thin path can be built on these.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PY := .venv/bin/python
+STAMP := .venv/.installed
+
+.PHONY: check demo bench slopes format lint test
+
+check: $(STAMP) lint test
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip install -q -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+format: $(STAMP)
+	.venv/bin/ruff format -q beryllug
+
+lint: $(STAMP)
+	.venv/bin/ruff format -q --check beryllug
+	.venv/bin/flake8 beryllug
+	.venv/bin/mypy
+	.venv/bin/lint-imports
+
+test: $(STAMP)
+	$(PY) -m unittest discover -s beryllug -t . -p '*_test.py'
+
+demo: $(STAMP)
+	$(PY) -m beryllug.scripts.demo
+
+bench: $(STAMP)
+	$(PY) -m beryllug.bench
+
+slopes: $(STAMP)
+	$(PY) -m beryllug.bench.slopes
--- /dev/null
+++ b/beryllug/bench/__init__.py
@@ -0,0 +1,4 @@
+"""Benchmarks whose bounds are ratios and counts.
+
+The same seed gives the same figures.
+"""
--- /dev/null
+++ b/beryllug/core/journal_data.py
@@ -0,0 +1,118 @@
+"""Rows of the request journal and the messages about them.
+
+A shard of the journal belongs to one control process at a time. The rows of
+a request that may not repeat are an intent, durable before dispatch, and an
+outcome; every other request has an outcome only, which is its bill.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RowKind(StrEnum):
+    """What a row of the journal records."""
+
+    INTENT = 'intent'
+    OUTCOME = 'outcome'
+    SESSION = 'session'
+    SUSPECT = 'suspect'
+
+
+class OutcomeState(StrEnum):
+    """How a request ended."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+class StageUse(NamedTuple):
+    """What one stage of a request used: the detail of a bill."""
+
+    model: str
+    version: str
+    server_id: str
+    tokens_in: int
+    tokens_out: int
+    cost_micro: int
+
+
+class StoredAnswer(NamedTuple):
+    """An answer kept for a resend or a later fetch.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Media type of the body.
+        body: The body, or empty when it stands in an object of its own.
+        object_key: Key of the object that holds the body, or empty.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    object_key: str = ''
+
+
+class Row(NamedTuple):
+    """One row of the journal.
+
+    Attributes:
+        kind: What it records.
+        request_id: Unique id of the request; the key of its bill.
+        account_id: The client account.
+        shard_key: What decides the shard: idempotency key or request id,
+            with the account.
+        body_hash: Hex digest of the request, to refuse a key used twice for
+            different requests.
+        at: Seconds of the wall clock.
+        entry: Name of the entry process that took the request.
+        state: How it ended; None for an intent.
+        stages: What it used, one item a stage.
+        answer: The kept answer, if any.
+        note: Free detail, as the pinned version of a session row.
+    """
+
+    kind: RowKind
+    request_id: str
+    account_id: str
+    shard_key: str
+    body_hash: str
+    at: float
+    entry: str
+    state: OutcomeState | None = None
+    stages: tuple[StageUse, ...] = ()
+    answer: StoredAnswer | None = None
+    note: str = ''
+
+
+class GrantKind(StrEnum):
+    """Answer of a shard's owner to an intent."""
+
+    GRANTED = 'granted'
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    UNKNOWN = 'unknown'
+    MISMATCH = 'mismatch'
+    UNAVAILABLE = 'unavailable'
+
+
+class Grant(NamedTuple):
+    """What the owner says of one intent.
+
+    Attributes:
+        kind: GRANTED allows one dispatch; RUNNING, FINISHED and UNKNOWN tell
+            of an earlier try under the same key; MISMATCH that the key was
+            used for another request; UNAVAILABLE that nothing was written.
+        request_id: Id of the first try, which the caller is told.
+        first: The outcome row of the first try when it has finished.
+        valid_s: Seconds from receipt for which GRANTED may be used.
+        retry_after_s: When asking again can help, for UNAVAILABLE.
+    """
+
+    kind: GrantKind
+    request_id: str
+    first: Row | None = None
+    valid_s: float = 0.0
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/beryllug/core/rpc_data.py
@@ -0,0 +1,173 @@
+"""Messages between the system's own processes.
+
+They travel as MessagePack arrays, so fields are only added at the end and
+with a default.
+"""
+
+from typing import NamedTuple
+
+from beryllug.core import config_data, journal_data, view_data
+
+
+class ViewAsk(NamedTuple):
+    """An entry asks its control process for the view and its changes."""
+
+    entry: str
+    zone: str
+
+
+class Suspect(NamedTuple):
+    """A request that is suspected of crashing backend servers.
+
+    Attributes:
+        fingerprint: Hash of account and body.
+        crashes: Backend servers lost while it ran there.
+        until: Wall-clock second until which the entry counts.
+    """
+
+    fingerprint: str
+    crashes: int
+    until: float
+
+
+class TokenKey(NamedTuple):
+    """A key that signs session tokens; the first of the list signs."""
+
+    key_id: str
+    secret: bytes
+
+
+class ViewUpdate(NamedTuple):
+    """A change of the view; None marks a part that stays as it is.
+
+    A receiver takes `document` only with a higher `revision` than its own:
+    that is what keeps a stale control process from setting it back.
+
+    Attributes:
+        revision: Revision of the configuration the sender has.
+        document: The accepted document.
+        rollouts: State of every roll-out.
+        servers: Backend servers by the host list.
+        loads: Loads that engines reported.
+        suspects: Requests under suspicion.
+        token_keys: Keys for session tokens.
+        budgets: Answers of each candidate this entry may still give out.
+        accept: False when the control process has been cut off from both
+            the platform and its peers for too long.
+        sent_at: Wall-clock second at the sender.
+    """
+
+    revision: int
+    document: config_data.Document | None = None
+    rollouts: tuple[view_data.RolloutStatus, ...] | None = None
+    servers: tuple[view_data.BackendServer, ...] | None = None
+    loads: tuple[view_data.ServerLoad, ...] | None = None
+    suspects: tuple[Suspect, ...] | None = None
+    token_keys: tuple[TokenKey, ...] | None = None
+    budgets: tuple['ExposureShare', ...] | None = None
+    accept: bool = True
+    sent_at: float = 0.0
+
+
+class ExposureShare(NamedTuple):
+    """An entry's share of a candidate's exposure budget.
+
+    Attributes:
+        version: The candidate.
+        total: Answers this entry may have given out since it started; it
+            only ever rises, so a message that comes twice deals out once.
+    """
+
+    version: config_data.VersionRef
+    total: int
+
+
+class IntentBatch(NamedTuple):
+    """Intents that an entry wants made durable, in order."""
+
+    rows: tuple[journal_data.Row, ...]
+    hops: int = 0
+
+
+class GrantBatch(NamedTuple):
+    """One grant for each intent of the batch, in its order."""
+
+    grants: tuple[journal_data.Grant, ...]
+
+
+class OutcomeBatch(NamedTuple):
+    """Outcomes (and session rows) that an entry wants made durable."""
+
+    rows: tuple[journal_data.Row, ...]
+    hops: int = 0
+
+
+class Ack(NamedTuple):
+    """For each row of a batch whether it is durable."""
+
+    durable: tuple[bool, ...]
+
+
+class LookupAsk(NamedTuple):
+    """Ask a shard's owner for the latest row of a kind under a key."""
+
+    account_id: str
+    shard_key: str
+    kind: journal_data.RowKind
+    hops: int = 0
+
+
+class LookupReply(NamedTuple):
+    """The row, if there is one; `available` False when nobody could say."""
+
+    row: journal_data.Row | None
+    available: bool = True
+
+
+class CrashReport(NamedTuple):
+    """A backend server was lost while these requests ran on it."""
+
+    entry: str
+    server_id: str
+    version: config_data.VersionRef | None
+    fingerprints: tuple[str, ...]
+    at: float
+
+
+class VersionEvidence(NamedTuple):
+    """Counts of one version's answers since the entry's last report.
+
+    Attributes:
+        version: The version.
+        account_id: The client account.
+        answers: Answers given out.
+        errors: Answers that failed through the version.
+        late: Answers that missed their target.
+        rated: Answers whose rating has arrived.
+        rating_sum: Sum of these ratings, each from 0 to 1.
+        low_ratings: Ratings under the roll-out's least rating.
+    """
+
+    version: config_data.VersionRef
+    account_id: str
+    answers: int
+    errors: int
+    late: int
+    rated: int = 0
+    rating_sum: float = 0.0
+    low_ratings: int = 0
+
+
+class EvidenceReport(NamedTuple):
+    """An entry's evidence; `sequence` makes a resend count once."""
+
+    entry: str
+    sequence: int
+    counts: tuple[VersionEvidence, ...]
+    braked: tuple[config_data.VersionRef, ...] = ()
+
+
+class Empty(NamedTuple):
+    """A message without content."""
+
+    ok: bool = True
--- /dev/null
+++ b/beryllug/core/settings_data.py
@@ -0,0 +1,126 @@
+"""The records of a process's settings file.
+
+`parsing.settings` builds them from INI and reports every broken key. All
+durations are in seconds, all addresses ``ip:port``.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Role(StrEnum):
+    """What a process does."""
+
+    ENTRY = 'entry'
+    CONTROL = 'control'
+
+
+class Process(NamedTuple):
+    """Section ``[process]``: who this process is.
+
+    Attributes:
+        name: Unique name of the process in the fleet.
+        role: Entry or control.
+        host: Name of the entry host it runs on.
+        zone: Availability zone of that host.
+        log_level: Least level that is logged.
+    """
+
+    name: str
+    role: Role
+    host: str
+    zone: str
+    log_level: str = 'info'
+
+
+class Operators(NamedTuple):
+    """Section ``[operators]``: health, metrics, dump, configuration.
+
+    Attributes:
+        listen: Address of the operators' interface.
+        keys: Bearer keys that are valid; two while a key is rotated.
+    """
+
+    listen: str
+    keys: tuple[str, ...]
+
+
+class Fleet(NamedTuple):
+    """Section ``[fleet]``: keys by which processes know one another."""
+
+    keys: tuple[str, ...]
+
+
+class Entry(NamedTuple):
+    """Section ``[entry]``: the callers' side.
+
+    Attributes:
+        listen: Address that callers reach through the balancer.
+        controls: Control processes, the own host's first.
+        max_in_flight: Requests served at once; more are refused.
+        header_bytes: Most bytes of a request's head.
+        body_bytes: Most bytes of a request's body.
+        read_s: Seconds in which a request must have come whole.
+        idle_s: Seconds a connection may wait for its next request.
+        balancer_lag_s: On a stop, how long requests are still accepted
+            after the health check began to fail.
+        drain_s: On a stop, how long requests in flight may still take.
+        blind_s: How long new work is taken without any control process.
+    """
+
+    listen: str
+    controls: tuple[str, ...]
+    max_in_flight: int = 1024
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    read_s: float = 10.0
+    idle_s: float = 75.0
+    balancer_lag_s: float = 2.0
+    drain_s: float = 120.0
+    blind_s: float = 10.0
+
+
+class Control(NamedTuple):
+    """Section ``[control]``: the platform's and the peers' side.
+
+    Attributes:
+        listen: Address for entry processes and peers.
+        peers: Control processes of the other hosts, to join by.
+        platform: Address of the object API.
+        host_list: Address of the host list.
+        weight_store: Address of the weight store, or empty.
+        watchers: How many control processes of a zone watch the platform;
+            the others take changes from them. 0 means all.
+        shards: Shards of the request journal; the same for the whole fleet.
+        commits_per_s: Most platform writes a second of one shard.
+        lease_s: How long a lease holds without renewal.
+        heartbeat_s: Time between two heartbeats to a peer.
+        cut_off_s: How long new work is taken while neither the platform nor
+            a peer can be reached.
+        drain_s: On a stop, how long rows may take to be flushed.
+        retention_s: How long sealed journal segments are kept.
+    """
+
+    listen: str
+    peers: tuple[str, ...]
+    platform: str
+    host_list: str
+    weight_store: str = ''
+    watchers: int = 0
+    shards: int = 8
+    commits_per_s: float = 20.0
+    lease_s: float = 6.0
+    heartbeat_s: float = 1.0
+    cut_off_s: float = 10.0
+    drain_s: float = 20.0
+    retention_s: float = 86400.0
+
+
+class Settings(NamedTuple):
+    """A whole settings file; the section of the other role is None."""
+
+    process: Process
+    operators: Operators
+    fleet: Fleet
+    entry: Entry | None = None
+    control: Control | None = None
--- /dev/null
+++ b/beryllug/drivers/__init__.py
@@ -0,0 +1,4 @@
+"""Adapters for sockets and outside parties.
+
+One module a party: when its wire format changes, one file changes.
+"""
--- /dev/null
+++ b/beryllug/drivers/methods.py
@@ -0,0 +1,11 @@
+"""The methods that our processes call on one another."""
+
+from beryllug.core import rpc_data
+from beryllug.drivers import rpc
+
+WATCH_VIEW = rpc.Method('WatchView', rpc_data.ViewAsk, rpc_data.ViewUpdate)
+BEGIN = rpc.Method('Begin', rpc_data.IntentBatch, rpc_data.GrantBatch)
+FINISH = rpc.Method('Finish', rpc_data.OutcomeBatch, rpc_data.Ack)
+LOOKUP = rpc.Method('Lookup', rpc_data.LookupAsk, rpc_data.LookupReply)
+CRASH = rpc.Method('Crash', rpc_data.CrashReport, rpc_data.Empty)
+EVIDENCE = rpc.Method('Evidence', rpc_data.EvidenceReport, rpc_data.Empty)
--- /dev/null
+++ b/beryllug/kernel/registry.py
@@ -0,0 +1,82 @@
+"""Registry of services: they find each other by name.
+
+The composition root registers services in the order in which they start;
+they stop in the reverse order. A service asks the registry for another by
+name and type when it needs it, so no service constructs another.
+"""
+
+from typing import Any, Protocol, TypeVar
+
+from absl import logging
+
+Found = TypeVar('Found')
+
+
+class Service(Protocol):
+    """What the kernel needs of a service."""
+
+    async def start(self) -> None:
+        """Open sockets and start tasks; return when ready."""
+
+    async def stop(self, grace_s: float) -> None:
+        """End what is in flight within the grace time, then close."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state as plain data, without secrets."""
+
+
+class Registry:
+    """The services of one process by name."""
+
+    def __init__(self) -> None:
+        """Make an empty registry."""
+        self._services: dict[str, Service] = {}
+
+    def register(self, name: str, service: Service) -> None:
+        """Add a service; the order of calls is the order of starts.
+
+        Raises:
+            ValueError: The name is taken.
+        """
+        if name in self._services:
+            raise ValueError(f'service {name} is registered twice')
+        self._services[name] = service
+
+    def find(self, name: str, kind: type[Found]) -> Found:
+        """Return a service by name.
+
+        Raises:
+            LookupError: There is none, or it is of another type.
+        """
+        service = self._services.get(name)
+        if not isinstance(service, kind):
+            raise LookupError(f'no service {name} of type {kind.__name__}')
+        return service
+
+    async def start(self) -> None:
+        """Start all services; stop the started ones if one fails."""
+        started: list[Service] = []
+        for name, service in self._services.items():
+            try:
+                await service.start()
+            except BaseException:
+                await _stop_all(started, 0)
+                raise
+            started.append(service)
+            logging.info('event=service_started service=%s', name)
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop all services in reverse order."""
+        await _stop_all(list(self._services.values()), grace_s)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of every service by its name."""
+        return {name: svc.dump() for name, svc in self._services.items()}
+
+
+async def _stop_all(services: list[Service], grace_s: float) -> None:
+    for service in reversed(services):
+        try:
+            await service.stop(grace_s)
+        except Exception:
+            logging.exception('event=service_stop_failed')
--- /dev/null
+++ b/beryllug/scripts/__init__.py
@@ -0,0 +1,4 @@
+"""The daemon and the command-line tool.
+
+Thin programs over the library.
+"""
