Give the entry section the rating service's address

Cause: entry processes ask for ratings of answers, and had no address for it. Change: one optional key.

--- a/beryllug/core/settings_data.py
+++ b/beryllug/core/settings_data.py
@@ -66,6 +66,7 @@
             after the health check began to fail.
         drain_s: On a stop, how long requests in flight may still take.
         blind_s: How long new work is taken without any control process.
+        rating: Address of the rating service, or empty for none.
     """
 
     listen: str
@@ -78,6 +79,7 @@
     balancer_lag_s: float = 2.0
     drain_s: float = 120.0
     blind_s: float = 10.0
+    rating: str = ''
 
 
 class Control(NamedTuple):
