Add the entry's link to control: view, outbox, failover

Ruled out: one call per row; a remote call costs far more than its row, so rows of one millisecond share a call (batcher).

--- /dev/null
+++ b/beryllug/entry/batcher.py
@@ -0,0 +1,77 @@
+"""Group calls: many requests wait, one message carries them all.
+
+A remote call costs far more than a row in it. While requests come one by
+one each goes at once; under load those of one moment share a call.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Generic, TypeVar
+
+Item = TypeVar('Item')
+Reply = TypeVar('Reply')
+
+LINGER_S = 0.001
+MAX_BATCH = 256
+
+
+class Batcher(Generic[Item, Reply]):
+    """Collects items for a moment and sends them in one call."""
+
+    def __init__(
+        self, send: Callable[[Sequence[Item]], Awaitable[Sequence[Reply]]]
+    ) -> None:
+        """Make a batcher over a call that replies item by item."""
+        self._send = send
+        self._waiting: list[tuple[Item, asyncio.Future[Reply]]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def submit(self, item: Item) -> Reply:
+        """Send an item with others and return its reply.
+
+        Raises:
+            Exception: Whatever the call raised.
+        """
+        loop = asyncio.get_running_loop()
+        fut: asyncio.Future[Reply] = loop.create_future()
+        self._waiting.append((item, fut))
+        if len(self._waiting) >= MAX_BATCH:
+            self._flush()
+        elif self._timer is None:
+            self._timer = loop.call_later(LINGER_S, self._flush)
+        return await fut
+
+    async def stop(self) -> None:
+        """Wait for the calls under way."""
+        self._flush()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _flush(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        batch = self._waiting
+        self._waiting = []
+        if batch:
+            task = asyncio.create_task(self._run(batch))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _run(
+        self, batch: list[tuple[Item, 'asyncio.Future[Reply]']]
+    ) -> None:
+        try:
+            replies = await self._send([item for item, _ in batch])
+        except Exception as exc:
+            for _, fut in batch:
+                _settle(fut, exc)
+            return
+        for (_, fut), reply in zip(batch, replies, strict=True):
+            if not fut.done():
+                fut.set_result(reply)
+
+
+def _settle(fut: 'asyncio.Future[Reply]', exc: Exception) -> None:
+    if not fut.done():
+        fut.set_exception(exc)
--- /dev/null
+++ b/beryllug/entry/control_calls.py
@@ -0,0 +1,84 @@
+"""Calls of an entry to the control processes, with failover.
+
+The own host's control process comes first; while it is gone the next one in
+the settings takes the calls. Every method may be sent twice without harm:
+rows carry their request id, by which the owner of a shard tells a repeat.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+from absl import logging
+
+from beryllug.core import rpc_data
+from beryllug.drivers import fleet_key, methods, rpc
+
+Ask = TypeVar('Ask')
+Reply = TypeVar('Reply')
+
+# A control process that is frozen keeps its connection open and says
+# nothing; silence for this long means that the next one is tried.
+SILENCE_S = 5.0
+
+
+class ControlCalls:
+    """Clients of all control processes; one of them is the current one."""
+
+    def __init__(
+        self, addresses: tuple[str, ...], keys: fleet_key.KeyRing
+    ) -> None:
+        """Make the clients; they connect on the first call."""
+        self._clients = [rpc.RpcClient(address, keys) for address in addresses]
+        self._current = 0
+
+    @property
+    def address(self) -> str:
+        """Address of the current control process."""
+        return self._clients[self._current].address
+
+    async def call(
+        self, method: rpc.Method[Ask, Reply], ask: Ask, timeout_s: float
+    ) -> Reply:
+        """Call a method of the first control process that answers.
+
+        Raises:
+            RpcError: None answered.
+        """
+        failure = rpc.RpcError('UNAVAILABLE', 'no control process')
+        for client in self._in_order():
+            try:
+                return await client.call(method, ask, timeout_s)
+            except rpc.RpcError as exc:
+                failure = exc
+        raise failure
+
+    async def updates(
+        self, ask: rpc_data.ViewAsk
+    ) -> AsyncIterator[rpc_data.ViewUpdate]:
+        """Yield view updates of the current control process until it fails.
+
+        Afterwards the next control process is the current one.
+        """
+        client = self._clients[self._current]
+        stream = client.stream(methods.WATCH_VIEW, ask)
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_S):
+                    update = await anext(stream, None)
+                if update is None:
+                    break
+                yield update
+        except (rpc.RpcError, TimeoutError) as exc:
+            logging.warning(
+                'event=control_lost control=%s error=%s', client.address, exc
+            )
+        self._current = (self._current + 1) % len(self._clients)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients:
+            await client.close()
+
+    def _in_order(self) -> list[rpc.RpcClient]:
+        return self._clients[self._current :] + self._clients[: self._current]
--- /dev/null
+++ b/beryllug/entry/control_link.py
@@ -0,0 +1,99 @@
+"""The entry's view of the world, followed from a control process.
+
+One stream of updates is open at a time. A broken stream is opened again at
+the next control process; what is known stays, and never goes backwards.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from beryllug.core import rpc_data, settings_data, view_index, view_merge
+from beryllug.entry import control_calls
+
+RETRY_S = 0.2
+
+Listener = Callable[[view_merge.Known], None]
+
+
+class ControlLink:
+    """Service 'control_link' of an entry process.
+
+    Attributes:
+        known: All that control processes have sent.
+        index: Lookup tables over the view.
+    """
+
+    def __init__(
+        self,
+        process: settings_data.Process,
+        cfg: settings_data.Entry,
+        calls: control_calls.ControlCalls,
+    ) -> None:
+        """Make the link; `start` connects."""
+        self.known = view_merge.Known()
+        self.index = view_index.build(self.known.view)
+        self._cfg = cfg
+        self._ask = rpc_data.ViewAsk(process.name, process.zone)
+        self._calls = calls
+        self._heard_at = float('-inf')
+        self._task: asyncio.Task[None] | None = None
+        self._listeners: list[Listener] = []
+
+    async def start(self) -> None:
+        """Start following the view."""
+        self._task = asyncio.create_task(self._follow())
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop following and disconnect."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._calls.close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the link's state; keys and documents are left out."""
+        view = self.known.view
+        return {
+            'control': self._calls.address,
+            'revision': view.revision,
+            'accept': self.known.accept,
+            'servers': [server._asdict() for server in view.servers],
+            'rollouts': [status._asdict() for status in view.rollouts],
+            'suspects': len(self.known.suspects),
+            'budgets': [share._asdict() for share in self.known.budgets],
+        }
+
+    def listen(self, listener: Listener) -> None:
+        """Call a function after each change of the view."""
+        self._listeners.append(listener)
+
+    def may_accept(self, now: float) -> bool:
+        """Tell whether new work may be taken.
+
+        An entry that hears of no control process can't learn of a
+        withdrawal. It goes on for a bounded time only, so that a version
+        withdrawn meanwhile stays exposed no longer than that.
+
+        Args:
+            now: Seconds of the monotonic clock.
+        """
+        blind = now - self._heard_at > self._cfg.blind_s
+        configured = self.known.view.revision > 0
+        return configured and self.known.accept and not blind
+
+    async def _follow(self) -> None:
+        while True:
+            async for update in self._calls.updates(self._ask):
+                self._take(update)
+            await asyncio.sleep(RETRY_S)
+
+    def _take(self, update: rpc_data.ViewUpdate) -> None:
+        self._heard_at = time.monotonic()
+        before = self.known
+        self.known = view_merge.merge(before, update)
+        if self.known.view != before.view:
+            self.index = view_index.build(self.known.view)
+        for listener in self._listeners:
+            listener(self.known)
--- /dev/null
+++ b/beryllug/entry/outbox.py
@@ -0,0 +1,124 @@
+"""The outbox: rows on their way from an entry to the request journal.
+
+An intent is asked for before a dispatch. An outcome is a bill: when no
+control process has made it durable in time it stays here, counted in the
+dump, and is sent again until one has.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+from absl import logging
+
+from beryllug.core import journal_data, rpc_data
+from beryllug.drivers import methods, rpc
+from beryllug.entry import batcher, control_calls
+
+CALL_S = 5.0
+BEGIN_S = 8.0
+RESEND_S = 0.5
+POLL_S = 0.05
+MAX_RESEND = 512
+RETRY_AFTER_S = 2.0
+
+
+class Outbox:
+    """Service 'outbox' of an entry process."""
+
+    def __init__(self, calls: control_calls.ControlCalls) -> None:
+        """Make an empty outbox over the calls to control processes."""
+        self._calls = calls
+        self._owed: dict[str, journal_data.Row] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._begins = batcher.Batcher(self._send_begins)
+        self._finishes = batcher.Batcher(self._send_finishes)
+
+    async def start(self) -> None:
+        """Start resending what is owed."""
+        self._task = asyncio.create_task(self._resend())
+
+    async def stop(self, grace_s: float) -> None:
+        """Hand over what is owed within the grace time."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + grace_s
+        while self._owed and loop.time() < deadline:
+            await asyncio.sleep(POLL_S)
+        if self._owed:
+            logging.error('event=outcomes_lost rows=%d', len(self._owed))
+        if self._task is not None:
+            self._task.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of rows that are owed, and the oldest."""
+        oldest = min((row.at for row in self._owed.values()), default=None)
+        return {'owed': len(self._owed), 'oldest_at': oldest}
+
+    async def begin(self, row: journal_data.Row) -> journal_data.Grant:
+        """Ask the shard's owner to make an intent durable."""
+        return await self._begins.submit(row)
+
+    async def finish(self, row: journal_data.Row, wait_s: float) -> bool:
+        """Make an outcome durable; keep it and go on when that takes long.
+
+        Returns:
+            Whether it is durable. When not, it is owed and sent again.
+        """
+        self._owed[row.request_id] = row
+        try:
+            async with asyncio.timeout(wait_s):
+                durable = await self._finishes.submit(row)
+        except (rpc.RpcError, TimeoutError):
+            return False
+        if durable:
+            self._owed.pop(row.request_id, None)
+        return durable
+
+    async def lookup(self, ask: rpc_data.LookupAsk) -> rpc_data.LookupReply:
+        """Ask for the latest row of a kind under a key."""
+        try:
+            return await self._calls.call(methods.LOOKUP, ask, CALL_S)
+        except rpc.RpcError:
+            return rpc_data.LookupReply(None, available=False)
+
+    async def _send_begins(
+        self, rows: Sequence[journal_data.Row]
+    ) -> Sequence[journal_data.Grant]:
+        batch = rpc_data.IntentBatch(tuple(rows))
+        try:
+            reply = await self._calls.call(methods.BEGIN, batch, BEGIN_S)
+        except rpc.RpcError as exc:
+            logging.warning('event=begin_failed error=%s', exc)
+            return [_unavailable(row) for row in rows]
+        return reply.grants
+
+    async def _send_finishes(
+        self, rows: Sequence[journal_data.Row]
+    ) -> Sequence[bool]:
+        batch = rpc_data.OutcomeBatch(tuple(rows))
+        ack = await self._calls.call(methods.FINISH, batch, CALL_S)
+        return ack.durable
+
+    async def _resend(self) -> None:
+        while True:
+            await asyncio.sleep(RESEND_S)
+            rows = list(self._owed.values())[:MAX_RESEND]
+            if rows:
+                await self._resend_rows(rows)
+
+    async def _resend_rows(self, rows: list[journal_data.Row]) -> None:
+        try:
+            durable = await self._send_finishes(rows)
+        except rpc.RpcError:
+            return
+        for row, done in zip(rows, durable, strict=True):
+            if done:
+                self._owed.pop(row.request_id, None)
+
+
+def _unavailable(row: journal_data.Row) -> journal_data.Grant:
+    return journal_data.Grant(
+        journal_data.GrantKind.UNAVAILABLE,
+        row.request_id,
+        retry_after_s=RETRY_AFTER_S,
+    )
