--- /dev/null
+++ b/beryllug/core/retry_test.py
@@ -0,0 +1,72 @@
+"""Tests of retries and their budgets."""
+
+import unittest
+
+from beryllug.core import retry
+
+ATTEMPT = retry.Attempt(
+    pool='engines',
+    failure=retry.Failure.BROKEN,
+    number=1,
+    repeatable=True,
+    answer_begun=False,
+    needs_s=1,
+    complete_by=100,
+)
+
+
+class RetryTest(unittest.TestCase):
+    """A retry needs a right, time and budget."""
+
+    def test_denials(self) -> None:
+        """A hold broken after its first byte ends as unknown.
+
+        The server may have taken the slot although its answer was lost. A
+        second try would hold a second slot for the same guest, so only a
+        failure that proves the request did not run allows one.
+        """
+        not_sent = retry.Failure.NOT_SENT
+        declined = retry.Failure.DECLINED
+        cases = (
+            (ATTEMPT, None),
+            (ATTEMPT._replace(repeatable=False), retry.Denial.MAY_HAVE_RUN),
+            (
+                ATTEMPT._replace(
+                    repeatable=False, failure=retry.Failure.TIMED_OUT
+                ),
+                retry.Denial.MAY_HAVE_RUN,
+            ),
+            (ATTEMPT._replace(repeatable=False, failure=not_sent), None),
+            (ATTEMPT._replace(repeatable=False, failure=declined), None),
+            (ATTEMPT._replace(answer_begun=True), retry.Denial.ANSWER_BEGUN),
+            (ATTEMPT._replace(number=3), retry.Denial.ATTEMPTS),
+            (ATTEMPT._replace(complete_by=0.5), retry.Denial.TIME),
+        )
+        for attempt, denial in cases:
+            with self.subTest(attempt=attempt):
+                state = retry.RetryState()
+                decision = retry.may_retry(state, attempt, 0, 0.5)
+                if denial is None:
+                    self.assertIsInstance(decision, retry.Again)
+                else:
+                    self.assertIs(decision, denial)
+
+    def test_budget(self) -> None:
+        """An outage of a pool does not become a retry storm.
+
+        Every one of a thousand requests fails and asks for a retry. Without
+        a budget the pool would get two to three thousand attempts just as it
+        comes back.
+        """
+        state = retry.RetryState()
+        granted = 0
+        for _ in range(1000):
+            retry.first_try(state, 'engines')
+            decision = retry.may_retry(state, ATTEMPT, 0, 0.5)
+            granted += isinstance(decision, retry.Again)
+        self.assertLessEqual(granted, 1000 * retry.RETRIES_PER_TRY + 2)
+        self.assertGreaterEqual(granted, 1000 * retry.RETRIES_PER_TRY)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/beryllug/core/versions_test.py
@@ -0,0 +1,167 @@
+"""Tests of which versions a request may run on."""
+
+import unittest
+
+from beryllug.core import config_data, versions, view_data
+
+OLD = config_data.VersionRef('chat', 'v1')
+NEW = config_data.VersionRef('chat', 'v2')
+STRONG = config_data.VersionRef('strong', 's1')
+ANY_CHAT = config_data.VersionRef('chat', config_data.ANY_VERSION)
+ACCOUNT = config_data.Account(
+    'desk', (), (ANY_CHAT, STRONG), cascades=('ladder',)
+)
+ROLLOUT = config_data.Rollout('chat', 'v1', 'v2', (5, 50, 100), 20, 0.1, 0.5)
+RUNNING = view_data.RolloutStatus('chat', 'v2', 0, view_data.Verdict.RUNNING)
+STOPPED = RUNNING._replace(verdict=view_data.Verdict.STOPPED)
+PROMOTED = RUNNING._replace(verdict=view_data.Verdict.PROMOTED)
+PLENTY = {NEW: 1000}
+SESSIONS = 4000
+
+
+def _view(
+    rollouts: tuple[view_data.RolloutStatus, ...] = (RUNNING,),
+    withdrawn: frozenset[config_data.VersionRef] = frozenset(),
+) -> view_data.View:
+    models = tuple(
+        config_data.Model(
+            name,
+            tuple(
+                config_data.Version(ref, name, 1, ref in withdrawn)
+                for ref in (OLD, NEW, STRONG)
+                if ref.model == name
+            ),
+        )
+        for name in ('chat', 'strong')
+    )
+    document = config_data.Document(
+        models=models,
+        cascades=(config_data.Cascade('ladder', ('chat', 'strong'), 0.8, 0.7),),
+        rollouts=(ROLLOUT,),
+    )
+    return view_data.View(1, document, rollouts)
+
+
+def _first(
+    view: view_data.View,
+    session: versions.Session,
+    budgets: versions.Budgets = PLENTY,
+) -> config_data.VersionRef:
+    plan = versions.candidates(view, ACCOUNT, 'chat', session, budgets)
+    assert isinstance(plan, versions.Plan)
+    return plan.stages[0].versions[0].ref
+
+
+class CandidatesTest(unittest.TestCase):
+    """Only allowed and current versions, the session's own first."""
+
+    def test_refusals(self) -> None:
+        """A request that no version may run is refused with the reason."""
+        everything = frozenset((OLD, NEW, STRONG))
+        nothing = ACCOUNT._replace(allowed=(), cascades=())
+        only_old = ACCOUNT._replace(allowed=(OLD,))
+        cases = (
+            (ACCOUNT, 'nope', frozenset(), versions.Reason.UNKNOWN),
+            (nothing, 'chat', frozenset(), versions.Reason.NOT_ALLOWED),
+            (nothing, 'ladder', frozenset(), versions.Reason.NOT_ALLOWED),
+            (only_old, 'chat', frozenset((OLD,)), versions.Reason.WITHDRAWN),
+            (ACCOUNT, 'ladder', everything, versions.Reason.WITHDRAWN),
+        )
+        for account, asked, withdrawn, reason in cases:
+            with self.subTest(asked=asked, reason=reason):
+                refusal = versions.candidates(
+                    _view(withdrawn=withdrawn),
+                    account,
+                    asked,
+                    versions.Session('s'),
+                    PLENTY,
+                )
+                self.assertEqual(refusal, versions.Refusal(reason, asked))
+
+    def test_pin(self) -> None:
+        """A session leaves its version only when that is withdrawn.
+
+        The roll-out has moved on to all new sessions, yet a guest whose
+        session began on the incumbent gets the incumbent, and nothing else
+        even as a second choice.
+        """
+        pinned = versions.Session('s', (OLD,))
+        for state in (RUNNING, PROMOTED, STOPPED):
+            with self.subTest(verdict=state.verdict):
+                plan = versions.candidates(
+                    _view((state,)), ACCOUNT, 'chat', pinned, PLENTY
+                )
+                assert isinstance(plan, versions.Plan)
+                refs = [one.ref for one in plan.stages[0].versions]
+                self.assertEqual(refs, [OLD])
+                self.assertFalse(plan.pin_broken)
+
+    def test_pin_broken(self) -> None:
+        """A withdrawn or stopped version loses its sessions, and says so."""
+        cases = (
+            (_view(withdrawn=frozenset((NEW,))), 'withdrawn'),
+            (_view((STOPPED,)), 'stopped'),
+        )
+        for view, case in cases:
+            with self.subTest(case=case):
+                plan = versions.candidates(
+                    view, ACCOUNT, 'chat', versions.Session('s', (NEW,)), PLENTY
+                )
+                assert isinstance(plan, versions.Plan)
+                refs = [one.ref for one in plan.stages[0].versions]
+                self.assertEqual(refs, [OLD])
+                self.assertTrue(plan.pin_broken)
+                self.assertFalse(versions.is_current(view, ACCOUNT, NEW))
+
+    def test_rollout_share(self) -> None:
+        """New sessions meet the candidate by the stage's share only."""
+        staged = RUNNING._replace(stage=1)
+        cases = (
+            (RUNNING, PLENTY, 0.05),
+            (staged, PLENTY, 0.5),
+            (staged, {NEW: 0}, 0),
+            (staged, {}, 0),
+            (STOPPED, PLENTY, 0),
+            (PROMOTED, {}, 1),
+        )
+        for state, budgets, expected in cases:
+            with self.subTest(state=state, budgets=budgets):
+                view = _view((state,))
+                hits = sum(
+                    _first(view, versions.Session(f's{number}'), budgets) == NEW
+                    for number in range(SESSIONS)
+                )
+                self.assertAlmostEqual(hits / SESSIONS, expected, delta=0.02)
+
+    def test_unstarted_rollout(self) -> None:
+        """A roll-out without a state in the platform exposes nobody."""
+        hits = [
+            _first(_view(()), versions.Session(f's{number}'))
+            for number in range(100)
+        ]
+        self.assertEqual(set(hits), {OLD})
+
+    def test_cascade(self) -> None:
+        """A cascade leaves out the stages that nothing may serve."""
+        cases = (
+            (frozenset[config_data.VersionRef](), ['chat', 'strong']),
+            (frozenset((STRONG,)), ['chat']),
+            (frozenset((OLD, NEW)), ['strong']),
+        )
+        for withdrawn, expected in cases:
+            with self.subTest(withdrawn=withdrawn):
+                plan = versions.candidates(
+                    _view(withdrawn=withdrawn),
+                    ACCOUNT,
+                    'ladder',
+                    versions.Session('s'),
+                    PLENTY,
+                )
+                assert isinstance(plan, versions.Plan)
+                found = [stage.model for stage in plan.stages]
+                self.assertEqual(found, expected)
+                self.assertIsNotNone(plan.cascade)
+
+
+if __name__ == '__main__':
+    unittest.main()
