Add object API and host list: adapters, stand-ins, fault switches

Change: adapters behind typed protocols; a stand-in for each party with fault switches (refuse, delay, drop the answer after the effect, reset at a byte, stale reads, lag) over a control address; the HTTP client takes a timeout that keeps NotSentError and BrokenError apart.

--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -119,13 +119,17 @@
         self._kept: dict[str, list[_Link]] = {}
 
     async def request(
-        self, address: str, outgoing: http_data.Outgoing
+        self,
+        address: str,
+        outgoing: http_data.Outgoing,
+        timeout_s: float | None = None,
     ) -> Incoming:
         """Send a request and return its answer when the head has arrived.
 
         Args:
             address: ``ip:port`` of the server.
             outgoing: What to send.
+            timeout_s: Seconds until the head must have arrived.
 
         Returns:
             The answer; the caller must close it.
@@ -134,17 +138,25 @@
             NotSentError: No byte can have reached the server.
             BrokenError: A byte was written; it may or may not have run.
         """
+        deadline = _deadline(timeout_s)
         link = None if outgoing.fresh else self._take(address)
         if link is None:
-            link = await self._connect(address)
+            link = await self._connect(address, timeout_s)
         try:
-            return await self._exchange(link, outgoing)
+            async with asyncio.timeout_at(deadline):
+                return await self._exchange(link, outgoing)
+        except TimeoutError as exc:
+            link.writer.transport.abort()
+            raise http_data.BrokenError(f'{address}: timeout') from exc
         except BaseException:
             link.writer.transport.abort()
             raise
 
     async def call(
-        self, address: str, outgoing: http_data.Outgoing
+        self,
+        address: str,
+        outgoing: http_data.Outgoing,
+        timeout_s: float | None = None,
     ) -> tuple[Incoming, bytes]:
         """Send a request and read its whole answer.
 
@@ -152,9 +164,13 @@
             NotSentError: No byte can have reached the server.
             BrokenError: A byte was written; it may or may not have run.
         """
-        incoming = await self.request(address, outgoing)
+        deadline = _deadline(timeout_s)
+        incoming = await self.request(address, outgoing, timeout_s)
         try:
-            body = await incoming.read()
+            async with asyncio.timeout_at(deadline):
+                body = await incoming.read()
+        except TimeoutError as exc:
+            raise http_data.BrokenError(f'{address}: timeout') from exc
         finally:
             incoming.close()
         return incoming, body
@@ -193,10 +209,11 @@
                 return link
         return None
 
-    async def _connect(self, address: str) -> _Link:
+    async def _connect(self, address: str, timeout_s: float | None) -> _Link:
         host, _, port = address.rpartition(':')
+        connect_s = min(self._connect_s, timeout_s or self._connect_s)
         try:
-            async with asyncio.timeout(self._connect_s):
+            async with asyncio.timeout(connect_s):
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError) as exc:
             raise http_data.NotSentError(f'{address}: {exc}') from exc
@@ -231,3 +248,9 @@
                 link.conn.receive_data(await link.reader.read(READ_SIZE))
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError('closed before an answer')
+
+
+def _deadline(timeout_s: float | None) -> float | None:
+    if timeout_s is None:
+        return None
+    return asyncio.get_running_loop().time() + timeout_s
--- a/beryllug/drivers/http_data.py
+++ b/beryllug/drivers/http_data.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+import msgspec
+
 Headers = dict[str, str]
 
 
@@ -61,6 +63,9 @@
     fresh: bool = False
 
 
+to_json = msgspec.json.Encoder().encode
+
+
 class NotSentError(Exception):
     """No byte of the request can have reached the server."""
 
--- a/beryllug/drivers/http_server.py
+++ b/beryllug/drivers/http_server.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import contextlib
-import json
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -25,6 +26,7 @@
 SERVER_ERROR = 500
 LENGTH = b'content-length'
 CHUNKED = b'transfer-encoding'
+RESET = struct.pack('ii', 1, 0)  # linger on, for no time: close resets
 
 
 class Exchange:
@@ -70,7 +72,7 @@
         headers: Mapping[str, str] | None = None,
     ) -> None:
         """Send a whole JSON answer."""
-        body = json.dumps(document).encode()
+        body = http_data.to_json(document)
         framed = {'content-type': JSON_TYPE, **(headers or {})}
         await self.respond(status, body, framed)
 
@@ -96,8 +98,16 @@
         self.finished = True
         await self._write(payload + tail)
 
-    def abort(self) -> None:
-        """Cut the connection, so that a half answer is never taken as whole."""
+    def abort(self, *, hard: bool = False) -> None:
+        """Cut the connection, so that a half answer is never taken as whole.
+
+        Args:
+            hard: Cut with a TCP reset, which also discards what the client
+                has not read yet.
+        """
+        if hard:
+            sock = self._writer.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self._writer.transport.abort()
 
     def _head(self, status: int, headers: Mapping[str, str]) -> bytes:
--- /dev/null
+++ b/beryllug/standins/host_list.py
@@ -0,0 +1,102 @@
+"""Stand-in of the platform's host list.
+
+A test moves hosts with ``PUT /v1/hosts`` or `HostListParty.put`; readers see
+it `lag_s` later.
+"""
+
+import time
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+import msgspec
+
+from beryllug.core import view_data
+from beryllug.drivers import host_list, http_data
+from beryllug.standins import faults, lagged, party
+
+Hosts = tuple[view_data.BackendServer, ...]
+
+
+class HostListCfg(NamedTuple):
+    """Options."""
+
+    hosts: tuple[str, ...] = ()
+
+
+class HostListParty:
+    """The host list's behaviour."""
+
+    def __init__(self, cfg: HostListCfg, switches: faults.Switches) -> None:
+        """Begin with the given hosts."""
+        first = tuple(_parse(line) for line in cfg.hosts)
+        self.reads = 0
+        self._hosts: lagged.Lagged[Hosts] = lagged.Lagged(first)
+        self._switches = switches
+
+    def put(self, hosts: Hosts) -> None:
+        """Replace the hosts from now on."""
+        self._hosts.put(time.monotonic(), hosts)
+
+    def set_state(self, server_id: str, state: view_data.ServerState) -> None:
+        """Let one host change its state."""
+        self.put(
+            tuple(
+                host._replace(state=state)
+                if host.server_id == server_id
+                else host
+                for host in self._hosts.present
+            )
+        )
+
+    async def handle(
+        self, req: http_data.Request, answer: faults.Answer
+    ) -> None:
+        """Answer one request."""
+        match req.method, req.target:
+            case 'GET', '/v1/hosts':
+                self.reads += 1
+                lag_s = self._switches.present.lag_s
+                shown = self._hosts.at(time.monotonic(), lag_s)
+                await answer.respond_json(HTTPStatus.OK, _lines(shown))
+            case 'PUT', '/v1/hosts':
+                await self._take(req.body, answer)
+            case _:
+                missing = faults.error('not_found', req.target, 'not_run')
+                await answer.respond_json(HTTPStatus.NOT_FOUND, missing)
+
+    def record(self) -> Any:
+        """Return the hosts as they are, without lag."""
+        return {'reads': self.reads, 'hosts': _lines(self._hosts.present)}
+
+    def crash(self) -> None:
+        """Lose nothing."""
+
+    async def _take(self, body: bytes, answer: faults.Answer) -> None:
+        try:
+            hosts = host_list.decode(body)
+        except msgspec.DecodeError as exc:
+            wrong = faults.error('bad_hosts', str(exc), 'not_run')
+            await answer.respond_json(HTTPStatus.BAD_REQUEST, wrong)
+            return
+        self.put(hosts)
+        await answer.respond_json(HTTPStatus.OK, _lines(hosts))
+
+
+def stand_in(cfg: HostListCfg | None = None) -> party.StandIn:
+    """Make a host list stand-in; `start` opens its sockets."""
+    switches = faults.Switches()
+    behaviour = HostListParty(cfg or HostListCfg(), switches)
+    return party.StandIn(behaviour, switches)
+
+
+def _lines(hosts: Hosts) -> list[dict[str, str]]:
+    return [host._asdict() for host in hosts]
+
+
+def _parse(line: str) -> view_data.BackendServer:
+    """Parse ``server_id,address,zone,pool[,state]``."""
+    fields = line.split(',')
+    state = view_data.ServerState(fields[4] if len(fields) > 4 else 'live')
+    return view_data.BackendServer(
+        fields[0], fields[1], fields[2], fields[3], state
+    )
--- /dev/null
+++ b/beryllug/standins/object_api.py
@@ -0,0 +1,224 @@
+"""Stand-in of the platform's object API.
+
+It keeps versions, conditions, watches, rates and the bound on values, and
+counts each call, a waiting watch as one.
+"""
+
+import asyncio
+import base64
+import time
+from http import HTTPStatus
+from typing import Any, NamedTuple
+from urllib import parse as url_parse
+
+from beryllug.drivers import http_data, object_data
+from beryllug.standins import faults, object_store, party, rate
+
+ROOT = '/v1/objects'
+CARRIED = 65536
+MAX_WAIT_S = 300.0
+
+
+class ObjectApiCfg(NamedTuple):
+    """Options; rates in calls a second, 0 for no bound."""
+
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 400.0
+
+
+class ObjectApiParty:
+    """The object API's behaviour."""
+
+    def __init__(self, cfg: ObjectApiCfg, switches: faults.Switches) -> None:
+        """Make an empty store."""
+        now = time.monotonic()
+        self.store = object_store.ObjectStore()
+        self.calls: dict[str, int] = {}
+        self._switches = switches
+        self._replica = self.store
+        self._reads = rate.Bucket(cfg.reads_per_s, now)
+        self._writes = rate.Bucket(cfg.writes_per_s, now)
+        self._changed = asyncio.Event()
+        switches.on_change(self._follow_switches)
+
+    async def handle(
+        self, req: http_data.Request, answer: faults.Answer
+    ) -> None:
+        """Answer one request."""
+        split = url_parse.urlsplit(req.target)
+        query = dict(url_parse.parse_qsl(split.query))
+        key = url_parse.unquote(split.path.removeprefix(f'{ROOT}/'))
+        kind = _kind(req.method, split.path)
+        if await self._limited(kind, answer):
+            return
+        match kind:
+            case 'read':
+                await self._read(key, answer)
+            case 'list':
+                await self._list(query.get('prefix', ''), answer)
+            case 'write' | 'delete':
+                await self._change(key, req, answer)
+            case 'watch':
+                await self._watch(query, answer)
+            case _:
+                refused = faults.error('not_found', req.target, 'not_run')
+                await answer.respond_json(HTTPStatus.NOT_FOUND, refused)
+
+    def record(self) -> Any:
+        """Return calls by kind and all objects with their versions."""
+        return {
+            'revision': self.store.revision,
+            'calls': self.calls,
+            'conflicts': self.store.conflicts,
+            'refused': self._reads.refused + self._writes.refused,
+            'objects': {
+                stored.key: {
+                    'version': stored.version,
+                    'size': len(stored.value),
+                }
+                for stored in self.store.stored()
+            },
+        }
+
+    def crash(self) -> None:
+        """Lose nothing: the store is durable."""
+
+    def _follow_switches(self) -> None:
+        stale = self._switches.present.stale
+        self._replica = self.store.copy() if stale else self.store
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _limited(self, kind: str, answer: faults.Answer) -> bool:
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+        writes = kind in {'write', 'delete'}
+        bucket = self._writes if writes else self._reads
+        wait_s = bucket.take(time.monotonic())
+        if wait_s:
+            await answer.respond_json(
+                HTTPStatus.TOO_MANY_REQUESTS,
+                faults.error('rate_limited', 'too many calls', 'not_run'),
+                {'retry-after': f'{wait_s:.3f}'},
+            )
+        return wait_s > 0
+
+    async def _read(self, key: str, answer: faults.Answer) -> None:
+        stored = self._replica.read(key)
+        if stored is None:
+            missing = faults.error('not_found', key, 'not_run')
+            await answer.respond_json(HTTPStatus.NOT_FOUND, missing)
+            return
+        headers = {'x-object-version': str(stored.version)}
+        await answer.respond(HTTPStatus.OK, stored.value, headers)
+
+    async def _list(self, prefix: str, answer: faults.Answer) -> None:
+        listing = self._replica.list_keys(prefix)
+        lines = [line._asdict() for line in listing.entries]
+        document = {'revision': listing.revision, 'entries': lines}
+        await answer.respond_json(HTTPStatus.OK, document)
+
+    async def _change(
+        self, key: str, req: http_data.Request, answer: faults.Answer
+    ) -> None:
+        try:
+            version = self._apply(key, req)
+        except object_data.ConflictError as exc:
+            await _answer_conflict(exc.current_version, answer)
+        except object_data.TooLargeError:
+            large = faults.error('too_large', key, 'not_run')
+            await answer.respond_json(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, large
+            )
+        except ValueError:
+            wrong = faults.error('bad_condition', key, 'not_run')
+            await answer.respond_json(HTTPStatus.BAD_REQUEST, wrong)
+        else:
+            self._wake()
+            headers = {'x-object-version': str(version)}
+            await answer.respond_json(
+                HTTPStatus.OK, {'version': version}, headers
+            )
+
+    def _apply(self, key: str, req: http_data.Request) -> int:
+        condition = req.headers.get('if-match')
+        expected = None if condition is None else int(condition)
+        if req.method == 'DELETE':
+            return self.store.delete(key, expected)
+        return self.store.write(key, req.body, expected)
+
+    async def _watch(
+        self, query: dict[str, str], answer: faults.Answer
+    ) -> None:
+        try:
+            after = int(query.get('after', '0'))
+            wait_s = min(float(query.get('wait', '0')), MAX_WAIT_S)
+        except ValueError:
+            wrong = faults.error('bad_watch', str(query), 'not_run')
+            await answer.respond_json(HTTPStatus.BAD_REQUEST, wrong)
+            return
+        try:
+            batch = await self._await_changes(
+                query.get('prefix', ''), after, wait_s
+            )
+        except object_data.CompactedError as exc:
+            gone = faults.error('compacted', str(exc), 'not_run')
+            await answer.respond_json(HTTPStatus.GONE, gone)
+            return
+        await answer.respond_json(
+            HTTPStatus.OK,
+            {
+                'revision': batch.revision,
+                'changes': [_change_line(change) for change in batch.changes],
+            },
+        )
+
+    async def _await_changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> object_data.WatchBatch:
+        deadline = asyncio.get_running_loop().time() + wait_s
+        while True:
+            changed = self._changed
+            batch = self._replica.changes(prefix, after)
+            if batch.changes:
+                return batch
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await changed.wait()
+            except TimeoutError:
+                return batch
+
+
+def stand_in(cfg: ObjectApiCfg | None = None) -> party.StandIn:
+    """Make an object API stand-in; `start` opens its sockets."""
+    switches = faults.Switches()
+    behaviour = ObjectApiParty(cfg or ObjectApiCfg(), switches)
+    return party.StandIn(behaviour, switches)
+
+
+def _kind(method: str, path: str) -> str:
+    match method, path:
+        case 'GET', '/v1/watch':
+            return 'watch'
+        case 'GET', '/v1/objects':
+            return 'list'
+    kinds = {'GET': 'read', 'PUT': 'write', 'DELETE': 'delete'}
+    if path.startswith(f'{ROOT}/'):
+        return kinds.get(method, '')
+    return ''
+
+
+def _change_line(change: object_data.Change) -> dict[str, Any]:
+    body = change.value
+    carried = body is not None and len(body) < CARRIED
+    encoded = base64.b64encode(body or b'').decode() if carried else None
+    return {**change._asdict(), 'value': encoded}
+
+
+async def _answer_conflict(current: int, answer: faults.Answer) -> None:
+    document = faults.error('conflict', 'another version', 'not_run')
+    document['version'] = current
+    headers = {'x-object-version': str(current)}
+    await answer.respond_json(HTTPStatus.PRECONDITION_FAILED, document, headers)
