--- a/beryllug/core/versions_test.py
+++ b/beryllug/core/versions_test.py
@@ -1,5 +1,6 @@
 """Tests of which versions a request may run on."""
 
+import types
 import unittest
 
 from beryllug.core import config_data, versions, view_data
@@ -15,13 +16,14 @@
 RUNNING = view_data.RolloutStatus('chat', 'v2', 0, view_data.Verdict.RUNNING)
 STOPPED = RUNNING._replace(verdict=view_data.Verdict.STOPPED)
 PROMOTED = RUNNING._replace(verdict=view_data.Verdict.PROMOTED)
-PLENTY = {NEW: 1000}
+PLENTY = types.MappingProxyType({NEW: 1000})
+NONE_WITHDRAWN: frozenset[config_data.VersionRef] = frozenset()
 SESSIONS = 4000
 
 
 def _view(
     rollouts: tuple[view_data.RolloutStatus, ...] = (RUNNING,),
-    withdrawn: frozenset[config_data.VersionRef] = frozenset(),
+    withdrawn: frozenset[config_data.VersionRef] = NONE_WITHDRAWN,
 ) -> view_data.View:
     models = tuple(
         config_data.Model(
@@ -42,14 +44,21 @@
     return view_data.View(1, document, rollouts)
 
 
+def _refs(
+    plan: versions.Plan | versions.Refusal,
+) -> list[config_data.VersionRef]:
+    assert isinstance(plan, versions.Plan)
+    stage = plan.stages[0]
+    return [version.ref for version in stage.versions]
+
+
 def _first(
     view: view_data.View,
     session: versions.Session,
     budgets: versions.Budgets = PLENTY,
 ) -> config_data.VersionRef:
     plan = versions.candidates(view, ACCOUNT, 'chat', session, budgets)
-    assert isinstance(plan, versions.Plan)
-    return plan.stages[0].versions[0].ref
+    return _refs(plan)[0]
 
 
 class CandidatesTest(unittest.TestCase):
@@ -61,9 +70,9 @@
         nothing = ACCOUNT._replace(allowed=(), cascades=())
         only_old = ACCOUNT._replace(allowed=(OLD,))
         cases = (
-            (ACCOUNT, 'nope', frozenset(), versions.Reason.UNKNOWN),
-            (nothing, 'chat', frozenset(), versions.Reason.NOT_ALLOWED),
-            (nothing, 'ladder', frozenset(), versions.Reason.NOT_ALLOWED),
+            (ACCOUNT, 'nope', NONE_WITHDRAWN, versions.Reason.UNKNOWN),
+            (nothing, 'chat', NONE_WITHDRAWN, versions.Reason.NOT_ALLOWED),
+            (nothing, 'ladder', NONE_WITHDRAWN, versions.Reason.NOT_ALLOWED),
             (only_old, 'chat', frozenset((OLD,)), versions.Reason.WITHDRAWN),
             (ACCOUNT, 'ladder', everything, versions.Reason.WITHDRAWN),
         )
@@ -92,8 +101,7 @@
                     _view((state,)), ACCOUNT, 'chat', pinned, PLENTY
                 )
                 assert isinstance(plan, versions.Plan)
-                refs = [one.ref for one in plan.stages[0].versions]
-                self.assertEqual(refs, [OLD])
+                self.assertEqual(_refs(plan), [OLD])
                 self.assertFalse(plan.pin_broken)
 
     def test_pin_broken(self) -> None:
@@ -108,15 +116,16 @@
                     view, ACCOUNT, 'chat', versions.Session('s', (NEW,)), PLENTY
                 )
                 assert isinstance(plan, versions.Plan)
-                refs = [one.ref for one in plan.stages[0].versions]
-                self.assertEqual(refs, [OLD])
+                self.assertEqual(_refs(plan), [OLD])
                 self.assertTrue(plan.pin_broken)
                 self.assertFalse(versions.is_current(view, ACCOUNT, NEW))
 
     def test_rollout_share(self) -> None:
         """New sessions meet the candidate by the stage's share only."""
         staged = RUNNING._replace(stage=1)
-        cases = (
+        cases: tuple[
+            tuple[view_data.RolloutStatus, versions.Budgets, float], ...
+        ] = (
             (RUNNING, PLENTY, 0.05),
             (staged, PLENTY, 0.5),
             (staged, {NEW: 0}, 0),
@@ -144,7 +153,7 @@
     def test_cascade(self) -> None:
         """A cascade leaves out the stages that nothing may serve."""
         cases = (
-            (frozenset[config_data.VersionRef](), ['chat', 'strong']),
+            (NONE_WITHDRAWN, ['chat', 'strong']),
             (frozenset((STRONG,)), ['chat']),
             (frozenset((OLD, NEW)), ['strong']),
         )
