--- a/beryllug/bench/__main__.py
+++ b/beryllug/bench/__main__.py
@@ -1,7 +1,8 @@
 """Run every benchmark, print one table, fail on a broken bound.
 
 A benchmark is a module of this package whose name ends in ``_bench`` and
-which has ``run(report)`` that returns its broken bounds. Names given on the command line choose some of them:
+which has ``run(report)`` that returns its broken bounds. Names given on the
+command line choose some of them:
 ``python -m beryllug.bench cascade retry``.
 """
 
