--- /dev/null
+++ b/beryllug/core/evidence_book.py
@@ -0,0 +1,149 @@
+"""An entry's book of evidence: counts that wait to be reported.
+
+One report is on its way at a time and is sent again unchanged until it is
+acknowledged; what happens meanwhile is counted for the next one. So the book
+is bounded by versions and accounts, however long control is away, and a
+report whose acknowledgement was lost counts once.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from beryllug.core import config_data, rpc_data
+
+
+class Subject(NamedTuple):
+    """What a count is about: a version, for one client account."""
+
+    version: config_data.VersionRef
+    account_id: str
+
+
+class Answer(NamedTuple):
+    """How an answer ended.
+
+    Attributes:
+        failed: It failed through the version, a lost server included.
+        late: It missed its target.
+        crashed: Its backend server was lost.
+    """
+
+    failed: bool = False
+    late: bool = False
+    crashed: bool = False
+
+
+@dataclass(slots=True)
+class Book:
+    """The evidence of one entry process.
+
+    Attributes:
+        entry: Name of the process and of its start.
+        sequence: Sequence number of the last report that was made.
+        pending: The report that is not acknowledged yet.
+        counts: Counts for the next report.
+        running: Requests in flight.
+    """
+
+    entry: str
+    sequence: int = 0
+    pending: rpc_data.EvidenceReport | None = None
+    counts: dict[Subject, rpc_data.VersionEvidence] = field(
+        default_factory=dict
+    )
+    running: dict[Subject, int] = field(default_factory=dict)
+
+
+def start(book: Book, subject: Subject) -> None:
+    """Count a request that is dispatched."""
+    book.running[subject] = book.running.get(subject, 0) + 1
+
+
+def end(book: Book, subject: Subject, answer: Answer) -> None:
+    """Count an answer; every `start` has exactly one."""
+    _stop_running(book, subject)
+    counts = _counts(book, subject)
+    book.counts[subject] = counts._replace(
+        answers=counts.answers + 1,
+        errors=counts.errors + answer.failed,
+        late=counts.late + answer.late,
+        crashes=counts.crashes + answer.crashed,
+    )
+
+
+def drop(book: Book, subject: Subject) -> None:
+    """Forget a started request that says nothing of the version.
+
+    The caller went away, or the server refused it as not run.
+    """
+    _stop_running(book, subject)
+
+
+def rate(
+    book: Book, subject: Subject, rating: float, min_rating: float
+) -> None:
+    """Count a rating, from 0 to 1, of an answer counted before."""
+    counts = _counts(book, subject)
+    book.counts[subject] = counts._replace(
+        rated=counts.rated + 1,
+        rating_sum=counts.rating_sum + rating,
+        low_ratings=counts.low_ratings + (rating < min_rating),
+    )
+
+
+def skip_rating(book: Book, subject: Subject) -> None:
+    """Count an answer without failure that will not be rated."""
+    counts = _counts(book, subject)
+    book.counts[subject] = counts._replace(unrated=counts.unrated + 1)
+
+
+def move(book: Book, subject: Subject) -> None:
+    """Count a session that was moved off the version."""
+    counts = _counts(book, subject)
+    book.counts[subject] = counts._replace(moved=counts.moved + 1)
+
+
+def report(
+    book: Book, braked: tuple[config_data.VersionRef, ...]
+) -> rpc_data.EvidenceReport:
+    """Return the report to send: the unacknowledged one, or a new one."""
+    if book.pending is not None:
+        return book.pending
+    book.sequence += 1
+    subjects = {**book.counts, **book.running}
+    book.pending = rpc_data.EvidenceReport(
+        entry=book.entry,
+        sequence=book.sequence,
+        counts=tuple(
+            _counts(book, subject)._replace(
+                running=book.running.get(subject, 0)
+            )
+            for subject in sorted(subjects)
+        ),
+        braked=braked,
+    )
+    book.counts = {}
+    return book.pending
+
+
+def acknowledge(book: Book, sequence: int) -> None:
+    """Take in that the report with this number was taken."""
+    if book.pending is not None and book.pending.sequence == sequence:
+        book.pending = None
+
+
+def _stop_running(book: Book, subject: Subject) -> None:
+    left = book.running.get(subject, 0) - 1
+    if left > 0:
+        book.running[subject] = left
+    else:
+        book.running.pop(subject, None)
+
+
+def _counts(book: Book, subject: Subject) -> rpc_data.VersionEvidence:
+    found = book.counts.get(subject)
+    if found is not None:
+        return found
+    return rpc_data.VersionEvidence(
+        subject.version, subject.account_id, answers=0, errors=0, late=0
+    )
--- a/beryllug/core/rpc_data.py
+++ b/beryllug/core/rpc_data.py
@@ -146,6 +146,13 @@
         rated: Answers whose rating has arrived.
         rating_sum: Sum of these ratings, each from 0 to 1.
         low_ratings: Ratings under the roll-out's least rating.
+        crashes: Answers that ended because their backend server was lost;
+            counted among the errors too.
+        unrated: Answers without failure that will not be rated: no rating
+            was asked for, or the entry gave up waiting for it.
+        moved: Sessions that were moved off this version.
+        running: Requests that run on this version at the time of the
+            report; a level, not a count since the last one.
     """
 
     version: config_data.VersionRef
@@ -156,10 +163,23 @@
     rated: int = 0
     rating_sum: float = 0.0
     low_ratings: int = 0
+    crashes: int = 0
+    unrated: int = 0
+    moved: int = 0
+    running: int = 0
 
 
 class EvidenceReport(NamedTuple):
-    """An entry's evidence; `sequence` makes a resend count once."""
+    """An entry's evidence; `sequence` makes a resend count once.
+
+    Attributes:
+        entry: Name of the entry process and of its start, so that a
+            restarted one begins its sequence and its shares anew.
+        sequence: Grows by one with each report; a report is sent again
+            unchanged until it is acknowledged.
+        counts: Counts by version and account since the last report.
+        braked: Candidates that this entry holds back by itself.
+    """
 
     entry: str
     sequence: int
@@ -171,3 +191,17 @@
     """A message without content."""
 
     ok: bool = True
+
+
+class AnswerBody(NamedTuple):
+    """A large answer to be kept in the platform."""
+
+    request_id: str
+    body: bytes
+    found: bool = True
+
+
+class AnswerKey(NamedTuple):
+    """Ask for a kept answer."""
+
+    request_id: str
