Add the entry's flows: chat, plain services, fetch, callers' interface

Cause: the thin path needs a request to go from a caller to a backend server and back, journaled where it may run only once. Ruled out: running reports as detached tasks; the connection's handler already outlives its caller, so the flow reads the answer to its end itself. Conclusion: to be proved by the process tests.

--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -9,3 +9,7 @@
 LOOKUP = rpc.Method('Lookup', rpc_data.LookupAsk, rpc_data.LookupReply)
 CRASH = rpc.Method('Crash', rpc_data.CrashReport, rpc_data.Empty)
 EVIDENCE = rpc.Method('Evidence', rpc_data.EvidenceReport, rpc_data.Empty)
+STORE_ANSWER = rpc.Method('StoreAnswer', rpc_data.AnswerBody, rpc_data.Empty)
+FETCH_ANSWER = rpc.Method(
+    'FetchAnswer', rpc_data.AnswerKey, rpc_data.AnswerBody
+)
--- /dev/null
+++ b/beryllug/entry/admission.py
@@ -0,0 +1,166 @@
+"""Admission: take a request now, or refuse it now.
+
+This service owns the counts by client account and the learnt times that the
+limits are decided from.
+"""
+
+import time
+import types
+from typing import Any
+
+from beryllug.core import (
+    config_data,
+    estimates,
+    limits,
+    refusal,
+    request_data,
+    view_merge,
+)
+from beryllug.entry import call_data, control_link, routing
+
+CODES = types.MappingProxyType(
+    {
+        limits.Why.SHARE: refusal.Code.OVER_LIMIT,
+        limits.Why.FULL: refusal.Code.NO_SERVER,
+        limits.Why.LATE: refusal.Code.DEADLINE,
+        limits.Why.DOWN: refusal.Code.NO_SERVER,
+    }
+)
+MESSAGES = types.MappingProxyType(
+    {
+        limits.Why.SHARE: 'the account uses more than its share',
+        limits.Why.FULL: 'no capacity is free',
+        limits.Why.LATE: 'the target can not be met now',
+        limits.Why.DOWN: 'no backend server takes work now',
+    }
+)
+
+
+class Admission:
+    """Service 'admission' of an entry process."""
+
+    def __init__(
+        self,
+        entries: int,
+        link: control_link.ControlLink,
+        routes: routing.Routing,
+    ) -> None:
+        """Make the service.
+
+        Args:
+            entries: Entry processes that share the pools.
+            link: The view to follow.
+            routes: Loads of the servers.
+        """
+        self._entries = entries
+        self._routing = routes
+        self._limits = limits.LimitState()
+        self._estimates = estimates.EstimateState()
+        self._document = link.known.view.document
+        self._weights: dict[str, int] = {}
+        link.listen(self._take_view)
+
+    async def start(self) -> None:
+        """Do nothing: the link's updates drive this service."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return use by pool and account, and learnt times."""
+        pools = {
+            name: {
+                'total': use.total,
+                'bulk': use.bulk,
+                'accounts': {
+                    account_id: one.in_flight
+                    for account_id, one in use.accounts.items()
+                },
+            }
+            for name, use in self._limits.pools.items()
+        }
+        times = {
+            f'{key.name}/{key.request_class}': {
+                'first_token_s': known.first_token_s,
+                'service_s': known.service_s,
+                'samples': known.samples,
+            }
+            for key, known in self._estimates.known.items()
+        }
+        return {'pools': pools, 'estimates': times}
+
+    def estimate(self, name: str, request_class: str) -> estimates.Estimate:
+        """Return the learnt times of a version or service."""
+        return estimates.get(
+            self._estimates, estimates.Key(name, request_class)
+        )
+
+    def admit(
+        self, call: call_data.Call, pool: str, name: str
+    ) -> limits.Ticket:
+        """Admit a call to a pool; the ticket must be released.
+
+        Args:
+            call: The call.
+            pool: Name of the pool.
+            name: Version or service whose learnt times hold.
+
+        Raises:
+            RefusedError: It is refused, at once and not run.
+        """
+        now = time.monotonic()
+        known = self.estimate(name, call.facts.request_class)
+        ask = limits.Ask(
+            account_id=call.account.account_id,
+            targets=call.facts.targets,
+            first_token_s=known.first_token_s,
+            service_s=known.service_s,
+            elapsed_s=now - call.facts.arrived_at,
+        )
+        room = self._routing.room(pool, self._entries, now)
+        decision = limits.admit(self._limits, self._weights, room, ask, now)
+        if isinstance(decision, limits.Refused):
+            raise _refused(decision)
+        return decision
+
+    def release(self, ticket: limits.Ticket) -> None:
+        """Give a ticket back when its call has ended on the pool."""
+        limits.release(self._limits, ticket, time.monotonic())
+
+    def observe(
+        self,
+        name: str,
+        facts: request_data.Facts,
+        times: tuple[float, float],
+        load_share: float,
+    ) -> None:
+        """Learn from an answer.
+
+        Args:
+            name: Version or service that answered.
+            facts: The request.
+            times: Seconds to the first token and from it to the end.
+            load_share: Load of the server at dispatch over its slots.
+        """
+        key = estimates.Key(name, facts.request_class)
+        estimates.observe(self._estimates, key, *times, load_share)
+
+    def _take_view(self, known: view_merge.Known) -> None:
+        document = known.view.document
+        if document is not self._document:
+            self._document = document
+            self._weights = _weights(document)
+
+
+def _weights(document: config_data.Document) -> dict[str, int]:
+    return {account.account_id: account.weight for account in document.accounts}
+
+
+def _refused(decision: limits.Refused) -> refusal.RefusedError:
+    return refusal.RefusedError(
+        refusal.Refusal(
+            CODES[decision.why],
+            MESSAGES[decision.why],
+            retry_after_s=decision.retry_after_s,
+        )
+    )
--- /dev/null
+++ b/beryllug/entry/answers.py
@@ -0,0 +1,108 @@
+"""Kept answers: small ones in the outcome row, large ones in the platform.
+
+An answer of a call that may not repeat outlives its caller's connection and
+this host. It is written before its outcome row, so a row never names an
+answer that isn't there.
+"""
+
+import asyncio
+from typing import Any
+
+from absl import logging
+
+from beryllug.core import journal_data, rpc_data
+from beryllug.drivers import methods, rpc
+from beryllug.entry import call_data, control_calls
+
+INLINE_BYTES = 4096
+STORE_S = 3.0
+FETCH_S = 3.0
+RESEND_S = 0.5
+MAX_OWED_BYTES = 16777216
+
+
+class Answers:
+    """Service 'answers' of an entry process."""
+
+    def __init__(self, calls: control_calls.ControlCalls) -> None:
+        """Bind the calls to control processes."""
+        self._calls = calls
+        self._owed: dict[str, bytes] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start storing again what could not be stored."""
+        self._task = asyncio.create_task(self._resend())
+
+    async def stop(self, grace_s: float) -> None:
+        """Store what is owed within the grace time."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + grace_s
+        while self._owed and loop.time() < deadline:
+            await self._store_owed()
+            await asyncio.sleep(RESEND_S if self._owed else 0)
+        if self._task is not None:
+            self._task.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number and size of answers that are not stored yet."""
+        size = sum(len(body) for body in self._owed.values())
+        return {'owed': len(self._owed), 'owed_bytes': size}
+
+    async def keep(
+        self,
+        call: call_data.Call,
+        status: int,
+        content_type: str,
+        body: bytes,
+    ) -> journal_data.StoredAnswer:
+        """Keep an answer and return what its outcome row says of it."""
+        if len(body) <= INLINE_BYTES:
+            return journal_data.StoredAnswer(status, content_type, body)
+        if not await self._store(call.request_id, body):
+            self._owe(call.request_id, body)
+        return journal_data.StoredAnswer(
+            status, content_type, b'', call.request_id
+        )
+
+    async def fetch(self, answer: journal_data.StoredAnswer) -> bytes | None:
+        """Return the body of a kept answer; None when it can't be read now."""
+        if not answer.object_key:
+            return answer.body
+        owed = self._owed.get(answer.object_key)
+        if owed is not None:
+            return owed
+        ask = rpc_data.AnswerKey(answer.object_key)
+        try:
+            reply = await self._calls.call(methods.FETCH_ANSWER, ask, FETCH_S)
+        except rpc.RpcError:
+            return None
+        return reply.body if reply.found else None
+
+    async def _store(self, request_id: str, body: bytes) -> bool:
+        ask = rpc_data.AnswerBody(request_id, body)
+        try:
+            reply = await self._calls.call(methods.STORE_ANSWER, ask, STORE_S)
+        except rpc.RpcError as exc:
+            logging.warning('event=answer_store_failed error=%s', exc)
+            return False
+        return reply.ok
+
+    def _owe(self, request_id: str, body: bytes) -> None:
+        """Keep a body here until the platform takes it, within a bound."""
+        size = sum(len(owed) for owed in self._owed.values())
+        if size + len(body) > MAX_OWED_BYTES:
+            logging.error('event=answer_dropped request_id=%s', request_id)
+            return
+        self._owed[request_id] = body
+
+    async def _resend(self) -> None:
+        while True:
+            await asyncio.sleep(RESEND_S)
+            await self._store_owed()
+
+    async def _store_owed(self) -> None:
+        for request_id, body in list(self._owed.items()):
+            if not await self._store(request_id, body):
+                return
+            self._owed.pop(request_id, None)
--- /dev/null
+++ b/beryllug/entry/attempts.py
@@ -0,0 +1,225 @@
+"""Attempts of one call at backend servers until one answers.
+
+Every attempt asks again whether its version may still be used, chooses a
+server anew and tells the routing service how it went. What is said to the
+caller afterwards follows from how far each failed attempt can have got.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from beryllug.core import balance_data, config_data, refusal, retry, view_data
+from beryllug.drivers import engine, http_client, http_data
+from beryllug.entry import call_data, crashes, routing
+
+SERVER_ERROR = 500
+RETRY_AFTER_S = 1.0
+
+Send = Callable[[view_data.BackendServer], Awaitable[http_client.Incoming]]
+Allowed = Callable[[], bool]
+
+
+class Order(NamedTuple):
+    """What is to be attempted.
+
+    Attributes:
+        pick: What is asked of the choice of a server.
+        send: Sends the request to a server and returns the answer's head.
+        allowed: Whether the version may be used at this moment.
+    """
+
+    pick: balance_data.Pick
+    send: Send
+    allowed: Allowed
+
+
+class Opened(NamedTuple):
+    """An attempt that was answered: its head is here, its body to come."""
+
+    incoming: http_client.Incoming
+    attempt: routing.Attempt
+    head_at: float
+
+
+class _Failed(NamedTuple):
+    """An attempt that failed, and the server it was made at."""
+
+    failure: retry.Failure
+    server_id: str
+
+
+class Attempts:
+    """Makes attempts for the flows of an entry process."""
+
+    def __init__(
+        self, routes: routing.Routing, crash_reports: crashes.Crashes
+    ) -> None:
+        """Bind the routing service and the crash reports."""
+        self._routing = routes
+        self._crashes = crash_reports
+
+    async def open(self, call: call_data.Call, order: Order) -> Opened:
+        """Attempt until a server answers.
+
+        The caller of this function must `close` what it gets.
+
+        Raises:
+            RefusedError: No server answered; says whether one may have run it.
+        """
+        excluded: set[str] = set()
+        surely_not_run = True
+        number = 0
+        self._routing.first_try(order.pick.pool)
+        while True:
+            number += 1
+            failed = await self._attempt(call, order, frozenset(excluded))
+            if isinstance(failed, Opened):
+                return failed
+            excluded.add(failed.server_id)
+            if not retry.ran_for_sure_not(failed.failure):
+                surely_not_run = False
+            await self._wait_or_refuse(
+                call, order, failed, (number, surely_not_run)
+            )
+
+    def close(self, call: call_data.Call, opened: Opened) -> None:
+        """End an attempt: give its connection back or cut it."""
+        opened.incoming.close()
+        self._routing.end(call, opened.attempt, time.monotonic())
+
+    async def _attempt(
+        self, call: call_data.Call, order: Order, excluded: frozenset[str]
+    ) -> Opened | _Failed:
+        if not order.allowed():
+            raise _withdrawn(order.pick.version)
+        now = time.monotonic()
+        pick = order.pick._replace(excluded=excluded)
+        server = self._routing.choose(pick, now)
+        if server is None and excluded:
+            server = self._routing.choose(order.pick, now)
+        if server is None:
+            raise _no_server(order.pick.pool)
+        attempt = self._routing.attempt(order.pick, server, now)
+        self._routing.begin(call, attempt)
+        try:
+            return await self._send(call, order, attempt)
+        except BaseException:
+            self._routing.end(call, attempt, time.monotonic())
+            raise
+
+    async def _send(
+        self, call: call_data.Call, order: Order, attempt: routing.Attempt
+    ) -> Opened | _Failed:
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                incoming = await order.send(attempt.server)
+        except http_data.NotSentError:
+            failure = retry.Failure.NOT_SENT
+        except http_data.BrokenError:
+            failure = retry.Failure.BROKEN
+        except TimeoutError:
+            failure = retry.Failure.TIMED_OUT
+        else:
+            if not engine.is_declined(incoming):
+                return Opened(incoming, attempt, time.monotonic())
+            await _drop(incoming)
+            failure = retry.Failure.DECLINED
+        await self._note_failure(call, attempt, failure)
+        return _Failed(failure, attempt.server.server_id)
+
+    async def _note_failure(
+        self,
+        call: call_data.Call,
+        attempt: routing.Attempt,
+        failure: retry.Failure,
+    ) -> None:
+        now = time.monotonic()
+        if failure is not retry.Failure.DECLINED:
+            self._routing.failed(attempt, now)
+        if failure is retry.Failure.BROKEN:
+            running = self._routing.running_on(attempt.server.server_id)
+            self._routing.end(call, attempt, now)
+            await self._crashes.suspect(attempt, running)
+        else:
+            self._routing.end(call, attempt, now)
+
+    async def _wait_or_refuse(
+        self,
+        call: call_data.Call,
+        order: Order,
+        failed: _Failed,
+        so_far: tuple[int, bool],
+    ) -> None:
+        number, surely_not_run = so_far
+        attempt = retry.Attempt(
+            pool=order.pick.pool,
+            failure=failed.failure,
+            number=number,
+            repeatable=call.facts.repeatable,
+            answer_begun=False,
+            needs_s=0,
+            complete_by=call.deadline,
+        )
+        decision = self._routing.may_retry(attempt, time.monotonic())
+        match decision:
+            case retry.Again(delay_s):
+                self._crashes.refuse_suspect(call)
+                await asyncio.sleep(delay_s)
+            case _:
+                raise _given_up(failed.failure, surely_not_run)
+
+
+def is_error(status: int) -> bool:
+    """Tell whether a status says that the server itself failed."""
+    return status >= SERVER_ERROR
+
+
+async def _drop(incoming: http_client.Incoming) -> None:
+    try:
+        await incoming.read()
+    except http_data.BrokenError:
+        return
+    finally:
+        incoming.close()
+
+
+def _withdrawn(version: config_data.VersionRef | None) -> Exception:
+    name = f'{version.model}@{version.version}' if version else 'it'
+    return refusal.RefusedError(
+        refusal.Refusal(
+            refusal.Code.WITHDRAWN, f'version {name} may not be used any more'
+        )
+    )
+
+
+def _no_server(pool: str) -> Exception:
+    return refusal.RefusedError(
+        refusal.Refusal(
+            refusal.Code.NO_SERVER,
+            f'no backend server of pool {pool} takes work now',
+            retry_after_s=RETRY_AFTER_S,
+        )
+    )
+
+
+def _given_up(failure: retry.Failure, surely_not_run: bool) -> Exception:
+    """Say what became of a call whose last attempt has failed."""
+    timed_out = failure is retry.Failure.TIMED_OUT
+    code = refusal.Code.DEADLINE if timed_out else refusal.Code.BACKEND_FAILED
+    if surely_not_run:
+        return refusal.RefusedError(
+            refusal.Refusal(
+                refusal.Code.NO_SERVER,
+                'no backend server could be reached',
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
+    return refusal.RefusedError(
+        refusal.Refusal(
+            code,
+            f'the backend server did not answer ({failure.value})',
+            refusal.Run.UNKNOWN,
+        )
+    )
--- /dev/null
+++ b/beryllug/entry/bills.py
@@ -0,0 +1,144 @@
+"""Intents and outcomes of calls: at most once, and billed once.
+
+A call that may not repeat asks the owner of its journal shard before its
+first byte goes out. Every call that ran ends in one outcome row, which is
+its bill.
+"""
+
+import time
+import types
+from collections.abc import Sequence
+from typing import Any
+
+from beryllug.core import (
+    journal_data,
+    refusal,
+    request_id,
+)
+from beryllug.entry import call_data, outbox
+
+FINISH_S = 2.0
+RUNNING_RETRY_S = 1.0
+STATES = types.MappingProxyType(
+    {
+        refusal.Run.NOT_RUN: journal_data.OutcomeState.NOT_RUN,
+        refusal.Run.RAN: journal_data.OutcomeState.FAILED,
+        refusal.Run.UNKNOWN: journal_data.OutcomeState.UNKNOWN,
+    }
+)
+
+
+class Bills:
+    """Service 'bills' of an entry process."""
+
+    def __init__(self, entry: str, rows: outbox.Outbox) -> None:
+        """Bind the outbox."""
+        self._entry = entry
+        self._outbox = rows
+        self._counts = {state.value: 0 for state in journal_data.OutcomeState}
+
+    async def start(self) -> None:
+        """Do nothing: it works when it is called."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: the outbox holds what is owed."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of outcomes by state."""
+        return {'outcomes': dict(self._counts)}
+
+    async def begin(
+        self, call: call_data.Call, note: str
+    ) -> journal_data.Row | None:
+        """Ask for the right to run a call once.
+
+        Args:
+            call: A call that may not repeat.
+            note: What a later look needs, as the version it will run on.
+
+        Returns:
+            None when it may run now, or the outcome of its first try.
+
+        Raises:
+            RefusedError: It may not run now.
+        """
+        row = self._row(call, journal_data.RowKind.INTENT, note)
+        grant = await self._outbox.begin(row)
+        match grant.kind:
+            case journal_data.GrantKind.GRANTED:
+                return None
+            case journal_data.GrantKind.FINISHED:
+                return grant.first
+            case _:
+                raise refusal.RefusedError(_refusal(grant))
+
+    async def finish(
+        self,
+        call: call_data.Call,
+        state: journal_data.OutcomeState,
+        stages: Sequence[journal_data.StageUse],
+        answer: journal_data.StoredAnswer | None = None,
+    ) -> bool:
+        """Write the outcome of a call that ran; return if it is durable."""
+        self._counts[state.value] += 1
+        row = self._row(call, journal_data.RowKind.OUTCOME, '')._replace(
+            state=state, stages=tuple(stages), answer=answer
+        )
+        return await self._outbox.finish(row, FINISH_S)
+
+    async def refuse(
+        self, call: call_data.Call, refused: refusal.Refusal
+    ) -> None:
+        """Write the outcome of a call that was refused after its intent.
+
+        A call without an intent that did not run leaves no trace: it is not
+        billed and nobody asks for it.
+        """
+        state = STATES[refused.run]
+        if state is journal_data.OutcomeState.NOT_RUN:
+            if call.facts.repeatable:
+                return
+        await self.finish(call, state, ())
+
+    def _row(
+        self, call: call_data.Call, kind: journal_data.RowKind, note: str
+    ) -> journal_data.Row:
+        return journal_data.Row(
+            kind=kind,
+            request_id=call.request_id,
+            account_id=call.account.account_id,
+            shard_key=request_id.family_of(call.request_id),
+            body_hash=call.body_hash,
+            at=time.time(),
+            entry=self._entry,
+            note=note,
+        )
+
+
+def _refusal(grant: journal_data.Grant) -> refusal.Refusal:
+    """Turn a grant that is none into what the caller is told."""
+    match grant.kind:
+        case journal_data.GrantKind.RUNNING:
+            return refusal.Refusal(
+                refusal.Code.IN_PROGRESS,
+                f'the first try is running as {grant.request_id}',
+                refusal.Run.RAN,
+                RUNNING_RETRY_S,
+            )
+        case journal_data.GrantKind.UNKNOWN:
+            return refusal.Refusal(
+                refusal.Code.OUTCOME_UNKNOWN,
+                f'the first try, {grant.request_id}, may or may not have run',
+                refusal.Run.UNKNOWN,
+            )
+        case journal_data.GrantKind.MISMATCH:
+            return refusal.Refusal(
+                refusal.Code.KEY_REUSED,
+                'the idempotency key was used for another request',
+            )
+        case _:
+            return refusal.Refusal(
+                refusal.Code.JOURNAL_UNAVAILABLE,
+                'requests that may run only once are not taken now',
+                retry_after_s=grant.retry_after_s,
+            )
--- /dev/null
+++ b/beryllug/entry/chat_bill.py
@@ -0,0 +1,141 @@
+"""Bills, evidence and learnt times of chat answers.
+
+What is billed: the tokens that the engine states for a whole answer; for one
+that was cut, the events that reached us, since no more is known.
+"""
+
+import time
+
+from beryllug.core import journal_data, request_data
+from beryllug.drivers import engine_stream
+from beryllug.entry import (
+    attempts,
+    chat_data,
+    delivery,
+    headers,
+    parts,
+    routing,
+)
+
+MIN_EXPECTED_S = 0.001
+OK = 200
+TOKENS_PER_PRICE = 1000
+
+
+class ChatBill:
+    """Writes down what became of a chat answer."""
+
+    def __init__(self, wired: parts.Parts) -> None:
+        """Bind the services."""
+        self._parts = wired
+
+    async def whole_stream(
+        self,
+        turn: chat_data.Turn,
+        attempt: routing.Attempt,
+        relay: delivery.StreamRelay,
+    ) -> None:
+        """Bill a stream that came to its end, before the caller sees it."""
+        usage = relay.tail.usage()
+        tokens = (turn.call.facts.tokens_in, relay.events)
+        if usage is not None:
+            tokens = (usage.tokens_in, usage.tokens_out)
+        self._learn(turn, attempt, relay.first_at or time.monotonic())
+        answer = None
+        if not turn.call.facts.repeatable:
+            answer = await self._parts.answers.keep(
+                turn.call, OK, headers.EVENTS_TYPE, bytes(relay.kept)
+            )
+        self._judge(turn, attempt, relay.first_at, failed=False)
+        await self._parts.bills.finish(
+            turn.call,
+            journal_data.OutcomeState.DONE,
+            (use_of(turn, attempt, tokens),),
+            answer,
+        )
+
+    async def cut_stream(
+        self,
+        turn: chat_data.Turn,
+        attempt: routing.Attempt,
+        relay: delivery.StreamRelay,
+        state: journal_data.OutcomeState,
+    ) -> None:
+        """Bill a stream that was cut, by the engine or by its caller."""
+        failed = state is journal_data.OutcomeState.FAILED
+        if failed:
+            self._judge(turn, attempt, relay.first_at, failed=True)
+        tokens = (turn.call.facts.tokens_in, relay.events)
+        await self._parts.bills.finish(
+            turn.call, state, (use_of(turn, attempt, tokens),)
+        )
+
+    async def whole_body(
+        self, turn: chat_data.Turn, opened: attempts.Opened, body: bytes
+    ) -> None:
+        """Bill an answer that was read whole."""
+        status = opened.incoming.status
+        failed = attempts.is_error(status)
+        if failed:
+            self._parts.routing.failed(opened.attempt, time.monotonic())
+        else:
+            self._learn(turn, opened.attempt, opened.head_at)
+        self._judge(turn, opened.attempt, time.monotonic(), failed)
+        state = journal_data.OutcomeState.DONE
+        if status != OK:
+            state = journal_data.OutcomeState.FAILED
+        answer = None
+        if not turn.call.facts.repeatable:
+            answer = await self._parts.answers.keep(
+                turn.call, status, headers.JSON_TYPE, body
+            )
+        usage = engine_stream.usage_of(body)
+        tokens = (usage.tokens_in, usage.tokens_out) if usage else (0, 0)
+        await self._parts.bills.finish(
+            turn.call, state, (use_of(turn, opened.attempt, tokens),), answer
+        )
+
+    def _judge(
+        self,
+        turn: chat_data.Turn,
+        attempt: routing.Attempt,
+        first_at: float | None,
+        failed: bool,
+    ) -> None:
+        """Give evidence on the version: did it fail, was it late."""
+        facts = turn.call.facts
+        due = request_data.first_token_by(facts)
+        late = first_at is None or first_at > due
+        self._parts.exposure.answered(turn.call, turn.version.ref, failed, late)
+
+    def _learn(
+        self,
+        turn: chat_data.Turn,
+        attempt: routing.Attempt,
+        first_at: float,
+    ) -> None:
+        now = time.monotonic()
+        name = chat_data.name_of(turn.version.ref)
+        facts = turn.call.facts
+        first_s = first_at - attempt.started
+        known = self._parts.admission.estimate(name, facts.request_class)
+        ratio = first_s / max(known.first_token_s, MIN_EXPECTED_S)
+        self._parts.routing.answered(attempt, ratio, now)
+        times = (first_s, now - first_at)
+        self._parts.admission.observe(name, facts, times, attempt.load_share)
+
+
+def use_of(
+    turn: chat_data.Turn, attempt: routing.Attempt, tokens: tuple[int, int]
+) -> journal_data.StageUse:
+    """Return the detail of a bill for one stage."""
+    tokens_in, tokens_out = tokens
+    price = turn.version.cost_micro
+    return journal_data.StageUse(
+        model=turn.version.ref.model,
+        version=turn.version.ref.version,
+        server_id=attempt.server.server_id,
+        tokens_in=tokens_in,
+        tokens_out=tokens_out,
+        cost_micro=(tokens_in + tokens_out) * price // TOKENS_PER_PRICE,
+    )
--- /dev/null
+++ b/beryllug/entry/headers.py
@@ -0,0 +1,16 @@
+"""Names of the headers of the callers' interface."""
+
+AUTHORIZATION = 'authorization'
+IDEMPOTENCY_KEY = 'idempotency-key'
+DEADLINE_MS = 'x-beryllug-deadline-ms'
+REQUEST_CLASS = 'x-beryllug-class'
+SESSION = 'x-beryllug-session'
+SESSION_TOKEN = 'x-beryllug-session-token'
+SESSION_MOVED = 'x-beryllug-session-moved'
+REQUEST_ID = 'x-beryllug-request-id'
+VERSION = 'x-beryllug-version'
+REPLAYED = 'x-beryllug-replayed'
+RUN = 'x-beryllug-run'
+CONTENT_TYPE = 'content-type'
+JSON_TYPE = 'application/json'
+EVENTS_TYPE = 'text/event-stream'
--- a/beryllug/entry/outbox.py
+++ b/beryllug/entry/outbox.py
@@ -89,7 +89,7 @@
             reply = await self._calls.call(methods.BEGIN, batch, BEGIN_S)
         except rpc.RpcError as exc:
             logging.warning('event=begin_failed error=%s', exc)
-            return [_unavailable(row) for row in rows]
+            return [self._withdraw(row) for row in rows]
         return reply.grants
 
     async def _send_finishes(
@@ -99,6 +99,23 @@
         ack = await self._calls.call(methods.FINISH, batch, CALL_S)
         return ack.durable
 
+    def _withdraw(self, row: journal_data.Row) -> journal_data.Grant:
+        """Take an intent back whose answer did not come.
+
+        It may be durable, and nobody will ever run it. Without an outcome
+        every resend under its key would be told "unknown"; this process
+        knows that it was not run and says so in the journal.
+        """
+        self._owed[row.request_id] = row._replace(
+            kind=journal_data.RowKind.OUTCOME,
+            state=journal_data.OutcomeState.NOT_RUN,
+        )
+        return journal_data.Grant(
+            journal_data.GrantKind.UNAVAILABLE,
+            row.request_id,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
     async def _resend(self) -> None:
         while True:
             await asyncio.sleep(RESEND_S)
@@ -114,11 +131,3 @@
         for row, done in zip(rows, durable, strict=True):
             if done:
                 self._owed.pop(row.request_id, None)
-
-
-def _unavailable(row: journal_data.Row) -> journal_data.Grant:
-    return journal_data.Grant(
-        journal_data.GrantKind.UNAVAILABLE,
-        row.request_id,
-        retry_after_s=RETRY_AFTER_S,
-    )
--- /dev/null
+++ b/beryllug/entry/routing.py
@@ -0,0 +1,184 @@
+"""What this process knows of the backend servers, and the choices from it.
+
+The deciding functions are pure; this service owns the state that they read:
+counts of our own requests, reported loads, retry budgets and which requests
+run on which server.
+"""
+
+import random
+import time
+from typing import Any, NamedTuple
+
+from beryllug.core import (
+    balance,
+    balance_data,
+    config_data,
+    ejection,
+    limits,
+    retry,
+    server_load,
+    view_data,
+    view_merge,
+)
+from beryllug.entry import call_data, control_link
+
+POLICY = balance_data.TwoChoices()
+
+
+class Attempt(NamedTuple):
+    """One dispatch of a call to a backend server.
+
+    Attributes:
+        server: The server.
+        pool: Its pool.
+        version: The version it runs, or None for a plain service.
+        started: Monotonic second of the dispatch.
+        load_share: Load of the server then, over its slots.
+    """
+
+    server: view_data.BackendServer
+    pool: str
+    version: config_data.VersionRef | None
+    started: float
+    load_share: float
+
+
+class Routing:
+    """Service 'routing' of an entry process."""
+
+    def __init__(
+        self, entry: str, zone: str, link: control_link.ControlLink
+    ) -> None:
+        """Make the service; it follows the link's view."""
+        no_servers: tuple[view_data.BackendServer, ...] = ()
+        self._entry = entry
+        self._zone = zone
+        self._state = balance_data.BalanceState()
+        self._retries = retry.RetryState()
+        self._fleet: balance_data.Fleet = {}
+        self._declared = (view_data.EMPTY_VIEW.document, no_servers)
+        self._running: dict[str, dict[str, str]] = {}
+        self._rng = random.Random(entry)
+        link.listen(self._take_view)
+
+    async def start(self) -> None:
+        """Do nothing: the link's updates drive this service."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return counts by server and retry budgets by pool."""
+        tracks = {
+            server_id: {
+                'in_flight': seen.in_flight,
+                'reported': seen.reported,
+                'slowness': seen.slowness,
+                'failures': seen.failures,
+                'ejections': seen.ejections,
+            }
+            for server_id, seen in self._state.tracks.items()
+        }
+        return {'servers': tracks, 'retries': dict(retry.dump(self._retries))}
+
+    def choose(
+        self, pick: balance_data.Pick, now: float
+    ) -> view_data.BackendServer | None:
+        """Choose the server for an attempt; None when there is none."""
+        return balance.choose(
+            self._state, self._fleet, pick, POLICY, now, self._rng
+        )
+
+    def attempt(
+        self,
+        pick: balance_data.Pick,
+        server: view_data.BackendServer,
+        now: float,
+    ) -> Attempt:
+        """Return the attempt of a choice, with the load it meets."""
+        pool = self._fleet.get(pick.pool)
+        slots = pool.pool.concurrency if pool else 1
+        seen = server_load.track(self._state, server.server_id)
+        load_share = server_load.load_of(seen, now) / slots
+        return Attempt(server, pick.pool, pick.version, now, load_share)
+
+    def begin(self, call: call_data.Call, attempt: Attempt) -> None:
+        """Count a dispatch; called before the first await after `choose`."""
+        server_id = attempt.server.server_id
+        server_load.dispatched(self._state, server_id, attempt.started)
+        running = self._running.setdefault(server_id, {})
+        running[call.request_id] = call.fingerprint
+
+    def end(self, call: call_data.Call, attempt: Attempt, now: float) -> None:
+        """Count the end of an attempt, however it ended; once."""
+        server_id = attempt.server.server_id
+        running = self._running.get(server_id, {})
+        if running.pop(call.request_id, None) is not None:
+            server_load.finished(self._state, server_id, now)
+
+    def failed(self, attempt: Attempt, now: float) -> None:
+        """Take a failure that the server is to blame for."""
+        seen = server_load.track(self._state, attempt.server.server_id)
+        ejection.failed(seen, now)
+
+    def answered(self, attempt: Attempt, ratio: float, now: float) -> None:
+        """Take an answer.
+
+        Args:
+            attempt: The attempt that was answered.
+            ratio: Seen time to first token over the expected one.
+            now: The present monotonic second.
+        """
+        seen = server_load.track(self._state, attempt.server.server_id)
+        ejection.succeeded(seen, ratio)
+        pool = self._fleet.get(attempt.pool)
+        members = pool.members if pool else ()
+        tracks = [
+            server_load.track(self._state, member.server.server_id)
+            for member in members
+        ]
+        ejection.eject_slow(tracks, now)
+
+    def room(self, pool_name: str, entries: int, now: float) -> limits.Room:
+        """Return what a pool offers now.
+
+        Args:
+            pool_name: Name of the pool.
+            entries: Entry processes that share it.
+            now: The present monotonic second.
+        """
+        pool = self._fleet.get(pool_name)
+        members = pool.members if pool else ()
+        tracks = [
+            server_load.track(self._state, member.server.server_id)
+            for member in members
+        ]
+        sound = [seen for seen in tracks if not ejection.is_out(seen, now)]
+        slots = pool.pool.concurrency * len(sound) if pool else 0
+        load = sum(server_load.load_of(seen, now) for seen in sound)
+        return limits.Room(pool_name, slots, load, entries)
+
+    def running_on(self, server_id: str) -> tuple[str, ...]:
+        """Return the fingerprints of our requests on a server."""
+        return tuple(self._running.get(server_id, {}).values())
+
+    def first_try(self, pool: str) -> None:
+        """Count a first try, which earns its pool a part of a retry."""
+        retry.first_try(self._retries, pool)
+
+    def may_retry(
+        self, attempt: retry.Attempt, now: float
+    ) -> retry.Again | retry.Denial:
+        """Decide whether a failed attempt is followed by another."""
+        jitter = self._rng.random()
+        return retry.may_retry(self._retries, attempt, now, jitter)
+
+    def _take_view(self, known: view_merge.Known) -> None:
+        view = known.view
+        offset = time.monotonic() - time.time()
+        server_load.report(self._state, view.loads, offset)
+        declared = (view.document, view.servers)
+        if declared != self._declared:
+            self._declared = declared
+            server_load.keep_only(self._state, view.servers)
+            self._fleet = balance.build_fleet(view, self._entry, self._zone)
