--- /dev/null
+++ b/beryllug/core/digest_index.py
@@ -0,0 +1,113 @@
+"""A lean index from 64-bit digests to segment numbers.
+
+A dict of ints takes about a hundred bytes an entry; a control process has a
+few megabytes for millions of remembered requests. Here an entry takes 24
+bytes: open addressing in two arrays, at most half full. Tables are filled
+one after the other and forgotten whole, oldest first.
+
+A digest may collide; whoever finds one reads the row it points at.
+"""
+
+import hashlib
+from array import array
+from dataclasses import dataclass, field
+
+SLOTS = 8192
+MAX_USED = SLOTS // 2
+MAX_TABLES = 64
+
+
+@dataclass(slots=True)
+class Table:
+    """One table; a digest of 0 marks a free slot.
+
+    Attributes:
+        digests: Digest of each slot.
+        seqs: Segment number of each slot.
+        used: Slots in use.
+        newest_at: Wall-clock second of the newest row in it.
+    """
+
+    digests: 'array[int]' = field(
+        default_factory=lambda: array('Q', bytes(8 * SLOTS))
+    )
+    seqs: 'array[int]' = field(
+        default_factory=lambda: array('L', bytes(8 * SLOTS))
+    )
+    used: int = 0
+    newest_at: float = float('-inf')
+
+
+@dataclass(slots=True)
+class Index:
+    """Tables, the newest last.
+
+    Attributes:
+        tables: The tables.
+        forgotten_at: Newest row that has been forgotten, wall-clock seconds.
+    """
+
+    tables: list[Table] = field(default_factory=list)
+    forgotten_at: float = float('-inf')
+
+
+def digest(*parts: str) -> int:
+    """Return the digest of some text parts; never 0."""
+    joined = '\0'.join(parts).encode()
+    hashed = hashlib.blake2b(joined, digest_size=8).digest()
+    return int.from_bytes(hashed, 'little') or 1
+
+
+def put(index: Index, key: int, seq: int, at: float) -> None:
+    """Remember the segment of a digest's latest row.
+
+    Args:
+        index: The index.
+        key: The digest.
+        seq: Number of the segment that holds the row.
+        at: Wall-clock second of the row's commit.
+    """
+    if not index.tables or index.tables[-1].used >= MAX_USED:
+        index.tables.append(Table())
+        _drop_beyond(index, MAX_TABLES)
+    table = index.tables[-1]
+    slot = _slot(table, key)
+    if not table.digests[slot]:
+        table.used += 1
+    table.digests[slot] = key
+    table.seqs[slot] = seq
+    table.newest_at = max(table.newest_at, at)
+
+
+def find(index: Index, key: int) -> int | None:
+    """Return the segment of a digest's latest row, or None."""
+    for table in reversed(index.tables):
+        slot = _slot(table, key)
+        if table.digests[slot]:
+            return table.seqs[slot]
+    return None
+
+
+def forget(index: Index, before: float) -> None:
+    """Forget tables whose newest row is older than a wall-clock second."""
+    while index.tables and index.tables[0].newest_at < before:
+        _drop_beyond(index, len(index.tables) - 1)
+
+
+def size(index: Index) -> int:
+    """Return the number of remembered digests."""
+    return sum(table.used for table in index.tables)
+
+
+def _slot(table: Table, key: int) -> int:
+    slot = key % SLOTS
+    digests = table.digests
+    while digests[slot] not in {0, key}:
+        slot = (slot + 1) % SLOTS
+    return slot
+
+
+def _drop_beyond(index: Index, count: int) -> None:
+    while len(index.tables) > count:
+        dropped = index.tables.pop(0)
+        index.forgotten_at = max(index.forgotten_at, dropped.newest_at)
--- /dev/null
+++ b/beryllug/core/journal_log.py
@@ -0,0 +1,143 @@
+"""What durable rows change for the owner of a shard.
+
+Rows come here in the order of the log: those this owner wrote, and at a
+takeover those of earlier owners.
+"""
+
+from collections.abc import Iterable
+
+from beryllug.core import digest_index, journal_data, shard_state
+
+LONGEST_RUN_S = 3600.0
+
+
+def committed(
+    state: shard_state.ShardState, row: journal_data.Row, seq: int, at: float
+) -> None:
+    """Take in that a row is durable.
+
+    Args:
+        state: The shard; a durable intent that was denied meanwhile gets an
+            outcome NOT_RUN among its pending rows.
+        row: The row as it stands in the log.
+        seq: Its segment.
+        at: Wall-clock second of the commit.
+    """
+    row_id = shard_state.row_id(row)
+    session = row.kind is journal_data.RowKind.SESSION
+    if not session or state.pending.get(row_id) == row:
+        # A later pin of the same session may have come meanwhile; it waits
+        # for its own commit.
+        state.pending.pop(row_id, None)
+    match row.kind:
+        case journal_data.RowKind.INTENT:
+            _committed_intent(state, row, seq, at)
+        case journal_data.RowKind.OUTCOME:
+            _committed_outcome(state, row, seq, at)
+        case _:
+            digest = shard_state.kind_digest(
+                row.kind, row.account_id, row.shard_key
+            )
+            digest_index.put(state.index, digest, seq, at)
+
+
+def replay(
+    state: shard_state.ShardState,
+    rows: Iterable[journal_data.Row],
+    seq: int,
+    at: float,
+) -> None:
+    """Take in a segment of earlier owners, in the order of the log."""
+    for row in rows:
+        if row.kind is journal_data.RowKind.INTENT:
+            shard_state.add_try(
+                state, row, shard_state.Phase.INHERITED, float('-inf')
+            )
+        committed(state, row, seq, at)
+
+
+def replayed(state: shard_state.ShardState, now: float) -> None:
+    """End the replay: close what earlier owners surely never granted.
+
+    Where a key has two tries without outcome, the earlier one was denied:
+    only then does an owner take a second.
+    """
+    state.boots = {name: '' for name in state.boots}
+    for attempt in list(state.tries.values()):
+        attempt.since = now
+        latest = state.keys.get(shard_state.key_of(attempt.row))
+        if latest != attempt.row.request_id:
+            _end(state, attempt, journal_data.OutcomeState.NOT_RUN)
+
+
+def expire(state: shard_state.ShardState, now: float) -> None:
+    """Give tries that never ended an outcome: nobody will send one."""
+    for attempt in state.tries.values():
+        waits = attempt.phase is shard_state.Phase.WAITING
+        if not waits and now - attempt.since > LONGEST_RUN_S:
+            _end(state, attempt, journal_data.OutcomeState.UNKNOWN)
+
+
+def about_key(
+    rows: Iterable[journal_data.Row], account_id: str, shard_key: str
+) -> journal_data.Row | None:
+    """Choose the row of a segment that decides about a key.
+
+    An outcome other than NOT_RUN decides for good; then an intent that has
+    none, then whatever came last.
+    """
+    chosen = None
+    ended: set[str] = set()
+    for row in rows:
+        if (row.account_id, row.shard_key) != (account_id, shard_key):
+            continue
+        match row.kind:
+            case journal_data.RowKind.OUTCOME if not shard_state.is_not_run(
+                row
+            ):
+                return row
+            case journal_data.RowKind.OUTCOME:
+                ended.add(row.request_id)
+                if chosen is None or chosen.request_id in ended:
+                    chosen = row
+            case journal_data.RowKind.INTENT if row.request_id not in ended:
+                chosen = row
+    return chosen
+
+
+def _committed_intent(
+    state: shard_state.ShardState, row: journal_data.Row, seq: int, at: float
+) -> None:
+    attempt = state.tries.get(row.request_id)
+    if attempt is None:
+        # Denied while its write was under way, and the write took effect.
+        # Without an outcome its key would stay taken for ever by a try that
+        # never ran.
+        if not shard_state.has_outcome(state, row.request_id):
+            shard_state.add_outcome(
+                state, row, journal_data.OutcomeState.NOT_RUN
+            )
+        return
+    if attempt.phase is shard_state.Phase.WAITING:
+        attempt.phase = shard_state.Phase.OPEN
+    if state.keys.get(shard_state.key_of(row)) == row.request_id:
+        digest_index.put(state.index, shard_state.key_digest(row), seq, at)
+
+
+def _committed_outcome(
+    state: shard_state.ShardState, row: journal_data.Row, seq: int, at: float
+) -> None:
+    digest = shard_state.request_digest(row.request_id)
+    digest_index.put(state.index, digest, seq, at)
+    current = state.keys.get(shard_state.key_of(row)) == row.request_id
+    if current or row.answer is not None:
+        digest_index.put(state.index, shard_state.key_digest(row), seq, at)
+    shard_state.close(state, row)
+
+
+def _end(
+    state: shard_state.ShardState,
+    attempt: shard_state.Try,
+    outcome: journal_data.OutcomeState,
+) -> None:
+    shard_state.add_outcome(state, attempt.row, outcome)
--- /dev/null
+++ b/beryllug/core/shard_state.py
@@ -0,0 +1,146 @@
+"""What the owner of a shard of the request journal remembers.
+
+`core.journal` decides about rows that arrive, `core.journal_log` takes in
+rows that are durable; both work on this state.
+"""
+
+import zlib
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from beryllug.core import digest_index, journal_data
+
+BOOT_SEPARATOR = '/'
+
+RowId = tuple[journal_data.RowKind, str]
+
+
+class Phase(StrEnum):
+    """How far a try has come."""
+
+    WAITING = 'waiting'
+    OPEN = 'open'
+    INHERITED = 'inherited'
+
+
+@dataclass(slots=True)
+class Try:
+    """One try of a request that may not repeat, without outcome yet.
+
+    Attributes:
+        row: Its intent.
+        phase: How far it has come.
+        since: When this owner met it, monotonic seconds.
+    """
+
+    row: journal_data.Row
+    phase: Phase
+    since: float
+
+
+@dataclass(slots=True)
+class ShardState:
+    """All that the owner of a shard remembers.
+
+    Attributes:
+        tries: Tries without durable outcome by request id.
+        keys: Request id of the latest try of each key in `tries`.
+        pending: Rows that wait to become durable, in order.
+        index: Segment of the latest row by digest, for all that is durable.
+        boots: The process start last heard of each entry process that has
+            tries, by the entry's name; empty when not heard yet.
+    """
+
+    tries: dict[str, Try] = field(default_factory=dict)
+    keys: dict[tuple[str, str], str] = field(default_factory=dict)
+    pending: dict[RowId, journal_data.Row] = field(default_factory=dict)
+    index: digest_index.Index = field(default_factory=digest_index.Index)
+    boots: dict[str, str] = field(default_factory=dict)
+
+
+def shard_of(account_id: str, shard_key: str, shards: int) -> int:
+    """Return the shard of a row."""
+    return zlib.crc32(f'{account_id}\0{shard_key}'.encode()) % shards
+
+
+def row_id(row: journal_data.Row) -> RowId:
+    """Return what tells a row from all others, and a repeat from a new one."""
+    if row.kind in {journal_data.RowKind.INTENT, journal_data.RowKind.OUTCOME}:
+        return row.kind, row.request_id
+    return row.kind, f'{row.account_id}\0{row.shard_key}'
+
+
+def key_of(row: journal_data.Row) -> tuple[str, str]:
+    """Return account and key of a row."""
+    return row.account_id, row.shard_key
+
+
+def kind_digest(
+    kind: journal_data.RowKind, account_id: str, shard_key: str
+) -> int:
+    """Return the digest of the latest row of a kind under a key."""
+    name = 'key' if kind is journal_data.RowKind.OUTCOME else kind
+    return digest_index.digest(name, account_id, shard_key)
+
+
+def key_digest(row: journal_data.Row) -> int:
+    """Return the digest of a row by account and key."""
+    return digest_index.digest('key', row.account_id, row.shard_key)
+
+
+def request_digest(request_id: str) -> int:
+    """Return the digest of an outcome by its request id."""
+    return digest_index.digest('request', request_id)
+
+
+def add_try(
+    state: ShardState, row: journal_data.Row, phase: Phase, now: float
+) -> None:
+    """Remember a try without outcome."""
+    state.tries[row.request_id] = Try(row, phase, now)
+    state.keys[key_of(row)] = row.request_id
+    state.boots[entry_name(row.entry)] = row.entry
+
+
+def add_outcome(
+    state: ShardState,
+    row: journal_data.Row,
+    outcome: journal_data.OutcomeState,
+) -> None:
+    """Let the owner itself end a try; an outcome that waits stays."""
+    ended = row._replace(kind=journal_data.RowKind.OUTCOME, state=outcome)
+    state.pending.setdefault(row_id(ended), ended)
+
+
+def close(state: ShardState, row: journal_data.Row) -> None:
+    """Forget a try that ended or was given up."""
+    state.tries.pop(row.request_id, None)
+    if state.keys.get(key_of(row)) == row.request_id:
+        state.keys.pop(key_of(row))
+    if not state.tries:
+        state.boots.clear()
+
+
+def has_outcome(state: ShardState, request_id: str) -> bool:
+    """Tell whether a request has ended, durably or soon."""
+    if (journal_data.RowKind.OUTCOME, request_id) in state.pending:
+        return True
+    digest = request_digest(request_id)
+    return digest_index.find(state.index, digest) is not None
+
+
+def is_not_run(row: journal_data.Row) -> bool:
+    """Tell whether a row says that its request did not run."""
+    return row.state is journal_data.OutcomeState.NOT_RUN
+
+
+def hear(state: ShardState, entry: str) -> None:
+    """Note which process start of an entry was last heard."""
+    name = entry_name(entry)
+    if name in state.boots.keys():
+        state.boots[name] = entry
+
+
+def entry_name(entry: str) -> str:
+    """Return the name of an entry without its process start."""
+    return entry.partition(BOOT_SEPARATOR)[0]
