Add engines, plain services, rating and weight store

Change: adapters behind typed protocols, a stand-in for each party, all of them runnable as processes by beryllug.standins.serve. The engine stand-in batches with a queue by priority, streams, resumes at a byte, cancels, loads by order with or without a check of fencing tokens, and crashes on a poison prompt; its answers carry the request's tag and a closing hash. A declining answer says so in x-run and in its body; the answer to a resume or cancel of an unknown request says neither, since nobody knows whether it ran.

--- /dev/null
+++ b/beryllug/drivers/engine.py
@@ -0,0 +1,280 @@
+"""Adapter of the model engines.
+
+The one module that knows their wire format: the API for chat completions
+with a request id, the version and the priority in headers, and beside it
+resume, cancel, load, orders, cache events and KV cache transfer.
+
+Chats give the answer as an `http_client.Incoming`, whose bytes pass through
+unparsed, and raise the HTTP driver's errors, which tell whether a byte can
+have been sent. The other calls raise `engine_data.EngineError`s.
+"""
+
+from http import HTTPStatus
+from typing import Protocol, TypedDict, TypeVar
+from urllib import parse as url_parse
+
+import msgspec
+
+from beryllug.core import config_data
+from beryllug.drivers import engine_data, http_client, http_data
+
+CHAT = '/v1/chat/completions'
+REQUEST_ID = 'x-request-id'
+ACCOUNT = 'x-account'
+MODEL = 'x-model'
+MODEL_VERSION = 'x-model-version'
+PRIORITY = 'x-priority'
+RUN = 'x-run'
+NOT_RUN = 'not_run'
+JSON_TYPE = 'application/json'
+REASON_BYTES = 200
+
+_Shape = TypeVar('_Shape')
+
+
+class Engine(Protocol):
+    """What the system needs of model engines, each at its address."""
+
+    async def chat(
+        self, address: str, ask: engine_data.ChatAsk
+    ) -> http_client.Incoming:
+        """Run a chat completion; returns when the answer's head is here.
+
+        Raises:
+            NotSentError: No byte can have reached the engine.
+            BrokenError: It may or may not run.
+        """
+
+    async def resume(
+        self, address: str, request_id: str, offset: int
+    ) -> http_client.Incoming | None:
+        """Take up an answer from a byte of its body on.
+
+        Returns:
+            The rest of the answer, or None where the engine has no such.
+
+        Raises:
+            NotSentError: The engine was not reached.
+            BrokenError: The exchange broke.
+        """
+
+    async def cancel(
+        self, address: str, request_id: str
+    ) -> engine_data.CancelResult:
+        """Cancel a request."""
+
+    async def load(self, address: str) -> engine_data.LoadReport:
+        """Read the lagging load report."""
+
+    async def order(self, address: str, order: engine_data.Order) -> None:
+        """Give an order.
+
+        Raises:
+            StaleOrderError: The fencing token is old; nothing was done.
+            NotRunError: Nothing was done.
+            UnknownRunError: It may or may not have been carried out.
+        """
+
+    async def cache_events(
+        self, address: str, after: int
+    ) -> engine_data.CacheEvents:
+        """Read the prefix cache events after a sequence number."""
+
+    async def export_kv(self, address: str, ask: engine_data.ChatAsk) -> bytes:
+        """Export the KV cache that the engine has for a prompt's prefix."""
+
+    async def import_kv(self, address: str, exported: bytes) -> int:
+        """Import an exported KV cache; returns the blocks taken."""
+
+
+class _Loaded(TypedDict):
+    model: str
+    version: str
+
+
+class _Load(TypedDict):
+    running: int
+    queued: int
+    measured_at: float
+    loaded: list[_Loaded]
+    role: str
+    fencing: int
+
+
+class _Event(TypedDict):
+    sequence: int
+    stored: bool
+    block: str
+
+
+class _Events(TypedDict):
+    latest: int
+    events: list[_Event]
+
+
+class _Cancelled(TypedDict):
+    started: bool
+    finished: bool
+
+
+class _Imported(TypedDict):
+    blocks: int
+
+
+class _Fencing(TypedDict):
+    highest: int
+
+
+class HttpEngine:
+    """Model engines over HTTP."""
+
+    def __init__(
+        self, client: http_client.HttpClient, timeout_s: float
+    ) -> None:
+        """Bind the adapter to a client; the timeout bounds all but chats."""
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def chat(
+        self, address: str, ask: engine_data.ChatAsk
+    ) -> http_client.Incoming:
+        """Run a chat completion; see `Engine`."""
+        outgoing = http_data.Outgoing(
+            'POST', CHAT, _chat_headers(ask), ask.body, ask.fresh
+        )
+        return await self._client.request(address, outgoing)
+
+    async def resume(
+        self, address: str, request_id: str, offset: int
+    ) -> http_client.Incoming | None:
+        """Take up an answer from a byte of its body on; see `Engine`."""
+        target = f'{_request_path(request_id)}/resume?offset={offset}'
+        outgoing = http_data.Outgoing('GET', target, {})
+        incoming = await self._client.request(
+            address, outgoing, self._timeout_s
+        )
+        if incoming.status == HTTPStatus.NOT_FOUND:
+            incoming.close()
+            return None
+        return incoming
+
+    async def cancel(
+        self, address: str, request_id: str
+    ) -> engine_data.CancelResult:
+        """Cancel a request."""
+        outgoing = http_data.Outgoing('DELETE', _request_path(request_id), {})
+        status, body = await self._call(address, outgoing)
+        if status == HTTPStatus.NOT_FOUND:
+            return engine_data.CancelResult(known=False)
+        _raise_failure(status, body)
+        cancelled = _decode(body, _Cancelled)
+        return engine_data.CancelResult(known=True, **cancelled)
+
+    async def load(self, address: str) -> engine_data.LoadReport:
+        """Read the lagging load report."""
+        body = await self._get(address, '/v1/load')
+        report = _decode(body, _Load)
+        loaded = (config_data.VersionRef(**line) for line in report['loaded'])
+        return engine_data.LoadReport(
+            report['running'],
+            report['queued'],
+            report['measured_at'],
+            tuple(loaded),
+            report['role'],
+            report['fencing'],
+        )
+
+    async def order(self, address: str, order: engine_data.Order) -> None:
+        """Give an order; see `Engine`."""
+        fields = {**order._asdict(), **order.version._asdict()}
+        outgoing = _post('/v1/orders', http_data.to_json(fields))
+        status, body = await self._call(address, outgoing)
+        if status == HTTPStatus.CONFLICT:
+            raise engine_data.StaleOrderError(
+                _decode(body, _Fencing)['highest']
+            )
+        _raise_failure(status, body)
+
+    async def cache_events(
+        self, address: str, after: int
+    ) -> engine_data.CacheEvents:
+        """Read the prefix cache events after a sequence number."""
+        body = await self._get(address, f'/v1/cache-events?after={after}')
+        read = _decode(body, _Events)
+        events = (engine_data.CacheEvent(**line) for line in read['events'])
+        return engine_data.CacheEvents(read['latest'], tuple(events))
+
+    async def export_kv(self, address: str, ask: engine_data.ChatAsk) -> bytes:
+        """Export the KV cache that the engine has for a prompt's prefix."""
+        outgoing = http_data.Outgoing(
+            'POST', '/v1/kv/export', _chat_headers(ask), ask.body
+        )
+        status, body = await self._call(address, outgoing)
+        _raise_failure(status, body)
+        return body
+
+    async def import_kv(self, address: str, exported: bytes) -> int:
+        """Import an exported KV cache; returns the blocks taken."""
+        outgoing = http_data.Outgoing('POST', '/v1/kv/import', {}, exported)
+        status, body = await self._call(address, outgoing)
+        _raise_failure(status, body)
+        return _decode(body, _Imported)['blocks']
+
+    async def _get(self, address: str, target: str) -> bytes:
+        outgoing = http_data.Outgoing('GET', target, {})
+        status, body = await self._call(address, outgoing)
+        _raise_failure(status, body)
+        return body
+
+    async def _call(
+        self, address: str, outgoing: http_data.Outgoing
+    ) -> tuple[int, bytes]:
+        try:
+            incoming, body = await self._client.call(
+                address, outgoing, self._timeout_s
+            )
+        except http_data.NotSentError as exc:
+            raise engine_data.NotRunError(str(exc)) from exc
+        except http_data.BrokenError as exc:
+            raise engine_data.UnknownRunError(str(exc)) from exc
+        if is_declined(incoming):
+            raise engine_data.NotRunError(f'status {incoming.status}')
+        return incoming.status, body
+
+
+def is_declined(incoming: http_client.Incoming) -> bool:
+    """Tell whether the server itself says that it did not run the request."""
+    return incoming.headers.get(RUN) == NOT_RUN
+
+
+def _chat_headers(ask: engine_data.ChatAsk) -> http_data.Headers:
+    return {
+        'content-type': JSON_TYPE,
+        REQUEST_ID: ask.request_id,
+        ACCOUNT: ask.account_id,
+        MODEL: ask.version.model,
+        MODEL_VERSION: ask.version.version,
+        PRIORITY: str(ask.priority),
+    }
+
+
+def _request_path(request_id: str) -> str:
+    quoted = url_parse.quote(request_id, safe='')
+    return f'/v1/requests/{quoted}'
+
+
+def _post(target: str, body: bytes) -> http_data.Outgoing:
+    return http_data.Outgoing('POST', target, {'content-type': JSON_TYPE}, body)
+
+
+def _raise_failure(status: int, body: bytes) -> None:
+    if status >= HTTPStatus.BAD_REQUEST:
+        reason = body[:REASON_BYTES].decode(errors='replace')
+        raise engine_data.FailedRunError(status, reason)
+
+
+def _decode(body: bytes, shape: type[_Shape]) -> _Shape:
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except msgspec.DecodeError as exc:
+        raise engine_data.UnknownRunError(f'answer unreadable: {exc}') from exc
--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -52,10 +52,25 @@
         Raises:
             BrokenError: The connection broke before the end.
         """
-        while not self._complete:
+        while True:
+            chunk = await self.next_chunk()
+            if not chunk:
+                return
+            yield chunk
+
+    async def next_chunk(self) -> bytes:
+        """Return what has arrived of the body, waiting for the first byte.
+
+        Returns:
+            At least one byte, or none at the end of the body.
+
+        Raises:
+            BrokenError: The connection broke before the end.
+        """
+        chunk = b''
+        while not chunk and not self._complete:
             chunk = await self._next_chunk()
-            if chunk:
-                yield chunk
+        return chunk
 
     async def read(self) -> bytes:
         """Read the rest of the body.
--- a/beryllug/drivers/http_data.py
+++ b/beryllug/drivers/http_data.py
@@ -5,6 +5,7 @@
 import msgspec
 
 Headers = dict[str, str]
+RETRY_AFTER_S = 1.0
 
 
 class Request(NamedTuple):
@@ -72,3 +73,11 @@
 
 class BrokenError(Exception):
     """The exchange broke after a byte was written; it may have run."""
+
+
+def retry_after(headers: Headers) -> float:
+    """Return the seconds of ``retry-after``; one where it can't be read."""
+    try:
+        return float(headers.get('retry-after', ''))
+    except ValueError:
+        return RETRY_AFTER_S
--- a/beryllug/drivers/object_api.py
+++ b/beryllug/drivers/object_api.py
@@ -263,18 +263,13 @@
         case HTTPStatus.NOT_FOUND:
             return object_data.ConflictError(0)
         case HTTPStatus.TOO_MANY_REQUESTS:
-            return object_data.RateLimitedError(_retry_after(reply))
+            return object_data.RateLimitedError(
+                http_data.retry_after(reply.headers)
+            )
     kind = _FAILURES.get(reply.status, object_data.UncertainError)
     return kind(f'status {reply.status}')
 
 
-def _retry_after(reply: _Reply) -> float:
-    try:
-        return float(reply.headers.get('retry-after', '1'))
-    except ValueError:
-        return 1.0
-
-
 def _decode(decode: Callable[[bytes], _Wire], body: bytes) -> _Wire:
     try:
         return decode(body)
--- a/beryllug/standins/faults.py
+++ b/beryllug/standins/faults.py
@@ -13,6 +13,9 @@
 
 from beryllug.drivers import http_data, http_server
 
+RUN = 'x-run'
+NOT_RUN = 'not_run'
+
 
 class Faults(NamedTuple):
     """All switches; the defaults are a party without fault.
@@ -163,21 +166,37 @@
         self.bytes_sent += len(chunk)
         await self._exchange.send(chunk)
         if last:
-            self._cut()
+            self.cut()
 
     async def finish(self) -> None:
         """End a chunked answer."""
         await self._exchange.finish()
 
+    async def refuse(
+        self,
+        status: int,
+        code: str,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Refuse a request that surely had no effect, and say so."""
+        document = error(code, 'refused', NOT_RUN)
+        framed = {RUN: NOT_RUN, **(headers or {})}
+        await self.respond_json(status, document, framed)
+
+    def cut(self) -> None:
+        """Cut the connection in the middle of an answer.
+
+        Raises:
+            ConnectionResetError: Always, which ends the handler.
+        """
+        self._exchange.abort(hard=self._hit.hard_reset)
+        raise ConnectionResetError('cut by the stand-in')
+
     async def _hit_head(self) -> None:
         if self._hit.answer_delay_s:
             await asyncio.sleep(self._hit.answer_delay_s)
         if self._hit.drop_answer:
-            self._cut()
-
-    def _cut(self) -> None:
-        self._exchange.abort(hard=self._hit.hard_reset)
-        raise ConnectionResetError('cut by a fault switch')
+            self.cut()
 
 
 async def before_run(
--- a/beryllug/standins/object_api.py
+++ b/beryllug/standins/object_api.py
@@ -12,7 +12,7 @@
 from urllib import parse as url_parse
 
 from beryllug.drivers import http_data, object_data
-from beryllug.standins import faults, object_store, party, rate
+from beryllug.standins import faults, object_store, party, rate, wake
 
 ROOT = '/v1/objects'
 CARRIED = 65536
@@ -38,7 +38,7 @@
         self._replica = self.store
         self._reads = rate.Bucket(cfg.reads_per_s, now)
         self._writes = rate.Bucket(cfg.writes_per_s, now)
-        self._changed = asyncio.Event()
+        self._changed = wake.Wake()
         switches.on_change(self._follow_switches)
 
     async def handle(
@@ -86,11 +86,7 @@
     def _follow_switches(self) -> None:
         stale = self._switches.present.stale
         self._replica = self.store.copy() if stale else self.store
-        self._wake()
-
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._changed.signal()
 
     async def _limited(self, kind: str, answer: faults.Answer) -> bool:
         self.calls[kind] = self.calls.get(kind, 0) + 1
@@ -136,7 +132,7 @@
             wrong = faults.error('bad_condition', key, 'not_run')
             await answer.respond_json(HTTPStatus.BAD_REQUEST, wrong)
         else:
-            self._wake()
+            self._changed.signal()
             headers = {'x-object-version': str(version)}
             await answer.respond_json(
                 HTTPStatus.OK, {'version': version}, headers
@@ -180,7 +176,7 @@
     ) -> object_data.WatchBatch:
         deadline = asyncio.get_running_loop().time() + wait_s
         while True:
-            changed = self._changed
+            changed = self._changed.next()
             batch = self._replica.changes(prefix, after)
             if batch.changes:
                 return batch
--- /dev/null
+++ b/beryllug/standins/weight_store.py
@@ -0,0 +1,75 @@
+"""Stand-in of the weight store: rate-limited facts on stored versions."""
+
+import time
+from http import HTTPStatus
+from typing import Any, NamedTuple
+from urllib import parse as url_parse
+
+from beryllug.drivers import http_data
+from beryllug.standins import engine_answers, faults, party, rate
+
+ROOT = '/v1/weights/'
+GIB = 1024**3
+
+
+class WeightStoreCfg(NamedTuple):
+    """Options.
+
+    Attributes:
+        stored: ``model@version`` names that it has; none means any.
+        size_bytes: Size of each.
+        reads_per_s: Reads it lets through.
+    """
+
+    stored: tuple[str, ...] = ()
+    size_bytes: int = GIB
+    reads_per_s: float = 20.0
+
+
+class WeightStoreParty:
+    """The weight store's behaviour."""
+
+    def __init__(self, cfg: WeightStoreCfg) -> None:
+        """Begin with a full rate budget."""
+        self.reads: dict[str, int] = {}
+        self._cfg = cfg
+        self._bucket = rate.Bucket(cfg.reads_per_s, time.monotonic())
+
+    async def handle(
+        self, req: http_data.Request, answer: faults.Answer
+    ) -> None:
+        """Answer one request."""
+        wait_s = self._bucket.take(time.monotonic())
+        if wait_s:
+            headers = {'retry-after': f'{wait_s:.3f}'}
+            await answer.refuse(
+                HTTPStatus.TOO_MANY_REQUESTS, 'rate_limited', headers
+            )
+            return
+        path = url_parse.unquote(req.target.removeprefix(ROOT))
+        name = path.replace('/', '@')
+        self.reads[name] = self.reads.get(name, 0) + 1
+        known = not self._cfg.stored or name in self._cfg.stored
+        if not known or not req.target.startswith(ROOT):
+            missing = faults.error('not_found', name)
+            await answer.respond_json(HTTPStatus.NOT_FOUND, missing)
+            return
+        document = {
+            'size_bytes': self._cfg.size_bytes,
+            'digest': engine_answers.digest(name),
+        }
+        await answer.respond_json(HTTPStatus.OK, document)
+
+    def record(self) -> Any:
+        """Return the reads by name and how many were refused."""
+        return {'reads': self.reads, 'refused': self._bucket.refused}
+
+    def crash(self) -> None:
+        """Lose nothing."""
+
+
+def stand_in(cfg: WeightStoreCfg | None = None) -> party.StandIn:
+    """Make a weight store stand-in; `start` opens its sockets."""
+    switches = faults.Switches()
+    behaviour = WeightStoreParty(cfg or WeightStoreCfg())
+    return party.StandIn(behaviour, switches)
