Keep the accepted configuration in the platform, whole and once

Cause: a document must be accepted whole, by one of two racing operators, and a lost answer must not make an apply happen twice or be denied. Ruled out: one object for the document (bounded at a megabyte, and one changed account rewrites all); repeating an unanswered write blindly; collecting parts by age alone (an apply may stand still for longer).

--- /dev/null
+++ b/beryllug/core/document_parts.py
@@ -0,0 +1,102 @@
+"""A document as content-addressed parts, and back.
+
+A part holds some records of one section. Where it ends is decided by the
+record itself and not by its place, so a record that is added or changed
+changes one part, and every other part keeps its digest and isn't sent again.
+"""
+
+import hashlib
+import json
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any, NamedTuple
+
+from beryllug.core import config_data, document_plain
+
+PREFIX = 'beryllug/parts/'
+SMALL = 16384
+LARGE = 262144
+CUT_ONE_IN = 8
+DIGEST_BYTES = 32
+
+
+class Part(NamedTuple):
+    """Bytes under the hex digest of themselves."""
+
+    digest: str
+    content: bytes
+
+
+def key_of(digest: str) -> str:
+    """Return the key of a part in the platform."""
+    return f'{PREFIX}{digest}'
+
+
+def make(content: bytes) -> Part:
+    """Name some bytes by their digest."""
+    return Part(hashlib.sha256(content).hexdigest(), content)
+
+
+def is_whole(part: Part) -> bool:
+    """Tell whether the bytes are those that the digest names."""
+    return make(part.content).digest == part.digest
+
+
+def split(document: config_data.Document) -> tuple[Part, ...]:
+    """Split a document into parts, in order."""
+    rendered = document_plain.render(document)
+    return tuple(
+        make(_frame(section, chunk))
+        for section, records in rendered.items()
+        for chunk in _chunks(map(_encode, records))
+    )
+
+
+def join(chunks: Iterable[bytes]) -> config_data.Document:
+    """Build the document from the bytes of its parts, in their order.
+
+    Raises:
+        ValueError: They are no parts of a document.
+    """
+    rendered: dict[str, list[Any]] = {}
+    try:
+        for content in chunks:
+            for section, records in json.loads(content).items():
+                rendered.setdefault(section, []).extend(records)
+        return document_plain.build(rendered)
+    except (TypeError, KeyError, AttributeError) as exc:
+        raise ValueError(f'no part of a document: {exc}') from exc
+
+
+def manifest(digests: Sequence[str]) -> Part:
+    """Make the part that lists the parts of a document."""
+    return make(json.dumps(list(digests)).encode())
+
+
+def read_manifest(content: bytes) -> tuple[str, ...]:
+    """Read the digests that a manifest lists."""
+    return tuple(json.loads(content))
+
+
+def _encode(record: Any) -> bytes:
+    return json.dumps(record, sort_keys=True, separators=(',', ':')).encode()
+
+
+def _frame(section: str, chunk: list[bytes]) -> bytes:
+    records = b','.join(chunk)
+    return b'{"%s":[%s]}' % (section.encode(), records)
+
+
+def _chunks(records: Iterable[bytes]) -> Iterator[list[bytes]]:
+    """Cut after a record whose own digest says so, within bounds of size."""
+    chunk: list[bytes] = []
+    size = 0
+    for record in records:
+        chunk.append(record)
+        size += len(record)
+        marked = hashlib.sha256(record).digest()[0] % CUT_ONE_IN == 0
+        if size >= LARGE or (marked and size >= SMALL):
+            yield chunk
+            chunk = []
+            size = 0
+    if chunk:
+        yield chunk
