--- a/beryllug/entry/attempts.py
+++ b/beryllug/entry/attempts.py
@@ -10,9 +10,16 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from beryllug.core import balance_data, config_data, refusal, retry, view_data
+from beryllug.core import (
+    balance_data,
+    config_data,
+    evidence_book,
+    refusal,
+    retry,
+    view_data,
+)
 from beryllug.drivers import engine, http_client, http_data
-from beryllug.entry import call_data, crashes, routing
+from beryllug.entry import call_data, crashes, probe, routing
 
 SERVER_ERROR = 500
 RETRY_AFTER_S = 1.0
@@ -28,11 +35,13 @@
         pick: What is asked of the choice of a server.
         send: Sends the request to a server and returns the answer's head.
         allowed: Whether the version may be used at this moment.
+        probe: Told of each attempt.
     """
 
     pick: balance_data.Pick
     send: Send
     allowed: Allowed
+    probe: probe.Probe
 
 
 class Opened(NamedTuple):
@@ -103,9 +112,11 @@
             raise _no_server(order.pick.pool)
         attempt = self._routing.attempt(order.pick, server, now)
         self._routing.begin(call, attempt)
+        order.probe.begin()
         try:
             return await self._send(call, order, attempt)
         except BaseException:
+            order.probe.drop()
             self._routing.end(call, attempt, time.monotonic())
             raise
 
@@ -122,11 +133,16 @@
         except TimeoutError:
             failure = retry.Failure.TIMED_OUT
         else:
-            if not engine.is_declined(incoming):
+            outcome = _outcome(call, incoming)
+            if outcome is None:
                 return Opened(incoming, attempt, time.monotonic())
             await _drop(incoming)
-            failure = retry.Failure.DECLINED
-        await self._note_failure(call, attempt, failure)
+            failure = outcome
+        crashed = await self._note_failure(call, attempt, failure)
+        if retry.ran_for_sure_not(failure):
+            order.probe.drop()
+        else:
+            order.probe.end(evidence_book.Answer(failed=True, crashed=crashed))
         return _Failed(failure, attempt.server.server_id)
 
     async def _note_failure(
@@ -134,16 +150,16 @@
         call: call_data.Call,
         attempt: routing.Attempt,
         failure: retry.Failure,
-    ) -> None:
+    ) -> bool:
+        """Tell what is to be learnt; returns whether the server was lost."""
         now = time.monotonic()
         if failure is not retry.Failure.DECLINED:
             self._routing.failed(attempt, now)
+        running = self._routing.running_on(attempt.server.server_id)
+        self._routing.end(call, attempt, now)
         if failure is retry.Failure.BROKEN:
-            running = self._routing.running_on(attempt.server.server_id)
-            self._routing.end(call, attempt, now)
-            await self._crashes.suspect(attempt, running)
-        else:
-            self._routing.end(call, attempt, now)
+            return await self._crashes.suspect(attempt, running)
+        return False
 
     async def _wait_or_refuse(
         self,
@@ -176,6 +192,21 @@
     return status >= SERVER_ERROR
 
 
+def _outcome(
+    call: call_data.Call, incoming: http_client.Incoming
+) -> retry.Failure | None:
+    """Return how an answer's head counts as a failure, or None.
+
+    An error of the server is tried again where the call may run twice; for
+    any other it is the answer.
+    """
+    if engine.is_declined(incoming):
+        return retry.Failure.DECLINED
+    if is_error(incoming.status) and call.facts.repeatable:
+        return retry.Failure.BROKEN
+    return None
+
+
 async def _drop(incoming: http_client.Incoming) -> None:
     try:
         await incoming.read()
--- a/beryllug/entry/chat.py
+++ b/beryllug/entry/chat.py
@@ -11,6 +11,7 @@
 
 from beryllug.core import (
     config_data,
+    evidence_book,
     journal_data,
     limits,
     refusal,
@@ -30,6 +31,7 @@
     delivery,
     headers,
     parts,
+    probe,
     replays,
 )
 
@@ -69,7 +71,14 @@
         plan = self._plan(call, session)
         stage = plan.stages[-1]
         version, ticket = self._admit(call, stage)
-        turn = chat_data.Turn(call, session, version, stage.pin_broken)
+        subject = evidence_book.Subject(version.ref, call.account.account_id)
+        turn = chat_data.Turn(
+            call,
+            session,
+            version,
+            stage.pin_broken,
+            probe.VersionProbe(self._parts.exposure, subject),
+        )
         try:
             await self._admitted(turn, exchange)
         finally:
@@ -126,10 +135,10 @@
         except refusal.RefusedError as exc:
             await wired.bills.refuse(turn.call, exc.refusal)
             raise
-        wired.exposure.given_out(turn.version.ref)
         try:
             await self._deliver(turn, opened, exchange)
         finally:
+            turn.probe.drop()
             wired.attempts.close(turn.call, opened)
 
     async def _deliver(
@@ -149,7 +158,7 @@
         opened: attempts.Opened,
         exchange: http_server.Exchange,
     ) -> None:
-        keep = not turn.call.facts.repeatable
+        keep = self._parts.exposure.wants_text(turn.version.ref)
         relay = delivery.StreamRelay(turn.call, exchange, keep)
         fields = await self._headers(turn)
         fields[headers.CONTENT_TYPE] = headers.EVENTS_TYPE
--- a/beryllug/entry/chat_bill.py
+++ b/beryllug/entry/chat_bill.py
@@ -6,7 +6,7 @@
 
 import time
 
-from beryllug.core import journal_data, request_data
+from beryllug.core import evidence_book, journal_data, request_data
 from beryllug.drivers import engine_stream
 from beryllug.entry import (
     attempts,
@@ -46,7 +46,8 @@
             answer = await self._parts.answers.keep(
                 turn.call, OK, headers.EVENTS_TYPE, bytes(relay.kept)
             )
-        self._judge(turn, attempt, relay.first_at, failed=False)
+        self._judge(turn, relay.first_at, failed=False)
+        self._rate(turn, bytes(relay.kept))
         await self._parts.bills.finish(
             turn.call,
             journal_data.OutcomeState.DONE,
@@ -64,7 +65,7 @@
         """Bill a stream that was cut, by the engine or by its caller."""
         failed = state is journal_data.OutcomeState.FAILED
         if failed:
-            self._judge(turn, attempt, relay.first_at, failed=True)
+            self._judge(turn, relay.first_at, failed=True)
         tokens = (turn.call.facts.tokens_in, relay.events)
         await self._parts.bills.finish(
             turn.call, state, (use_of(turn, attempt, tokens),)
@@ -80,7 +81,8 @@
             self._parts.routing.failed(opened.attempt, time.monotonic())
         else:
             self._learn(turn, opened.attempt, opened.head_at)
-        self._judge(turn, opened.attempt, time.monotonic(), failed)
+            self._rate(turn, body)
+        self._judge(turn, opened.head_at, failed)
         state = journal_data.OutcomeState.DONE
         if status != OK:
             state = journal_data.OutcomeState.FAILED
@@ -98,7 +100,6 @@
     def _judge(
         self,
         turn: chat_data.Turn,
-        attempt: routing.Attempt,
         first_at: float | None,
         failed: bool,
     ) -> None:
@@ -106,7 +107,13 @@
         facts = turn.call.facts
         due = request_data.first_token_by(facts)
         late = first_at is None or first_at > due
-        self._parts.exposure.answered(turn.call, turn.version.ref, failed, late)
+        turn.probe.end(evidence_book.Answer(failed=failed, late=late))
+
+    def _rate(self, turn: chat_data.Turn, answer: bytes) -> None:
+        subject = evidence_book.Subject(
+            turn.version.ref, turn.call.account.account_id
+        )
+        self._parts.exposure.rate(subject, turn.call.request_id, answer)
 
     def _learn(
         self,
--- a/beryllug/entry/chat_data.py
+++ b/beryllug/entry/chat_data.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from beryllug.core import config_data, versions
-from beryllug.entry import call_data
+from beryllug.entry import call_data, probe
 
 
 class Turn(NamedTuple):
@@ -14,12 +14,14 @@
         session: Its session, with the version that was on before.
         version: The version it runs on.
         moved: Whether the session had to leave the version it was on.
+        probe: Told what becomes of its attempts.
     """
 
     call: call_data.Call
     session: versions.Session
     version: config_data.Version
     moved: bool
+    probe: probe.Probe
 
 
 def name_of(ref: config_data.VersionRef) -> str:
--- a/beryllug/entry/chat_order.py
+++ b/beryllug/entry/chat_order.py
@@ -29,6 +29,7 @@
         ),
         send=send,
         allowed=lambda: _is_current(wired, turn),
+        probe=turn.probe,
     )
 
 
--- a/beryllug/entry/crashes.py
+++ b/beryllug/entry/crashes.py
@@ -50,10 +50,14 @@
 
     async def suspect(
         self, attempt: routing.Attempt, fingerprints: Sequence[str]
-    ) -> None:
-        """Report a crash if the server of a broken attempt is gone."""
+    ) -> bool:
+        """Report a crash if the server of a broken attempt is gone.
+
+        Returns:
+            Whether it is gone.
+        """
         if not await self._is_gone(attempt.server.address):
-            return
+            return False
         self._reported += 1
         report = rpc_data.CrashReport(
             entry=self._entry,
@@ -66,6 +70,7 @@
             await self._calls.call(methods.CRASH, report, REPORT_S)
         except rpc.RpcError as exc:
             logging.warning('event=crash_report_failed error=%s', exc)
+        return True
 
     def refuse_suspect(self, call: call_data.Call) -> None:
         """Refuse a call that has already cost too many servers.
--- a/beryllug/entry/delivery.py
+++ b/beryllug/entry/delivery.py
@@ -34,10 +34,10 @@
         """Bind a call to the exchange that its answer goes to.
 
         Args:
-            call: The call.
+            call: The call; one that may not repeat is read to its end even
+                when the caller goes away.
             exchange: Where the answer goes; its head has been sent.
-            keep: Whether the answer is read to its end and kept even when
-                the caller goes away.
+            keep: Whether the whole answer is collected.
         """
         self.tail = engine_stream.StreamTail()
         self.events = 0
@@ -47,12 +47,12 @@
         self.first_at: float | None = None
         self._call = call
         self._exchange = exchange
-        self._keep = keep
+        self._keep = keep or not call.facts.repeatable
 
     @property
     def unwanted(self) -> bool:
         """Tell whether nobody will ever read the rest of the answer."""
-        return self.caller_gone and not self._keep
+        return self.caller_gone and self._call.facts.repeatable
 
     async def pump(self, incoming: http_client.Incoming) -> None:
         """Pass on what an engine sends, to its end or until unwanted.
--- a/beryllug/entry/plain.py
+++ b/beryllug/entry/plain.py
@@ -15,6 +15,7 @@
     delivery,
     headers,
     parts,
+    probe,
     replays,
     routing,
 )
@@ -150,6 +151,7 @@
             pick=balance_data.Pick(pool),
             send=send,
             allowed=lambda: self._is_allowed(call),
+            probe=probe.NoProbe(),
         )
 
     def _is_allowed(self, call: call_data.Call) -> bool:
--- /dev/null
+++ b/beryllug/parsing/chat_answer_test.py
@@ -0,0 +1,35 @@
+"""Tests of reading the text of chat answers."""
+
+import unittest
+
+from beryllug.parsing import chat_answer
+
+STREAM = (
+    b'data: {"choices":[{"delta":{"role":"assistant"}}]}\n\n'
+    b'data: {"choices":[{"delta":{"content":"warm "}}]}\n\n'
+    b'data: {"choices":[{"delta":{"content":"oil"}}]}\n\n'
+    b'data: {"choices":[],"usage":{"prompt_tokens":1}}\n\n'
+    b'data: [DONE]\n\n'
+)
+CASES: tuple[tuple[str, bytes, str], ...] = (
+    ('stream', STREAM, 'warm oil'),
+    ('whole', b'{"choices":[{"message":{"content":"oil"}}]}', 'oil'),
+    ('empty', b'', ''),
+    ('not JSON', b'{', ''),
+    ('no text', b'{"choices":[{"message":{"content":null}}]}', ''),
+    ('cut event', b'data: {"choices":[{"del', ''),
+)
+
+
+class ChatAnswerTest(unittest.TestCase):
+    """The text of an answer, however it was sent."""
+
+    def test_text(self) -> None:
+        """Every shape gives its text, a broken one an empty text."""
+        for title, body, expected in CASES:
+            with self.subTest(title):
+                self.assertEqual(chat_answer.text_of(body), expected)
+
+
+if __name__ == '__main__':
+    unittest.main()
