--- a/beryllug/control/answers.py
+++ b/beryllug/control/answers.py
@@ -64,7 +64,7 @@
         """
         try:
             body = await self._read(ask.request_id)
-        except object_data.ObjectError as exc:
+        except object_data.ObjectApiError as exc:
             raise rpc.RpcError('UNAVAILABLE', str(exc)) from exc
         self._counts['fetched'] += 1
         found = body is not None
@@ -87,7 +87,7 @@
             await self._api.write(key, value, 0)
         except object_data.ConflictError:
             return True
-        except object_data.ObjectError:
+        except object_data.ObjectApiError:
             return False
         return True
 
