--- /dev/null
+++ b/beryllug/bench/deployments.py
@@ -0,0 +1,141 @@
+"""The two deployments: servers, zones, kinds of request and targets."""
+
+import pathlib
+from typing import NamedTuple, TypedDict
+
+import msgspec
+
+from beryllug.bench import engine, workload
+from beryllug.core import config_data, view_data
+
+RUNNERS = 'runners'
+PLAIN = 'plain'
+RUNNER_SLOTS = 16
+PLAIN_SLOTS = 2
+ENTRIES = 8
+MODEL = config_data.VersionRef('chat', 'v1')
+WEIGHT_SCALE = 20
+URGENT = frozenset(('lookup', 'hold', 'question'))
+DECLARED = pathlib.Path(__file__).with_name('deployments.json')
+
+
+class Deployment(NamedTuple):
+    """One deployment.
+
+    Attributes:
+        name: Its name.
+        kinds: What its load is made of.
+        view: The view that its entries have.
+        zones: Its availability zones.
+    """
+
+    name: str
+    kinds: tuple[workload.Kind, ...]
+    view: view_data.View
+    zones: tuple[str, ...]
+
+
+class _Shape(TypedDict):
+    """One deployment as it is declared."""
+
+    zones: int
+    runners: int
+    plain: int
+    kinds: tuple[workload.Kind, ...]
+
+
+class _Declared(TypedDict):
+    """The declared deployments and the targets of their classes."""
+
+    targets: tuple[config_data.Targets, ...]
+    deployments: dict[str, _Shape]
+
+
+def load() -> tuple[Deployment, ...]:
+    """Return the declared deployments."""
+    declared = msgspec.json.decode(DECLARED.read_bytes(), type=_Declared)
+    return tuple(
+        _deployment(name, shape, declared['targets'])
+        for name, shape in declared['deployments'].items()
+    )
+
+
+def capacity(deployment: Deployment) -> float:
+    """Return the requests a second at which the first pool is full.
+
+    Every slot busy, each batch full, every session's prefix cached.
+    """
+    rates = []
+    for pool in deployment.view.document.pools:
+        servers = [
+            server
+            for server in deployment.view.servers
+            if server.pool == pool.name
+        ]
+        used_s = sum(
+            kind.part * _slot_s(kind)
+            for kind in deployment.kinds
+            if kind.pool == pool.name
+        )
+        rates.append(len(servers) * pool.concurrency / used_s)
+    return min(rates)
+
+
+def _slot_s(kind: workload.Kind) -> float:
+    if kind.pool != RUNNERS:
+        return kind.tokens_out * engine.PLAIN_UNIT_S
+    prefill_s = workload.TURN_TOKENS * engine.PREFILL_TOKEN_S
+    alone_s = prefill_s + kind.tokens_out * engine.TOKEN_S
+    return alone_s * (1 + engine.BATCH_SLOWDOWN)
+
+
+def _deployment(
+    name: str, shape: _Shape, targets: tuple[config_data.Targets, ...]
+) -> Deployment:
+    zones = tuple(f'z{number}' for number in range(shape['zones']))
+    engines = config_data.PoolKind.ENGINE
+    document = config_data.Document(
+        accounts=_accounts(),
+        models=(
+            config_data.Model(
+                MODEL.model, (config_data.Version(MODEL, RUNNERS, 1),)
+            ),
+        ),
+        pools=(
+            config_data.Pool(RUNNERS, engines, RUNNER_SLOTS),
+            config_data.Pool(PLAIN, config_data.PoolKind.PLAIN, PLAIN_SLOTS),
+        ),
+        targets=targets,
+    )
+    servers = _servers(RUNNERS, shape['runners'], zones)
+    servers += _servers(PLAIN, shape['plain'], zones)
+    view = view_data.View(1, document, servers=servers)
+    return Deployment(name, shape['kinds'], view, zones)
+
+
+def _accounts() -> tuple[config_data.Account, ...]:
+    return tuple(
+        config_data.Account(
+            workload.account_name(number),
+            (),
+            (MODEL,),
+            services=(PLAIN,),
+            weight=max(round(part * WEIGHT_SCALE), 1),
+        )
+        for number, part in enumerate(workload.account_parts())
+    )
+
+
+def _servers(
+    pool: str, count: int, zones: tuple[str, ...]
+) -> tuple[view_data.BackendServer, ...]:
+    return tuple(
+        view_data.BackendServer(
+            f'{pool}-{number}',
+            f'127.0.0.1:{number}',
+            zones[number % len(zones)],
+            pool,
+            view_data.ServerState.LIVE,
+        )
+        for number in range(count)
+    )
--- a/beryllug/core/request_data.py
+++ b/beryllug/core/request_data.py
@@ -9,7 +9,7 @@
 
 from beryllug.core import config_data
 
-URGENT_TOTAL_MS = 10000
+URGENT_TOTAL_MS = 5000
 NORMAL_TOTAL_MS = 60000
 MS = 1000
 
