Add the deployment on loopback for proofs, and the relay's test

Cause: proofs need real processes that can be killed and frozen, and records of the other side that can be read. Ruled out: stand-ins as processes of their own in every test; inside the test their records and switches are at hand, and nothing has to be polled. Before/after: with the search for a cut-off end marker taken out delivery_test is red (the end goes out early for cuts inside the marker); with it 5 pass.

--- /dev/null
+++ b/beryllug/entry/delivery_test.py
@@ -0,0 +1,153 @@
+"""Tests of the stream relay: the end waits, and no byte is lost."""
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, cast
+
+from beryllug.core import config_data, request_data
+from beryllug.drivers import http_data
+from beryllug.entry import call_data, delivery
+
+TEXT = b'data: {"a":"data: [DON"}\n\ndata: {"usage":{}}\n\ndata: [DONE]\n\n'
+CUTS = tuple(range(1, len(TEXT)))
+NEVER = len(TEXT) + 1
+PIECES = (TEXT[:20], TEXT[20:40], TEXT[40:])
+BODY_END = TEXT.index(b'data: [DONE]\n\n')
+
+
+class _Incoming:
+    def __init__(self, pieces: Sequence[bytes], broken: bool) -> None:
+        self._pieces = pieces
+        self._broken = broken
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        for piece in self._pieces:
+            yield piece
+        if self._broken:
+            raise http_data.BrokenError('reset')
+
+
+class _Exchange:
+    def __init__(self, gone_after: int) -> None:
+        self.sent = b''
+        self.ended = False
+        self.aborted = False
+        self._gone_after = gone_after
+
+    async def send(self, chunk: bytes) -> None:
+        if len(self.sent) >= self._gone_after:
+            raise ConnectionResetError
+        self.sent += chunk
+
+    async def finish(self, last: bytes) -> None:
+        self.sent += last
+        self.ended = True
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class StreamRelayTest(unittest.IsolatedAsyncioTestCase):
+    """Every cut of a stream into chunks gives the same bytes."""
+
+    async def test_every_cut(self) -> None:
+        """The end is held back wherever a chunk cuts the end marker."""
+        for place in CUTS:
+            with self.subTest(place):
+                relay, exchange = _relay(repeatable=True)
+                await relay.pump(_incoming((TEXT[:place], TEXT[place:])))
+                self.assertEqual(exchange.sent, TEXT[:BODY_END])
+                await relay.finish()
+                self.assertEqual(exchange.sent, TEXT)
+
+    async def test_single_bytes(self) -> None:
+        """Chunks of one byte pass too."""
+        relay, exchange = _relay(repeatable=True)
+        await relay.pump(_incoming([bytes([byte]) for byte in TEXT]))
+        self.assertTrue(relay.tail.is_whole())
+        await relay.finish()
+        self.assertEqual(exchange.sent, TEXT)
+
+    async def test_resumed(self) -> None:
+        """The engine resets the stream; the rest is taken up at its byte."""
+        for place in CUTS:
+            with self.subTest(place):
+                relay, exchange = _relay(repeatable=True)
+                with self.assertRaises(http_data.BrokenError):
+                    await relay.pump(_incoming((TEXT[:place],), broken=True))
+                self.assertEqual(relay.tail.size, place)
+                await relay.pump(_incoming((TEXT[place:],)))
+                await relay.finish()
+                self.assertEqual(exchange.sent, TEXT)
+
+    async def test_caller_goes(self) -> None:
+        """The caller goes away half way.
+
+        An answer of a request that may repeat is given up. One that runs
+        only once is read to its end and kept, since the caller can't get it
+        by asking for another run.
+        """
+        for repeatable, kept in ((True, b''), (False, TEXT)):
+            with self.subTest(repeatable=repeatable):
+                relay, _ = _relay(repeatable, gone_after=10)
+                await relay.pump(_incoming(PIECES))
+                self.assertTrue(relay.caller_gone)
+                self.assertEqual(relay.unwanted, repeatable)
+                self.assertEqual(bytes(relay.kept), kept)
+
+    async def test_broken_is_cut(self) -> None:
+        """An answer that broke off never looks whole to its caller."""
+        relay, exchange = _relay(repeatable=True)
+        await relay.pump(_incoming((TEXT[:20],)))
+        await relay.fail(b'data: {"error":{}}\n\n')
+        self.assertTrue(exchange.aborted)
+        self.assertFalse(exchange.ended)
+
+
+def _relay(
+    repeatable: bool, gone_after: int = NEVER
+) -> tuple[delivery.StreamRelay, _Exchange]:
+    exchange = _Exchange(gone_after)
+    call = _call(repeatable)
+    made = delivery.StreamRelay(call, cast('Any', exchange), keep=False)
+    return made, exchange
+
+
+def _incoming(pieces: Sequence[bytes], broken: bool = False) -> Any:
+    return _Incoming(pieces, broken)
+
+
+def _call(repeatable: bool) -> call_data.Call:
+    facts = request_data.Facts(
+        request_id='r',
+        account_id='a',
+        request_class='draft',
+        asked='m',
+        session_key='s',
+        prefix_key='',
+        tokens_in=1,
+        tokens_out=1,
+        repeatable=repeatable,
+        arrived_at=0,
+        targets=config_data.Targets('draft', 1, 1),
+    )
+    return call_data.Call(
+        facts=facts,
+        account=config_data.Account('a', (), ()),
+        method='POST',
+        target='/',
+        body=b'',
+        content_type='',
+        body_hash='',
+        idempotency_key='',
+        session_id='',
+        session_token='',
+        stream=True,
+        deadline=asyncio.get_running_loop().time() + 60,
+        wall=0,
+    )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/beryllug/scripts/beryllugd.py
@@ -0,0 +1,70 @@
+"""The daemon: ``beryllugd SETTINGS.ini``.
+
+It reads the settings, starts the services of its role, and on SIGTERM stops
+them without cutting off a request. Broken settings are all reported at once.
+"""
+
+import asyncio
+import signal
+import sys
+
+from absl import logging
+
+from beryllug.core import finding, settings_data
+from beryllug.kernel import registry
+from beryllug.parsing import settings
+from beryllug.scripts import compose
+
+EXIT_USAGE = 2
+USAGE = 'usage: beryllugd SETTINGS.ini'
+GRACE_S = 130.0
+
+
+def main() -> None:
+    """Take the command line."""
+    if len(sys.argv) != 2:
+        _fail([USAGE])
+    cfg, findings = settings.load(sys.argv[1])
+    if cfg is None:
+        _fail([finding.describe(item) for item in findings])
+        return
+    _set_up_logs(cfg.process)
+    asyncio.run(_run(cfg, sys.argv[1]))
+
+
+def _fail(lines: list[str]) -> None:
+    for line in lines:
+        sys.stderr.write(f'{line}\n')
+    sys.exit(EXIT_USAGE)
+
+
+def _set_up_logs(process: settings_data.Process) -> None:
+    logging.use_absl_handler()
+    logging.set_verbosity(process.log_level)
+
+
+async def _run(cfg: settings_data.Settings, path: str) -> None:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    services = compose.compose(cfg, path)
+    await services.start()
+    logging.info(
+        'event=ready process=%s role=%s', cfg.process.name, cfg.process.role
+    )
+    await stopping.wait()
+    logging.info('event=stopping process=%s', cfg.process.name)
+    await _stop(services, cfg)
+    logging.info('event=stopped process=%s', cfg.process.name)
+
+
+async def _stop(
+    services: registry.Registry, cfg: settings_data.Settings
+) -> None:
+    own = cfg.entry or cfg.control
+    await services.stop(own.drain_s if own else GRACE_S)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/beryllug/standins/fleet_settings.py
@@ -0,0 +1,116 @@
+"""Settings files and addresses of a deployment on loopback."""
+
+import contextlib
+import socket
+from collections.abc import Sequence
+from typing import NamedTuple
+
+HOST = '127.0.0.1'
+OPERATOR_KEY = 'operator-key'
+FLEET_KEY = 'fleet-key'
+CONTROL = 'control'
+
+
+class HostPorts(NamedTuple):
+    """Addresses of the processes of one entry host."""
+
+    callers: str
+    entry_operators: str
+    control: str
+    control_operators: str
+
+
+class Sites(NamedTuple):
+    """All that the settings files of a deployment state."""
+
+    hosts: tuple[HostPorts, ...]
+    zones: tuple[str, ...]
+    platform: str
+    host_list: str
+    rating: str
+    weight_store: str
+    entry: tuple[str, ...]
+    control: tuple[str, ...]
+
+
+def entry_name(index: int) -> str:
+    """Return the name of a host's entry process."""
+    return f'entry-{index}'
+
+
+def control_name(index: int) -> str:
+    """Return the name of a host's control process."""
+    return f'control-{index}'
+
+
+def operators_of(name: str, hosts: Sequence[HostPorts]) -> str:
+    """Return the operators' address of a process."""
+    role, index = _parse(name)
+    ports = hosts[index]
+    is_control = role == CONTROL
+    return ports.control_operators if is_control else ports.entry_operators
+
+
+def render(name: str, sites: Sites) -> str:
+    """Return the settings file of a process."""
+    role, index = _parse(name)
+    section = _entry(index, sites)
+    if role == CONTROL:
+        section = _control(index, sites)
+    lines = (
+        '[process]',
+        f'name = {name}',
+        f'role = {role}',
+        f'host = host-{index}',
+        f'zone = {sites.zones[index % len(sites.zones)]}',
+        '[operators]',
+        f'listen = {operators_of(name, sites.hosts)}',
+        f'keys = {OPERATOR_KEY}',
+        '[fleet]',
+        f'keys = {FLEET_KEY}',
+        f'[{role}]',
+        *section,
+    )
+    return '\n'.join(lines)
+
+
+def free_ports() -> HostPorts:
+    """Find free ports; another process may take one before we use it."""
+    with contextlib.ExitStack() as stack:
+        found = [stack.enter_context(socket.socket()) for _ in range(FIELDS)]
+        for sock in found:
+            sock.bind((HOST, 0))
+        ports = [bound.getsockname()[1] for bound in found]
+    return HostPorts(*(f'{HOST}:{port}' for port in ports))
+
+
+def _parse(name: str) -> tuple[str, int]:
+    role, _, index = name.partition('-')
+    return role, int(index)
+
+
+def _entry(index: int, sites: Sites) -> list[str]:
+    around = sites.hosts[index:] + sites.hosts[:index]
+    controls = ', '.join(ports.control for ports in around)
+    return [
+        f'listen = {sites.hosts[index].callers}',
+        f'controls = {controls}',
+        f'rating = {sites.rating}',
+        *sites.entry,
+    ]
+
+
+def _control(index: int, sites: Sites) -> list[str]:
+    others = sites.hosts[index + 1 :] + sites.hosts[:index]
+    peers = ', '.join(ports.control for ports in others)
+    return [
+        f'listen = {sites.hosts[index].control}',
+        f'peers = {peers}',
+        f'platform = {sites.platform}',
+        f'host_list = {sites.host_list}',
+        f'weight_store = {sites.weight_store}',
+        *sites.control,
+    ]
+
+
+FIELDS = len(HostPorts._fields)
--- /dev/null
+++ b/beryllug/standins/harness.py
@@ -0,0 +1,234 @@
+"""A small deployment on loopback for the proofs and the demo.
+
+The outside parties are stand-ins inside the calling process, so a test reads
+their records and flips their switches directly. The entry and control
+processes are real processes, which it kills, freezes and stops.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from beryllug.core import config_data, view_data
+from beryllug.drivers import (
+    config_store,
+    http_client,
+    http_data,
+    object_api,
+)
+from beryllug.standins import (
+    engine,
+    engine_worker,
+    fleet_settings,
+    host_list,
+    object_api as platform,
+    party,
+    plain_service,
+    processes,
+    rating,
+    weight_store,
+)
+
+READY_S = 30.0
+POLL_S = 0.02
+PLATFORM_S = 2.0
+OK = 200
+
+
+class ServerPlan(NamedTuple):
+    """A backend server to be started.
+
+    Attributes:
+        server_id: Its name.
+        pool: Its pool.
+        zone: Its availability zone.
+        engine: Options of a model engine, None for a plain service.
+    """
+
+    server_id: str
+    pool: str
+    zone: str
+    engine: engine_worker.EngineCfg | None = None
+
+
+class Plan(NamedTuple):
+    """A deployment.
+
+    Attributes:
+        document: The configuration document.
+        servers: Backend servers.
+        hosts: Count of entry hosts, one entry and one control process each.
+        zones: Availability zones, over which the hosts are spread.
+        entry_settings: Lines for the entry section.
+        control_settings: Lines for the control section.
+        platform: Options of the object API.
+    """
+
+    document: config_data.Document
+    servers: tuple[ServerPlan, ...]
+    hosts: int = 2
+    zones: tuple[str, ...] = ('zone-1',)
+    entry_settings: tuple[str, ...] = ()
+    control_settings: tuple[str, ...] = ()
+    platform: platform.ObjectApiCfg = platform.ObjectApiCfg()
+
+
+class Fleet:
+    """A running deployment."""
+
+    def __init__(self, plan: Plan) -> None:
+        """Make a deployment; `start` starts it."""
+        self.plan = plan
+        self.platform = platform.stand_in(plan.platform)
+        self.host_list = host_list.stand_in()
+        self.rating = rating.stand_in()
+        self.weights = weight_store.stand_in()
+        self.servers: dict[str, party.StandIn] = {}
+        self.hosts: list[fleet_settings.HostPorts] = []
+        self.client = http_client.HttpClient()
+        self.revision = 0
+        self.processes = processes.Processes()
+
+    async def start(self) -> None:
+        """Start everything and wait until every process is ready."""
+        await self.start_parties()
+        await self.apply(self.plan.document)
+        self.hosts = [
+            fleet_settings.free_ports() for _ in range(self.plan.hosts)
+        ]
+        names = [
+            name
+            for index in range(self.plan.hosts)
+            for name in (
+                fleet_settings.control_name(index),
+                fleet_settings.entry_name(index),
+            )
+        ]
+        await asyncio.gather(*map(self.spawn, names))
+        await asyncio.gather(*map(self.wait_ready, names))
+
+    async def start_parties(self) -> None:
+        """Start the outside parties and list the backend servers."""
+        for shared in (
+            self.platform,
+            self.host_list,
+            self.rating,
+            self.weights,
+        ):
+            await shared.start()
+        for server in self.plan.servers:
+            made = _stand_in(server)
+            await made.start()
+            self.servers[server.server_id] = made
+        self.list_hosts()
+
+    async def stop(self) -> None:
+        """Stop everything; processes that do not end are killed."""
+        await self.processes.stop()
+        await self.client.close()
+        for made in (*self.servers.values(), self.rating, self.weights):
+            await made.stop()
+        await self.host_list.stop()
+        await self.platform.stop()
+
+    def list_hosts(self, leaving: tuple[str, ...] = ()) -> None:
+        """Let the host list show the backend servers."""
+        behaviour = self.host_list.party
+        assert isinstance(behaviour, host_list.HostListParty)
+        behaviour.put(
+            tuple(
+                view_data.BackendServer(
+                    server.server_id,
+                    self.servers[server.server_id].address,
+                    server.zone,
+                    server.pool,
+                    view_data.ServerState.LEAVING
+                    if server.server_id in leaving
+                    else view_data.ServerState.LIVE,
+                )
+                for server in self.plan.servers
+            )
+        )
+
+    async def apply(self, document: config_data.Document) -> int:
+        """Apply a document to the platform and return its revision."""
+        api = object_api.HttpObjectApi(
+            self.client, self.platform.address, PLATFORM_S
+        )
+        store = config_store.ConfigStore(api)
+        req = config_store.Apply(
+            document, self.revision, 'harness', f'apply-{self.revision}'
+        )
+        outcome = await store.apply(req, time.time())
+        self.revision = outcome.unwrap()
+        return self.revision
+
+    async def spawn(self, name: str) -> None:
+        """Start a process of ours, with the settings of its name."""
+        text = fleet_settings.render(name, self._sites())
+        await self.processes.spawn(name, text)
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a process says that it is ready."""
+        address = fleet_settings.operators_of(name, self.hosts)
+
+        async def is_ready() -> bool:  # noqa: WPS430
+            status, _ = await self.get(address, '/readyz')
+            return status == OK
+
+        try:
+            await wait_for(is_ready, READY_S)
+        except TimeoutError:
+            raise TimeoutError(
+                f'{name} is not ready: {self.processes.log(name)}'
+            )
+
+    async def restart(self, name: str) -> None:
+        """Start a process again and wait until it is ready."""
+        await self.spawn(name)
+        await self.wait_ready(name)
+
+    async def get(self, address: str, target: str) -> tuple[int, bytes]:
+        """Get from an operators' address; status 0 without an answer."""
+        outgoing = http_data.Outgoing(
+            'GET',
+            target,
+            {'authorization': f'Bearer {fleet_settings.OPERATOR_KEY}'},
+        )
+        try:
+            incoming, body = await self.client.call(address, outgoing)
+        except (http_data.NotSentError, http_data.BrokenError):
+            return 0, b''
+        return incoming.status, body
+
+    def _sites(self) -> fleet_settings.Sites:
+        return fleet_settings.Sites(
+            hosts=tuple(self.hosts),
+            zones=self.plan.zones,
+            platform=self.platform.address,
+            host_list=self.host_list.address,
+            rating=self.rating.address,
+            weight_store=self.weights.address,
+            entry=self.plan.entry_settings,
+            control=self.plan.control_settings,
+        )
+
+
+async def wait_for(
+    is_true: Callable[[], Awaitable[bool]], within_s: float
+) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: It did not hold within the time.
+    """
+    async with asyncio.timeout(within_s):
+        while not await is_true():
+            await asyncio.sleep(POLL_S)
+
+
+def _stand_in(server: ServerPlan) -> party.StandIn:
+    if server.engine is None:
+        return plain_service.stand_in()
+    return engine.stand_in(server.engine)
--- /dev/null
+++ b/beryllug/standins/processes.py
@@ -0,0 +1,79 @@
+"""Real processes of ours: started, frozen, killed and stopped by name."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+STOP_S = 30.0
+LOG_CHARS = 4000
+
+
+class Processes:
+    """Daemons with their settings and logs in a directory of their own."""
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self._running: dict[str, asyncio.subprocess.Process] = {}
+        self._dir = tempfile.TemporaryDirectory(prefix='beryllug-')
+
+    async def spawn(self, name: str, settings: str) -> None:
+        """Start a daemon with the text of its settings."""
+        path = Path(self._dir.name) / f'{name}.ini'
+        path.write_text(settings, encoding='utf-8')
+        with self._log_path(name).open('ab') as sink:
+            self._running[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'beryllug.scripts.beryllugd',
+                str(path),
+                stdout=sink,
+                stderr=sink,
+            )
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the daemons that were not ended by us."""
+        return tuple(self._running)
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a daemon."""
+        return self._running[name].pid
+
+    def log(self, name: str) -> str:
+        """Return the last lines that a daemon logged."""
+        return self._log_path(name).read_text(errors='replace')[-LOG_CHARS:]
+
+    async def kill(self, name: str) -> None:
+        """Kill a daemon at once."""
+        process = self._running.pop(name)
+        process.kill()
+        await process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Freeze a daemon."""
+        self._running[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen daemon go on."""
+        self._running[name].send_signal(signal.SIGCONT)
+
+    async def terminate(self, name: str) -> int:
+        """Stop a daemon gracefully and return its exit code."""
+        process = self._running.pop(name)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        try:
+            return await asyncio.wait_for(process.wait(), STOP_S)
+        except TimeoutError:
+            process.kill()
+            return await process.wait()
+
+    async def stop(self) -> None:
+        """Stop all daemons and forget their files."""
+        await asyncio.gather(*map(self.terminate, self.names()))
+        self._dir.cleanup()
+
+    def _log_path(self, name: str) -> Path:
+        return Path(self._dir.name) / f'{name}.log'
