--- a/beryllug/core/rpc_data.py
+++ b/beryllug/core/rpc_data.py
@@ -6,7 +6,12 @@
 
 from typing import NamedTuple
 
-from beryllug.core import config_data, journal_data, view_data
+from beryllug.core import (
+    config_data,
+    config_state,
+    journal_data,
+    view_data,
+)
 
 
 class ViewAsk(NamedTuple):
@@ -205,3 +210,46 @@
     """Ask for a kept answer."""
 
     request_id: str
+
+
+class ConfigPart(NamedTuple):
+    """One part of a document, under its digest."""
+
+    digest: str
+    content: bytes
+
+
+class ConfigOffer(NamedTuple):
+    """What a control process holds, as it tells a peer.
+
+    The reply to an offer is the peer's own, without parts.
+
+    Attributes:
+        address: Where the sender answers for missing parts.
+        revision: The revision it holds, 0 for none.
+        manifest: Digest of its list of parts.
+        splice: How that list follows from the one before, with a change.
+        parts: The parts that are new in it.
+        keys_version: Version of the session keys it holds.
+        keys: These keys, where the sender thinks they are news.
+    """
+
+    address: str
+    revision: int = 0
+    manifest: str = ''
+    splice: config_state.Splice | None = None
+    parts: tuple[ConfigPart, ...] = ()
+    keys_version: int = 0
+    keys: bytes = b''
+
+
+class PartsAsk(NamedTuple):
+    """Ask a peer for parts by their digests."""
+
+    digests: tuple[str, ...]
+
+
+class PartsReply(NamedTuple):
+    """Those of the parts that the peer holds, up to a bound of size."""
+
+    parts: tuple[ConfigPart, ...]
--- a/beryllug/drivers/config_store.py
+++ b/beryllug/drivers/config_store.py
@@ -122,6 +122,7 @@
                 # root was overtaken while its parts were read: read anew.
                 await asyncio.sleep(_pause(attempt))
             else:
+                self.parts.keep_only(found.root.parts)
                 return Snapshot(found.version, found.root, document)
         raise part_store.PartMissingError('parts of the root are missing')
 
@@ -150,7 +151,6 @@
             ObjectApiError: The platform can't be read.
         """
         chunks = await self.parts.get(root.parts)
-        self.parts.keep_only(root.parts)
         return document_parts.join(chunks)
 
     async def past(self, revision: int) -> config_data.Document | None:
--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -13,3 +13,7 @@
 FETCH_ANSWER = rpc.Method(
     'FetchAnswer', rpc_data.AnswerKey, rpc_data.AnswerBody
 )
+OFFER_CONFIG = rpc.Method(
+    'OfferConfig', rpc_data.ConfigOffer, rpc_data.ConfigOffer
+)
+FETCH_PARTS = rpc.Method('FetchParts', rpc_data.PartsAsk, rpc_data.PartsReply)
