Serve cascades: a checked cheap stage first, one bill for all stages

Ruled out: streaming an unrated answer and replacing it; a caller would see text that is then taken back. Change: seats (admission to a stage), TurnRunner (one version), CascadeFlow over core.cascade with the Learnt policy; stages of one call run at the engine under ids of their own.

--- a/beryllug/entry/admission.py
+++ b/beryllug/entry/admission.py
@@ -95,6 +95,11 @@
             self._estimates, estimates.Key(name, request_class)
         )
 
+    def has_room(self, pool: str) -> bool:
+        """Tell whether a pool has a free slot, as far as is known."""
+        room = self._routing.room(pool, self._entries, time.monotonic())
+        return room.load < room.slots
+
     def admit(
         self, call: call_data.Call, pool: str, name: str
     ) -> limits.Ticket:
--- a/beryllug/entry/bills.py
+++ b/beryllug/entry/bills.py
@@ -87,18 +87,28 @@
         return await self._outbox.finish(row, FINISH_S)
 
     async def refuse(
-        self, call: call_data.Call, refused: refusal.Refusal
+        self,
+        call: call_data.Call,
+        refused: refusal.Refusal,
+        earlier: Sequence[journal_data.StageUse] = (),
     ) -> None:
         """Write the outcome of a call that was refused after its intent.
 
         A call without an intent that did not run leaves no trace: it is not
         billed and nobody asks for it.
+
+        Args:
+            call: The call.
+            refused: What its caller is told.
+            earlier: What stages of a cascade used before it was refused.
         """
         state = STATES[refused.run]
-        if state is journal_data.OutcomeState.NOT_RUN:
-            if call.facts.repeatable:
-                return
-        await self.finish(call, state, ())
+        not_run = state is journal_data.OutcomeState.NOT_RUN
+        if not_run and earlier:
+            state = journal_data.OutcomeState.FAILED
+        elif not_run and call.facts.repeatable:
+            return
+        await self.finish(call, state, earlier)
 
     def _row(
         self, call: call_data.Call, kind: journal_data.RowKind, note: str
--- /dev/null
+++ b/beryllug/entry/cascade_flow.py
@@ -0,0 +1,210 @@
+"""Cascades: a cheaper stage first where it is likely to do.
+
+A checked stage's answer is read whole and rated before a byte of it goes out,
+so no caller sees text that is then replaced. The stage that is given out, or
+the last one, answers; all stages that ran stand on the one bill.
+"""
+
+import random
+import time
+from typing import NamedTuple
+
+from beryllug.core import (
+    cascade,
+    cascade_data,
+    config_data,
+    journal_data,
+    rating_health,
+    request_data,
+    versions,
+)
+from beryllug.drivers import http_server, rating
+from beryllug.entry import (
+    attempts,
+    call_data,
+    chat_bill,
+    chat_data,
+    headers,
+    parts,
+    seats,
+    turn_runner,
+)
+from beryllug.parsing import chat_answer
+
+POLICY = cascade_data.Learnt()
+OK = 200
+MIN_RATING_S = 0.05
+
+
+class _Case(NamedTuple):
+    """One call of a cascade on its way."""
+
+    call: call_data.Call
+    session: versions.Session
+    plan: versions.Plan
+    declared: config_data.Cascade
+
+
+class _Checked(NamedTuple):
+    """A checked stage that ran: its turn, answer and rating."""
+
+    turn: chat_data.Turn
+    opened: attempts.Opened
+    body: bytes
+    answer: cascade_data.Answer
+
+
+class CascadeFlow:
+    """Takes one call of a cascade to its bill."""
+
+    def __init__(self, wired: parts.Parts) -> None:
+        """Bind the services."""
+        self._parts = wired
+        self._state = wired.cascades
+        self._seats = seats.Seats(wired)
+        self._runner = turn_runner.TurnRunner(wired)
+        self._bill = chat_bill.ChatBill(wired)
+        self._rng = random.Random(0)
+
+    async def serve(
+        self,
+        call: call_data.Call,
+        session: versions.Session,
+        plan: versions.Plan,
+        exchange: http_server.Exchange,
+    ) -> None:
+        """Serve one call.
+
+        Raises:
+            RefusedError: It got no answer; says whether it ran.
+        """
+        assert plan.cascade is not None
+        case = _Case(call, session, plan, plan.cascade)
+        now = time.monotonic()
+        begin = cascade.begin(POLICY, self._state, self._ask(case, now), now)
+        if begin.checked:
+            await self._checked(case, begin.stage, exchange)
+        else:
+            await self._straight(case, begin.stage, (), exchange)
+
+    async def _checked(
+        self, case: _Case, number: int, exchange: http_server.Exchange
+    ) -> None:
+        seat = self._seats.take(
+            case.call, case.session, case.plan.stages[number]
+        )
+        try:
+            if not await self._seats.may_run(seat.turn, exchange):
+                return
+            checked = await self._run_checked(case, number, seat.turn)
+        finally:
+            self._seats.give_back(seat)
+        now = time.monotonic()
+        question = self._ask(case, now)
+        decision = cascade.after(
+            POLICY, self._state, question, (checked.answer,)
+        )
+        cascade.learn(self._state, question, checked.answer, escalated=False)
+        match decision:
+            case cascade_data.Begin(stage=stage):
+                use = chat_bill.use_of_body(
+                    checked.turn, checked.opened.attempt, checked.body
+                )
+                await self._straight(case, stage, (use,), exchange)
+            case cascade_data.GiveOut():
+                cascade.given_out(
+                    self._state, question, checked.answer, escalated=False
+                )
+                await self._give_out(checked, exchange)
+
+    async def _run_checked(
+        self, case: _Case, number: int, turn: chat_data.Turn
+    ) -> _Checked:
+        staged = turn._replace(run_suffix=f'.{number}')
+        opened, body = await self._runner.answer(staged)
+        rated = None
+        if opened.incoming.status == OK:
+            rated = await self._rate(staged, body)
+        answer = cascade_data.Answer(number, rated)
+        return _Checked(staged, opened, body, answer)
+
+    async def _straight(
+        self,
+        case: _Case,
+        number: int,
+        earlier: tuple[journal_data.StageUse, ...],
+        exchange: http_server.Exchange,
+    ) -> None:
+        """Run a stage whose answer goes out as it comes."""
+        seat = self._seats.take(
+            case.call, case.session, case.plan.stages[number]
+        )
+        turn = seat.turn._replace(earlier=earlier)
+        try:
+            if earlier or await self._seats.may_run(turn, exchange):
+                await self._runner.run(turn, exchange)
+        finally:
+            self._seats.give_back(seat)
+        answer = cascade_data.Answer(number, None)
+        question = self._ask(case, time.monotonic())
+        cascade.given_out(
+            self._state, question, answer, escalated=bool(earlier)
+        )
+
+    async def _give_out(
+        self, checked: _Checked, exchange: http_server.Exchange
+    ) -> None:
+        await self._bill.whole_body(checked.turn, checked.opened, checked.body)
+        fields = await self._runner.headers(checked.turn)
+        fields[headers.CONTENT_TYPE] = checked.opened.incoming.headers.get(
+            headers.CONTENT_TYPE, headers.JSON_TYPE
+        )
+        await exchange.respond(
+            checked.opened.incoming.status, checked.body, fields
+        )
+
+    async def _rate(self, turn: chat_data.Turn, body: bytes) -> float | None:
+        """Have an answer rated, for as long as ratings usually take."""
+        judge = self._state.judge
+        longest_s = max(rating_health.longest_s(judge), MIN_RATING_S)
+        started = time.monotonic()
+        ask = rating.RatingAsk(
+            turn.call.request_id,
+            turn.version.ref,
+            chat_answer.text_of(body),
+        )
+        rated = await self._parts.ratings.ask(ask, longest_s)
+        now = time.monotonic()
+        if rated is None:
+            rating_health.missed(judge, now - started, now)
+        else:
+            rating_health.rated(judge, now - started)
+        return rated
+
+    def _ask(self, case: _Case, now: float) -> cascade_data.Question:
+        """Return the question as it stands now, with the time left."""
+        facts = case.call.facts
+        offers = (self._offer(case, stage) for stage in case.plan.stages)
+        return cascade_data.Question(
+            account_id=facts.account_id,
+            kind=facts.request_class,
+            cascade=case.declared,
+            offers=tuple(offers),
+            first_token_left_s=request_data.first_token_by(facts) - now,
+            whole_left_s=case.call.deadline - now,
+        )
+
+    def _offer(self, case: _Case, stage: versions.Stage) -> cascade_data.Offer:
+        version = stage.versions[0]
+        facts = case.call.facts
+        known = self._parts.admission.estimate(
+            chat_data.name_of(version.ref), facts.request_class
+        )
+        tokens = facts.tokens_in + facts.tokens_out
+        return cascade_data.Offer(
+            model=stage.model,
+            cost=chat_bill.cost_micro(version, tokens),
+            first_token_s=known.first_token_s,
+            whole_s=known.first_token_s + known.service_s,
+            open=self._parts.admission.has_room(version.pool),
+        )
--- a/beryllug/entry/chat_bill.py
+++ b/beryllug/entry/chat_bill.py
@@ -6,8 +6,8 @@
 
 import time
 
-from beryllug.core import evidence_book, journal_data, request_data
-from beryllug.drivers import engine_stream
+from beryllug.core import config_data, evidence_book, journal_data, request_data
+from beryllug.drivers import engine_data, engine_stream
 from beryllug.entry import (
     attempts,
     chat_data,
@@ -51,7 +51,7 @@
         await self._parts.bills.finish(
             turn.call,
             journal_data.OutcomeState.DONE,
-            (use_of(turn, attempt, tokens),),
+            (*turn.earlier, use_of(turn, attempt, tokens)),
             answer,
         )
 
@@ -68,7 +68,7 @@
             self._judge(turn, relay.first_at, failed=True)
         tokens = (turn.call.facts.tokens_in, relay.events)
         await self._parts.bills.finish(
-            turn.call, state, (use_of(turn, attempt, tokens),)
+            turn.call, state, (*turn.earlier, use_of(turn, attempt, tokens))
         )
 
     async def whole_body(
@@ -88,13 +88,15 @@
             state = journal_data.OutcomeState.FAILED
         answer = None
         if not turn.call.facts.repeatable:
+            content_type = opened.incoming.headers.get(
+                headers.CONTENT_TYPE, headers.JSON_TYPE
+            )
             answer = await self._parts.answers.keep(
-                turn.call, status, headers.JSON_TYPE, body
+                turn.call, status, content_type, body
             )
-        usage = engine_stream.usage_of(body)
-        tokens = (usage.tokens_in, usage.tokens_out) if usage else (0, 0)
+        use = use_of_body(turn, opened.attempt, body)
         await self._parts.bills.finish(
-            turn.call, state, (use_of(turn, opened.attempt, tokens),), answer
+            turn.call, state, (*turn.earlier, use), answer
         )
 
     def _judge(
@@ -137,12 +139,34 @@
 ) -> journal_data.StageUse:
     """Return the detail of a bill for one stage."""
     tokens_in, tokens_out = tokens
-    price = turn.version.cost_micro
     return journal_data.StageUse(
         model=turn.version.ref.model,
         version=turn.version.ref.version,
         server_id=attempt.server.server_id,
         tokens_in=tokens_in,
         tokens_out=tokens_out,
-        cost_micro=(tokens_in + tokens_out) * price // TOKENS_PER_PRICE,
+        cost_micro=cost_micro(turn.version, tokens_in + tokens_out),
     )
+
+
+def use_of_body(
+    turn: chat_data.Turn, attempt: routing.Attempt, body: bytes
+) -> journal_data.StageUse:
+    """Return the detail for an answer that was read whole."""
+    usage = _usage_in(body)
+    tokens = (usage.tokens_in, usage.tokens_out) if usage else (0, 0)
+    return use_of(turn, attempt, tokens)
+
+
+def cost_micro(version: config_data.Version, tokens: int) -> int:
+    """Return the price of so many tokens, in millionths of the currency."""
+    return tokens * version.cost_micro // TOKENS_PER_PRICE
+
+
+def _usage_in(body: bytes) -> engine_data.Usage | None:
+    """Return the usage of a whole answer, streamed or not."""
+    if not body.startswith(engine_stream.EVENT_START):
+        return engine_stream.usage_of(body)
+    tail = engine_stream.StreamTail()
+    tail.feed(body)
+    return tail.usage()
--- a/beryllug/entry/chat_data.py
+++ b/beryllug/entry/chat_data.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from beryllug.core import config_data, versions
+from beryllug.core import config_data, journal_data, versions
 from beryllug.entry import call_data, probe
 
 
@@ -15,6 +15,9 @@
         version: The version it runs on.
         moved: Whether the session had to leave the version it was on.
         probe: Told what becomes of its attempts.
+        earlier: What earlier stages of a cascade used.
+        run_suffix: Added to the id under which the engine runs it, so that
+            two stages of one call on one engine are two runs.
     """
 
     call: call_data.Call
@@ -22,6 +25,13 @@
     version: config_data.Version
     moved: bool
     probe: probe.Probe
+    earlier: tuple[journal_data.StageUse, ...] = ()
+    run_suffix: str = ''
+
+    @property
+    def run_id(self) -> str:
+        """Id under which the engine runs it."""
+        return self.call.request_id + self.run_suffix
 
 
 def name_of(ref: config_data.VersionRef) -> str:
--- a/beryllug/entry/chat_order.py
+++ b/beryllug/entry/chat_order.py
@@ -8,7 +8,7 @@
 def make(wired: parts.Parts, turn: chat_data.Turn) -> attempts.Order:
     """Return the order of a turn for the attempts."""
     ask = engine_data.ChatAsk(
-        request_id=turn.call.request_id,
+        request_id=turn.run_id,
         account_id=turn.call.account.account_id,
         version=turn.version.ref,
         body=turn.call.body,
--- a/beryllug/entry/parts.py
+++ b/beryllug/entry/parts.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from beryllug.core import cascade_data
 from beryllug.drivers import engine, http_client
 from beryllug.entry import (
     admission,
@@ -11,6 +12,7 @@
     control_link,
     crashes,
     exposure,
+    ratings,
     routing,
     sessions,
 )
@@ -28,5 +30,7 @@
     sessions: sessions.Sessions
     crashes: crashes.Crashes
     exposure: exposure.Exposure
+    ratings: ratings.Ratings
+    cascades: cascade_data.CascadeState
     client: http_client.HttpClient
     engine: engine.Engine
--- a/beryllug/entry/ratings.py
+++ b/beryllug/entry/ratings.py
@@ -33,6 +33,18 @@
         """Return the ratings that are open and what became of the others."""
         return {'open': len(self._open), **self._counts}
 
+    async def ask(
+        self, wanted: rating.RatingAsk, timeout_s: float
+    ) -> float | None:
+        """Have an answer rated now; None where no rating came in time."""
+        if self._rater is None:
+            return None
+        try:
+            return await self._rater.rate(wanted, timeout_s)
+        except rating.RatingError:
+            self._counts['failed'] += 1
+            return None
+
     def submit(self, ask: rating.RatingAsk, take: Take) -> bool:
         """Have an answer rated.
 
@@ -47,19 +59,12 @@
         if self._rater is None or len(self._open) >= MAX_OPEN:
             self._counts['skipped'] += 1
             return False
-        task = asyncio.create_task(self._rate(self._rater, ask, take))
+        task = asyncio.create_task(self._rate(ask, take))
         self._open.add(task)
         task.add_done_callback(self._open.discard)
         return True
 
-    async def _rate(
-        self, rater: rating.Rater, ask: rating.RatingAsk, take: Take
-    ) -> None:
-        try:
-            rated = await rater.rate(ask, RATING_S)
-        except rating.RatingError:
-            self._counts['failed'] += 1
-            take(None)
-            return
-        self._counts['rated'] += 1
+    async def _rate(self, ask: rating.RatingAsk, take: Take) -> None:
+        rated = await self.ask(ask, RATING_S)
+        self._counts['rated'] += rated is not None
         take(rated)
--- /dev/null
+++ b/beryllug/entry/seats.py
@@ -0,0 +1,88 @@
+"""Seats: a call that was given a version and a place in its pool."""
+
+from typing import NamedTuple
+
+from beryllug.core import evidence_book, limits, refusal, versions
+from beryllug.drivers import http_server
+from beryllug.entry import call_data, chat_data, parts, probe, replays
+
+
+class Seat(NamedTuple):
+    """A turn and the ticket that must be given back after it."""
+
+    turn: chat_data.Turn
+    ticket: limits.Ticket
+
+
+class Seats:
+    """Admits calls to the versions of a stage."""
+
+    def __init__(self, wired: parts.Parts) -> None:
+        """Bind the services."""
+        self._parts = wired
+
+    def take(
+        self,
+        call: call_data.Call,
+        session: versions.Session,
+        stage: versions.Stage,
+    ) -> Seat:
+        """Admit a call to the first version of a stage that has room.
+
+        Raises:
+            RefusedError: None has; the call is not run.
+        """
+        refused = refusal.RefusedError(
+            refusal.Refusal(refusal.Code.NO_SERVER, 'no version to run on')
+        )
+        for version in stage.versions:
+            name = chat_data.name_of(version.ref)
+            try:
+                ticket = self._parts.admission.admit(call, version.pool, name)
+            except refusal.RefusedError as exc:
+                refused = exc
+                continue
+            subject = evidence_book.Subject(
+                version.ref, call.account.account_id
+            )
+            told = probe.VersionProbe(self._parts.exposure, subject)
+            turn = chat_data.Turn(
+                call, session, version, stage.pin_broken, told
+            )
+            if stage.pin_broken:
+                self._note_move(call, session)
+            return Seat(turn, ticket)
+        raise refused
+
+    def give_back(self, seat: Seat) -> None:
+        """Give the place in the pool back."""
+        self._parts.admission.release(seat.ticket)
+
+    async def may_run(
+        self, turn: chat_data.Turn, exchange: http_server.Exchange
+    ) -> bool:
+        """Ask the journal where a call may run only once.
+
+        Returns:
+            Whether it may run now; where not, its first answer was given.
+
+        Raises:
+            RefusedError: It may not run, and there is no answer to give.
+        """
+        if turn.call.facts.repeatable:
+            return True
+        bills = self._parts.bills
+        first = await bills.begin(
+            turn.call, chat_data.name_of(turn.version.ref)
+        )
+        if first is None:
+            return True
+        await replays.replay_first(self._parts.answers, first, exchange)
+        return False
+
+    def _note_move(
+        self, call: call_data.Call, session: versions.Session
+    ) -> None:
+        for pin in session.pins:
+            subject = evidence_book.Subject(pin, call.account.account_id)
+            self._parts.exposure.moved(subject)
--- /dev/null
+++ b/beryllug/entry/turn_runner.py
@@ -0,0 +1,215 @@
+"""Run one turn: a call on the version that was chosen for it.
+
+The caller sees the answer as it is made, but its end only when the bill is
+durable. A stream that breaks is taken up at its exact byte where the engine
+can, and otherwise ends with an error: text of two runs is never joined.
+"""
+
+import contextlib
+import time
+
+from beryllug.core import journal_data, refusal
+from beryllug.drivers import (
+    engine_data,
+    http_client,
+    http_data,
+    http_server,
+)
+from beryllug.entry import (
+    attempts,
+    chat_bill,
+    chat_data,
+    chat_order,
+    delivery,
+    headers,
+    parts,
+)
+
+OK = 200
+MAX_RESUMES = 3
+BROKEN_EVENT = (
+    b'data: {"error":{"code":"backend_failed","run":"ran",'
+    b'"message":"the answer broke off"}}\n\n'
+)
+
+
+class TurnRunner:
+    """Runs turns from the first attempt to the bill."""
+
+    def __init__(self, wired: parts.Parts) -> None:
+        """Bind the services."""
+        self._parts = wired
+        self._bill = chat_bill.ChatBill(wired)
+
+    async def run(
+        self, turn: chat_data.Turn, exchange: http_server.Exchange
+    ) -> None:
+        """Run a turn and give its answer to the caller.
+
+        Raises:
+            RefusedError: It got no answer; says whether it ran.
+        """
+        opened = await self._open(turn)
+        try:
+            await self._deliver(turn, opened, exchange)
+        finally:
+            self._close(turn, opened)
+
+    async def answer(
+        self, turn: chat_data.Turn
+    ) -> tuple[attempts.Opened, bytes]:
+        """Run a turn and return its whole answer, not billed yet.
+
+        Raises:
+            RefusedError: It got no answer; says whether it ran.
+        """
+        opened = await self._open(turn)
+        try:
+            body = await self._read(turn, opened)
+        finally:
+            self._close(turn, opened)
+        return opened, body
+
+    async def headers(self, turn: chat_data.Turn) -> dict[str, str]:
+        """Return the headers of an answer, once its session is pinned."""
+        fields = {
+            headers.REQUEST_ID: turn.call.request_id,
+            headers.VERSION: chat_data.name_of(turn.version.ref),
+        }
+        token = await self._parts.sessions.pin(
+            turn.call, turn.session, turn.version.ref
+        )
+        if token:
+            fields[headers.SESSION_TOKEN] = token
+        if turn.moved:
+            fields[headers.SESSION_MOVED] = 'yes'
+        return fields
+
+    async def _open(self, turn: chat_data.Turn) -> attempts.Opened:
+        order = chat_order.make(self._parts, turn)
+        try:
+            return await self._parts.attempts.open(turn.call, order)
+        except refusal.RefusedError as exc:
+            await self._parts.bills.refuse(turn.call, exc.refusal, turn.earlier)
+            raise
+
+    def _close(self, turn: chat_data.Turn, opened: attempts.Opened) -> None:
+        turn.probe.drop()
+        self._parts.attempts.close(turn.call, opened)
+
+    async def _deliver(
+        self,
+        turn: chat_data.Turn,
+        opened: attempts.Opened,
+        exchange: http_server.Exchange,
+    ) -> None:
+        if turn.call.stream and opened.incoming.status == OK:
+            await self._stream(turn, opened, exchange)
+        else:
+            await self._whole(turn, opened, exchange)
+
+    async def _stream(
+        self,
+        turn: chat_data.Turn,
+        opened: attempts.Opened,
+        exchange: http_server.Exchange,
+    ) -> None:
+        keep = self._parts.exposure.wants_text(turn.version.ref)
+        relay = delivery.StreamRelay(turn.call, exchange, keep)
+        fields = await self.headers(turn)
+        fields[headers.CONTENT_TYPE] = headers.EVENTS_TYPE
+        try:
+            await exchange.start(OK, fields)
+        except ConnectionError:
+            relay.caller_gone = True
+        if await self._pump(turn, opened, relay):
+            await self._bill.whole_stream(turn, opened.attempt, relay)
+            await relay.finish()
+        else:
+            await self._cut(turn, opened, relay)
+
+    async def _cut(
+        self,
+        turn: chat_data.Turn,
+        opened: attempts.Opened,
+        relay: delivery.StreamRelay,
+    ) -> None:
+        if relay.unwanted:
+            with contextlib.suppress(engine_data.EngineError):
+                await self._parts.engine.cancel(
+                    opened.attempt.server.address, turn.run_id
+                )
+            await self._bill.cut_stream(
+                turn, opened.attempt, relay, journal_data.OutcomeState.CANCELLED
+            )
+        else:
+            self._parts.routing.failed(opened.attempt, time.monotonic())
+            await self._bill.cut_stream(
+                turn, opened.attempt, relay, journal_data.OutcomeState.FAILED
+            )
+            await relay.fail(BROKEN_EVENT)
+
+    async def _pump(
+        self,
+        turn: chat_data.Turn,
+        opened: attempts.Opened,
+        relay: delivery.StreamRelay,
+    ) -> bool:
+        """Pass a stream on, taking it up again where it broke.
+
+        Returns:
+            Whether it came to its end.
+        """
+        incoming: http_client.Incoming | None = opened.incoming
+        for _ in range(MAX_RESUMES):
+            if incoming is None:
+                return False
+            try:
+                await relay.pump(incoming)
+            except http_data.BrokenError:
+                incoming = await self._resume(turn, opened, relay.tail.size)
+            except TimeoutError:
+                return False
+            else:
+                return relay.tail.is_whole()
+        return False
+
+    async def _resume(
+        self, turn: chat_data.Turn, opened: attempts.Opened, offset: int
+    ) -> http_client.Incoming | None:
+        """Take an answer up at an exact byte, at the engine that made it."""
+        try:
+            return await self._parts.engine.resume(
+                opened.attempt.server.address, turn.run_id, offset
+            )
+        except (http_data.NotSentError, http_data.BrokenError):
+            return None
+
+    async def _whole(
+        self,
+        turn: chat_data.Turn,
+        opened: attempts.Opened,
+        exchange: http_server.Exchange,
+    ) -> None:
+        body = await self._read(turn, opened)
+        await self._bill.whole_body(turn, opened, body)
+        fields = await self.headers(turn)
+        fields[headers.CONTENT_TYPE] = opened.incoming.headers.get(
+            headers.CONTENT_TYPE, headers.JSON_TYPE
+        )
+        await exchange.respond(opened.incoming.status, body, fields)
+
+    async def _read(
+        self, turn: chat_data.Turn, opened: attempts.Opened
+    ) -> bytes:
+        try:
+            return await delivery.read_whole(turn.call, opened.incoming)
+        except (http_data.BrokenError, TimeoutError):
+            self._parts.routing.failed(opened.attempt, time.monotonic())
+        broken = refusal.Refusal(
+            refusal.Code.BACKEND_FAILED,
+            'the engine broke off its answer',
+            refusal.Run.UNKNOWN,
+        )
+        await self._parts.bills.refuse(turn.call, broken, turn.earlier)
+        raise refusal.RefusedError(broken)
