Run the thin whole path in separate processes

Cause: nothing had run from end to end. Ruled out: waiting for the operators' address to tell readiness; the log line and an unauthenticated call tell it until that address is there.

--- a/beryllug/entry/parts.py
+++ b/beryllug/entry/parts.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from beryllug.core import cascade_data
-from beryllug.drivers import engine, http_client
+from beryllug.drivers import engine, plain_service
 from beryllug.entry import (
     admission,
     answers,
@@ -32,5 +32,5 @@
     exposure: exposure.Exposure
     ratings: ratings.Ratings
     cascades: cascade_data.CascadeState
-    client: http_client.HttpClient
     engine: engine.Engine
+    plain: plain_service.PlainService
--- a/beryllug/entry/plain.py
+++ b/beryllug/entry/plain.py
@@ -8,7 +8,7 @@
 
 import time
 from beryllug.core import balance_data, journal_data, refusal, view_data
-from beryllug.drivers import http_client, http_data, http_server
+from beryllug.drivers import http_client, http_data, http_server, plain_service
 from beryllug.entry import (
     attempts,
     call_data,
@@ -20,8 +20,6 @@
     routing,
 )
 
-FORWARDED_ID = 'x-request-id'
-FORWARDED_ACCOUNT = 'x-account-id'
 MIN_EXPECTED_S = 0.001
 
 
@@ -140,12 +138,12 @@
         )
 
     def _order(self, call: call_data.Call, pool: str) -> attempts.Order:
+        ask = _ask(call)
+
         async def send(  # noqa: WPS430
             server: view_data.BackendServer,
         ) -> http_client.Incoming:
-            return await self._parts.client.request(
-                server.address, _outgoing(call)
-            )
+            return await self._parts.plain.call(server.address, ask)
 
         return attempts.Order(
             pick=balance_data.Pick(pool),
@@ -165,19 +163,15 @@
         )
 
 
-def _outgoing(call: call_data.Call) -> http_data.Outgoing:
-    fields = {
-        FORWARDED_ID: call.request_id,
-        FORWARDED_ACCOUNT: call.account.account_id,
-        headers.CONTENT_TYPE: call.content_type,
-    }
-    if call.idempotency_key:
-        fields[headers.IDEMPOTENCY_KEY] = call.idempotency_key
-    return http_data.Outgoing(
+def _ask(call: call_data.Call) -> plain_service.PlainAsk:
+    return plain_service.PlainAsk(
+        request_id=call.request_id,
+        account_id=call.account.account_id,
         method=call.method,
         target=call.target,
-        headers=fields,
         body=call.body,
+        content_type=call.content_type,
+        idempotency_key=call.idempotency_key,
         fresh=not call.facts.repeatable,
     )
 
--- /dev/null
+++ b/beryllug/scripts/compose.py
@@ -0,0 +1,157 @@
+"""The composition root: wires the services of a process.
+
+The one place that knows every service. Services are registered in the order
+in which they start; they stop in the reverse order.
+"""
+
+import os
+
+
+from beryllug.control import (
+    answers as control_answers,
+    config,
+    journal,
+    leases,
+    membership,
+    peers,
+    rpc_endpoint,
+    servers,
+)
+from beryllug.core import cascade_data, lease_data, settings_data
+from beryllug.drivers import (
+    engine,
+    fleet_key,
+    host_list,
+    http_client,
+    object_api,
+    plain_service,
+    rating,
+    rpc,
+)
+from beryllug.entry import (
+    admission,
+    answers,
+    attempts,
+    bills,
+    callers,
+    chat,
+    control_calls,
+    control_link,
+    crashes,
+    exposure,
+    fetches,
+    outbox,
+    parts,
+    plain,
+    ratings,
+    routing,
+    sessions,
+)
+from beryllug.kernel import registry
+
+PLATFORM_S = 2.0
+ENGINE_S = 2.0
+HOST_LIST_S = 2.0
+BOOT_BYTES = 6
+
+
+def compose(cfg: settings_data.Settings, path: str) -> registry.Registry:
+    """Return the services of a process, not started.
+
+    Args:
+        cfg: Its settings.
+        path: Where they stand, to read rotated keys anew.
+    """
+    services = registry.Registry()
+    keys = fleet_key.KeyRing(cfg.fleet.keys)
+    if cfg.entry is not None:
+        _add_entry(services, cfg, cfg.entry, keys)
+    if cfg.control is not None:
+        _add_control(services, cfg, cfg.control, keys)
+    return services
+
+
+def _add_entry(
+    services: registry.Registry,
+    settings: settings_data.Settings,
+    cfg: settings_data.Entry,
+    keys: fleet_key.KeyRing,
+) -> None:
+    name = settings.process.name
+    client = http_client.HttpClient()
+    calls = control_calls.ControlCalls(cfg.controls, keys)
+    link = control_link.ControlLink(settings.process, cfg, calls)
+    rows = outbox.Outbox(calls)
+    routes = routing.Routing(name, settings.process.zone, link)
+    crash_reports = crashes.Crashes(name, calls, link, client)
+    rater = rating.HttpRater(client, cfg.rating) if cfg.rating else None
+    rated = ratings.Ratings(rater)
+    wired = parts.Parts(
+        link=link,
+        routing=routes,
+        admission=admission.Admission(len(cfg.controls), link, routes),
+        attempts=attempts.Attempts(routes, crash_reports),
+        bills=bills.Bills(name, rows),
+        answers=answers.Answers(calls),
+        sessions=sessions.Sessions(name, link, rows),
+        crashes=crash_reports,
+        exposure=exposure.Exposure(f'{name}/{_boot()}', calls, link, rated),
+        ratings=rated,
+        cascades=cascade_data.CascadeState(),
+        engine=engine.HttpEngine(client, ENGINE_S),
+        plain=plain_service.HttpPlainService(client),
+    )
+    flows = callers.Flows(
+        chat.ChatFlow(wired),
+        plain.PlainFlow(wired),
+        fetches.FetchFlow(rows, wired.answers),
+    )
+    edge = callers.Callers(cfg, link, flows)
+    services.register('control_link', link)
+    services.register('outbox', rows)
+    services.register('answers', wired.answers)
+    services.register('ratings', rated)
+    services.register('exposure', wired.exposure)
+    services.register('routing', routes)
+    services.register('admission', wired.admission)
+    services.register('bills', wired.bills)
+    services.register('sessions', wired.sessions)
+    services.register('crashes', crash_reports)
+    services.register('callers', edge)
+
+
+def _add_control(
+    services: registry.Registry,
+    settings: settings_data.Settings,
+    cfg: settings_data.Control,
+    keys: fleet_key.KeyRing,
+) -> None:
+    process = settings.process
+    client = http_client.HttpClient()
+    api = object_api.HttpObjectApi(client, cfg.platform, PLATFORM_S)
+    engines = engine.HttpEngine(client, ENGINE_S)
+    listed = host_list.HttpHostList(client, cfg.host_list, HOST_LIST_S)
+    calls = peers.Peers(keys)
+    members = membership.Membership(process.name, cfg.listen)
+    boot = _boot()
+    owner = lease_data.Owner(process.name, boot, cfg.listen)
+    held = leases.Leases(api, owner, cfg.lease_s, members)
+    rows = journal.Journal(journal.Parts(api, held, calls), cfg, boot)
+    view = config.Config(process, cfg, api, calls, None)
+    kept = control_answers.Answers(api)
+    server = rpc.RpcServer(keys)
+    for serving in (rows, view, kept):
+        serving.serve(server)
+    services.register('peers', calls)
+    services.register('membership', members)
+    services.register('leases', held)
+    services.register('journal', rows)
+    services.register('config', view)
+    services.register('answers', kept)
+    services.register('servers', servers.BackendServers(listed, engines, view))
+    services.register('rpc', rpc_endpoint.RpcEndpoint(server, cfg.listen))
+
+
+def _boot() -> str:
+    """Return a random id of this start of the process."""
+    return os.urandom(BOOT_BYTES).hex()
--- /dev/null
+++ b/beryllug/standins/caller.py
@@ -0,0 +1,91 @@
+"""A caller of the system, for the proofs and the demo."""
+
+import json
+from typing import Any, NamedTuple
+
+from beryllug.drivers import http_client, http_data
+
+CHAT = '/v1/chat/completions'
+
+
+class Reply(NamedTuple):
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status; 0 where the connection was refused or broke.
+        headers: Header values by lower-case name.
+        body: The whole body.
+        broken: Whether the connection broke after a byte was written.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    broken: bool = False
+
+    def error(self) -> dict[str, Any]:
+        """Return the error that a refusal states; empty without one."""
+        try:
+            document = json.loads(self.body)
+        except ValueError:
+            return {}
+        found = document.get('error', {}) if isinstance(document, dict) else {}
+        return dict(found)
+
+
+class Caller:
+    """Sends requests of one client account."""
+
+    def __init__(self, key: str) -> None:
+        """Take the account's bearer key."""
+        self._key = key
+        self._client = http_client.HttpClient()
+
+    async def ask(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: Any = None,
+        **fields: str,
+    ) -> Reply:
+        """Send one request and read its whole answer.
+
+        Args:
+            address: Where the entry process listens.
+            method: HTTP method.
+            target: Path and query.
+            body: What to send as JSON, None for no body.
+            fields: Header values; ``_`` in a name stands for ``-``.
+        """
+        named = {name.replace('_', '-'): text for name, text in fields.items()}
+        outgoing = http_data.Outgoing(
+            method,
+            target,
+            {'authorization': f'Bearer {self._key}', **named},
+            b'' if body is None else json.dumps(body).encode(),
+        )
+        try:
+            incoming, read = await self._client.call(address, outgoing)
+        except http_data.NotSentError:
+            return Reply(0, {}, b'')
+        except http_data.BrokenError:
+            return Reply(0, {}, b'', broken=True)
+        return Reply(incoming.status, incoming.headers, read)
+
+    async def chat(
+        self, address: str, model: str, prompt: str, **fields: Any
+    ) -> Reply:
+        """Send a chat; `stream` and `max_tokens` go into the body."""
+        body: dict[str, Any] = {
+            'model': model,
+            'messages': [{'role': 'user', 'content': prompt}],
+        }
+        for name in ('stream', 'max_tokens'):
+            if name in fields:
+                body[name] = fields.pop(name)
+        return await self.ask(address, 'POST', CHAT, body, **fields)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.close()
--- a/beryllug/standins/fleet_settings.py
+++ b/beryllug/standins/fleet_settings.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 HOST = '127.0.0.1'
-OPERATOR_KEY = 'operator-key'
-FLEET_KEY = 'fleet-key'
+OPERATOR_KEY = 'operator-key-of-the-harness'
+FLEET_KEY = 'fleet-key-of-the-harness'
 CONTROL = 'control'
 
 
--- a/beryllug/standins/harness.py
+++ b/beryllug/standins/harness.py
@@ -33,7 +33,8 @@
 READY_S = 30.0
 POLL_S = 0.02
 PLATFORM_S = 2.0
-OK = 200
+UNAUTHENTICATED = 401
+READY_EVENT = 'event=ready'
 
 
 class ServerPlan(NamedTuple):
@@ -62,7 +63,7 @@
         zones: Availability zones, over which the hosts are spread.
         entry_settings: Lines for the entry section.
         control_settings: Lines for the control section.
-        platform: Options of the object API.
+        platform_cfg: Options of the object API.
     """
 
     document: config_data.Document
@@ -71,7 +72,7 @@
     zones: tuple[str, ...] = ('zone-1',)
     entry_settings: tuple[str, ...] = ()
     control_settings: tuple[str, ...] = ()
-    platform: platform.ObjectApiCfg = platform.ObjectApiCfg()
+    platform_cfg: platform.ObjectApiCfg = platform.ObjectApiCfg()
 
 
 class Fleet:
@@ -80,7 +81,7 @@
     def __init__(self, plan: Plan) -> None:
         """Make a deployment; `start` starts it."""
         self.plan = plan
-        self.platform = platform.stand_in(plan.platform)
+        self.platform = platform.stand_in(plan.platform_cfg)
         self.host_list = host_list.stand_in()
         self.rating = rating.stand_in()
         self.weights = weight_store.stand_in()
@@ -170,19 +171,16 @@
         await self.processes.spawn(name, text)
 
     async def wait_ready(self, name: str) -> None:
-        """Wait until a process says that it is ready."""
-        address = fleet_settings.operators_of(name, self.hosts)
-
-        async def is_ready() -> bool:  # noqa: WPS430
-            status, _ = await self.get(address, '/readyz')
-            return status == OK
+        """Wait until a process takes work.
 
+        Raises:
+            TimeoutError: It does not in time; carries its log.
+        """
         try:
-            await wait_for(is_ready, READY_S)
+            await wait_for(lambda: self._is_ready(name), READY_S)
         except TimeoutError:
-            raise TimeoutError(
-                f'{name} is not ready: {self.processes.log(name)}'
-            )
+            log = self.processes.log(name)
+            raise TimeoutError(f'{name} is not ready: {log}')
 
     async def restart(self, name: str) -> None:
         """Start a process again and wait until it is ready."""
@@ -202,6 +200,16 @@
             return 0, b''
         return incoming.status, body
 
+    async def _is_ready(self, name: str) -> bool:
+        if READY_EVENT not in self.processes.log(name):
+            return False
+        if not name.startswith('entry'):
+            return True
+        address = self.hosts[int(name.partition('-')[2])].callers
+        probe = http_data.Outgoing('POST', '/v1/chat/completions', {})
+        incoming, _ = await self.client.call(address, probe)
+        return incoming.status == UNAUTHENTICATED
+
     def _sites(self) -> fleet_settings.Sites:
         return fleet_settings.Sites(
             hosts=tuple(self.hosts),
--- /dev/null
+++ b/beryllug/standins/records.py
@@ -0,0 +1,49 @@
+"""The records of the other side: what the parties of a deployment hold."""
+
+from collections.abc import Iterator
+
+from beryllug.control import segments
+from beryllug.core import journal_data
+from beryllug.standins import (
+    engine,
+    engine_runs,
+    harness,
+    object_api,
+    plain_service,
+)
+
+
+def rows(fleet: harness.Fleet) -> Iterator[journal_data.Row]:
+    """Return every row of the journal that the platform holds."""
+    behaviour = fleet.platform.party
+    assert isinstance(behaviour, object_api.ObjectApiParty)
+    for stored in behaviour.store.stored():
+        if stored.key.startswith(segments.PREFIX):
+            yield from segments.decode(stored.value).rows
+
+
+def bills(fleet: harness.Fleet) -> dict[str, list[journal_data.Row]]:
+    """Return the outcome rows by request id; a fault shows as two in one."""
+    found: dict[str, list[journal_data.Row]] = {}
+    for row in rows(fleet):
+        if row.kind is journal_data.RowKind.OUTCOME:
+            found.setdefault(row.request_id, []).append(row)
+    return found
+
+
+def engine_runs_of(fleet: harness.Fleet) -> list[engine_runs.RunRecord]:
+    """Return what all model engines ran."""
+    found: list[engine_runs.RunRecord] = []
+    for made in fleet.servers.values():
+        if isinstance(made.party, engine.EngineParty):
+            found.extend(made.party.worker.records)
+    return found
+
+
+def plain_runs_of(fleet: harness.Fleet) -> list[plain_service.PlainRun]:
+    """Return what all plain services ran."""
+    found: list[plain_service.PlainRun] = []
+    for made in fleet.servers.values():
+        if isinstance(made.party, plain_service.PlainServiceParty):
+            found.extend(made.party.runs)
+    return found
