--- a/beryllug/control/commit.py
+++ b/beryllug/control/commit.py
@@ -1,4 +1,4 @@
-"""The owner of one shard: makes rows durable in groups.
+"""The commit task of one shard: makes rows durable in groups.
 
 One write is under way at a time; the next takes all rows that came
 meanwhile. So the number of platform writes is bounded whatever the number of
@@ -7,25 +7,21 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from absl import logging
 
 from beryllug.control import readback, segments, waiters
 from beryllug.core import (
-    journal,
     journal_data,
     journal_log,
-    rpc_data,
     shard_state,
 )
 from beryllug.drivers import object_api, object_data
 
-BEGIN_WAIT_S = 2.0
-FINISH_WAIT_S = 2.0
-RETRY_S = 0.2
-MAX_PENDING = 20000
+RETRY_S = 0.1
+MAX_FAILURES = 3
 
 
 class OwnerCfg(NamedTuple):
@@ -44,44 +40,37 @@
     commits_per_s: float
 
 
-class ShardOwner:
-    """Decides about the rows of one shard while its lease holds.
+class Committer:
+    """Takes a shard over and appends its pending rows.
 
     Attributes:
         cfg: What it is bound to.
-        state: What it remembers.
+        state: What is remembered of the shard.
+        log: The shard's log.
         serving: Whether it has taken over and not lost the shard since.
     """
 
-    def __init__(
-        self,
-        api: object_api.ObjectApi,
-        cfg: OwnerCfg,
-        valid_s: Callable[[], float],
-    ) -> None:
-        """Make an owner; it serves after `start`.
-
-        Args:
-            api: The platform.
-            cfg: What it is bound to.
-            valid_s: Tells for how many more seconds the lease surely holds.
-        """
+    def __init__(self, api: object_api.ObjectApi, cfg: OwnerCfg) -> None:
+        """Make a committer; it takes over after `start`."""
         self.cfg = cfg
         self.state = shard_state.ShardState()
+        self.log = segments.ShardLog(api, cfg.shard, cfg.fencing, cfg.boot)
         self.serving = False
         self._api = api
-        self._valid_s = valid_s
-        self._log = segments.ShardLog(api, cfg.shard, cfg.fencing, cfg.boot)
-        self._reader = readback.RowReader(api, cfg.shard, self._log)
         self._waiters = waiters.Waiters()
         self._wake = asyncio.Event()
         self._served = asyncio.Event()
         self._unsettled = False
-        self._down = False
+        self._failures = 0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def down(self) -> bool:
+        """Tell whether the platform counts as down."""
+        return self._failures >= MAX_FAILURES
+
     def start(self) -> None:
-        """Take the shard over, then serve."""
+        """Take the shard over, then commit."""
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
@@ -91,6 +80,11 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._end()
 
+    async def ready(self, wait_s: float) -> bool:
+        """Wait for the end of the takeover; tell whether rows are taken."""
+        await waiters.set_within(self._served, wait_s)
+        return self.serving
+
     async def flush(self, grace_s: float) -> bool:
         """Wait until no row is pending; False when that takes too long."""
         deadline = time.monotonic() + grace_s
@@ -102,67 +96,26 @@
                 break
         return not self.state.pending
 
+    async def wait(self, row: journal_data.Row, wait_s: float) -> bool:
+        """Wait until a row is durable; False at once in an outage."""
+        row_id = shard_state.row_id(row)
+        if row_id not in self.state.pending:
+            return True
+        self._wake.set()
+        return not self.down and await self._waiters.wait(row_id, wait_s)
+
     def dump(self) -> dict[str, Any]:
-        """Return the owner's state."""
+        """Return the state."""
         return {
             'serving': self.serving,
             'fencing': self.cfg.fencing,
-            'segment': self._log.head.seq,
-            'writes': self._log.writes,
+            'segment': self.log.head.seq,
+            'writes': self.log.writes,
             'tries': len(self.state.tries),
             'pending': len(self.state.pending),
-            'platform_down': self._down,
+            'platform_down': self.down,
         }
 
-    async def begin(self, row: journal_data.Row) -> journal_data.Grant:
-        """Answer an intent when it is durable, or why it is not."""
-        await waiters.set_within(self._served, BEGIN_WAIT_S)
-        if not self.serving:
-            return journal.unavailable(row)
-        decision = journal.begin(self.state, row, time.monotonic())
-        while isinstance(decision, journal.ReadBack):
-            found = await self._reader.about_key(decision.seq, row)
-            if found is None:
-                return journal.unavailable(row)
-            decision = journal.begin(self.state, row, time.monotonic(), found)
-        if isinstance(decision, journal_data.Grant):
-            return decision
-        if not await self._wait(row, BEGIN_WAIT_S):
-            journal.deny(self.state, row)
-            return journal.unavailable(row)
-        # The await above can have taken longer than the lease held: a new
-        # owner may have answered for this key meanwhile.
-        return journal.grant(self.state, row, self._valid_s())
-
-    async def finish(self, row: journal_data.Row) -> bool:
-        """Return whether a row is durable; when not it is kept pending."""
-        await waiters.set_within(self._served, FINISH_WAIT_S)
-        if not self.serving or len(self.state.pending) >= MAX_PENDING:
-            return False
-        decision = journal.finish(self.state, row)
-        while isinstance(decision, journal.ReadBack):
-            found = await self._reader.outcome(decision.seq, row)
-            if found is None:
-                return False
-            decision = journal.finish(self.state, row, found)
-        durable = decision is True or await self._wait(row, FINISH_WAIT_S)
-        return durable and self._valid_s() > 0
-
-    async def lookup(self, ask: rpc_data.LookupAsk) -> rpc_data.LookupReply:
-        """Return the latest row of a kind under a key."""
-        await waiters.set_within(self._served, FINISH_WAIT_S)
-        if not self.serving:
-            return rpc_data.LookupReply(None, available=False)
-        for row in reversed(self.state.pending.values()):
-            if readback.matches(row, ask):
-                return rpc_data.LookupReply(row)
-        seq = journal.find_latest(
-            self.state, ask.kind, ask.account_id, ask.shard_key
-        )
-        if seq is None:
-            return rpc_data.LookupReply(None)
-        return await self._reader.latest(seq, ask)
-
     async def _run(self) -> None:
         try:
             await self._take_over()
@@ -199,50 +152,57 @@
         )
 
     async def _read_log(self) -> None:
-        seqs = await self._log.take_over()
+        seqs = await self.log.take_over()
         self.state = await readback.replay(self._api, self.cfg.shard, seqs)
         journal_log.replayed(self.state, time.monotonic())
         self.serving = True
 
     async def _commit(self) -> None:
         started = time.monotonic()
+        pause_s = 1 / self.cfg.commits_per_s
         try:
             await self._commit_once()
         except object_data.ConflictError:
             self._unsettled = True
-        except object_data.ObjectApiError:
-            # While the platform is down a read of the head is the probe.
-            self._unsettled = True
-            self._down = True
-        if self.state.pending or self._down:
+        except object_data.RateLimitedError as exc:
+            pause_s = max(pause_s, exc.retry_after_s)
+        except object_data.ObjectApiError as exc:
+            self._fail(exc)
+            pause_s = RETRY_S
+        if self.state.pending or self._failures:
             self._wake.set()
-        pause_s = RETRY_S if self._down else 1 / self.cfg.commits_per_s
         await asyncio.sleep(started + pause_s - time.monotonic())
 
+    def _fail(self, exc: Exception) -> None:
+        """Count a failure; while the platform is down nobody waits for it.
+
+        Until it is back, a read of the head is the probe.
+        """
+        self._unsettled = True
+        self._failures += 1
+        if self._failures == MAX_FAILURES:
+            logging.warning(
+                'event=platform_down shard=%d error=%s', self.cfg.shard, exc
+            )
+            self._waiters.give_up()
+
     async def _commit_once(self) -> None:
         self._wake.clear()
         if self._unsettled:
-            found = await self._log.settle()
+            found = await self.log.settle()
             self._unsettled = False
             self._take_in([segments.decode_row(raw) for raw in found])
         rows = list(self.state.pending.values())
         raws = segments.batch_of(map(segments.encode_row, rows))
         if raws:
-            await self._log.append(raws)
+            await self.log.append(raws)
             self._take_in(rows[: len(raws)])
-        self._down = False
+        self._failures = 0
 
     def _take_in(self, rows: Sequence[journal_data.Row]) -> None:
-        head = self._log.head
+        head = self.log.head
         for row in rows:
             journal_log.committed(self.state, row, head.seq, head.segment.at)
         row_ids = map(shard_state.row_id, rows)
         done = [rid for rid in row_ids if rid not in self.state.pending]
         self._waiters.settle(done, durable=True)
-
-    async def _wait(self, row: journal_data.Row, wait_s: float) -> bool:
-        row_id = shard_state.row_id(row)
-        if row_id not in self.state.pending:
-            return True
-        self._wake.set()
-        return not self._down and await self._waiters.wait(row_id, wait_s)
--- a/beryllug/control/journal.py
+++ b/beryllug/control/journal.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 
-from beryllug.control import commit, leases, peers
+from beryllug.control import commit, leases, peers, shard_owner
 from beryllug.core import (
     journal,
     journal_data,
@@ -33,7 +33,7 @@
 
     api: object_api.ObjectApi
     leases: leases.Leases
-    peers: peers.Peers
+    peers: peers.Caller
 
 
 class Journal:
@@ -52,7 +52,7 @@
         self._parts = parts
         self._cfg = cfg
         self._boot = boot
-        self._owners: dict[int, commit.ShardOwner] = {}
+        self._owners: dict[int, shard_owner.ShardOwner] = {}
 
     def serve(self, server: rpc.RpcServer) -> None:
         """Add the journal's methods to the server of this process."""
@@ -195,7 +195,7 @@
             self._own(shard, fencing)
 
     def _own(self, shard: int, fencing: int) -> None:
-        owner = commit.ShardOwner(
+        owner = shard_owner.ShardOwner(
             self._parts.api,
             commit.OwnerCfg(
                 shard, fencing, self._boot, self._cfg.commits_per_s
--- /dev/null
+++ b/beryllug/control/journal_test.py
@@ -0,0 +1,346 @@
+"""At most once and billed once, under faults of the platform and of owners.
+
+What the log holds is read from the store, not from the nodes' own counts.
+"""
+
+import asyncio
+import unittest
+
+from beryllug.control import fake_platform_test, nodes_test, shard_owner
+from beryllug.core import journal_data, rpc_data
+
+Fault = fake_platform_test.Fault
+Kind = journal_data.GrantKind
+State = journal_data.OutcomeState
+
+
+class OneTryTest(nodes_test.NodesCase):
+    """One key is granted once."""
+
+    async def test_same_key_at_two_hosts(self) -> None:
+        """A guest taps twice, and each tap reaches another entry host.
+
+        Both hosts ask for the same key at once; one of them owns it, the
+        other hands its intent over. One is granted, the other learns that
+        the first runs, because the owner decides in one order.
+        """
+        first = await self.start_owner('1')
+        second = await self.start_node('2')
+        grants = await asyncio.gather(
+            *(
+                node.begin(nodes_test.intent(f'{node.name}-{number}'))
+                for number in range(20)
+                for node in (first, second)
+            )
+        )
+        kinds = [grant.kind for grant in grants]
+        self.assertEqual(kinds.count(Kind.GRANTED), 1)
+        self.assertEqual(kinds.count(Kind.RUNNING), 39)
+        self.assertEqual(len(self.log()), 1)
+
+    async def test_resends(self) -> None:
+        """A resend learns of the first try, whatever became of it."""
+        owner = await self.start_owner('1')
+        for state, expected in (
+            (State.DONE, Kind.FINISHED),
+            (State.FAILED, Kind.FINISHED),
+            (State.CANCELLED, Kind.FINISHED),
+            (State.UNKNOWN, Kind.UNKNOWN),
+            (State.NOT_RUN, Kind.GRANTED),
+        ):
+            with self.subTest(state):
+                row = nodes_test.intent(f'first-{state}', f'key-{state}')
+                await owner.begin(row)
+                await owner.finish(nodes_test.outcome(row, state))
+                again = row._replace(request_id=f'again-{state}')
+                grant = await owner.begin(again)
+                self.assertEqual(grant.kind, expected)
+                other = again._replace(request_id='other', body_hash='other')
+                grant = await owner.begin(other)
+                self.assertEqual(grant.kind, Kind.MISMATCH)
+
+    async def test_grant_lost_on_its_way(self) -> None:
+        """The owner's reply is lost and the entry asks again.
+
+        It asks under the same request id, because it has sent nothing to a
+        backend server. It is granted again; another try of the key is not.
+        """
+        await self.start_owner('1')
+        second = await self.start_node('2')
+        row = nodes_test.intent('one')
+        self.network.losing.add('127.0.0.1:1')
+        self.assertEqual((await second.begin(row)).kind, Kind.UNAVAILABLE)
+        self.network.losing.clear()
+        self.assertEqual((await second.begin(row)).kind, Kind.GRANTED)
+        resend = await second.begin(nodes_test.intent('two'))
+        self.assertEqual(resend.kind, Kind.RUNNING)
+        self.assertEqual(self.log(), [('intent', 'one')])
+
+    async def test_given_up_before_it_came(self) -> None:
+        """An intent that its entry gave up is not granted afterwards.
+
+        The entry's outcome NOT_RUN overtakes the intent. A grant would let
+        nobody run it, but would take the key from the caller's resend.
+        """
+        owner = await self.start_owner('1')
+        row = nodes_test.intent('one')
+        self.assertTrue(
+            await owner.finish(nodes_test.outcome(row, State.NOT_RUN))
+        )
+        self.assertEqual((await owner.begin(row)).kind, Kind.UNAVAILABLE)
+        resend = await owner.begin(nodes_test.intent('two'))
+        self.assertEqual(resend.kind, Kind.GRANTED)
+
+
+class LostAnswerTest(nodes_test.NodesCase):
+    """Writes of the log whose answer is lost."""
+
+    async def test_answer_lost(self) -> None:
+        """A write of intents or outcomes goes wrong and is settled.
+
+        The caller sees nothing of it. The owner reads the segment back
+        before anything else, so that no row stands there twice and a row
+        that is not there is written.
+        """
+        owner = await self.start_owner('1')
+        for number, faults in enumerate(
+            (
+                (Fault.LOST_ANSWER,),
+                (Fault.LOST,),
+                (Fault.REFUSED,),
+                (Fault.LOST, Fault.LOST_ANSWER),
+            )
+        ):
+            with self.subTest(faults):
+                row = nodes_test.intent(f'r{number}', f'key-{number}')
+                owner.client.faults.extend(faults)
+                grant = await owner.begin(row)
+                self.assertEqual(grant.kind, Kind.GRANTED)
+                owner.client.faults.extend(faults)
+                await self.finish_at_last(owner, nodes_test.outcome(row))
+        log = self.log()
+        self.assertEqual(len(log), 8)
+        self.assertEqual(len(set(log)), 8)
+
+    async def test_late_write(self) -> None:
+        """A write believed lost takes effect after the request was refused.
+
+        The owner said that the request was not granted, and forgot it. Its
+        intent then lands in the log. The owner's next write conflicts, it
+        finds the intent and ends it as NOT_RUN: the caller was told so, and
+        its resend runs.
+        """
+        owner = await self.start_owner('1')
+        owner.client.faults.append(Fault.LATE)
+        asked = asyncio.create_task(owner.begin(nodes_test.intent('one')))
+        await nodes_test.until(lambda: self.store.late)
+        self.store.down = True
+        grant = await asked
+        self.assertEqual(grant.kind, Kind.UNAVAILABLE)
+        self.store.down = False
+        self.assertEqual(self.store.land(), 1)
+        await nodes_test.until(lambda: ('not_run', 'one') in self.log())
+        await nodes_test.until(owner.holds)
+        resend = await owner.begin(nodes_test.intent('two'))
+        self.assertEqual(resend.kind, Kind.GRANTED)
+        self.assertEqual(
+            self.log(),
+            [('intent', 'one'), ('not_run', 'one'), ('intent', 'two')],
+        )
+
+
+class TakeoverTest(nodes_test.NodesCase):
+    """A new owner after the old one was killed or paused."""
+
+    async def test_killed_after_commit(self) -> None:
+        """The owner is killed after the commit and before its reply.
+
+        The entry has no acknowledgement and sends the outcome to the next
+        control process. The new owner has read the row from the log and
+        acknowledges it without a second one: the request is billed once.
+        """
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        row = nodes_test.intent('one')
+        await owner.begin(row)
+        await owner.finish(nodes_test.outcome(row))
+        await owner.kill(self.network)
+        await nodes_test.until(successor.owns)
+        self.assertTrue(await successor.finish(nodes_test.outcome(row)))
+        self.assertEqual(self.log(), [('intent', 'one'), ('done', 'one')])
+        resend = await successor.begin(nodes_test.intent('two'))
+        self.assertEqual(resend.kind, Kind.FINISHED)
+        self.assertEqual(resend.first, nodes_test.outcome(row))
+
+    async def test_killed_before_commit(self) -> None:
+        """The owner is killed after the answer and before the commit.
+
+        The outcome stood in its memory only. The entry keeps it as owed and
+        sends it again until an owner has it in the log, once.
+        """
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        row = nodes_test.intent('one')
+        await owner.begin(row)
+        owner.client.gate.clear()
+        finishing = asyncio.create_task(owner.finish(nodes_test.outcome(row)))
+        await owner.client.held.wait()
+        await owner.kill(self.network)
+        self.assertFalse(await finishing)
+        await nodes_test.until(successor.owns)
+        resend = nodes_test.intent('two')._replace(entry='entry-2/boot')
+        grant = await successor.begin(resend)
+        self.assertEqual(grant.kind, Kind.UNKNOWN)
+        self.assertTrue(await successor.finish(nodes_test.outcome(row)))
+        grant = await successor.begin(resend)
+        self.assertEqual(grant.kind, Kind.FINISHED)
+        self.assertEqual(self.log(), [('intent', 'one'), ('done', 'one')])
+
+    async def test_entry_lives_on(self) -> None:
+        """Only the owner is lost, the request's entry runs on.
+
+        The new owner hears of the entry and says RUNNING; it says UNKNOWN
+        when the entry was started anew meanwhile.
+        """
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        await owner.begin(nodes_test.intent('one'))
+        await owner.kill(self.network)
+        await nodes_test.until(successor.owns)
+        for entry, expected in (
+            ('entry-2/boot', Kind.UNKNOWN),
+            ('entry-1/boot', Kind.RUNNING),
+            ('entry-1/other', Kind.UNKNOWN),
+        ):
+            with self.subTest(entry):
+                other = nodes_test.intent(f'other-{entry}', f'key-{entry}')
+                await successor.begin(other._replace(entry=entry))
+                again = nodes_test.intent('two')._replace(entry='entry-3/boot')
+                grant = await successor.begin(again)
+                self.assertEqual(grant.kind, expected)
+
+    async def test_paused_before_its_write(self) -> None:
+        """The owner is paused past its lease, then woken.
+
+        It had an intent ready to write. Meanwhile another owner took over
+        and granted the same key. The woken owner's write meets another
+        version: it grants nothing, and its row is not in the log.
+        """
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        owner.client.gate.clear()
+        owner.client.faulty = 'beryllug/'
+        asked = asyncio.create_task(owner.begin(nodes_test.intent('one')))
+        await owner.client.held.wait()
+        await nodes_test.until(successor.owns)
+        grant = await successor.begin(nodes_test.intent('two'))
+        self.assertEqual(grant.kind, Kind.GRANTED)
+        owner.client.gate.set()
+        self.assertEqual((await asked).kind, Kind.UNAVAILABLE)
+        await nodes_test.until(lambda: not owner.owns())
+        self.assertEqual(self.log(), [('intent', 'two')])
+
+    async def test_paused_with_a_full_segment(self) -> None:
+        """The paused owner would create the next segment, not rewrite one.
+
+        The new owner has created that segment before it served, so the
+        creation meets an object and fails like a rewrite.
+        """
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        await self._fill_segment(owner)
+        owner.client.gate.clear()
+        owner.client.faulty = 'beryllug/'
+        asked = asyncio.create_task(owner.begin(nodes_test.intent('one')))
+        await owner.client.held.wait()
+        await nodes_test.until(successor.owns)
+        owner.client.gate.set()
+        self.assertEqual((await asked).kind, Kind.UNAVAILABLE)
+        self.assertNotIn(('intent', 'one'), self.log())
+
+    async def test_paused_after_its_write(self) -> None:
+        """The owner is paused between its write and the grant.
+
+        The intent is durable, the lease has lapsed when it wakes. It must
+        not grant: the new owner may have told a resend that the outcome is
+        unknown, and bills it so.
+        """
+        owner = await self.start_owner('1')
+        owner.client.stall_s = nodes_test.LEASE_S
+        grant = await owner.begin(nodes_test.intent('one'))
+        self.assertEqual(grant.kind, Kind.UNAVAILABLE)
+
+    async def _fill_segment(self, owner: nodes_test.Node) -> None:
+        row = nodes_test.outcome(nodes_test.intent('big', 'big'))
+        large = row._replace(note='x' * 60000)
+        self.assertTrue(await owner.finish(large))
+
+
+class OutageTest(nodes_test.NodesCase):
+    """The platform is down for a while."""
+
+    async def test_outage(self) -> None:
+        """Nothing is granted, outcomes are owed and committed once after.
+
+        The entry sends each outcome again while it is not acknowledged; the
+        owner keeps one copy and writes it when the platform is back.
+        """
+        owner = await self.start_owner('1')
+        row = nodes_test.intent('one')
+        await owner.begin(row)
+        self.store.down = True
+        for number in range(5):
+            self.assertFalse(await owner.finish(nodes_test.outcome(row)))
+            grant = await owner.begin(nodes_test.intent('two', f'k{number}'))
+            self.assertEqual(grant.kind, Kind.UNAVAILABLE)
+            self.assertGreater(grant.retry_after_s, 0)
+        self.store.down = False
+        await nodes_test.until(lambda: ('done', 'one') in self.log())
+        await self.finish_at_last(owner, nodes_test.outcome(row))
+        self.assertEqual(self.log(), [('intent', 'one'), ('done', 'one')])
+        grant = await owner.begin(nodes_test.intent('two', 'k1'))
+        self.assertEqual(grant.kind, Kind.GRANTED)
+
+    async def test_bounded_memory(self) -> None:
+        """An owner keeps so many rows and no more; entries keep the rest."""
+        owner = await self.start_owner('1')
+        self.store.down = True
+        limit = shard_owner.MAX_PENDING
+        shard_owner.MAX_PENDING = 10
+        try:
+            for number in range(20):
+                row = nodes_test.intent(f'r{number}', f'k{number}')
+                await owner.finish(nodes_test.outcome(row))
+        finally:
+            shard_owner.MAX_PENDING = limit
+        pending = owner.journal.dump()['0']['pending']
+        self.assertEqual(pending, 10)
+
+
+class LookupTest(nodes_test.NodesCase):
+    """Lookups by key."""
+
+    async def test_lookup(self) -> None:
+        """The latest row of a kind is found from any node, and after kills."""
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        pin = nodes_test.intent('s1', 'session')._replace(
+            kind=journal_data.RowKind.SESSION
+        )
+        for note in ('first', 'second'):
+            await successor.finish(pin._replace(note=note))
+        ask = rpc_data.LookupAsk(
+            nodes_test.ACCOUNT, 'session', journal_data.RowKind.SESSION
+        )
+        reply = await successor.journal.lookup(ask)
+        self.assertEqual(reply.row and reply.row.note, 'second')
+        await owner.kill(self.network)
+        await nodes_test.until(successor.owns)
+        reply = await successor.journal.lookup(ask)
+        self.assertEqual(reply.row and reply.row.note, 'second')
+        reply = await successor.journal.lookup(ask._replace(shard_key='none'))
+        self.assertEqual(reply, rpc_data.LookupReply(None))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/beryllug/control/nodes_test.py
@@ -0,0 +1,235 @@
+"""Control processes in one process, for tests of leases and journal.
+
+Each node has its own platform client; calls between nodes go through a fake
+network that can lose replies or cut a node off.
+"""
+
+import asyncio
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from beryllug.control import (
+    fake_platform_test,
+    journal,
+    leases,
+    segments,
+)
+from beryllug.core import (
+    journal_data,
+    lease_data,
+    rpc_data,
+    settings_data,
+    shard_state,
+)
+from beryllug.drivers import rpc
+
+LEASE_S = 0.4
+WAIT_S = 5.0
+POLL_S = 0.005
+ACCOUNT = 'kesarvan'
+
+
+class Network:
+    """Calls between nodes by address.
+
+    Attributes:
+        handlers: Handlers by address and method name.
+        silent: Addresses that can't be reached.
+        losing: Addresses whose replies are lost.
+    """
+
+    def __init__(self) -> None:
+        """Make an empty network."""
+        self.handlers: dict[tuple[str, str], rpc.Unary] = {}
+        self.silent: set[str] = set()
+        self.losing: set[str] = set()
+
+    async def call(
+        self,
+        address: str,
+        method: rpc.Method[rpc.Ask, rpc.Reply],
+        ask: rpc.Ask,
+        timeout_s: float,
+    ) -> rpc.Reply:
+        """Call a handler as a peer would."""
+        await asyncio.sleep(0)
+        handler = self.handlers.get((address, method.name))
+        if handler is None or address in self.silent:
+            raise rpc.RpcError('UNAVAILABLE', address)
+        reply: rpc.Reply = await handler(ask)
+        if address in self.losing:
+            raise rpc.RpcError('DEADLINE_EXCEEDED', address)
+        return reply
+
+
+class Rank:
+    """A fixed place among the processes that want a lease."""
+
+    def __init__(self, place: int) -> None:
+        """Keep the place."""
+        self.place = place
+
+    def rank(self, name: str, now: float) -> int:
+        """Return the place, whatever the lease."""
+        return self.place
+
+
+class Node:
+    """One control process: its client, leases and journal."""
+
+    def __init__(
+        self,
+        store: fake_platform_test.Store,
+        network: Network,
+        name: str,
+        place: int,
+    ) -> None:
+        """Make a node of a one-shard journal; `start` runs it."""
+        address = f'127.0.0.1:{name}'
+        self.name = name
+        self.client = fake_platform_test.Client(store)
+        self.leases = leases.Leases(
+            self.client,
+            lease_data.Owner(name, f'boot-{name}', address),
+            LEASE_S,
+            Rank(place),
+        )
+        cfg = settings_data.Control(
+            address, (), '', '', shards=1, commits_per_s=1000
+        )
+        parts = journal.Parts(self.client, self.leases, network)
+        self.journal = journal.Journal(parts, cfg, f'boot-{name}')
+        for method, handler in (
+            ('Begin', self.journal.begin),
+            ('Finish', self.journal.finish),
+            ('Lookup', self.journal.lookup),
+        ):
+            network.handlers[address, method] = handler
+
+    async def start(self) -> None:
+        """Start leases and journal."""
+        await self.journal.start()
+        await self.leases.start()
+
+    async def kill(self, network: Network) -> None:
+        """Stop at once, as by SIGKILL: nothing is flushed or given back."""
+        network.silent.add(f'127.0.0.1:{self.name}')
+        self.client.cut = True
+        await self.journal.stop(0)
+        await self.leases.stop(0)
+
+    def owns(self) -> bool:
+        """Tell whether this node serves its shard."""
+        return any(owner['serving'] for owner in self.journal.dump().values())
+
+    def holds(self) -> bool:
+        """Tell whether this node holds the lease of its shard now."""
+        now = time.monotonic()
+        return self.leases.held(journal.lease_name(0), now) is not None
+
+    async def begin(self, row: journal_data.Row) -> journal_data.Grant:
+        """Ask this node as an entry does."""
+        batch = await self.journal.begin(rpc_data.IntentBatch((row,)))
+        return batch.grants[0]
+
+    async def finish(self, row: journal_data.Row) -> bool:
+        """Hand an outcome to this node as an entry does."""
+        ack = await self.journal.finish(rpc_data.OutcomeBatch((row,)))
+        return ack.durable[0]
+
+
+class NodesCase(unittest.IsolatedAsyncioTestCase):
+    """A store, a network and nodes that end with the test."""
+
+    async def asyncSetUp(self) -> None:
+        """Make the store and the network."""
+        self.store = fake_platform_test.Store()
+        self.network = Network()
+        self.nodes: list[Node] = []
+
+    async def asyncTearDown(self) -> None:
+        """Kill all nodes."""
+        for node in self.nodes:
+            node.client.gate.set()
+            await node.kill(self.network)
+
+    async def start_node(self, name: str) -> Node:
+        """Start a node, less preferred than those before it."""
+        node = Node(self.store, self.network, name, len(self.nodes))
+        self.nodes.append(node)
+        await node.start()
+        return node
+
+    async def start_owner(self, name: str) -> Node:
+        """Start a node and wait until it serves the shard."""
+        node = await self.start_node(name)
+        await until(node.owns)
+        return node
+
+    async def finish_at_last(self, node: Node, row: journal_data.Row) -> None:
+        """Send an outcome until it is acknowledged, as an entry does."""
+        async with asyncio.timeout(WAIT_S):
+            while not await node.finish(row):
+                await asyncio.sleep(POLL_S)
+
+    def rows(self) -> list[journal_data.Row]:
+        """Return all rows of the log as the platform holds them."""
+        found: list[journal_data.Row] = []
+        for key, stored in sorted(self.store.kept.items()):
+            if key.startswith(segments.PREFIX):
+                found.extend(segments.decode(stored.value).rows)
+        return found
+
+    def log(self) -> list[tuple[str, str]]:
+        """Return state or kind, and request id of each row of the log."""
+        return [(row.state or row.kind, row.request_id) for row in self.rows()]
+
+
+async def until(condition: Callable[[], Any]) -> None:
+    """Wait for a condition; a test that waits too long fails."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+
+def intent(
+    request_id: str, key: str = 'key', body_hash: str = 'body'
+) -> journal_data.Row:
+    """Make an intent."""
+    return journal_data.Row(
+        journal_data.RowKind.INTENT,
+        request_id,
+        ACCOUNT,
+        key,
+        body_hash,
+        at=0.0,
+        entry='entry-1/boot',
+    )
+
+
+def outcome(
+    row: journal_data.Row,
+    state: journal_data.OutcomeState = journal_data.OutcomeState.DONE,
+) -> journal_data.Row:
+    """Make the outcome of an intent."""
+    return row._replace(kind=journal_data.RowKind.OUTCOME, state=state)
+
+
+class NodesTest(NodesCase):
+    """The nodes of these tests own and hand over as real ones do."""
+
+    async def test_second_node_waits(self) -> None:
+        """Only one of two nodes serves the shard."""
+        first = await self.start_owner('1')
+        second = await self.start_node('2')
+        grant = await second.begin(intent('one'))
+        self.assertEqual(grant.kind, journal_data.GrantKind.GRANTED)
+        self.assertEqual((first.owns(), second.owns()), (True, False))
+        shard = shard_state.shard_of(ACCOUNT, 'key', 1)
+        self.assertEqual(shard, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/control/peers.py
+++ b/beryllug/control/peers.py
@@ -1,12 +1,29 @@
 """Service 'peers': connections to the control processes of other hosts."""
 
-from typing import Any
+from typing import Any, Protocol
 
 from beryllug.drivers import fleet_key, rpc
 
 MAX_CLIENTS = 64
 
 
+class Caller(Protocol):
+    """What services need of this one."""
+
+    async def call(
+        self,
+        address: str,
+        method: rpc.Method[rpc.Ask, rpc.Reply],
+        ask: rpc.Ask,
+        timeout_s: float,
+    ) -> rpc.Reply:
+        """Call a method of one peer.
+
+        Raises:
+            RpcError: The call failed or timed out.
+        """
+
+
 class Peers:
     """Clients by address; the least recently used is closed beyond a bound.
 
--- a/beryllug/control/segments.py
+++ b/beryllug/control/segments.py
@@ -61,6 +61,11 @@
     )
 
 
+def decode(value_bytes: bytes) -> segment_data.SegmentRows:
+    """Decode a segment with its rows."""
+    return _decode_rows(value_bytes)
+
+
 async def read_rows(
     api: object_api.ObjectApi, shard: int, seq: int
 ) -> segment_data.SegmentRows | None:
--- a/beryllug/core/journal.py
+++ b/beryllug/core/journal.py
@@ -103,8 +103,15 @@
             while the row was written.
     """
     attempt = state.tries.get(row.request_id)
-    waits = attempt is None or attempt.phase is shard_state.Phase.WAITING
-    if waits or valid_s <= 0 or shard_state.has_outcome(state, row.request_id):
+    if attempt is None or shard_state.has_outcome(state, row.request_id):
+        return unavailable(row)
+    if valid_s <= 0:
+        # The entry is told that the request did not run. Without this row
+        # the caller's resend would find its key taken by a try that nobody
+        # runs.
+        shard_state.add_outcome(
+            state, attempt.row, journal_data.OutcomeState.NOT_RUN
+        )
         return unavailable(row)
     return journal_data.Grant(
         journal_data.GrantKind.GRANTED,
