Follow the configuration and stream the view to entries

Cause: an accepted document must be in force everywhere within seconds and never revert, also through outages, stale replicas and old peers. Ruled out: a queue a stream (a slow receiver would act on what was overtaken); re-reading the root after each broken watch (a stale replica holds it up); pushing whole documents (bytes a node grow with its size). Change: service 'config': watch, session keys, exchange with peers (push of spliced part lists, comparison with a random peer), feed of the view.

--- /dev/null
+++ b/beryllug/control/config.py
@@ -0,0 +1,204 @@
+"""Service 'config': the configuration in force, and the view for entries.
+
+It joins what the platform and the peers bring with what other services of
+this process contribute, and streams the whole to the entry processes.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from absl import logging
+
+from beryllug.control import (
+    config_holder,
+    config_watch,
+    neighbours,
+    part_fetch,
+    view_feed,
+    view_push,
+)
+from beryllug.core import (
+    config_data,
+    config_state,
+    rpc_data,
+    settings_data,
+    token_keys,
+    view_data,
+    view_parts,
+)
+from beryllug.drivers import methods, object_api, object_data, rpc
+
+START_S = 2.0
+KEYS_TICK_S = 10.0
+COMPARE_BEATS = 2
+
+Listener = Callable[[], None]
+
+
+class Config:
+    """The configuration, its watch, its exchange and its feed.
+
+    Attributes:
+        process: Who this process is.
+        watch: The watch of the platform, with the store behind it.
+        push: The exchange with peers.
+        feed: The streams to entries.
+    """
+
+    def __init__(
+        self,
+        process: settings_data.Process,
+        cfg: settings_data.Control,
+        api: object_api.ObjectApi,
+        calls: part_fetch.PeerCalls,
+        members: neighbours.Members | None = None,
+    ) -> None:
+        """Wire the parts; `start` begins to follow."""
+        others = neighbours.Neighbours(process, cfg, members, time.monotonic)
+        self._holder = config_holder.ConfigHolder()
+        self.process = process
+        self._cfg = cfg
+        self._others = others
+        self._before = self._holder.held
+        self._tasks: list[asyncio.Task[None]] = []
+        self.watch = config_watch.ConfigWatch(
+            self._holder, api, others.watches, cfg.cut_off_s
+        )
+        self.push = view_push.ViewPush(self._holder, calls, others, cfg.listen)
+        self.feed = view_feed.ViewFeed(cfg.heartbeat_s, self.accepts)
+        self._holder.listen(self._on_change)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force here, 0 before the first."""
+        return self._holder.held.revision
+
+    @property
+    def document(self) -> config_data.Document:
+        """Return the document in force here."""
+        return self._holder.held.document
+
+    def listen(self, listener: Listener) -> None:
+        """Call a function after each change of revision or keys."""
+        self._holder.listen(listener)
+
+    def serve(self, server: rpc.RpcServer) -> None:
+        """Register the methods that entries and peers call."""
+        server.stream(methods.WATCH_VIEW, self.feed.stream)
+        self.push.serve(server)
+
+    def publish(
+        self,
+        *,
+        rollouts: tuple[view_data.RolloutStatus, ...] | None = None,
+        servers: tuple[view_data.BackendServer, ...] | None = None,
+        loads: tuple[view_data.ServerLoad, ...] | None = None,
+        suspects: tuple[rpc_data.Suspect, ...] | None = None,
+        budgets: Mapping[str, view_parts.Shares] | None = None,
+    ) -> None:
+        """Replace parts of the view; None leaves a part as it is.
+
+        Args:
+            rollouts: State of every roll-out.
+            servers: Backend servers by the host list.
+            loads: Loads that engines reported.
+            suspects: Requests under suspicion.
+            budgets: Exposure shares by name of the entry process.
+        """
+        given = {
+            'rollouts': rollouts,
+            'servers': servers,
+            'loads': loads,
+            'suspects': suspects,
+            'budgets': budgets,
+        }
+        changed: dict[str, Any] = {
+            name: part
+            for name, part in given.items()
+            if part is not None and part != getattr(self.feed.parts, name)
+        }
+        if changed:
+            self.feed.put(self.feed.parts._replace(**changed))
+
+    def accepts(self) -> bool:
+        """Tell whether entries may take new work, by the present contact."""
+        return config_state.may_accept(
+            self._holder.contact, time.monotonic(), self._cfg.cut_off_s
+        )
+
+    async def start(self) -> None:
+        """Take the highest revision of platform and peers, then follow.
+
+        Both are asked for a bounded time only, so a slow platform does not
+        hold back a start from peers.
+        """
+        asked = [
+            asyncio.create_task(self._read_platform()),
+            asyncio.create_task(self.push.ask_all()),
+        ]
+        _, late = await asyncio.wait(asked, timeout=START_S)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*asked, return_exceptions=True)
+        self.feed.open()
+        interval_s = self._cfg.heartbeat_s * COMPARE_BEATS
+        self._tasks = [
+            asyncio.create_task(self.watch.run()),
+            asyncio.create_task(self.watch.run_keys()),
+            asyncio.create_task(self.push.run(interval_s)),
+            asyncio.create_task(self._tend_keys()),
+        ]
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop following; what is held stays readable."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.push.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state, without documents and secrets."""
+        return {
+            **self._holder.dump(time.monotonic()),
+            'accepts': self.accepts(),
+            'watches': self._others.watches(),
+            'others': list(self._others.everyone()),
+            'entries': self.feed.dump(),
+            'rollouts': [
+                status._asdict() for status in self.feed.parts.rollouts
+            ],
+            'suspects': len(self.feed.parts.suspects),
+        }
+
+    async def _read_platform(self) -> None:
+        try:
+            await self.watch.read()
+        except (object_data.ObjectApiError, ValueError) as exc:
+            logging.warning('event=config_not_read error=%s', exc)
+
+    async def _tend_keys(self) -> None:
+        """Show the keys anew now and then: which one signs moves with time."""
+        while True:
+            self._show_keys()
+            await asyncio.sleep(KEYS_TICK_S)
+
+    def _show_keys(self) -> None:
+        keys = token_keys.in_use(self._holder.keys.listed, time.time())
+        if keys != self.feed.parts.token_keys:
+            self.feed.put(self.feed.parts._replace(token_keys=keys))
+
+    def _on_change(self) -> None:
+        held = self._holder.held
+        before = self._before
+        if held is not before:
+            self._before = held
+            self.feed.put(
+                self.feed.parts._replace(
+                    revision=held.revision, document=held.document
+                )
+            )
+            if self._others.watches():
+                self.push.spread(before)
+        self._show_keys()
--- /dev/null
+++ b/beryllug/control/view_feed.py
@@ -0,0 +1,87 @@
+"""The streams on which entry processes follow the view.
+
+A stream sends only the parts that changed since its last message. It holds
+no queue: a slow receiver gets the latest state when it is ready for more, so
+it costs no memory and never acts on what was overtaken meanwhile.
+"""
+
+import asyncio
+import time
+from collections.abc import AsyncGenerator, Callable
+from typing import Any
+
+from beryllug.core import rpc_data, view_parts
+
+Accepts = Callable[[], bool]
+
+
+class ViewFeed:
+    """The parts of the view, and the streams that send them."""
+
+    def __init__(self, heartbeat_s: float, accepts: Accepts) -> None:
+        """Make a feed; its streams send nothing before `open`.
+
+        Args:
+            heartbeat_s: Longest time between two messages of a stream.
+            accepts: Tells whether new work may be taken now.
+        """
+        self.parts = view_parts.NOTHING
+        self._heartbeat_s = heartbeat_s
+        self._accepts = accepts
+        self._changed = asyncio.Event()
+        self._opened = asyncio.Event()
+        self._sent: dict[str, int] = {}
+
+    def open(self) -> None:
+        """Let the streams begin.
+
+        Not before platform and peers were asked at the start: a document
+        from a stale replica that a peer knows to be overtaken must not reach
+        an entry first.
+        """
+        self._opened.set()
+
+    def put(self, parts: view_parts.ViewParts) -> None:
+        """Replace the parts and wake the streams."""
+        self.parts = parts
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the entries that follow and the revision each was sent."""
+        return dict(self._sent)
+
+    async def stream(
+        self, ask: rpc_data.ViewAsk
+    ) -> AsyncGenerator[rpc_data.ViewUpdate, None]:
+        """Send the view and its changes to one entry, without end."""
+        await self._opened.wait()
+        sent = view_parts.NOTHING
+        try:
+            while True:
+                changed = self._changed
+                present = self.parts
+                yield self._update(sent, present, ask.entry)
+                sent = present
+                self._sent[ask.entry] = present.revision
+                await self._wait(changed)
+        finally:
+            self._sent.pop(ask.entry, None)
+
+    def _update(
+        self,
+        sent: view_parts.ViewParts,
+        present: view_parts.ViewParts,
+        entry: str,
+    ) -> rpc_data.ViewUpdate:
+        fields: dict[str, Any] = view_parts.changes(sent, present, entry)
+        return rpc_data.ViewUpdate(
+            **fields, accept=self._accepts(), sent_at=time.time()
+        )
+
+    async def _wait(self, changed: asyncio.Event) -> None:
+        try:
+            async with asyncio.timeout(self._heartbeat_s):
+                await changed.wait()
+        except TimeoutError:
+            return
--- a/beryllug/core/config_root.py
+++ b/beryllug/core/config_root.py
@@ -11,7 +11,6 @@
 from beryllug.core import plain
 
 KEY = 'beryllug/config/root'
-PREFIX = 'beryllug/config/'
 HISTORY = 32
 
 
--- a/beryllug/core/config_state.py
+++ b/beryllug/core/config_state.py
@@ -5,7 +5,7 @@
 an old message that arrives late from bringing a withdrawn version back.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from beryllug.core import config_data, document_parts
@@ -20,12 +20,14 @@
         revision: Its revision, 0 before the first.
         digests: Digests of its parts, in order.
         chunks: The bytes of these parts, by digest.
+        records: What these parts hold, by digest.
         document: The document they make.
     """
 
     revision: int = 0
     digests: tuple[str, ...] = ()
     chunks: Mapping[str, bytes] = {}
+    records: Mapping[str, document_parts.Records] = {}
     document: config_data.Document = config_data.Document()
 
 
@@ -51,16 +53,27 @@
 
 
 def hold(
-    revision: int, digests: Sequence[str], chunks: Iterable[bytes]
+    revision: int,
+    chunks: Mapping[str, bytes],
+    before: Held,
 ) -> Held:
     """Put a configuration together.
 
+    Args:
+        revision: Its revision.
+        chunks: The bytes of its parts by digest, in order.
+        before: What was held before; parts that it shares with the new
+            configuration are not parsed again.
+
     Raises:
         ValueError: The bytes are no document.
     """
-    listed = tuple(chunks)
-    document = document_parts.join(listed)
-    return Held(revision, tuple(digests), dict(zip(digests, listed)), document)
+    records = {
+        digest: before.records.get(digest) or document_parts.parse(chunk)
+        for digest, chunk in chunks.items()
+    }
+    document = document_parts.join(records.values())
+    return Held(revision, tuple(chunks), chunks, records, document)
 
 
 def newer(held: Held, offered: Held) -> Held:
--- a/beryllug/core/config_state_test.py
+++ b/beryllug/core/config_state_test.py
@@ -66,12 +66,14 @@
     def test_hold(self) -> None:
         """A document comes back from its parts, and only from parts."""
         parts = document_parts.split(DOCUMENT)
-        digests = [part.digest for part in parts]
-        held = config_state.hold(3, digests, [part.content for part in parts])
+        chunks = {part.digest: part.content for part in parts}
+        held = config_state.hold(3, chunks, config_state.Held())
         self.assertEqual((held.revision, held.document), (3, DOCUMENT))
+        again = config_state.hold(4, chunks, held)
+        self.assertIs(again.document.pools[0], held.document.pools[0])
         for wrong in (b'[]', b'{"pools":[1]}', b'{"models":[{}]}', b'\xff'):
             with self.subTest(wrong), self.assertRaises(ValueError):
-                config_state.hold(1, ['x'], [wrong])
+                config_state.hold(1, {'x': wrong}, config_state.Held())
 
 
 class TokenKeysTest(unittest.TestCase):
--- a/beryllug/core/document_parts.py
+++ b/beryllug/core/document_parts.py
@@ -26,6 +26,13 @@
     content: bytes
 
 
+class Records(NamedTuple):
+    """The records of one part, and the section in which they stand."""
+
+    section: str
+    records: tuple[Any, ...]
+
+
 def key_of(digest: str) -> str:
     """Return the key of a part in the platform."""
     return f'{PREFIX}{digest}'
@@ -51,20 +58,29 @@
     )
 
 
-def join(chunks: Iterable[bytes]) -> config_data.Document:
-    """Build the document from the bytes of its parts, in their order.
+def parse(content: bytes) -> Records:
+    """Build the records of one part.
 
     Raises:
-        ValueError: They are no parts of a document.
+        ValueError: The bytes are no part of a document.
     """
-    rendered: dict[str, list[Any]] = {}
     try:
-        for content in chunks:
-            for section, records in json.loads(content).items():
-                rendered.setdefault(section, []).extend(records)
-        return document_plain.build(rendered)
-    except (TypeError, KeyError, AttributeError) as exc:
+        frame = json.loads(content)
+        section = min(frame)
+        records = document_plain.build_records(section, frame[section])
+    except (TypeError, LookupError) as exc:
         raise ValueError(f'no part of a document: {exc}') from exc
+    return Records(section, records)
+
+
+def join(parts: Iterable[Records]) -> config_data.Document:
+    """Build the document of parsed parts, in their order."""
+    sections: dict[str, list[Any]] = {}
+    for part in parts:
+        sections.setdefault(part.section, []).extend(part.records)
+    return config_data.Document(
+        **{section: tuple(records) for section, records in sections.items()}
+    )
 
 
 def manifest(digests: Sequence[str]) -> Part:
--- a/beryllug/core/document_plain.py
+++ b/beryllug/core/document_plain.py
@@ -4,11 +4,24 @@
 its model and so names the version only.
 """
 
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import Any
 
 from beryllug.core import config_data, plain
 
 VERSION = 'version'
+RECORDS: Mapping[str, type[Any]] = MappingProxyType(
+    {
+        'accounts': config_data.Account,
+        'models': config_data.Model,
+        'cascades': config_data.Cascade,
+        'rollouts': config_data.Rollout,
+        'pools': config_data.Pool,
+        'services': config_data.Service,
+        'targets': config_data.Targets,
+    }
+)
 
 
 def render(document: config_data.Document) -> dict[str, Any]:
@@ -28,11 +41,21 @@
     Raises:
         TypeError: The shape is another.
         ValueError: A word isn't one of an enumeration.
-        KeyError: A name is missing.
+        KeyError: A name is missing, or a section is unknown.
     """
-    models = [_with_refs(model) for model in rendered.get('models', ())]
-    complete = {**rendered, 'models': models}
-    return plain.from_plain(config_data.Document, complete)
+    sections = {
+        section: build_records(section, records)
+        for section, records in rendered.items()
+    }
+    return config_data.Document(**sections)
+
+
+def build_records(section: str, records: Sequence[Any]) -> tuple[Any, ...]:
+    """Build records of one section; raises as `build` does."""
+    kind = RECORDS[section]
+    if kind is config_data.Model:
+        records = [_with_refs(model) for model in records]
+    return tuple(plain.from_plain(kind, record) for record in records)
 
 
 def _with_refs(model: dict[str, Any]) -> dict[str, Any]:
--- a/beryllug/drivers/config_store.py
+++ b/beryllug/drivers/config_store.py
@@ -151,7 +151,7 @@
             ObjectApiError: The platform can't be read.
         """
         chunks = await self.parts.get(root.parts)
-        return document_parts.join(chunks)
+        return document_parts.join(map(document_parts.parse, chunks))
 
     async def past(self, revision: int) -> config_data.Document | None:
         """Return the document of a remembered revision, or None.
@@ -200,7 +200,7 @@
                 digests = document_parts.read_manifest(listed[0])
                 chunks = await self.parts.get(digests)
                 self.parts.keep_only(root.parts)
-                return document_parts.join(chunks)
+                return document_parts.join(map(document_parts.parse, chunks))
         return None
 
 
--- a/beryllug/drivers/object_fake_test.py
+++ b/beryllug/drivers/object_fake_test.py
@@ -142,6 +142,75 @@
         _fail_once(self.lose, f'{kind} {key}')
 
 
+class Path:
+    """One process's path to the objects, which can be cut by itself.
+
+    Attributes:
+        calls: How often each kind of call was made on this path.
+        replica: What reads on this path show instead of the present state;
+            its watch shows nothing.
+        compacted: Watches find their changes gone until a read.
+    """
+
+    def __init__(self, target: FakeObjects) -> None:
+        """Lead to the objects."""
+        self.calls: Counter[str] = Counter()
+        self.replica: dict[str, object_data.Object] | None = None
+        self.compacted = False
+        self._target = target
+        self._cut = False
+
+    def cut(self) -> None:
+        """Refuse every call on this path."""
+        self._cut = True
+
+    async def read(self, key: str) -> object_data.Object | None:
+        """Read an object."""
+        self._begin('read')
+        self.compacted = False
+        if self.replica is not None:
+            return self.replica.get(key)
+        return await self._target.read(key)
+
+    async def list_keys(self, prefix: str) -> object_data.Listing:
+        """List keys."""
+        self._begin('list')
+        return await self._target.list_keys(prefix)
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int | None
+    ) -> int:
+        """Write an object."""
+        self._begin('write')
+        return await self._target.write(key, value, expected_version)
+
+    async def delete(self, key: str, expected_version: int | None) -> int:
+        """Delete an object."""
+        self._begin('delete')
+        return await self._target.delete(key, expected_version)
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> object_data.WatchBatch:
+        """Return changes after a revision, waiting for the first."""
+        self._begin('watch')
+        if self.compacted:
+            raise object_data.CompactedError('gone')
+        batch = await self._target.watch(prefix, after, wait_s)
+        self._refuse_if_cut()
+        if self.replica is not None:
+            return object_data.WatchBatch(0, ())
+        return batch
+
+    def _begin(self, kind: str) -> None:
+        self.calls[kind] += 1
+        self._refuse_if_cut()
+
+    def _refuse_if_cut(self) -> None:
+        if self._cut:
+            raise object_data.UncertainError('cut')
+
+
 def _fail_once(faults: list[str], call: str) -> None:
     if call in faults:
         faults.remove(call)
