--- a/beryllug/entry/callers.py
+++ b/beryllug/entry/callers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from typing import Any
+from typing import Any, Protocol
 
 from absl import logging
 
@@ -30,6 +30,15 @@
 STOPPING_RETRY_S = 1.0
 
 
+class Flow(Protocol):
+    """Serves one kind of call."""
+
+    async def serve(
+        self, call: call_data.Call, exchange: http_server.Exchange
+    ) -> None:
+        """Serve a call to its end, or refuse it by a `RefusedError`."""
+
+
 class Flows:
     """What a request can be, each with the flow that serves it."""
 
@@ -104,9 +113,7 @@
         try:
             await self._route(req, exchange)
         except refusal.RefusedError as exc:
-            await self._refuse(exc.refusal, exchange)
-        else:
-            self._count('answered')
+            await self._refuse(exc.refusal, exchange, '')
         finally:
             self._in_flight -= 1
 
@@ -134,19 +141,24 @@
         index = self._link.index
         if path == intake.CHAT_PATH and req.method == POST:
             call = intake.read_chat(req, index, clock)
-            await self._run(call, self._flows.chat.serve(call, exchange))
+            await self._run(call, self._flows.chat, exchange)
         elif path.startswith(intake.SERVICES_PREFIX):
             call = intake.read_plain(req, index, clock)
-            await self._run(call, self._flows.plain.serve(call, exchange))
+            await self._run(call, self._flows.plain, exchange)
         else:
             raise refusal.RefusedError(
                 refusal.Refusal(refusal.Code.NOT_FOUND, 'no such path')
             )
 
-    async def _run(self, call: call_data.Call, flow: Any) -> None:
-        """Run a flow; its refusal is logged with the request's id."""
+    async def _run(
+        self,
+        call: call_data.Call,
+        flow: Flow,
+        exchange: http_server.Exchange,
+    ) -> None:
+        """Run a call; a refusal states the request's id, and is logged."""
         try:
-            await flow
+            await flow.serve(call, exchange)
         except refusal.RefusedError as exc:
             logging.info(
                 'event=refused request_id=%s account=%s code=%s run=%s',
@@ -155,7 +167,9 @@
                 exc.refusal.code.value,
                 exc.refusal.run.value,
             )
-            raise
+            await self._refuse(exc.refusal, exchange, call.request_id)
+        else:
+            self._count('answered')
 
     def _refuse_if_closed(self, now: float) -> None:
         if not self._link.may_accept(now):
@@ -176,7 +190,10 @@
             )
 
     async def _refuse(
-        self, refused: refusal.Refusal, exchange: http_server.Exchange
+        self,
+        refused: refusal.Refusal,
+        exchange: http_server.Exchange,
+        request_id: str,
     ) -> None:
         self._count(refused.code.value)
         if exchange.started:
@@ -184,8 +201,12 @@
             return
         fields = refusal.headers_of(refused)
         fields[headers.RUN] = refused.run.value
+        if request_id:
+            fields[headers.REQUEST_ID] = request_id
         await exchange.respond_json(
-            refusal.status_of(refused), refusal.body_of(refused, ''), fields
+            refusal.status_of(refused),
+            refusal.body_of(refused, request_id),
+            fields,
         )
 
     def _count(self, name: str) -> None:
--- /dev/null
+++ b/beryllug/proofs/scenario.py
@@ -0,0 +1,103 @@
+"""Run a deployment under traffic while something fails, then check it all."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from beryllug.core import config_data
+from beryllug.standins import harness, invariants, sample, traffic
+
+SETTLE_S = 30.0
+WARM_REQUESTS = 40
+HOSTS = 3
+
+
+class Running(NamedTuple):
+    """A deployment and its traffic, given to what makes things fail."""
+
+    fleet: harness.Fleet
+    traffic: traffic.Traffic
+
+
+Fault = Callable[[Running], Awaitable[None]]
+
+
+class Case(NamedTuple):
+    """A scenario.
+
+    Attributes:
+        seed: Seed of the traffic.
+        fault: Makes things fail and heal while requests are sent.
+        plan: The deployment.
+        document: Allows whatever any document of the run allowed.
+        kinds: Kinds of requests.
+    """
+
+    seed: int
+    fault: Fault
+    plan: harness.Plan = sample.plan(HOSTS)
+    document: config_data.Document = sample.document()
+    kinds: tuple[str, ...] = traffic.KINDS
+
+
+async def run(case: Case) -> tuple[invariants.Report, list[traffic.Sent]]:
+    """Run a scenario.
+
+    Returns:
+        The checked invariants, and every request with what its caller got.
+    """
+    fleet = harness.Fleet(case.plan)
+    try:
+        await fleet.start()
+        sent = await _drive(fleet, case)
+        await settle(fleet)
+        report = invariants.check(fleet, sent, case.document)
+    finally:
+        await fleet.stop()
+    return report, sent
+
+
+async def _drive(fleet: harness.Fleet, case: Case) -> list[traffic.Sent]:
+    """Send requests before, during and after the fault."""
+    sending = traffic.Traffic(fleet, case.seed, case.kinds)
+    sending.start()
+    try:
+        await sending.reach(WARM_REQUESTS)
+        await case.fault(Running(fleet, sending))
+        await sending.reach(WARM_REQUESTS)
+    finally:
+        sent = await sending.stop()
+    return sent
+
+
+async def settle(fleet: harness.Fleet) -> None:
+    """Wait until no process owes a row to the journal."""
+
+    async def is_settled() -> bool:  # noqa: WPS430
+        owed = await asyncio.gather(
+            *(
+                _owed(fleet, name)
+                for name in fleet.processes.names()
+                if name.startswith('entry')
+            )
+        )
+        return not any(owed)
+
+    await harness.wait_for(is_settled, SETTLE_S)
+
+
+async def dump(fleet: harness.Fleet, name: str) -> dict[str, Any]:
+    """Return the state dump of a process."""
+    status, body = await fleet.get(fleet.operators_of(name), '/dump')
+    if status != harness.OK:
+        raise AssertionError(f'{name} gave no dump: status {status}')
+    state: dict[str, Any] = json.loads(body)
+    return state
+
+
+async def _owed(fleet: harness.Fleet, name: str) -> int:
+    state = await dump(fleet, name)
+    services = state.get('services', state)
+    owed: int = services['outbox']['owed'] + services['answers']['owed']
+    return owed
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import time
 
 
 from beryllug.control import (
@@ -47,7 +48,7 @@
     routing,
     sessions,
 )
-from beryllug.kernel import registry
+from beryllug.kernel import ops, registry
 
 PLATFORM_S = 2.0
 ENGINE_S = 2.0
@@ -64,10 +65,13 @@
     """
     services = registry.Registry()
     keys = fleet_key.KeyRing(cfg.fleet.keys)
+    is_ready: ops.Ready = bool
     if cfg.entry is not None:
-        _add_entry(services, cfg, cfg.entry, keys)
+        is_ready = _add_entry(services, cfg, cfg.entry, keys)
     if cfg.control is not None:
-        _add_control(services, cfg, cfg.control, keys)
+        is_ready = _add_control(services, cfg, cfg.control, keys)
+    operators = ops.Operators(cfg.operators, services, is_ready, {})
+    services.register('operators', operators)
     return services
 
 
@@ -76,7 +80,7 @@
     settings: settings_data.Settings,
     cfg: settings_data.Entry,
     keys: fleet_key.KeyRing,
-) -> None:
+) -> ops.Ready:
     name = settings.process.name
     client = http_client.HttpClient()
     calls = control_calls.ControlCalls(cfg.controls, keys)
@@ -118,6 +122,7 @@
     services.register('sessions', wired.sessions)
     services.register('crashes', crash_reports)
     services.register('callers', edge)
+    return lambda: edge.is_ready(time.monotonic())
 
 
 def _add_control(
@@ -125,7 +130,7 @@
     settings: settings_data.Settings,
     cfg: settings_data.Control,
     keys: fleet_key.KeyRing,
-) -> None:
+) -> ops.Ready:
     process = settings.process
     client = http_client.HttpClient()
     api = object_api.HttpObjectApi(client, cfg.platform, PLATFORM_S)
@@ -150,6 +155,7 @@
     services.register('answers', kept)
     services.register('servers', servers.BackendServers(listed, engines, view))
     services.register('rpc', rpc_endpoint.RpcEndpoint(server, cfg.listen))
+    return lambda: view.revision > 0 and view.accepts()
 
 
 def _boot() -> str:
--- a/beryllug/standins/harness.py
+++ b/beryllug/standins/harness.py
@@ -33,8 +33,7 @@
 READY_S = 30.0
 POLL_S = 0.02
 PLATFORM_S = 2.0
-UNAUTHENTICATED = 401
-READY_EVENT = 'event=ready'
+OK = 200
 
 
 class ServerPlan(NamedTuple):
@@ -182,6 +181,10 @@
             log = self.processes.log(name)
             raise TimeoutError(f'{name} is not ready: {log}')
 
+    def operators_of(self, name: str) -> str:
+        """Return the operators' address of a process."""
+        return fleet_settings.operators_of(name, self.hosts)
+
     async def restart(self, name: str) -> None:
         """Start a process again and wait until it is ready."""
         await self.spawn(name)
@@ -201,14 +204,8 @@
         return incoming.status, body
 
     async def _is_ready(self, name: str) -> bool:
-        if READY_EVENT not in self.processes.log(name):
-            return False
-        if not name.startswith('entry'):
-            return True
-        address = self.hosts[int(name.partition('-')[2])].callers
-        probe = http_data.Outgoing('POST', '/v1/chat/completions', {})
-        incoming, _ = await self.client.call(address, probe)
-        return incoming.status == UNAUTHENTICATED
+        status, _ = await self.get(self.operators_of(name), '/readyz')
+        return status == OK
 
     def _sites(self) -> fleet_settings.Sites:
         return fleet_settings.Sites(
--- /dev/null
+++ b/beryllug/standins/invariants.py
@@ -0,0 +1,169 @@
+"""What must always hold, checked against the records of the other side."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from beryllug.core import config_data, journal_data
+from beryllug.standins import engine_answers, harness, records, traffic
+
+OK = 200
+CREATED = 201
+BAD_REQUEST = 400
+REQUEST_ID = 'x-beryllug-request-id'
+REPLAYED = 'x-beryllug-replayed'
+END = 'end='
+
+
+class Report(NamedTuple):
+    """Counts of a run, and what was violated."""
+
+    requests: int
+    answered: int
+    refused: int
+    broken: int
+    billed: int
+    codes: dict[str, int]
+    violations: tuple[str, ...]
+
+    def line(self) -> str:
+        """Render as one line."""
+        return (
+            f'requests={self.requests} answered={self.answered} '
+            f'refused={self.refused} broken={self.broken} '
+            f'billed={self.billed} violations={len(self.violations)} '
+            f'codes={self.codes}'
+        )
+
+
+def check(
+    fleet: harness.Fleet,
+    sent: Sequence[traffic.Sent],
+    document: config_data.Document,
+) -> Report:
+    """Check every invariant over what was sent.
+
+    Args:
+        fleet: The deployment; all that is owed must have been flushed.
+        sent: Every request with what its caller got.
+        document: A document that allows what any document of the run did.
+
+    Returns:
+        Counts and violations.
+    """
+    bills = records.bills(fleet)
+    violations = [
+        *_billed_once(bills),
+        *_answers_are_billed(sent, bills),
+        *_answers_are_own(sent),
+        *_allowed_only(fleet, document),
+        *_at_most_once(fleet, sent),
+        *_not_run_is_true(fleet, sent),
+    ]
+    answered = sum(_is_answer(item) for item in sent)
+    broken = sum(item.reply.status == 0 for item in sent)
+    return Report(
+        requests=len(sent),
+        answered=answered,
+        refused=len(sent) - answered - broken,
+        broken=broken,
+        billed=len(bills),
+        codes=dict(Counter(_code(item) for item in sent if _code(item))),
+        violations=tuple(violations),
+    )
+
+
+def _billed_once(
+    bills: dict[str, list[journal_data.Row]],
+) -> Iterable[str]:
+    for request_id, rows in bills.items():
+        if len(rows) > 1:
+            yield f'{request_id} is billed {len(rows)} times'
+
+
+def _answers_are_billed(
+    sent: Sequence[traffic.Sent], bills: dict[str, list[journal_data.Row]]
+) -> Iterable[str]:
+    for item in sent:
+        if not _is_answer(item):
+            continue
+        request_id = item.reply.headers[REQUEST_ID]
+        states = {row.state for row in bills.get(request_id, ())}
+        if journal_data.OutcomeState.DONE not in states:
+            yield f'{request_id} was answered and has no bill: {states}'
+
+
+def _answers_are_own(sent: Sequence[traffic.Sent]) -> Iterable[str]:
+    """Each answer carries its request's id and ends with its own hash."""
+    for item in sent:
+        is_text = _is_answer(item) and item.kind not in {'lookup', 'hold'}
+        if not is_text:
+            continue
+        request_id = item.reply.headers[REQUEST_ID]
+        body = item.reply.body.decode()
+        if request_id not in body or END not in body:
+            yield f'{request_id} got an answer that is not its own or not whole'
+
+
+def _allowed_only(
+    fleet: harness.Fleet, document: config_data.Document
+) -> Iterable[str]:
+    allowed = {
+        account.account_id: account.allowed for account in document.accounts
+    }
+    for run in records.engine_runs_of(fleet):
+        patterns = allowed.get(run.account_id, ())
+        wanted = {
+            (run.model, run.version),
+            (run.model, config_data.ANY_VERSION),
+        }
+        if wanted.isdisjoint(patterns):
+            yield f'{run.request_id} ran on {run.model}@{run.version}'
+
+
+def _at_most_once(
+    fleet: harness.Fleet, sent: Sequence[traffic.Sent]
+) -> Iterable[str]:
+    holds = Counter(
+        run.idempotency_key
+        for run in records.plain_runs_of(fleet)
+        if run.idempotency_key
+    )
+    for key, count in holds.items():
+        if count > 1:
+            yield f'the hold under {key} ran {count} times'
+    reports = {
+        engine_answers.digest(item.prompt)
+        for item in sent
+        if item.kind == 'report'
+    }
+    runs = Counter(
+        run.prompt_hash
+        for run in records.engine_runs_of(fleet)
+        if run.prompt_hash in reports
+    )
+    for prompt_hash, count in runs.items():
+        if count > 1:
+            yield f'the report of prompt {prompt_hash} ran {count} times'
+
+
+def _not_run_is_true(
+    fleet: harness.Fleet, sent: Sequence[traffic.Sent]
+) -> Iterable[str]:
+    ran = {run.request_id for run in records.plain_runs_of(fleet)}
+    ran.update(run.request_id for run in records.engine_runs_of(fleet))
+    for item in sent:
+        request_id = item.reply.headers.get(REQUEST_ID, '')
+        not_run = item.reply.error().get('run') == 'not_run'
+        if item.reply.status >= BAD_REQUEST and not_run and request_id in ran:
+            yield f'{request_id} was refused as not run, and ran'
+
+
+def _is_answer(item: traffic.Sent) -> bool:
+    return item.reply.status in {OK, CREATED}
+
+
+def _code(item: traffic.Sent) -> str:
+    """Return kind and code of a refusal, empty for an answer."""
+    code = item.reply.error().get('code', '')
+    return f'{item.kind}/{code}' if code else ''
--- /dev/null
+++ b/beryllug/standins/traffic.py
@@ -0,0 +1,240 @@
+"""Seeded traffic of callers against a deployment, with what each one got."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from beryllug.standins import caller, harness, sample
+
+KINDS = ('chat', 'stream', 'lookup', 'hold', 'report', 'cascade')
+REPORT_TOKENS = 60
+PAUSE_S = 0.01
+RETRY_S = 0.1
+TRIES = 60
+OK = 200
+SERVER_ERROR = 500
+
+
+class Sent(NamedTuple):
+    """One request and what its caller got.
+
+    Attributes:
+        kind: One of `KINDS`.
+        account_id: The client account.
+        key: Idempotency key, or empty.
+        prompt: What was asked, unique to the request.
+        reply: The answer.
+        sent_at: Wall-clock second.
+        ended_at: Wall-clock second.
+    """
+
+    kind: str
+    account_id: str
+    key: str
+    prompt: str
+    reply: caller.Reply
+    sent_at: float
+    ended_at: float
+
+
+class Traffic:
+    """Callers that go on sending until they are stopped.
+
+    Attributes:
+        sent: Every request that has ended, in order of its end.
+    """
+
+    def __init__(
+        self,
+        fleet: harness.Fleet,
+        seed: int,
+        kinds: Sequence[str] = KINDS,
+        callers: int = 6,
+    ) -> None:
+        """Make traffic; `start` starts its callers."""
+        self.sent: list[Sent] = []
+        self._fleet = fleet
+        self._seed = seed
+        self._kinds = kinds
+        self._callers = callers
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = False
+        self._down: set[int] = set()
+
+    def start(self) -> None:
+        """Start the callers."""
+        self._tasks = [
+            asyncio.create_task(self._run(index))
+            for index in range(self._callers)
+        ]
+
+    async def stop(self) -> list[Sent]:
+        """Let each caller end its request, and return all of them."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+        return self.sent
+
+    async def reach(self, count: int, within_s: float = 60.0) -> None:
+        """Wait until so many requests have ended since now."""
+        wanted = len(self.sent) + count
+
+        async def reached() -> bool:  # noqa: WPS430
+            return len(self.sent) >= wanted
+
+        await harness.wait_for(reached, within_s)
+
+    def avoid(self, host: int) -> None:
+        """Send no more to a host, as the balancer would."""
+        self._down.add(host)
+
+    def use(self, host: int) -> None:
+        """Send to a host again."""
+        self._down.discard(host)
+
+    async def _run(self, index: int) -> None:
+        rng = random.Random(self._seed * 1000 + index)
+        key = sample.LARGE_KEY if index % 3 else sample.SMALL_KEY
+        who = caller.Caller(key)
+        number = 0
+        try:
+            while not self._stopping:
+                number += 1
+                kind = rng.choice(self._kinds)
+                await self._send(who, key, kind, f'{index}-{number}', rng)
+                await asyncio.sleep(PAUSE_S)
+        finally:
+            await who.close()
+
+    async def _send(
+        self,
+        who: caller.Caller,
+        bearer: str,
+        kind: str,
+        name: str,
+        rng: random.Random,
+    ) -> None:
+        """Send one request; one with a key again while it may be repeated.
+
+        A keyed request is what a careful client sends: it repeats it under
+        the same key, through any host, until it has an answer or is told
+        that it must not.
+        """
+        prompt = f'prompt {self._seed} {name}'
+        idempotency_key = ''
+        if kind in {'hold', 'report'}:
+            idempotency_key = f'key-{self._seed}-{name}'
+        for _ in range(TRIES):
+            sent_at = time.time()
+            host = self._pick(rng)
+            make = _maker(kind, bearer)
+            reply = await make(who, host, prompt, idempotency_key)
+            self.sent.append(
+                Sent(
+                    kind,
+                    _account_of(bearer),
+                    idempotency_key,
+                    prompt,
+                    reply,
+                    sent_at,
+                    time.time(),
+                )
+            )
+            if not idempotency_key or _is_final(reply) or self._stopping:
+                return
+            await asyncio.sleep(RETRY_S)
+
+    def _pick(self, rng: random.Random) -> str:
+        ups = [
+            ports.callers
+            for index, ports in enumerate(self._fleet.hosts)
+            if index not in self._down
+        ]
+        return rng.choice(ups)
+
+
+Make = Callable[[caller.Caller, str, str, str], Any]
+
+
+def _maker(kind: str, bearer: str) -> Make:
+    """Return what sends a request of a kind."""
+    match kind:
+        case 'hold':
+            return _hold
+        case 'report':
+            return _report if bearer == sample.LARGE_KEY else _small_report
+        case 'lookup':
+            return _lookup
+        case 'stream':
+            return _stream
+        case 'cascade':
+            return _cascade if bearer == sample.LARGE_KEY else _chat
+        case _:
+            return _chat
+
+
+async def _chat(
+    who: caller.Caller, host: str, prompt: str, key: str
+) -> caller.Reply:
+    return await who.chat(host, 'desk-small', prompt)
+
+
+async def _stream(
+    who: caller.Caller, host: str, prompt: str, key: str
+) -> caller.Reply:
+    return await who.chat(host, 'desk-small', prompt, stream=True)
+
+
+async def _cascade(
+    who: caller.Caller, host: str, prompt: str, key: str
+) -> caller.Reply:
+    return await who.chat(host, 'offers', prompt)
+
+
+async def _lookup(
+    who: caller.Caller, host: str, prompt: str, key: str
+) -> caller.Reply:
+    return await who.ask(host, 'GET', '/v1/services/booking/slots')
+
+
+async def _hold(
+    who: caller.Caller, host: str, prompt: str, key: str
+) -> caller.Reply:
+    return await who.ask(
+        host,
+        'POST',
+        '/v1/services/booking/holds',
+        {'slot': prompt},
+        idempotency_key=key,
+    )
+
+
+async def _report(
+    who: caller.Caller, host: str, prompt: str, key: str
+) -> caller.Reply:
+    return await who.chat(
+        host,
+        'roster',
+        prompt,
+        stream=True,
+        max_tokens=REPORT_TOKENS,
+        idempotency_key=key,
+    )
+
+
+async def _small_report(
+    who: caller.Caller, host: str, prompt: str, key: str
+) -> caller.Reply:
+    return await who.chat(host, 'desk-small', prompt, idempotency_key=key)
+
+
+def _is_final(reply: caller.Reply) -> bool:
+    """Tell whether a careful client stops asking."""
+    if OK <= reply.status < SERVER_ERROR:
+        return reply.error().get('code') not in {'in_progress', 'over_limit'}
+    return reply.error().get('run') == 'unknown' and reply.status > 0
+
+
+def _account_of(bearer: str) -> str:
+    return 'kutch' if bearer == sample.LARGE_KEY else 'saputara'
