Show metrics of both roles on the operators' address

Cause: operators need numbers of every process, by OpenTelemetry. Ruled out: instruments that are counted into on the path of requests (a lock and an attribute lookup each); numbers taken from the dump by name (their labels have no bound). Change: services may show samples when asked; /metrics renders them through the SDK's Prometheus reader. Registry lists its services.

--- /dev/null
+++ b/beryllug/kernel/ops.py
@@ -0,0 +1,133 @@
+"""The operators' address: health, readiness, metrics, dump of all state.
+
+Health and readiness are for the balancer and need no key; all else needs one
+of the operators' keys. A role adds routes of its own.
+"""
+
+import hmac
+import json
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+from beryllug.core import settings_data
+from beryllug.drivers import http_data, http_server
+from beryllug.kernel import metrics, registry
+
+OK = 200
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+UNAVAILABLE = 503
+BEARER = 'bearer '
+JSON = MappingProxyType({'content-type': http_server.JSON_TYPE})
+PROMETHEUS = MappingProxyType({'content-type': metrics.CONTENT_TYPE})
+HEALTH = '/healthz'
+READINESS = '/readyz'
+DUMP = '/dump'
+METRICS = '/metrics'
+
+
+class Route(NamedTuple):
+    """A method and the path it is served under."""
+
+    method: str
+    path: str
+
+
+Routes = Mapping[Route, http_server.Handler]
+Ready = Callable[[], bool]
+Answer = Callable[[http_data.Request], Awaitable[Any]]
+
+
+class Operators:
+    """Service 'operators' of either role."""
+
+    def __init__(
+        self,
+        cfg: settings_data.Operators,
+        services: registry.Registry,
+        is_ready: Ready,
+        routes: Routes,
+    ) -> None:
+        """Make the service; `start` opens its socket.
+
+        Args:
+            cfg: Address and keys.
+            services: The services whose state is dumped.
+            is_ready: Tells whether the process should get new work.
+            routes: Further routes; each needs an operator's key.
+        """
+        self._cfg = cfg
+        self._services = services
+        self._is_ready = is_ready
+        self._routes = dict(routes)
+        self._metrics = metrics.Metrics(services)
+        self._server = http_server.HttpServer(self._serve)
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self._cfg.listen.rpartition(':')
+        self.port = await self._server.start(host, int(port))
+
+    async def stop(self, grace_s: float) -> None:
+        """Close the address."""
+        await self._server.stop()
+        self._metrics.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the address."""
+        return {'listen': self._cfg.listen}
+
+    async def _serve(
+        self, req: http_data.Request, exchange: http_server.Exchange
+    ) -> None:
+        path = req.target.partition('?')[0]
+        if path == HEALTH:
+            await exchange.respond(OK, b'ok\n')
+        elif path == READINESS:
+            ready = self._is_ready()
+            await exchange.respond(OK if ready else UNAVAILABLE)
+        elif self._is_operator(req):
+            await self._serve_operator(req, path, exchange)
+        else:
+            await exchange.respond_json(
+                UNAUTHORIZED, {'error': 'send a valid operator key'}
+            )
+
+    async def _serve_operator(
+        self,
+        req: http_data.Request,
+        path: str,
+        exchange: http_server.Exchange,
+    ) -> None:
+        if path == DUMP:
+            text = json.dumps(self._services.dump(), default=str)
+            await exchange.respond(OK, text.encode(), JSON)
+        elif path == METRICS:
+            await exchange.respond(OK, self._metrics.render(), PROMETHEUS)
+        else:
+            await self._dispatch(req, path, exchange)
+
+    async def _dispatch(
+        self,
+        req: http_data.Request,
+        path: str,
+        exchange: http_server.Exchange,
+    ) -> None:
+        handler = self._routes.get(Route(req.method, path))
+        if handler is None:
+            await exchange.respond_json(NOT_FOUND, {'error': 'no such path'})
+        else:
+            await handler(req, exchange)
+
+    def _is_operator(self, req: http_data.Request) -> bool:
+        """Compare with every valid key in constant time."""
+        sent = req.headers.get('authorization', '')
+        if sent[: len(BEARER)].lower() != BEARER:
+            return False
+        key = sent[len(BEARER) :].strip().encode()
+        matches = [
+            hmac.compare_digest(key, valid.encode()) for valid in self._cfg.keys
+        ]
+        return any(matches)
--- /dev/null
+++ b/beryllug/kernel/ops_test.py
@@ -0,0 +1,116 @@
+"""Tests of the operators' address."""
+
+import json
+import unittest
+from collections.abc import Iterable
+from typing import Any
+
+from beryllug.core import settings_data
+from beryllug.drivers import http_client, http_data, http_server
+from beryllug.kernel import metrics, ops, registry
+
+KEY = 'operator-key-number-one'
+NEXT_KEY = 'operator-key-number-two'
+CFG = settings_data.Operators('127.0.0.1:0', (KEY, NEXT_KEY))
+
+# Path, authorization, expected status.
+ACCESS: tuple[tuple[str, str, int], ...] = (
+    ('/healthz', '', 200),
+    ('/readyz', '', 503),
+    ('/dump', '', 401),
+    ('/dump', f'Bearer {KEY}x', 401),
+    ('/dump', KEY, 401),
+    ('/dump', 'Bearer x', 401),
+    ('/dump', f'Bearer {KEY}', 200),
+    ('/dump', f'bearer {NEXT_KEY}', 200),
+    ('/metrics', '', 401),
+    ('/metrics', f'Bearer {KEY}', 200),
+    ('/own', f'Bearer {KEY}', 200),
+    ('/own?query=1', f'Bearer {KEY}', 200),
+    ('/own', '', 401),
+    ('/other', f'Bearer {KEY}', 404),
+)
+
+
+class _Counted:
+    """A service with two numbers."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing."""
+
+    def dump(self) -> dict[str, Any]:
+        return {'calls': self.calls}
+
+    def measure(self) -> Iterable[metrics.Sample]:
+        yield metrics.Sample('level', self.calls / 2, 'A level.')
+        yield metrics.Sample(
+            'calls',
+            self.calls,
+            'Calls so far.',
+            metrics.Kind.COUNTER,
+            {'kind': 'read'},
+        )
+
+
+class OperatorsTest(unittest.IsolatedAsyncioTestCase):
+    """Access by key, and what is shown."""
+
+    async def asyncSetUp(self) -> None:
+        self.counted = _Counted()
+        services = registry.Registry()
+        services.register('counted', self.counted)
+        routes = {ops.Route('GET', '/own'): self._own}
+        self.operators = ops.Operators(CFG, services, bool, routes)
+        self.client = http_client.HttpClient()
+        await self.operators.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.client.close()
+        await self.operators.stop(0)
+
+    async def test_access(self) -> None:
+        """Health needs no key, all else one of the valid keys."""
+        for path, authorization, expected in ACCESS:
+            with self.subTest(path=path, authorization=authorization):
+                status, _ = await self._get(path, authorization)
+                self.assertEqual(status, expected)
+
+    async def test_dump(self) -> None:
+        """The dump has the state of each service by name."""
+        _, body = await self._get('/dump', f'Bearer {KEY}')
+        self.assertEqual(json.loads(body), {'counted': {'calls': 0}})
+
+    async def test_metrics(self) -> None:
+        """Each read shows the numbers of that moment."""
+        for calls in (4, 6):
+            self.counted.calls = calls
+            _, body = await self._get('/metrics', f'Bearer {KEY}')
+            lines = body.decode().splitlines()
+            self.assertIn(f'beryllug_level {calls / 2}', lines)
+            total = f'beryllug_calls_total{{kind="read"}} {float(calls)}'
+            self.assertIn(total, lines)
+        self.assertIn('# HELP beryllug_level A level.', lines)
+
+    async def _get(self, path: str, authorization: str) -> tuple[int, bytes]:
+        headers = {'authorization': authorization} if authorization else {}
+        incoming, body = await self.client.call(
+            f'127.0.0.1:{self.operators.port}',
+            http_data.Outgoing('GET', path, headers),
+            5,
+        )
+        return incoming.status, body
+
+    async def _own(
+        self, req: http_data.Request, exchange: http_server.Exchange
+    ) -> None:
+        await exchange.respond(ops.OK)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/kernel/registry.py
+++ b/beryllug/kernel/registry.py
@@ -53,6 +53,10 @@
             raise LookupError(f'no service {name} of type {kind.__name__}')
         return service
 
+    def services(self) -> list[Service]:
+        """Return all services, in the order of their starts."""
+        return list(self._services.values())
+
     async def start(self) -> None:
         """Start all services; stop the started ones if one fails."""
         started: list[Service] = []
