Put the HTTP drivers on one link protocol instead of streams

Cause: bytes that came on an idle kept connection lay unread in its stream and would have been taken for the next answer; dead kept connections counted against the bound until no connection was kept; an answer closed twice put its connection into the pool twice; a HEAD or 204 answer with a body, or a header byte beyond ASCII, ended in an internal error. Refusals are read by clients that still send. HttpServer.drain ends connections with their next answer.

--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -1,50 +1,51 @@
-"""An HTTP/1.1 client on asyncio streams and h11, with kept connections.
+"""An HTTP/1.1 client on asyncio and h11, with kept connections.
 
 Its errors tell what a router must know: `NotSentError` where no byte can
 have reached the server, `BrokenError` where one may have. A connection whose
-answer was not read to its end is closed and never used again, so no caller
-can get the rest of another's answer.
+answer was not read to its end is closed and never used again, and one on
+which a byte came unasked neither, so no caller gets a part of another's
+answer.
 """
 
 import asyncio
-import json
 from collections.abc import AsyncIterator
-from typing import Any, NamedTuple
+from typing import Any
 
 import h11
+import msgspec
 
-from beryllug.drivers import http_data
+from beryllug.drivers import http_data, http_headers, http_link
 
-READ_SIZE = 65536
 CONNECT_S = 2.0
 IDLE_S = 30.0
 MAX_KEPT = 64
 
 
-class _Link(NamedTuple):
-    """An open connection and the state of its protocol."""
+class _Connection:
+    """A link, the state of its protocol and when it was last used."""
 
-    address: str
-    conn: h11.Connection
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-    used_at: float
+    __slots__ = ('link', 'parser', 'used_at')
+
+    def __init__(self, link: http_link.Link) -> None:
+        self.link = link
+        self.parser = h11.Connection(h11.CLIENT)
+        self.used_at = 0.0
 
 
 class Incoming:
     """An answer whose head has arrived and whose body is still to be read."""
 
     def __init__(
-        self, client: 'HttpClient', link: _Link, head: h11.Response
+        self, client: 'HttpClient', conn: _Connection, head: h11.Response
     ) -> None:
         """Bind the answer to its connection."""
         self.status = head.status_code
-        self.headers: http_data.Headers = {
-            name.decode(): text.decode('latin-1') for name, text in head.headers
-        }
+        self.headers = http_headers.decode(head)
         self._client = client
-        self._link = link
+        self._conn = conn
         self._complete = False
+        self._closed = False
+        self._arrived = True
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives, joining what came in one read.
@@ -67,10 +68,10 @@
         Raises:
             BrokenError: The connection broke before the end.
         """
-        chunk = b''
-        while not chunk and not self._complete:
-            chunk = await self._next_chunk()
-        return chunk
+        try:
+            return await self._next_chunk()
+        except (OSError, h11.RemoteProtocolError) as exc:
+            raise http_data.BrokenError(str(exc)) from exc
 
     async def read(self) -> bytes:
         """Read the rest of the body.
@@ -78,51 +79,54 @@
         Raises:
             BrokenError: The connection broke before the end.
         """
-        parts = [chunk async for chunk in self.chunks()]
+        parts = [await self.next_chunk()]
+        while parts[-1]:
+            parts.append(await self.next_chunk())
         return b''.join(parts)
 
     async def read_json(self) -> Any:
-        """Read the rest of the body as JSON."""
-        return json.loads(await self.read())
+        """Read the rest of the body as JSON.
+
+        Raises:
+            BrokenError: The connection broke before the end.
+            DecodeError: The body is no JSON.
+        """
+        return msgspec.json.decode(await self.read())
 
     def close(self) -> None:
-        """Give the connection back if the answer is whole, else cut it."""
+        """Give the connection back if the answer is whole, else cut it.
+
+        Only the first call does: a connection that were given back twice
+        would carry two requests at once, and mix their answers up.
+        """
+        if self._closed:
+            return
+        self._closed = True
         if self._complete:
-            self._client.keep(self._link)
+            self._client.keep(self._conn)
         else:
-            self._link.writer.transport.abort()
+            self._conn.link.abort()
 
     async def _next_chunk(self) -> bytes:
-        pieces = self._parsed()
-        if pieces or self._complete:
-            return b''.join(pieces)
-        try:
-            received = await self._link.reader.read(READ_SIZE)
-        except OSError as exc:
-            raise http_data.BrokenError(str(exc)) from exc
-        try:
-            self._link.conn.receive_data(received)
-        except h11.RemoteProtocolError as exc:
-            raise http_data.BrokenError(str(exc)) from exc
-        return b''.join(self._parsed())
-
-    def _parsed(self) -> list[bytes]:
-        pieces = []
-        conn = self._link.conn
-        while True:
-            try:
-                event = conn.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise http_data.BrokenError(str(exc)) from exc
-            if isinstance(event, h11.Data):
-                pieces.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._complete = True
-                return pieces
-            elif event is h11.NEED_DATA:
-                return pieces
-            else:
-                raise http_data.BrokenError('server closed the connection')
+        pieces: list[bytes] = []
+        while not pieces and not self._complete:
+            if not self._arrived:
+                received = await self._conn.link.read()
+                self._conn.parser.receive_data(received)
+            self._parse_into(pieces)
+        return pieces[0] if len(pieces) == 1 else b''.join(pieces)
+
+    def _parse_into(self, pieces: list[bytes]) -> None:
+        next_event = self._conn.parser.next_event
+        event = next_event()
+        while isinstance(event, h11.Data):
+            pieces.append(bytes(event.data))
+            event = next_event()
+        self._arrived = False
+        if isinstance(event, h11.EndOfMessage):
+            self._complete = True
+        elif event is not h11.NEED_DATA:
+            raise ConnectionResetError('server closed the connection')
 
 
 class HttpClient:
@@ -131,7 +135,7 @@
     def __init__(self, connect_s: float = CONNECT_S) -> None:
         """Make a client with no connections."""
         self._connect_s = connect_s
-        self._kept: dict[str, list[_Link]] = {}
+        self._kept: dict[str, dict[http_link.Link, _Connection]] = {}
 
     async def request(
         self,
@@ -154,17 +158,13 @@
             BrokenError: A byte was written; it may or may not have run.
         """
         deadline = _deadline(timeout_s)
-        link = None if outgoing.fresh else self._take(address)
-        if link is None:
-            link = await self._connect(address, timeout_s)
+        conn = None if outgoing.fresh else self._take(address)
+        if conn is None:
+            conn = await self._connect(address, timeout_s)
         try:
-            async with asyncio.timeout_at(deadline):
-                return await self._exchange(link, outgoing)
-        except TimeoutError as exc:
-            link.writer.transport.abort()
-            raise http_data.BrokenError(f'{address}: timeout') from exc
+            return await self._exchange(conn, outgoing, deadline)
         except BaseException:
-            link.writer.transport.abort()
+            conn.link.abort()
             raise
 
     async def call(
@@ -190,82 +190,129 @@
             incoming.close()
         return incoming, body
 
-    def keep(self, link: _Link) -> None:
+    def keep(self, conn: _Connection) -> None:
         """Take back a connection whose answer was read to its end."""
-        conn = link.conn
-        done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
-        kept = self._kept.setdefault(link.address, [])
-        # Bytes after the end of an answer belong to nobody we know: such a
-        # connection would hand them to the next caller as its answer.
-        clean = done and not conn.trailing_data[0]
-        if clean and len(kept) < MAX_KEPT:
-            conn.start_next_cycle()
-            now = asyncio.get_running_loop().time()
-            kept.append(link._replace(used_at=now))
-        else:
-            link.writer.close()
+        link = conn.link
+        kept = self._kept.setdefault(link.address, {})
+        if len(kept) >= MAX_KEPT or not _is_reusable(conn):
+            link.abort()
+            return
+        conn.parser.start_next_cycle()
+        conn.used_at = asyncio.get_running_loop().time()
+        link.on_idle_end = self._forget
+        kept[link] = conn
 
     async def close(self) -> None:
         """Close every kept connection."""
         links = [link for kept in self._kept.values() for link in kept]
         self._kept.clear()
         for link in links:
-            link.writer.close()
-
-    def _take(self, address: str) -> _Link | None:
-        kept = self._kept.get(address, [])
-        now = asyncio.get_running_loop().time()
+            link.on_idle_end = None
+            link.transport.close()
+
+    def _forget(self, link: http_link.Link) -> None:
+        kept = self._kept.get(link.address, {})
+        kept.pop(link, None)
+        if not kept:
+            self._kept.pop(link.address, None)
+
+    def _take(self, address: str) -> _Connection | None:
+        kept = self._kept.get(address)
+        oldest = asyncio.get_running_loop().time() - IDLE_S
         while kept:
-            link = kept.pop()
-            stale = now - link.used_at > IDLE_S
-            if stale or link.reader.at_eof() or link.writer.is_closing():
-                link.writer.close()
-            else:
-                return link
+            link, conn = kept.popitem()
+            link.on_idle_end = None
+            if conn.used_at > oldest and link.is_quiet():
+                return conn
+            link.abort()
         return None
 
-    async def _connect(self, address: str, timeout_s: float | None) -> _Link:
+    async def _connect(
+        self, address: str, timeout_s: float | None
+    ) -> _Connection:
         host, _, port = address.rpartition(':')
         connect_s = min(self._connect_s, timeout_s or self._connect_s)
+        link = http_link.Link(address)
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(connect_s):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                await loop.create_connection(lambda: link, host, int(port))
         except (OSError, TimeoutError) as exc:
             raise http_data.NotSentError(f'{address}: {exc}') from exc
-        conn = h11.Connection(h11.CLIENT)
-        return _Link(address, conn, reader, writer, 0)
+        return _Connection(link)
 
     async def _exchange(
-        self, link: _Link, outgoing: http_data.Outgoing
+        self,
+        conn: _Connection,
+        outgoing: http_data.Outgoing,
+        deadline: float | None,
     ) -> Incoming:
-        fields = [('host', link.address), *outgoing.headers.items()]
-        fields.append(('content-length', str(len(outgoing.body))))
-        head = h11.Request(
-            method=outgoing.method, target=outgoing.target, headers=fields
-        )
-        payload = link.conn.send(head) or b''
-        if outgoing.body:
-            payload += link.conn.send(h11.Data(data=outgoing.body)) or b''
-        payload += link.conn.send(h11.EndOfMessage()) or b''
+        payload = _serialize(conn, outgoing)
+        link = conn.link
+        if link.transport.is_closing():
+            raise http_data.NotSentError(f'{link.address}: closed at once')
         try:
-            link.writer.write(payload)
-            await link.writer.drain()
-            return await self._read_head(link)
-        except (OSError, h11.RemoteProtocolError) as exc:
-            raise http_data.BrokenError(f'{link.address}: {exc}') from exc
-
-    async def _read_head(self, link: _Link) -> Incoming:
-        while True:
-            event = link.conn.next_event()
-            if isinstance(event, h11.Response):
-                return Incoming(self, link, event)
+            if deadline is None:
+                return await self._send(conn, payload)
+            async with asyncio.timeout_at(deadline):
+                return await self._send(conn, payload)
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as exc:
+            raise http_data.BrokenError(f'{link.address}: {exc!r}') from exc
+
+    async def _send(self, conn: _Connection, payload: bytes) -> Incoming:
+        link = conn.link
+        parser = conn.parser
+        link.write(payload)
+        await link.drain()
+        event = parser.next_event()
+        while not isinstance(event, h11.Response):
             if event is h11.NEED_DATA:
-                link.conn.receive_data(await link.reader.read(READ_SIZE))
+                parser.receive_data(await link.read())
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError('closed before an answer')
+            event = parser.next_event()
+        return Incoming(self, conn, event)
 
 
 def _deadline(timeout_s: float | None) -> float | None:
     if timeout_s is None:
         return None
     return asyncio.get_running_loop().time() + timeout_s
+
+
+def _serialize(conn: _Connection, outgoing: http_data.Outgoing) -> bytes:
+    """Return the bytes of a request.
+
+    Raises:
+        NotSentError: It can't be written as HTTP; nothing was sent.
+    """
+    fields = [
+        ('host', conn.link.address),
+        *outgoing.headers.items(),
+        (http_headers.LENGTH, str(len(outgoing.body))),
+    ]
+    parser = conn.parser
+    try:
+        head = h11.Request(
+            method=outgoing.method,
+            target=outgoing.target,
+            headers=http_headers.encode(fields),
+        )
+    except (UnicodeEncodeError, h11.LocalProtocolError) as exc:
+        raise http_data.NotSentError(f'no valid request: {exc}') from exc
+    payload = parser.send(head) or b''
+    if outgoing.body:
+        payload += parser.send(h11.Data(data=outgoing.body)) or b''
+    return payload + (parser.send(h11.EndOfMessage()) or b'')
+
+
+def _is_reusable(conn: _Connection) -> bool:
+    """Tell whether the next answer on a connection will be the next one's.
+
+    Bytes after the end of an answer belong to nobody we know: they would be
+    handed to the next caller as its answer.
+    """
+    parser = conn.parser
+    done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+    unread = parser.trailing_data[0] or conn.link.has_unread()
+    return done and not unread
--- a/beryllug/drivers/http_data.py
+++ b/beryllug/drivers/http_data.py
@@ -35,6 +35,7 @@
         read_s: Seconds within which a request must have come whole.
         idle_s: Seconds a connection may wait for its next request.
         write_s: Seconds for which a write may be blocked by a slow reader.
+        connections: Most connections at once; more are closed at once.
     """
 
     header_bytes: int = 16384
@@ -42,6 +43,7 @@
     read_s: float = 10.0
     idle_s: float = 75.0
     write_s: float = 60.0
+    connections: int = 8192
 
 
 class Outgoing(NamedTuple):
--- a/beryllug/drivers/http_server.py
+++ b/beryllug/drivers/http_server.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 server on asyncio streams and h11.
+"""An HTTP/1.1 server on asyncio and h11.
 
 It serves callers, operators and the stand-ins. A handler gets the whole
 request and an `Exchange` through which it answers, at once or in chunks.
@@ -8,132 +8,60 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 import h11
 from absl import logging
 
-from beryllug.drivers import http_data
+from beryllug.drivers import http_data, http_exchange, http_link, http_reader
+
+Exchange = http_exchange.Exchange
+Handler = Callable[[http_data.Request, Exchange], Awaitable[None]]
+JSON_TYPE = http_exchange.JSON_TYPE
 
-READ_SIZE = 65536
-JSON_TYPE = 'application/json'
-BAD_REQUEST = 400
-REQUEST_TIMEOUT = 408
-TOO_LARGE = 413
 SERVER_ERROR = 500
-LENGTH = b'content-length'
-CHUNKED = b'transfer-encoding'
-RESET = struct.pack('ii', 1, 0)  # linger on, for no time: close resets
+# After a refusal the rest of the request is read for so long: closing with
+# bytes unread would reset the connection, and the refusal would be lost.
+LINGER_S = 1.0
+# On a stop, a new connection may still bring its first request for so long.
+FIRST_REQUEST_S = 1.0
+MAX_SWEEP_S = 1.0
+SWEEPS_PER_LIMIT = 8
 
 
-class Exchange:
-    """The answering side of one request."""
+class _Client:
+    """One client's connection, its task and what the task is at."""
 
-    def __init__(
-        self,
-        conn: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        limits: http_data.Limits,
-    ) -> None:
-        """Bind the exchange to its connection."""
-        self.started = False
-        self.finished = False
-        self._conn = conn
-        self._reader = reader
-        self._writer = writer
-        self._limits = limits
-
-    def is_gone(self) -> bool:
-        """Tell whether the client has closed its side or the connection."""
-        return self._reader.at_eof() or self._writer.is_closing()
-
-    async def respond(
-        self,
-        status: int,
-        body: bytes = b'',
-        headers: Mapping[str, str] | None = None,
-    ) -> None:
-        """Send a whole answer in one write."""
-        framed = {'content-length': str(len(body)), **(headers or {})}
-        head = self._head(status, framed)
-        payload = self._conn.send(h11.Data(data=body)) or b'' if body else b''
-        tail = self._conn.send(h11.EndOfMessage()) or b''
-        self.finished = True
-        await self._write(head + payload + tail)
-
-    async def respond_json(
-        self,
-        status: int,
-        document: Any,
-        headers: Mapping[str, str] | None = None,
-    ) -> None:
-        """Send a whole JSON answer."""
-        body = http_data.to_json(document)
-        framed = {'content-type': JSON_TYPE, **(headers or {})}
-        await self.respond(status, body, framed)
-
-    async def start(self, status: int, headers: Mapping[str, str]) -> None:
-        """Send the head of an answer that follows in chunks."""
-        framed = {'transfer-encoding': 'chunked', **headers}
-        await self._write(self._head(status, framed))
-
-    async def send(self, chunk: bytes) -> None:
-        """Send one chunk; waits while the client reads slowly.
-
-        Raises:
-            ConnectionError: The client has gone.
-            TimeoutError: The client has not read for too long.
-        """
-        if chunk:
-            await self._write(self._conn.send(h11.Data(data=chunk)) or b'')
-
-    async def finish(self, last: bytes = b'') -> None:
-        """End a chunked answer, with a last chunk in the same write."""
-        payload = self._conn.send(h11.Data(data=last)) or b'' if last else b''
-        tail = self._conn.send(h11.EndOfMessage()) or b''
-        self.finished = True
-        await self._write(payload + tail)
-
-    def abort(self, *, hard: bool = False) -> None:
-        """Cut the connection, so that a half answer is never taken as whole.
-
-        Args:
-            hard: Cut with a TCP reset, which also discards what the client
-                has not read yet.
-        """
-        if hard:
-            sock = self._writer.get_extra_info('socket')
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        self._writer.transport.abort()
-
-    def _head(self, status: int, headers: Mapping[str, str]) -> bytes:
-        self.started = True
-        fields = list(headers.items())
-        head = h11.Response(status_code=status, headers=fields, reason=b'')
-        return self._conn.send(head) or b''
-
-    async def _write(self, payload: bytes) -> None:
-        if self._writer.is_closing():
-            raise ConnectionResetError('client has gone')
-        self._writer.write(payload)
-        if self._writer.transport.get_write_buffer_size():
-            async with asyncio.timeout(self._limits.write_s):
-                await self._writer.drain()
+    __slots__ = ('busy', 'link', 'peer', 'served', 'task')
 
+    def __init__(self, link: http_link.Link) -> None:
+        self.link = link
+        self.busy = False
+        self.served = False
+        peer = link.transport.get_extra_info('peername') or ('',)
+        self.peer: str = peer[0]
+        self.task: asyncio.Task[None] | None = None
 
-Handler = Callable[[http_data.Request, Exchange], Awaitable[None]]
 
+class _ServerLink(http_link.Link):
+    """A link that tells its server when it begins and when it ends."""
+
+    def __init__(
+        self,
+        begin: Callable[[http_link.Link], None],
+        end: Callable[[http_link.Link], None],
+    ) -> None:
+        super().__init__()
+        self._begin = begin
+        self._end = end
 
-class _RefusedError(Exception):
-    """The request can't be served; carries the status to answer."""
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._begin(self)
 
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self._end(self)
 
 
 class HttpServer:
@@ -147,81 +75,163 @@
         """Make a server; `start` opens its socket."""
         self._handler = handler
         self._limits = limits or http_data.Limits()
+        self._mode = http_exchange.Mode(self._limits)
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._busy: set[asyncio.Task[None]] = set()
-        self._draining = False
+        self._clients: dict[http_link.Link, _Client] = {}
+        self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listen on the address and return the port."""
-        server = await asyncio.start_server(self._accept, host, port)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: _ServerLink(self._begin, self._forget), host, port
+        )
         self._server = server
+        self._sweep()
         bound: int = server.sockets[0].getsockname()[1]
         return bound
 
+    def drain(self) -> None:
+        """Go on serving, but end each connection with its next answer.
+
+        Called some time before `stop`, it leaves few idle connections: one
+        that `stop` closes may just carry a request, whose sender then can't
+        know whether it ran.
+        """
+        self._mode.draining = True
+
     async def stop(self, grace_s: float = 0) -> None:
         """Stop accepting, let requests in flight end, close the rest."""
-        self._draining = True
+        self.drain()
+        await asyncio.sleep(0)
         if self._server is not None:
             self._server.close()
-        for idle in self._tasks - self._busy:
-            idle.cancel()
-        if self._busy and grace_s:
-            await asyncio.wait(self._busy, timeout=grace_s)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_tasks(grace_s)
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for link in list(self._clients):
+            link.abort()
 
     @property
     def in_flight(self) -> int:
-        """Count the requests that are being handled."""
-        return len(self._busy)
+        """Count the requests that are being received or handled."""
+        return sum(client.busy for client in self._clients.values())
+
+    async def _end_tasks(self, grace_s: float) -> None:
+        clients = tuple(self._clients.values())
+        now = _now()
+        first_s = min(grace_s, FIRST_REQUEST_S)
+        for client in clients:
+            if not client.busy:
+                client.link.deadline = now if client.served else now + first_s
+        self._expire(now)
+        tasks = [each.task for each in clients if each.task]
+        if tasks and grace_s:
+            await asyncio.wait(tasks, timeout=grace_s)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _accept(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
+    def _begin(self, link: http_link.Link) -> None:
+        if len(self._clients) >= self._limits.connections:
+            link.abort()
+            return
+        client = _Client(link)
+        self._clients[link] = client
+        client.task = asyncio.create_task(self._serve(client))
+
+    def _forget(self, link: http_link.Link) -> None:
+        self._clients.pop(link, None)
+
+    def _sweep(self) -> None:
+        """Check every deadline, a few times in the shortest limit.
+
+        One timer for all connections costs less than one for every read.
+        """
+        loop = asyncio.get_running_loop()
+        self._expire(loop.time())
+        limits = self._limits
+        shortest = min(limits.read_s, limits.idle_s, limits.write_s)
+        period = min(shortest / SWEEPS_PER_LIMIT, MAX_SWEEP_S)
+        self._sweeper = loop.call_later(period, self._sweep)
+
+    def _expire(self, now: float) -> None:
+        late = [link for link in self._clients if link.deadline <= now]
+        for link in late:
+            link.expire()
+
+    async def _serve(self, client: _Client) -> None:
+        link = client.link
         try:
-            await self._serve(task, reader, writer)
-        except (ConnectionError, TimeoutError, asyncio.CancelledError):
-            writer.transport.abort()
+            await self._serve_requests(client)
+        except (OSError, asyncio.CancelledError):
+            link.abort()
+        except Exception:
+            logging.exception('event=connection_failed')
+            link.abort()
         finally:
-            self._forget(task, writer)
+            self._close(client)
 
-    def _forget(
-        self, task: 'asyncio.Task[None]', writer: asyncio.StreamWriter
-    ) -> None:
-        self._tasks.discard(task)
-        self._busy.discard(task)
-        writer.close()
+    def _close(self, client: _Client) -> None:
+        """Close a connection after what is still queued has gone out.
 
-    async def _serve(
-        self,
-        task: 'asyncio.Task[None]',
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        conn = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.header_bytes,
+        A client that doesn't read it must not hold the connection for ever.
+        """
+        client.busy = False
+        client.link.deadline = _now() + self._limits.write_s
+        client.link.transport.close()
+
+    async def _serve_requests(self, client: _Client) -> None:
+        link = client.link
+        parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        reader = http_reader.RequestReader(
+            link, parser, self._limits, client.peer
         )
-        while not self._draining:
-            exchange = Exchange(conn, reader, writer, self._limits)
-            req = await self._next_request(conn, reader, writer, exchange)
+        while True:
+            exchange = Exchange(parser, link, self._mode)
+            link.deadline = _now() + self._limits.idle_s
+            client.busy = await reader.wait_first_byte()
+            if not client.busy:
+                return
+            link.deadline = _now() + self._limits.read_s
+            req = await self._read(reader, exchange)
             if req is None:
                 return
-            self._busy.add(task)
+            link.deadline = http_link.NEVER
             await self._handle(req, exchange)
-            self._busy.discard(task)
-            if conn.our_state is not h11.DONE:
+            client.busy = False
+            client.served = True
+            if parser.our_state is not h11.DONE:
                 return
-            if conn.their_state is not h11.DONE:
+            if parser.their_state is not h11.DONE:
                 return
-            conn.start_next_cycle()
+            parser.start_next_cycle()
+
+    async def _read(
+        self, reader: http_reader.RequestReader, exchange: Exchange
+    ) -> http_data.Request | None:
+        try:
+            req = await reader.read()
+        except http_reader.RefusedError as exc:
+            await self._refuse(reader, exchange, exc)
+            return None
+        exchange.is_head = req is not None and req.method == 'HEAD'
+        return req
+
+    async def _refuse(
+        self,
+        reader: http_reader.RequestReader,
+        exchange: Exchange,
+        refused: http_reader.RefusedError,
+    ) -> None:
+        document = {'error': {'code': 'bad_request', 'message': str(refused)}}
+        document['error']['run'] = 'not_run'
+        headers = {'connection': 'close', 'x-run': 'not_run'}
+        if reader.may_answer():
+            await exchange.respond_json(refused.status, document, headers)
+            await reader.discard(_now() + LINGER_S)
 
     async def _handle(self, req: http_data.Request, exchange: Exchange) -> None:
         try:
@@ -238,120 +248,6 @@
         if exchange.started and not exchange.finished:
             exchange.abort()
 
-    async def _next_request(
-        self,
-        conn: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        exchange: Exchange,
-    ) -> http_data.Request | None:
-        try:
-            return await self._read_request(conn, reader, writer)
-        except _RefusedError as exc:
-            refusal = (exc.status, str(exc))
-        except h11.RemoteProtocolError as exc:
-            refusal = (exc.error_status_hint, 'malformed request')
-        if conn.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            status, reason = refusal
-            document = {'error': {'code': 'bad_request', 'message': reason}}
-            document['error']['run'] = 'not_run'
-            await exchange.respond_json(
-                status, document, {'connection': 'close'}
-            )
-        return None
-
-    async def _read_request(
-        self,
-        conn: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> http_data.Request | None:
-        event = await self._first_event(conn, reader)
-        if not isinstance(event, h11.Request):
-            return None
-        _refuse_ambiguous_framing(event, self._limits)
-        try:
-            async with asyncio.timeout(self._limits.read_s):
-                body = await self._read_body(conn, reader, writer)
-        except TimeoutError:
-            raise _RefusedError(REQUEST_TIMEOUT, 'body came too slowly')
-        peer = writer.get_extra_info('peername') or ('',)
-        return http_data.Request(
-            event.method.decode(),
-            event.target.decode(),
-            _headers(event),
-            body,
-            peer[0],
-        )
 
-    async def _first_event(
-        self, conn: h11.Connection, reader: asyncio.StreamReader
-    ) -> Any:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            async with asyncio.timeout(self._limits.idle_s):
-                chunk = await reader.read(READ_SIZE)
-            conn.receive_data(chunk)
-            event = conn.next_event()
-        try:
-            async with asyncio.timeout(self._limits.read_s):
-                while event is h11.NEED_DATA:
-                    conn.receive_data(await reader.read(READ_SIZE))
-                    event = conn.next_event()
-        except TimeoutError:
-            raise _RefusedError(REQUEST_TIMEOUT, 'header came too slowly')
-        return event
-
-    async def _read_body(
-        self,
-        conn: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> bytes:
-        if conn.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            writer.write(conn.send(interim) or b'')
-        body = bytearray()
-        while True:
-            event = conn.next_event()
-            if event is h11.NEED_DATA:
-                conn.receive_data(await reader.read(READ_SIZE))
-            elif isinstance(event, h11.Data):
-                body += event.data
-                _refuse_large(len(body), self._limits)
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            else:
-                raise ConnectionResetError('client has gone')
-
-
-def _headers(event: h11.Request) -> http_data.Headers:
-    """Decode the header fields, repeats joined as the standard allows."""
-    fields: http_data.Headers = {}
-    for raw_name, raw_value in event.headers:
-        name = raw_name.decode('ascii')
-        text = raw_value.decode('latin-1')
-        fields[name] = f'{fields[name]}, {text}' if name in fields else text
-    return fields
-
-
-def _refuse_ambiguous_framing(
-    event: h11.Request, limits: http_data.Limits
-) -> None:
-    """Refuse a request whose length could be read in two ways.
-
-    A proxy that reads it one way before a server that reads it the other is
-    the hole through which one caller's request is smuggled into another's.
-    """
-    names = [name for name, _ in event.headers]
-    if CHUNKED in names and LENGTH in names:
-        raise _RefusedError(BAD_REQUEST, 'two framings in one request')
-    if event.http_version != b'1.1' and CHUNKED in names:
-        raise _RefusedError(BAD_REQUEST, 'chunks need HTTP/1.1')
-    lengths = [int(text) for name, text in event.headers if name == LENGTH]
-    _refuse_large(max(lengths, default=0), limits)
-
-
-def _refuse_large(size: int, limits: http_data.Limits) -> None:
-    if size > limits.body_bytes:
-        raise _RefusedError(TOO_LARGE, 'body is too large')
+def _now() -> float:
+    return asyncio.get_running_loop().time()
