--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -15,8 +15,10 @@
     leases,
     membership,
     peers,
+    probing,
     rpc_endpoint,
     servers,
+    shards,
 )
 from beryllug.core import cascade_data, lease_data, settings_data
 from beryllug.drivers import (
@@ -137,15 +139,16 @@
     engines = engine.HttpEngine(client, ENGINE_S)
     listed = host_list.HttpHostList(client, cfg.host_list, HOST_LIST_S)
     calls = peers.Peers(keys)
-    members = membership.Membership(process.name, cfg.listen)
+    join = probing.Join(process.zone, cfg.peers, cfg.heartbeat_s, calls)
+    members = membership.Membership(process.name, cfg.listen, join)
     boot = _boot()
     owner = lease_data.Owner(process.name, boot, cfg.listen)
-    held = leases.Leases(api, owner, cfg.lease_s, members)
-    rows = journal.Journal(journal.Parts(api, held, calls), cfg, boot)
-    view = config.Config(process, cfg, api, calls, None)
+    held = leases.Leases(api, owner, cfg.lease_s, members, calls)
+    rows = journal.Journal(shards.Parts(api, held, calls), cfg, boot)
+    view = config.Config(process, cfg, api, calls, members)
     kept = control_answers.Answers(api)
     server = rpc.RpcServer(keys)
-    for serving in (rows, view, kept):
+    for serving in (members, held, rows, view, kept):
         serving.serve(server)
     services.register('peers', calls)
     services.register('membership', members)
