--- a/beryllug/control/config.py
+++ b/beryllug/control/config.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from absl import logging
 
 from beryllug.control import (
     config_holder,
+    config_tidy,
     config_watch,
     neighbours,
     part_fetch,
@@ -28,7 +29,14 @@
     view_data,
     view_parts,
 )
-from beryllug.drivers import methods, object_api, object_data, rpc
+from beryllug.drivers import (
+    methods,
+    object_api,
+    object_data,
+    part_collector,
+    rpc,
+)
+from beryllug.kernel import metrics
 
 START_S = 2.0
 KEYS_TICK_S = 10.0
@@ -42,6 +50,7 @@
 
     Attributes:
         process: Who this process is.
+        others: The other control processes.
         watch: The watch of the platform, with the store behind it.
         push: The exchange with peers.
         feed: The streams to entries.
@@ -60,7 +69,7 @@
         self._holder = config_holder.ConfigHolder()
         self.process = process
         self._cfg = cfg
-        self._others = others
+        self.others = others
         self._before = self._holder.held
         self._tasks: list[asyncio.Task[None]] = []
         self.watch = config_watch.ConfigWatch(
@@ -68,6 +77,7 @@
         )
         self.push = view_push.ViewPush(self._holder, calls, others, cfg.listen)
         self.feed = view_feed.ViewFeed(cfg.heartbeat_s, self.accepts)
+        self._collector = part_collector.PartCollector(self.watch.store, api)
         self._holder.listen(self._on_change)
 
     @property
@@ -149,6 +159,9 @@
             asyncio.create_task(self.watch.run_keys()),
             asyncio.create_task(self.push.run(interval_s)),
             asyncio.create_task(self._tend_keys()),
+            asyncio.create_task(
+                config_tidy.run(self._collector, self.others.is_first)
+            ),
         ]
 
     async def stop(self, grace_s: float) -> None:
@@ -163,8 +176,8 @@
         return {
             **self._holder.dump(time.monotonic()),
             'accepts': self.accepts(),
-            'watches': self._others.watches(),
-            'others': list(self._others.everyone()),
+            'watches': self.others.watches(),
+            'others': list(self.others.everyone()),
             'entries': self.feed.dump(),
             'rollouts': [
                 status._asdict() for status in self.feed.parts.rollouts
@@ -172,6 +185,28 @@
             'suspects': len(self.feed.parts.suspects),
         }
 
+    def measure(self) -> Iterable[metrics.Sample]:
+        """Return revision, contact and the streams as numbers."""
+        yield metrics.Sample(
+            'config_revision', self.revision, 'Revision in force here.'
+        )
+        yield metrics.Sample(
+            'config_accepts', self.accepts(), 'Whether new work is taken.'
+        )
+        yield metrics.Sample(
+            'config_entries',
+            len(self.feed.followers()),
+            'Entry processes that follow this one.',
+        )
+        for source, taken in self._holder.counts.items():
+            yield metrics.Sample(
+                'config_offers',
+                taken,
+                'Revisions that were brought here.',
+                metrics.Kind.COUNTER,
+                {'outcome': source},
+            )
+
     async def _read_platform(self) -> None:
         try:
             await self.watch.read()
@@ -199,6 +234,6 @@
                     revision=held.revision, document=held.document
                 )
             )
-            if self._others.watches():
+            if self.others.watches():
                 self.push.spread(before)
         self._show_keys()
--- a/beryllug/control/config_holder.py
+++ b/beryllug/control/config_holder.py
@@ -34,6 +34,7 @@
         held: The configuration.
         keys: The session keys.
         contact: When platform and peers were heard last.
+        counts: Revisions brought here, by source and by what became of them.
     """
 
     def __init__(self) -> None:
@@ -41,7 +42,7 @@
         self.held = config_state.Held()
         self.keys = HeldKeys()
         self.contact = config_state.Contact()
-        self._counts: Counter[str] = Counter()
+        self.counts: Counter[str] = Counter()
         self._listeners: list[Listener] = []
 
     def listen(self, listener: Listener) -> None:
@@ -60,7 +61,7 @@
         """Take a configuration if it is newer; tell whether it was."""
         taken = config_state.newer(self.held, offered) is offered
         word = 'taken' if taken else 'refused'
-        self._counts[f'{word}_from_{source}'] += 1
+        self.counts[f'{word}_from_{source}'] += 1
         if not taken:
             return False
         self.held = offered
@@ -91,7 +92,7 @@
             'keys_version': self.keys.version,
             'platform_heard_s_ago': _age(self.contact.platform_at, now),
             'peer_heard_s_ago': _age(self.contact.peer_at, now),
-            'counts': dict(self._counts),
+            'counts': dict(self.counts),
         }
 
     def _tell(self) -> None:
--- a/beryllug/control/config_test.py
+++ b/beryllug/control/config_test.py
@@ -111,6 +111,8 @@
         for module, name in (
             (config_store, 'PAUSE_S'),
             (config_watch, 'STANDBY_S'),
+            (config_watch, 'RETRY_S'),
+            (config_watch, 'MAX_RETRY_S'),
         ):
             patched = mock.patch.object(module, name, BEAT_S)
             patched.start()
--- /dev/null
+++ b/beryllug/control/fleet_status.py
@@ -0,0 +1,102 @@
+"""The state of every process of the fleet, gathered when it is asked for.
+
+Each control process knows itself and the entries that follow it. An operator
+asks one of them, which asks all others once; nothing is gathered otherwise.
+"""
+
+import asyncio
+from typing import Any
+
+from beryllug.control import config, part_fetch
+from beryllug.core import rpc_data, settings_data
+from beryllug.drivers import methods, rpc
+
+CALL_S = 1.0
+AT_ONCE = 32
+
+Processes = tuple[rpc_data.ProcessStatus, ...]
+
+
+class FleetStatus:
+    """Tells the state of this process, and gathers that of all others."""
+
+    def __init__(
+        self, view: config.Config, calls: part_fetch.PeerCalls
+    ) -> None:
+        """Bind to the configuration service and the calls of peers."""
+        self._view = view
+        self._calls = calls
+        self._gate = asyncio.Semaphore(AT_ONCE)
+
+    def serve(self, server: rpc.RpcServer) -> None:
+        """Register the method that other control processes call."""
+        server.unary(methods.STATUS, self.on_status)
+
+    async def on_status(self, ask: rpc_data.Empty) -> rpc_data.StatusReply:
+        """Tell of this process and of the entries that follow it."""
+        return rpc_data.StatusReply(self.own())
+
+    def own(self) -> Processes:
+        """Return this process and the entries that follow it."""
+        process = self._view.process
+        control = rpc_data.ProcessStatus(
+            name=process.name,
+            role=settings_data.Role.CONTROL.value,
+            zone=process.zone,
+            revision=self._view.revision,
+            accepts=self._view.accepts(),
+            host=process.host,
+        )
+        entries = (
+            rpc_data.ProcessStatus(
+                name=name,
+                role=settings_data.Role.ENTRY.value,
+                zone=zone,
+                revision=revision,
+                accepts=self._view.accepts(),
+            )
+            for name, zone, revision in self._view.feed.followers()
+        )
+        return (control, *entries)
+
+    async def gather(self) -> Processes:
+        """Return all processes; those that don't answer are named, too."""
+        others = self._view.others.everyone()
+        replies = await asyncio.gather(*map(self._ask, others))
+        return (*self.own(), *(item for reply in replies for item in reply))
+
+    def backends(self) -> list[dict[str, Any]]:
+        """Return the backend servers with their last reported load."""
+        parts = self._view.feed.parts
+        loads = {load.server_id: load for load in parts.loads}
+        listed = []
+        for server in parts.servers:
+            load = loads.get(server.server_id)
+            listed.append(
+                {
+                    **server._asdict(),
+                    'running': load and load.running,
+                    'queued': load and load.queued,
+                    'reported_at': load and load.reported_at,
+                }
+            )
+        return listed
+
+    async def _ask(self, address: str) -> Processes:
+        async with self._gate:
+            try:
+                reply = await self._calls.call(
+                    address, methods.STATUS, rpc_data.Empty(), CALL_S
+                )
+            except rpc.RpcError as exc:
+                return (_silent(address, exc),)
+        return reply.processes
+
+
+def _silent(address: str, exc: rpc.RpcError) -> rpc_data.ProcessStatus:
+    return rpc_data.ProcessStatus(
+        name=address,
+        role=settings_data.Role.CONTROL.value,
+        zone='',
+        state=f'no answer: {exc.code}',
+    )
--- a/beryllug/control/neighbours.py
+++ b/beryllug/control/neighbours.py
@@ -12,6 +12,7 @@
 from beryllug.core import rendezvous, settings_data
 
 WATCHERS = 'config watchers'
+CHORES = 'config chores'
 
 
 class Members(Protocol):
@@ -47,6 +48,11 @@
         """Tell whether this process is to watch the platform."""
         return self._process.name in self._watchers()
 
+    def is_first(self) -> bool:
+        """Tell whether this process does what one of the fleet has to do."""
+        own = self._process.name
+        return rendezvous.order(CHORES, {own, *self._live()})[0] == own
+
     def everyone(self) -> tuple[str, ...]:
         """Return the addresses of all other control processes."""
         live = self._others(self._live())
--- a/beryllug/control/view_feed.py
+++ b/beryllug/control/view_feed.py
@@ -8,13 +8,21 @@
 import asyncio
 import time
 from collections.abc import AsyncGenerator, Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from beryllug.core import rpc_data, view_parts
 
 Accepts = Callable[[], bool]
 
 
+class Follower(NamedTuple):
+    """An entry process, and the revision that it was sent last."""
+
+    entry: str
+    zone: str
+    revision: int
+
+
 class ViewFeed:
     """The parts of the view, and the streams that send them."""
 
@@ -30,7 +38,7 @@
         self._accepts = accepts
         self._changed = asyncio.Event()
         self._opened = asyncio.Event()
-        self._sent: dict[str, int] = {}
+        self._followers: dict[str, Follower] = {}
 
     def open(self) -> None:
         """Let the streams begin.
@@ -48,8 +56,12 @@
         self._changed = asyncio.Event()
 
     def dump(self) -> dict[str, Any]:
-        """Return the entries that follow and the revision each was sent."""
-        return dict(self._sent)
+        """Return the revision that each entry was sent."""
+        return {found.entry: found.revision for found in self.followers()}
+
+    def followers(self) -> tuple[Follower, ...]:
+        """Return the entries that follow."""
+        return tuple(self._followers.values())
 
     async def stream(
         self, ask: rpc_data.ViewAsk
@@ -63,10 +75,12 @@
                 present = self.parts
                 yield self._update(sent, present, ask.entry)
                 sent = present
-                self._sent[ask.entry] = present.revision
+                self._followers[ask.entry] = Follower(
+                    ask.entry, ask.zone, present.revision
+                )
                 await self._wait(changed)
         finally:
-            self._sent.pop(ask.entry, None)
+            self._followers.pop(ask.entry, None)
 
     def _update(
         self,
--- a/beryllug/core/rpc_data.py
+++ b/beryllug/core/rpc_data.py
@@ -253,3 +253,31 @@
     """Those of the parts that the peer holds, up to a bound of size."""
 
     parts: tuple[ConfigPart, ...]
+
+
+class ProcessStatus(NamedTuple):
+    """What is known of one process of the fleet.
+
+    Attributes:
+        name: Its name.
+        role: Entry or control.
+        zone: Its availability zone.
+        revision: Revision in force there; for an entry the one last sent.
+        accepts: Whether entries may take new work by what it knows.
+        state: ``live``, or why nothing more is known.
+        host: Its entry host, where known.
+    """
+
+    name: str
+    role: str
+    zone: str
+    revision: int = 0
+    accepts: bool = False
+    state: str = 'live'
+    host: str = ''
+
+
+class StatusReply(NamedTuple):
+    """A control process and the entries that follow it."""
+
+    processes: tuple[ProcessStatus, ...]
--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -24,3 +24,4 @@
 )
 PROBE = rpc.Method('Probe', member_data.ProbeAsk, member_data.ProbeReply)
 LEASE_GIVEN = rpc.Method('LeaseGiven', lease_data.Given, rpc_data.Empty)
+STATUS = rpc.Method('Status', rpc_data.Empty, rpc_data.StatusReply)
