Send nothing on a view that is known to be old

Two reasons: the last look before a dispatch asked the view only, and messages that waited in the socket over the freeze counted as fresh. Ruled out: a shorter blind_s alone; the stale messages would still reset it. Change: the last look also asks whether the view may be used, and the age of a message counts from when it was sent.

--- a/beryllug/entry/attempts.py
+++ b/beryllug/entry/attempts.py
@@ -25,7 +25,7 @@
 RETRY_AFTER_S = 1.0
 
 Send = Callable[[view_data.BackendServer], Awaitable[http_client.Incoming]]
-Allowed = Callable[[], bool]
+Barred = Callable[[], refusal.Code | None]
 
 
 class Order(NamedTuple):
@@ -34,13 +34,13 @@
     Attributes:
         pick: What is asked of the choice of a server.
         send: Sends the request to a server and returns the answer's head.
-        allowed: Whether the version may be used at this moment.
+        barred: Why it may not be sent at this moment, None where it may.
         probe: Told of each attempt.
     """
 
     pick: balance_data.Pick
     send: Send
-    allowed: Allowed
+    barred: Barred
     probe: probe.Probe
 
 
@@ -101,8 +101,9 @@
     async def _attempt(
         self, call: call_data.Call, order: Order, excluded: frozenset[str]
     ) -> Opened | _Failed:
-        if not order.allowed():
-            raise _withdrawn(order.pick.version)
+        code = order.barred()
+        if code is not None:
+            raise _barred(code, order.pick.version)
         now = time.monotonic()
         pick = order.pick._replace(excluded=excluded)
         server = self._routing.choose(pick, now)
@@ -216,11 +217,15 @@
         incoming.close()
 
 
-def _withdrawn(version: config_data.VersionRef | None) -> Exception:
+def _barred(
+    code: refusal.Code, version: config_data.VersionRef | None
+) -> Exception:
     name = f'{version.model}@{version.version}' if version else 'it'
     return refusal.RefusedError(
         refusal.Refusal(
-            refusal.Code.WITHDRAWN, f'version {name} may not be used any more'
+            code,
+            f'{name} may not be used now: {code.value}',
+            retry_after_s=RETRY_AFTER_S,
         )
     )
 
--- a/beryllug/entry/chat_order.py
+++ b/beryllug/entry/chat_order.py
@@ -1,6 +1,14 @@
 """Orders for the attempts of a chat call."""
 
-from beryllug.core import balance_data, request_data, versions, view_data
+import time
+
+from beryllug.core import (
+    balance_data,
+    refusal,
+    request_data,
+    versions,
+    view_data,
+)
 from beryllug.drivers import engine_data, http_client
 from beryllug.entry import attempts, chat_data, parts
 
@@ -28,16 +36,23 @@
             turn.call.facts.prefix_key,
         ),
         send=send,
-        allowed=lambda: _is_current(wired, turn),
+        barred=lambda: _barred(wired, turn),
         probe=turn.probe,
     )
 
 
-def _is_current(wired: parts.Parts, turn: chat_data.Turn) -> bool:
-    """Tell whether the turn's version may still get its work."""
+def _barred(wired: parts.Parts, turn: chat_data.Turn) -> refusal.Code | None:
+    """Tell why the turn's version may not get its work now, if so.
+
+    A process that was frozen since the call was admitted may not have heard
+    of a withdrawal; it sends nothing on a view that it knows to be old.
+    """
+    if not wired.link.may_accept(time.monotonic()):
+        return refusal.Code.CUT_OFF
     view = wired.link.known.view
     account = turn.call.account
     for declared in view.document.accounts:
         if declared.account_id == account.account_id:
-            return versions.is_current(view, declared, turn.version.ref)
-    return False
+            current = versions.is_current(view, declared, turn.version.ref)
+            return None if current else refusal.Code.WITHDRAWN
+    return refusal.Code.NOT_ALLOWED
--- a/beryllug/entry/control_link.py
+++ b/beryllug/entry/control_link.py
@@ -90,7 +90,12 @@
             await asyncio.sleep(RETRY_S)
 
     def _take(self, update: rpc_data.ViewUpdate) -> None:
-        self._heard_at = time.monotonic()
+        # A process that was frozen finds messages in its socket that are as
+        # old as the freeze. Taking them for fresh would let it dispatch on a
+        # version that was withdrawn meanwhile; their age is what counts.
+        age_s = max(0, time.time() - update.sent_at)
+        heard_at = time.monotonic() - age_s
+        self._heard_at = max(self._heard_at, heard_at)
         before = self.known
         self.known = view_merge.merge(before, update)
         if self.known.view != before.view:
--- a/beryllug/entry/plain.py
+++ b/beryllug/entry/plain.py
@@ -148,19 +148,22 @@
         return attempts.Order(
             pick=balance_data.Pick(pool),
             send=send,
-            allowed=lambda: self._is_allowed(call),
+            barred=lambda: self._barred(call),
             probe=probe.NoProbe(),
         )
 
-    def _is_allowed(self, call: call_data.Call) -> bool:
-        """Tell whether the account may still call the service."""
+    def _barred(self, call: call_data.Call) -> refusal.Code | None:
+        """Tell why the service may not be called now, if so."""
+        if not self._parts.link.may_accept(time.monotonic()):
+            return refusal.Code.CUT_OFF
         view = self._parts.link.known.view
         asked = call.facts.asked
-        return any(
+        allowed = any(
             account.account_id == call.account.account_id
             and asked in account.services
             for account in view.document.accounts
         )
+        return None if allowed else refusal.Code.NOT_ALLOWED
 
 
 def _ask(call: call_data.Call) -> plain_service.PlainAsk:
--- a/beryllug/proofs/scenario.py
+++ b/beryllug/proofs/scenario.py
@@ -14,10 +14,17 @@
 
 
 class Running(NamedTuple):
-    """A deployment and its traffic, given to what makes things fail."""
+    """A deployment and its traffic, given to what makes things fail.
+
+    Attributes:
+        fleet: The deployment.
+        traffic: Its traffic.
+        marks: Wall-clock seconds that a proof wants to remember.
+    """
 
     fleet: harness.Fleet
     traffic: traffic.Traffic
+    marks: dict[str, float]
 
 
 Fault = Callable[[Running], Awaitable[None]]
@@ -32,6 +39,7 @@
         plan: The deployment.
         document: Allows whatever any document of the run allowed.
         kinds: Kinds of requests.
+        look: Looks at the records of the other side at the end.
     """
 
     seed: int
@@ -39,6 +47,7 @@
     plan: harness.Plan = sample.plan(HOSTS)
     document: config_data.Document = sample.document()
     kinds: tuple[str, ...] = traffic.KINDS
+    look: Callable[[Running], None] | None = None
 
 
 async def run(case: Case) -> tuple[invariants.Report, list[traffic.Sent]]:
@@ -48,27 +57,29 @@
         The checked invariants, and every request with what its caller got.
     """
     fleet = harness.Fleet(case.plan)
+    sending = traffic.Traffic(fleet, case.seed, case.kinds)
+    running = Running(fleet, sending, {})
     try:
-        await fleet.start()
-        sent = await _drive(fleet, case)
-        await settle(fleet)
-        report = invariants.check(fleet, sent, case.document)
+        report = await _drive(running, case)
     finally:
         await fleet.stop()
-    return report, sent
+    return report, sending.sent
 
 
-async def _drive(fleet: harness.Fleet, case: Case) -> list[traffic.Sent]:
-    """Send requests before, during and after the fault."""
-    sending = traffic.Traffic(fleet, case.seed, case.kinds)
-    sending.start()
+async def _drive(running: Running, case: Case) -> invariants.Report:
+    """Send requests before, during and after the fault, then check."""
+    await running.fleet.start()
+    running.traffic.start()
     try:
-        await sending.reach(WARM_REQUESTS)
-        await case.fault(Running(fleet, sending))
-        await sending.reach(WARM_REQUESTS)
+        await running.traffic.reach(WARM_REQUESTS)
+        await case.fault(running)
+        await running.traffic.reach(WARM_REQUESTS)
     finally:
-        sent = await sending.stop()
-    return sent
+        sent = await running.traffic.stop()
+    await settle(running.fleet)
+    if case.look is not None:
+        case.look(running)
+    return invariants.check(running.fleet, sent, case.document)
 
 
 async def settle(fleet: harness.Fleet) -> None:
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -84,6 +84,9 @@
     keys: fleet_key.KeyRing,
 ) -> ops.Ready:
     name = settings.process.name
+    # Names this start of the process too: what an earlier start had open is
+    # not running any more.
+    start = f'{name}/{_boot()}'
     client = http_client.HttpClient()
     calls = control_calls.ControlCalls(cfg.controls, keys)
     link = control_link.ControlLink(settings.process, cfg, calls)
@@ -97,11 +100,11 @@
         routing=routes,
         admission=admission.Admission(len(cfg.controls), link, routes),
         attempts=attempts.Attempts(routes, crash_reports),
-        bills=bills.Bills(name, rows),
+        bills=bills.Bills(start, rows),
         answers=answers.Answers(calls),
-        sessions=sessions.Sessions(name, link, rows),
+        sessions=sessions.Sessions(start, link, rows),
         crashes=crash_reports,
-        exposure=exposure.Exposure(f'{name}/{_boot()}', calls, link, rated),
+        exposure=exposure.Exposure(start, calls, link, rated),
         ratings=rated,
         cascades=cascade_data.CascadeState(),
         engine=engine.HttpEngine(client, ENGINE_S),
--- a/beryllug/standins/harness.py
+++ b/beryllug/standins/harness.py
@@ -75,7 +75,20 @@
 
 
 class Fleet:
-    """A running deployment."""
+    """A running deployment.
+
+    Attributes:
+        plan: What it was made from.
+        platform: The object API.
+        host_list: The host list.
+        rating: The rating service.
+        weights: The weight store.
+        servers: Backend servers by name.
+        hosts: Addresses of the entry hosts' processes.
+        client: For calls of the outside parties and operators' addresses.
+        processes: The daemons.
+        revision: Revision of the last document that was applied.
+    """
 
     def __init__(self, plan: Plan) -> None:
         """Make a deployment; `start` starts it."""
