Choose by cost, admit by fair share and reserves

Cause: two random choices lost to least connections near capacity, and admission by fixed parts of a pool refused lookups that had time to wait. Change: least expected cost over the subset, prefix affinity by session, other entries' unseen dispatches counted in; admission by slack, reserves that grow with the root of the slots, and max-min shares of what is asked.

--- a/beryllug/bench/workload.py
+++ b/beryllug/bench/workload.py
@@ -15,6 +15,7 @@
 SESSION_TURNS = 4
 OPEN_SESSIONS = 8
 SYSTEM_PROMPT = 600
+PLAIN = 'plain'
 TURN_TOKENS = 160
 SPREAD = 0.5
 LEAST_TOKENS = 8
@@ -38,6 +39,11 @@
     tokens_out: int
     repeatable: bool = True
 
+    @property
+    def plain(self) -> bool:
+        """Tell whether a plain service runs it."""
+        return self.pool == PLAIN
+
 
 class Request(NamedTuple):
     """One request of the load.
@@ -127,7 +133,8 @@
         """Draw a request that arrives at a second."""
         account = self._account(at)
         kind = self._rng.choices(self._kinds, self._kind_parts)[0]
-        session, turn = self._session(account)
+        # Only a model's prompt grows with the session.
+        session, turn = ('', 0) if kind.plain else self._session(account)
         spread = self._rng.lognormvariate(-SPREAD * SPREAD / 2, SPREAD)
         return Request(
             number=next(self._numbers),
--- a/beryllug/core/balance.py
+++ b/beryllug/core/balance.py
@@ -10,7 +10,6 @@
 import random
 import zlib
 from collections.abc import Sequence
-from typing import NamedTuple
 
 from beryllug.core import balance_data, ejection, server_load, view_data
 
@@ -20,14 +19,6 @@
 MIX_SHIFT = 15
 
 
-class _Option(NamedTuple):
-    """A member that may be chosen, with its load and cost."""
-
-    member: balance_data.Member
-    load: int
-    cost: float
-
-
 def build_fleet(
     view: view_data.View, entry: str, zone: str, subset: int = SUBSET
 ) -> balance_data.Fleet:
@@ -80,19 +71,22 @@
     usable = _usable(state, pool, pick, now)
     if not usable:
         return None
+    rng.shuffle(usable)
     match policy:
+        case balance_data.LeastCost():
+            costs = _costs(state, pool, usable, pick, policy, now)
+            return usable[costs.index(min(costs))].server
         case balance_data.TwoChoices():
-            options = _options(state, pool, usable, policy, now)
-            return _two_choices(options, pick, policy, rng)
+            return _least_loaded(state, usable[:2], now).server
         case balance_data.LeastConnections():
             return min(
                 usable,
                 key=lambda member: (
-                    server_load.track(state, member.server.server_id).in_flight,
-                    rng.random(),
+                    server_load.track(state, member.server.server_id).in_flight
                 ),
             ).server
         case balance_data.RoundRobin():
+            usable.sort(key=lambda member: member.server.server_id)
             turn = state.turns.get(pick.pool, rng.randrange(len(usable)))
             state.turns[pick.pool] = turn + 1
             return usable[turn % len(usable)].server
@@ -142,58 +136,53 @@
     return ready or usable
 
 
-def _options(
+def _least_loaded(
+    state: balance_data.BalanceState,
+    members: Sequence[balance_data.Member],
+    now: float,
+) -> balance_data.Member:
+    return min(
+        members,
+        key=lambda member: server_load.load_of(
+            server_load.track(state, member.server.server_id), now
+        ),
+    )
+
+
+def _costs(
     state: balance_data.BalanceState,
     pool: balance_data.PoolFleet,
     usable: Sequence[balance_data.Member],
-    policy: balance_data.TwoChoices,
+    pick: balance_data.Pick,
+    policy: balance_data.LeastCost,
     now: float,
-) -> list[_Option]:
+) -> list[float]:
+    owner = _prefix_owner(usable, pick.prefix_key)
     slots = pool.pool.concurrency
-    options = []
+    costs = []
     for member in usable:
         seen = server_load.track(state, member.server.server_id)
-        load = server_load.load_of(seen, now)
-        cost = seen.slowness * (load + 1) / slots
-        if member.remote:
-            cost += policy.remote_cost
-        options.append(_Option(member, load, cost))
-    return options
-
-
-def _two_choices(
-    options: Sequence[_Option],
-    pick: balance_data.Pick,
-    policy: balance_data.TwoChoices,
-    rng: random.Random,
-) -> view_data.BackendServer:
-    if pick.prefix_key:
-        near = _with_prefix(options, pick.prefix_key, policy)
-        if near is not None:
-            return near.member.server
-    if len(options) == 1:
-        return options[0].member.server
-    first, second = rng.sample(options, 2)
-    better = first if first.cost <= second.cost else second
-    return better.member.server
-
-
-def _with_prefix(
-    options: Sequence[_Option],
-    prefix_key: str,
-    policy: balance_data.TwoChoices,
-) -> _Option | None:
-    """Return the server that owns a prefix unless it is loaded.
-
-    The bound on its load keeps one popular prefix from making one server hot
-    while the others idle.
+        load = server_load.load_of(seen, now, policy.others)
+        first = policy.cached if member is owner else 1
+        crowded = first * (1 + load / slots)
+        waiting = max(0, load + 1 - policy.knee * slots)
+        cost = seen.slowness * (crowded + policy.queue * waiting)
+        costs.append(cost + policy.remote * member.remote)
+    return costs
+
+
+def _prefix_owner(
+    usable: Sequence[balance_data.Member], prefix_key: str
+) -> balance_data.Member | None:
+    """Return the server that has a prefix cached if any has.
+
+    Every entry finds the same one by a rendezvous hash and none has to be
+    told; cache events come late and with gaps.
     """
+    if not prefix_key:
+        return None
     key = zlib.crc32(prefix_key.encode())
-    owner = max(options, key=lambda option: _weight(key, option.member.seed))
-    mean = sum(option.cost for option in options) / len(options)
-    if owner.cost <= mean * (1 + policy.affinity_slack):
-        return owner
-    return None
+    return max(usable, key=lambda member: _weight(key, member.seed))
 
 
 def _weight(key: int, seed: int) -> int:
--- a/beryllug/core/balance_data.py
+++ b/beryllug/core/balance_data.py
@@ -48,6 +48,8 @@
 
     Attributes:
         in_flight: Our requests on it.
+        smoothed: Their mean over the last seconds.
+        smoothed_at: When `smoothed` was last brought up to date.
         changes: Times and signs of our dispatches and ends that its last
             report may not contain.
         change: Sum of these signs.
@@ -64,6 +66,8 @@
     """
 
     in_flight: int = 0
+    smoothed: float = 0.0
+    smoothed_at: float = 0.0
     changes: deque[tuple[float, int]] = field(default_factory=deque)
     change: int = 0
     reported: int | None = None
@@ -86,17 +90,33 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TwoChoices:
-    """The cheaper of two random servers, with affinity to prompt prefixes.
+class LeastCost:
+    """The server where the first token is expected soonest.
+
+    Costs are in units of a first token on an idle server without a cached
+    prefix.
 
     Attributes:
-        affinity_slack: How far above the mean load the server that has the
-            prefix cached may be and still be taken.
-        remote_cost: Cost of another zone, in parts of a server's slots.
+        cached: Cost where the prompt's prefix is probably cached.
+        queue: Cost of each request above the knee.
+        knee: Part of a server's slots above which a request may have to wait
+            for one, reports being as late as they are.
+        remote: Cost of another availability zone.
+        others: How many requests of other entry processes are taken to have
+            followed each of ours since a server's last report. They read the
+            same report and prefer the same server: half of their number.
     """
 
-    affinity_slack: float = 0.25
-    remote_cost: float = 0.1
+    cached: float = 0.3
+    queue: float = 1.0
+    knee: float = 0.9
+    remote: float = 0.02
+    others: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class TwoChoices:
+    """The less loaded of two random servers: a baseline."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +129,7 @@
     """The server with the fewest requests of ours: a baseline."""
 
 
-BalancePolicy = TwoChoices | RoundRobin | LeastConnections
+BalancePolicy = LeastCost | TwoChoices | RoundRobin | LeastConnections
 
 
 class Pick(NamedTuple):
--- a/beryllug/core/estimates.py
+++ b/beryllug/core/estimates.py
@@ -13,6 +13,7 @@
 DEFAULT_FIRST_TOKEN_S = 0.2
 DEFAULT_SERVICE_S = 2.0
 QUIET_SHARE = 0.9
+RISE = 0.3
 
 
 class Key(NamedTuple):
@@ -78,6 +79,8 @@
     if load_share <= QUIET_SHARE:
         found.quiet_samples += 1
         weight = _weight(found.quiet_samples)
+        if first_token_s > found.first_token_s:
+            weight *= RISE
         found.first_token_s += weight * (first_token_s - found.first_token_s)
 
 
--- a/beryllug/core/limits.py
+++ b/beryllug/core/limits.py
@@ -1,12 +1,15 @@
-"""Admission: per-account shares, reserved room, and refusal at once.
+"""Admission: reserved room, fair shares, and refusal at once.
 
 A request is either dispatched now or refused now with a time after which
 asking again can help. Nothing waits in the entry: a request that is held back
 and refused near its deadline costs its caller the whole target for nothing.
 
-An account may always use its share of a pool. What others leave idle it may
-borrow, up to a reserve. Requests of the bulk class never take the last part of
-a pool, so that a lookup finds a slot although reports run for minutes.
+How far a pool may be filled depends on who asks. Urgent requests may queue for
+a part of their slack. Bulk requests leave a reserve of free slots, so that a
+lookup finds one although reports run for minutes. An account above its fair
+share leaves a reserve too, so that another account's first request finds the
+pool as it was. Reserves grow with the root of the slots, as the fluctuation of
+the load does: a large pool needs a smaller part of itself free.
 """
 
 import math
@@ -15,13 +18,17 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from beryllug.core import config_data, request_data
-
-BORROWED_MOST = 0.85
-BULK_MOST = 0.6
-FULL_MOST = 1.5
-USE_SMOOTHING_S = 3.0
-ACTIVE_S = 10.0
+from beryllug.core import config_data, request_data, shares
+
+URGENT_SLACK_PART = 0.6
+NORMAL_RESERVE = 0.5
+SHARED_RESERVE = 1.0
+CHANCE = 1.0
+FLOOD = 1.75
+OVERFLOW = 3.0
+BULK_RESERVE = 2.5
+MOST_RESERVED_PART = 0.5
+SLOT_SMOOTHING = 0.02
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 30.0
 MS = 1000
@@ -56,35 +63,11 @@
     priority: request_data.Priority
 
 
-@dataclass(slots=True)
-class Use:
-    """Use of a pool by one account through this process.
-
-    Attributes:
-        in_flight: Requests now.
-        smoothed: Mean requests over the last seconds.
-        at: When `smoothed` was last brought up to date.
-    """
-
-    in_flight: int = 0
-    smoothed: float = 0.0
-    at: float = 0.0
-
-
-@dataclass(slots=True)
-class PoolUse:
-    """Use of one pool through this process."""
-
-    accounts: dict[str, Use] = field(default_factory=dict)
-    total: int = 0
-    bulk: int = 0
-
-
 @dataclass(slots=True)
 class LimitState:
-    """Uses of every pool; only the routing service changes them."""
+    """Uses of every pool; only the admission service changes them."""
 
-    pools: dict[str, PoolUse] = field(default_factory=dict)
+    pools: dict[str, shares.PoolUse] = field(default_factory=dict)
 
 
 class Room(NamedTuple):
@@ -99,7 +82,7 @@
 
     pool: str
     slots: int
-    load: int
+    load: float
     entries: int
 
 
@@ -110,7 +93,7 @@
         account_id: The client account.
         targets: Service targets of the request's class.
         first_token_s: Expected seconds to the first token without a wait.
-        service_s: Expected seconds for which a slot is taken.
+        service_s: Expected seconds from the first token to the end.
         elapsed_s: Seconds since the request arrived.
     """
 
@@ -140,15 +123,20 @@
     Returns:
         A ticket to give back when the request ends, or the refusal.
     """
+    use = _pool_use(state, room.pool)
+    shares.asks(use, ask.account_id, _own_slot_s(ask), now)
     if not room.slots:
         return Refused(Why.DOWN, _retry_after(ask.service_s))
-    use = _pool_use(state, room.pool)
-    priority = request_data.priority(ask.targets)
-    why = _why_not(use, weights, room, ask, now)
-    if why is not None:
-        return Refused(why, _drain_s(room, ask))
-    _change(use, Ticket(room.pool, ask.account_id, priority), 1, now)
-    return Ticket(room.pool, ask.account_id, priority)
+    if _slack_s(ask) < 0:
+        return Refused(Why.LATE, _retry_after(ask.service_s))
+    load = max(room.load, use.total)
+    over = load + 1 - _most_load(use, room, ask)
+    if over > 0:
+        wait_s = over * _slot_s(use, ask) / room.slots
+        return Refused(Why.FULL, _retry_after(wait_s))
+    if _is_over_share(use, weights, room, ask, now):
+        return Refused(Why.SHARE, _retry_after(shares.SMOOTHING_S))
+    return _take(use, room, ask, now)
 
 
 def release(state: LimitState, ticket: Ticket, now: float) -> None:
@@ -156,90 +144,86 @@
     _change(_pool_use(state, ticket.pool), ticket, -1, now)
 
 
-def share(
-    state: LimitState,
+def _is_over_share(
+    use: shares.PoolUse,
     weights: Mapping[str, int],
     room: Room,
-    account_id: str,
+    ask: Ask,
     now: float,
-) -> float:
-    """Return an account's share of a pool in slots of this process."""
-    use = _pool_use(state, room.pool)
-    active = sum(
-        weights.get(name, 1)
-        for name, one in use.accounts.items()
-        if name == account_id or one.in_flight or now - one.at < ACTIVE_S
+) -> bool:
+    """Tell whether the request is above its account's share of a full pool.
+
+    The more an account asks above its share, the earlier it is held to it. A
+    small excess may be chance and counts only when the pool overflows.
+    """
+    shared = _reserved(room, SHARED_RESERVE)
+    load = max(room.load, use.total)
+    if load + 1 <= shared:
+        return False
+    over = shares.excess(
+        use, weights, ask.account_id, shared / room.entries, now
     )
-    mine = weights.get(account_id, 1)
-    return room.slots / room.entries * mine / max(active, mine)
+    if over <= CHANCE:
+        return False
+    spare = max(FLOOD - over, 0) / (FLOOD - CHANCE)
+    if load + 1 <= shared + spare * OVERFLOW * math.sqrt(room.slots):
+        return False
+    return not shares.takes_turn(use, ask.account_id, over)
 
 
-def _why_not(
-    use: PoolUse,
-    weights: Mapping[str, int],
-    room: Room,
-    ask: Ask,
-    now: float,
-) -> Why | None:
+def _take(use: shares.PoolUse, room: Room, ask: Ask, now: float) -> Ticket:
+    use.slot_s += SLOT_SMOOTHING * (_own_slot_s(ask) - use.slot_s)
     priority = request_data.priority(ask.targets)
-    load = max(room.load, use.total)
-    filled = (load + 1) / room.slots
-    if priority is request_data.Priority.BULK and filled > BULK_MOST:
-        return Why.FULL
-    if _wait_s(room, ask) > _time_left_s(ask):
-        return Why.LATE
-    if filled <= BORROWED_MOST:
-        return None
-    mine = use.accounts.get(ask.account_id) or Use()
-    state = LimitState({room.pool: use})
-    allowed = share(state, weights, room, ask.account_id, now)
-    if _smoothed(mine, now) + 1 > max(allowed, 1) and mine.in_flight:
-        return Why.SHARE
-    return Why.FULL if filled > FULL_MOST else None
-
-
-def _wait_s(room: Room, ask: Ask) -> float:
-    """Return the expected wait for a slot.
-
-    What is above the slots leaves at the rate at which slots become free.
-    """
-    over = max(0, room.load + 1 - room.slots)
-    return over * ask.service_s / room.slots
+    ticket = Ticket(room.pool, ask.account_id, priority)
+    _change(use, ticket, 1, now)
+    return ticket
+
+
+def _change(use: shares.PoolUse, ticket: Ticket, sign: int, now: float) -> None:
+    shares.change(use, ticket.account_id, sign, now)
+    if ticket.priority is request_data.Priority.BULK:
+        use.bulk += sign
+
 
+def _most_load(use: shares.PoolUse, room: Room, ask: Ask) -> float:
+    """Return the load up to which a request of this sort is taken."""
+    match request_data.priority(ask.targets):
+        case request_data.Priority.BULK:
+            return _reserved(room, BULK_RESERVE)
+        case request_data.Priority.NORMAL:
+            return _reserved(room, NORMAL_RESERVE)
+        case request_data.Priority.URGENT:
+            per_s = room.slots / _slot_s(use, ask)
+            return room.slots + URGENT_SLACK_PART * _slack_s(ask) * per_s
 
-def _time_left_s(ask: Ask) -> float:
-    first = ask.targets.first_token_ms / MS - ask.elapsed_s
-    whole = ask.targets.total_ms / MS - ask.elapsed_s - ask.service_s
-    return min(first, whole) - ask.first_token_s
 
+def _reserved(room: Room, reserve: float) -> float:
+    kept = reserve * math.sqrt(room.slots)
+    return room.slots - min(kept, room.slots * MOST_RESERVED_PART)
 
-def _drain_s(room: Room, ask: Ask) -> float:
-    over = max(1, room.load + 1 - int(room.slots * BORROWED_MOST))
-    return _retry_after(over * ask.service_s / room.slots)
+
+def _slack_s(ask: Ask) -> float:
+    """Return the seconds that a request can wait and still meet its target."""
+    first = ask.targets.first_token_ms / MS
+    whole = ask.targets.total_ms / MS - ask.service_s
+    return min(first, whole) - ask.first_token_s - ask.elapsed_s
+
+
+def _slot_s(use: shares.PoolUse, ask: Ask) -> float:
+    return use.slot_s or _own_slot_s(ask)
+
+
+def _own_slot_s(ask: Ask) -> float:
+    return ask.first_token_s + ask.service_s
 
 
 def _retry_after(seconds: float) -> float:
     return min(max(seconds, LEAST_RETRY_S), MOST_RETRY_S)
 
 
-def _pool_use(state: LimitState, pool: str) -> PoolUse:
+def _pool_use(state: LimitState, pool: str) -> shares.PoolUse:
     use = state.pools.get(pool)
     if use is None:
-        use = PoolUse()
+        use = shares.PoolUse()
         state.pools[pool] = use
     return use
-
-
-def _change(use: PoolUse, ticket: Ticket, sign: int, now: float) -> None:
-    mine = use.accounts.setdefault(ticket.account_id, Use(at=now))
-    mine.smoothed = _smoothed(mine, now)
-    mine.at = now
-    mine.in_flight += sign
-    use.total += sign
-    if ticket.priority is request_data.Priority.BULK:
-        use.bulk += sign
-
-
-def _smoothed(use: Use, now: float) -> float:
-    kept = math.exp(-max(now - use.at, 0) / USE_SMOOTHING_S)
-    return kept * use.smoothed + (1 - kept) * use.in_flight
--- a/beryllug/core/server_load.py
+++ b/beryllug/core/server_load.py
@@ -6,12 +6,15 @@
 idle server and all of them go there.
 """
 
+import math
 from collections.abc import Iterable
 
 from beryllug.core import balance_data, view_data
 
 KEPT_S = 5.0
 STALE_S = 5.0
+SMOOTHING_S = 1.0
+DEVIATIONS = 2.0
 
 
 def track(
@@ -62,11 +65,53 @@
             _forget(seen, measured_at)
 
 
-def load_of(seen: balance_data.Track, now: float) -> int:
-    """Return the requests that a server is believed to have now."""
-    if seen.reported is None or now - seen.reported_at > STALE_S:
+def load_of(seen: balance_data.Track, now: float, others: float = 0) -> float:
+    """Return the requests that a server is believed to have now.
+
+    Args:
+        seen: The server's track.
+        now: The present second.
+        others: Requests of other entries that are taken to have followed
+            each of ours since the last report.
+    """
+    if seen.reported is None or not is_reported(seen, now):
         return seen.in_flight
-    return max(seen.reported + seen.change, seen.in_flight)
+    corrected = seen.reported + seen.change * (1 + others)
+    return max(corrected, seen.in_flight)
+
+
+def pool_load(
+    tracks: Iterable[balance_data.Track], entries: int, now: float
+) -> float:
+    """Return the requests that a pool is believed to have now.
+
+    A plain service reports no load. What the other entries have there is
+    taken to be what this one had on the mean of the last seconds, since the
+    balancer deals requests out evenly.
+    """
+    load = 0.0
+    mean = 0.0
+    ours = 0
+    for seen in tracks:
+        if is_reported(seen, now):
+            load += load_of(seen, now)
+        else:
+            mean += smoothed(seen, now)
+            ours += seen.in_flight
+    # A sudden overload shows in our own count seconds before its mean.
+    surely = ours - DEVIATIONS * math.sqrt(ours)
+    return load + max(ours, entries * max(mean, surely))
+
+
+def is_reported(seen: balance_data.Track, now: float) -> bool:
+    """Tell whether a server's last report still says something."""
+    return seen.reported is not None and now - seen.reported_at <= STALE_S
+
+
+def smoothed(seen: balance_data.Track, now: float) -> float:
+    """Return our mean requests on a server over the last seconds."""
+    kept = math.exp(-max(now - seen.smoothed_at, 0) / SMOOTHING_S)
+    return kept * seen.smoothed + (1 - kept) * seen.in_flight
 
 
 def keep_only(
@@ -84,6 +129,8 @@
 
 
 def _change(seen: balance_data.Track, sign: int, now: float) -> None:
+    seen.smoothed = smoothed(seen, now)
+    seen.smoothed_at = now
     seen.in_flight += sign
     seen.changes.append((now, sign))
     seen.change += sign
