--- a/beryllug/core/settings_data.py
+++ b/beryllug/core/settings_data.py
@@ -46,7 +46,12 @@
 
 
 class Fleet(NamedTuple):
-    """Section ``[fleet]``: keys by which processes know one another."""
+    """Section ``[fleet]``: how processes know one another.
+
+    Attributes:
+        keys: Keys that sign calls between processes; two while a key is
+            rotated, of which the first signs.
+    """
 
     keys: tuple[str, ...]
 
--- /dev/null
+++ b/beryllug/parsing/settings_page.py
@@ -0,0 +1,76 @@
+"""The page docs/SETTINGS.md, made from the records and their rules."""
+
+import inspect
+import re
+from collections.abc import Iterator
+from typing import Any
+
+from beryllug.parsing import settings_rules
+
+INTRODUCTION = """\
+# Settings
+
+A process reads one INI file, `beryllugd SETTINGS.ini`. Its role decides which
+sections it has: `process`, `operators` and `fleet` always, then `entry` or
+`control`. Unknown sections and keys are refused. Every broken key is reported
+at once with file, section and key, and the process ends with exit code 2.
+
+Durations are in seconds. Addresses are `ip:port`; names are never resolved.
+Lists are separated by commas or line ends. Comments start a line with `#` or
+`;`. Keys rotate by listing two: `fleet.keys` signs with the first and accepts
+both, `operators.keys` accepts both.
+
+Samples: `examples/entry.ini`, `examples/control.ini`.
+
+This page is made by `python -m beryllug.scripts.reference`.
+"""
+ATTRIBUTE = re.compile(r'^    (\w+): (.*)$')
+DEEPER = ' ' * 8
+
+
+def render() -> str:
+    """Return the whole page."""
+    sections = (
+        '\n'.join(_section(name, record))
+        for name, record in settings_rules.RECORDS.items()
+    )
+    return '\n'.join((INTRODUCTION, *sections))
+
+
+def _section(name: str, record: type[Any]) -> Iterator[str]:
+    documentation = inspect.getdoc(record) or ''
+    summary = documentation.splitlines()[0].partition(': ')[2]
+    texts = _texts(documentation)
+    yield f'## [{name}]'
+    yield ''
+    yield summary[:1].upper() + summary[1:]
+    yield ''
+    yield '| key | must be | default | meaning |'
+    yield '|---|---|---|---|'
+    for key in record._fields:
+        rule = settings_rules.rule_of(name, key)
+        allowed = settings_rules.describe(rule)
+        default = _default(record, key)
+        yield f'| `{key}` | {allowed} | {default} | {texts[key]} |'
+    yield ''
+
+
+def _default(record: type[Any], key: str) -> str:
+    if key not in record._field_defaults:
+        return 'must be given'
+    default = record._field_defaults[key]
+    return 'empty' if default in {'', ()} else f'`{default}`'
+
+
+def _texts(documentation: str) -> dict[str, str]:
+    """Return what a record's comment says of each of its fields."""
+    texts: dict[str, str] = {}
+    latest = ''
+    for line in documentation.splitlines():
+        match = ATTRIBUTE.match(line)
+        if match:
+            latest = match.group(1)
+            texts[latest] = match.group(2)
+        elif line.startswith(DEEPER) and latest:
+            texts[latest] = f'{texts[latest]} {line.strip()}'
+    return texts
--- a/beryllug/parsing/settings_rules.py
+++ b/beryllug/parsing/settings_rules.py
@@ -153,7 +153,8 @@
         case Address(_, optional):
             told = 'an ip:port or empty' if optional else 'an ip:port'
         case Addresses(least):
-            told = f'a list of at least {least} ip:port, each once'
+            few = f'at least {least} ' if least else ''
+            told = f'a list of {few}ip:port, each once'
         case Secrets():
             told = f'one or two keys of at least {MIN_KEY_LENGTH} characters'
         case Whole(low, high):
