Prove 'not run', at most once per key, whole streams and kept sessions

Cause: these promises had no proof at each place of a break. Found: the stand-ins' switch 'unavailable' said 'not run' in the body and not in the header that the adapter reads; mended in the stand-in. Ruled out: trusting the body's text; the header is the contract. Change: not_run_test (six places of a break for a hold, four for a stream), sessions_test (entry killed, share moved, withdrawal beats the pin).

--- /dev/null
+++ b/beryllug/proofs/not_run_test.py
@@ -0,0 +1,113 @@
+"""Refused as "not run" means not run, and a hold runs at most once.
+
+The connection to the backend server is broken at each place where it can
+break. What the caller is told is checked against what the servers ran.
+"""
+
+import unittest
+from typing import Any
+
+from beryllug.proofs import scenario
+from beryllug.standins import caller, harness, records, sample
+
+HOLDS = '/v1/services/booking/holds'
+NOT_RUN = 'not_run'
+UNKNOWN = 'unknown'
+
+# Where it breaks, what the caller may be told, how often it ran.
+HOLD_CASES: tuple[tuple[str, dict[str, Any], str, int], ...] = (
+    ('before connect', {'refuse': True}, NOT_RUN, 0),
+    ('server says not run', {'unavailable': True}, NOT_RUN, 0),
+    ('after the body, no effect', {'reset_before_run': True}, UNKNOWN, 0),
+    ('after the effect', {'drop_answer': True}, UNKNOWN, 1),
+    ('mid-answer', {'reset_at_byte': 5}, UNKNOWN, 1),
+    ('mid-answer, hard', {'reset_at_byte': 5, 'hard_reset': True}, UNKNOWN, 1),
+)
+STREAM_CASES: tuple[tuple[str, dict[str, Any]], ...] = (
+    ('no head', {'drop_answer': True}),
+    ('first byte', {'reset_at_byte': 1}),
+    ('mid-answer', {'reset_at_byte': 700}),
+    ('mid-answer, hard', {'reset_at_byte': 700, 'hard_reset': True}),
+)
+
+
+class NotRunTest(unittest.IsolatedAsyncioTestCase):
+    """Every place of a break, with two entry hosts."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the deployment."""
+        self.fleet = harness.Fleet(sample.plan())
+        await self.fleet.start()
+        self.caller = caller.Caller(sample.LARGE_KEY)
+        self.hosts = [ports.callers for ports in self.fleet.hosts]
+
+    async def asyncTearDown(self) -> None:
+        """Stop it."""
+        await self.caller.close()
+        await self.fleet.stop()
+
+    async def test_holds(self) -> None:
+        """A hold is told the truth, and its resend through another host too.
+
+        The caller sends a hold; its connection to the booking server breaks.
+        The servers heal and the caller sends it again under the same key
+        through the other host. What was told "not run" may run now; what
+        may have run must not.
+        """
+        for number, (title, broken, run, runs) in enumerate(HOLD_CASES):
+            with self.subTest(title):
+                key = f'hold-{number}'
+                await self._break(broken)
+                reply = await self._hold(0, key)
+                await self._break({})
+                self.assertEqual(reply.error().get('run'), run)
+                self.assertEqual(self._runs(key), runs)
+                again = await self._hold(1, key)
+                expected = 1 if run == NOT_RUN else runs
+                self.assertEqual(self._runs(key), expected, again)
+                self.assertEqual(again.status == 201, run == NOT_RUN)
+
+    async def test_streams(self) -> None:
+        """A stream that breaks is resumed whole, or never looks whole.
+
+        The engine resets the stream; the entry takes it up again at the
+        exact byte. The caller gets every byte once, and one bill is written.
+        """
+        for title, broken in STREAM_CASES:
+            with self.subTest(title):
+                await self._break({**broken, 'times': 1})
+                reply = await self.caller.chat(
+                    self.hosts[0], 'desk-large', title, stream=True
+                )
+                await self._break({})
+                self.assertEqual(reply.status, 200, reply)
+                self.assertTrue(reply.body.endswith(b'data: [DONE]\n\n'))
+                self.assertEqual(reply.body.count(b'end='), 1)
+                request_id = reply.headers['x-beryllug-request-id']
+                await scenario.settle(self.fleet)
+                bills = records.bills(self.fleet)
+                self.assertEqual(len(bills[request_id]), 1)
+
+    async def _break(self, switches: dict[str, Any]) -> None:
+        for made in self.fleet.servers.values():
+            made.put_faults(**switches)
+            await made.settle()
+
+    async def _hold(self, host: int, key: str) -> caller.Reply:
+        return await self.caller.ask(
+            self.hosts[host],
+            'POST',
+            HOLDS,
+            {'slot': key},
+            idempotency_key=key,
+        )
+
+    def _runs(self, key: str) -> int:
+        return sum(
+            run.idempotency_key == key
+            for run in records.plain_runs_of(self.fleet)
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/proofs/scenario.py
+++ b/beryllug/proofs/scenario.py
@@ -1,9 +1,8 @@
 """Run a deployment under traffic while something fails, then check it all."""
 
 import asyncio
-import json
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from beryllug.core import config_data
 from beryllug.standins import harness, invariants, sample, traffic
@@ -98,17 +97,7 @@
     await harness.wait_for(is_settled, SETTLE_S)
 
 
-async def dump(fleet: harness.Fleet, name: str) -> dict[str, Any]:
-    """Return the state dump of a process."""
-    status, body = await fleet.get(fleet.operators_of(name), '/dump')
-    if status != harness.OK:
-        raise AssertionError(f'{name} gave no dump: status {status}')
-    state: dict[str, Any] = json.loads(body)
-    return state
-
-
 async def _owed(fleet: harness.Fleet, name: str) -> int:
-    state = await dump(fleet, name)
-    services = state.get('services', state)
-    owed: int = services['outbox']['owed'] + services['answers']['owed']
+    state = await fleet.dump(name)
+    owed: int = state['outbox']['owed'] + state['answers']['owed']
     return owed
--- /dev/null
+++ b/beryllug/proofs/sessions_test.py
@@ -0,0 +1,90 @@
+"""A session keeps its version: over hosts, kills and a moved share."""
+
+import unittest
+
+from beryllug.core import config_data
+from beryllug.standins import caller, fleet_settings, harness, sample
+
+SESSIONS = 24
+SHARES = (50, 100)
+VERSION = 'x-beryllug-version'
+TOKEN = 'x-beryllug-session-token'
+MOVED = 'x-beryllug-session-moved'
+
+
+def _document(stages: tuple[int, ...]) -> config_data.Document:
+    declared = sample.document()
+    rollout = declared.rollouts[0]._replace(
+        stages=stages, exposure_budget=10000
+    )
+    return declared._replace(rollouts=(rollout,))
+
+
+class SessionsTest(unittest.IsolatedAsyncioTestCase):
+    """Two entry hosts and a roll-out; sessions with and without token."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the deployment with a share of half the sessions."""
+        plan = sample.plan()._replace(document=_document(SHARES))
+        self.fleet = harness.Fleet(plan)
+        await self.fleet.start()
+        self.caller = caller.Caller(sample.LARGE_KEY)
+        self.hosts = [ports.callers for ports in self.fleet.hosts]
+
+    async def asyncTearDown(self) -> None:
+        """Stop it."""
+        await self.caller.close()
+        await self.fleet.stop()
+
+    async def test_kept(self) -> None:
+        """Sessions stay on the version that answered first.
+
+        Each session is answered through one host. Then that host's entry
+        process is killed, the share of the roll-out is moved to all new
+        sessions, and each session goes on through the other host: half of
+        them return their token, the others are known by their record.
+        """
+        first = [await self._ask(0, index, '') for index in range(SESSIONS)]
+        pinned = [reply.headers[VERSION] for reply in first]
+        await self.fleet.processes.kill(fleet_settings.entry_name(0))
+        await self._apply(_document((100,)))
+        for index, reply in enumerate(first):
+            with self.subTest(index):
+                token = reply.headers[TOKEN] if index % 2 else ''
+                again = await self._ask(1, index, token)
+                self.assertEqual(again.headers[VERSION], pinned[index])
+                self.assertNotIn(MOVED, again.headers)
+
+    async def test_withdrawn(self) -> None:
+        """A withdrawal beats the pin, and the caller is told so."""
+        reply = await self._ask(0, 0, '')
+        ref = config_data.VersionRef('desk-small', 'v1')
+        self.assertEqual(reply.headers[VERSION], 'desk-small@v1')
+        plain = _document(SHARES)._replace(rollouts=())
+        await self._apply(sample.withdraw(plain, ref))
+        again = await self._ask(1, 0, reply.headers[TOKEN])
+        self.assertEqual(again.headers[VERSION], 'desk-small@v2')
+        self.assertEqual(again.headers[MOVED], 'yes')
+        other = caller.Caller(sample.SMALL_KEY)
+        refused = await other.chat(self.hosts[1], 'desk-small', 'x')
+        await other.close()
+        self.assertEqual(refused.error()['code'], 'withdrawn')
+        self.assertEqual(refused.error()['run'], 'not_run')
+
+    async def _ask(self, host: int, index: int, token: str) -> caller.Reply:
+        fields = {'x_beryllug_session': f'guest-{index}'}
+        if token:
+            fields['x_beryllug_session_token'] = token
+        reply = await self.caller.chat(
+            self.hosts[host], 'desk-small', f'question {index}', **fields
+        )
+        self.assertEqual(reply.status, 200)
+        return reply
+
+    async def _apply(self, document: config_data.Document) -> None:
+        await self.fleet.apply(document)
+        await self.fleet.in_force(fleet_settings.entry_name(1))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/proofs/versions_test.py
+++ b/beryllug/proofs/versions_test.py
@@ -9,14 +9,11 @@
 from beryllug.standins import (
     engine_runs,
     fleet_settings,
-    harness,
     records,
     sample,
 )
 
 OLD = config_data.VersionRef('desk-small', 'v1')
-# An accepted withdrawal is in force within seconds, on a frozen host too.
-IN_FORCE_S = 5.0
 DISPATCH_S = 0.5
 BLIND_S = 2.0
 
@@ -95,16 +92,8 @@
 async def _in_force_everywhere(running: scenario.Running) -> None:
     """Wait until every entry process holds the last revision."""
     fleet = running.fleet
-
-    async def is_in_force() -> bool:  # noqa: WPS430
-        for index in range(fleet.plan.hosts):
-            name = fleet_settings.entry_name(index)
-            state = await scenario.dump(fleet, name)
-            if state['control_link']['revision'] < fleet.revision:
-                return False
-        return True
-
-    await harness.wait_for(is_in_force, 2 * IN_FORCE_S)
+    for index in range(fleet.plan.hosts):
+        await fleet.in_force(fleet_settings.entry_name(index))
     # Dispatches that were decided before the last process learnt of it are
     # at the servers within this time.
     running.marks['in_force'] = time.time() + DISPATCH_S
--- a/beryllug/standins/faults.py
+++ b/beryllug/standins/faults.py
@@ -215,7 +215,8 @@
     if hit.unavailable:
         await exchange.respond_json(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            error('unavailable', 'switched off', 'not_run'),
+            error('unavailable', 'switched off', NOT_RUN),
+            {RUN: NOT_RUN},
         )
         return False
     if switches.chance(hit.error_rate):
--- a/beryllug/standins/harness.py
+++ b/beryllug/standins/harness.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+import json
 import time
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from beryllug.core import config_data, view_data
 from beryllug.drivers import (
@@ -177,6 +178,28 @@
         self.revision = outcome.unwrap()
         return self.revision
 
+    async def in_force(self, name: str) -> None:
+        """Wait until an entry process holds the last revision."""
+
+        async def holds() -> bool:  # noqa: WPS430
+            state = await self.dump(name)
+            revision: int = state['control_link']['revision']
+            return revision >= self.revision
+
+        await wait_for(holds, READY_S)
+
+    async def dump(self, name: str) -> dict[str, Any]:
+        """Return the state dump of a process.
+
+        Raises:
+            TimeoutError: It gave none.
+        """
+        status, body = await self.get(self.operators_of(name), '/dump')
+        if status != OK:
+            raise TimeoutError(f'{name} gave no dump: status {status}')
+        state: dict[str, Any] = json.loads(body)
+        return state
+
     async def spawn(self, name: str) -> None:
         """Start a process of ours, with the settings of its name."""
         text = fleet_settings.render(name, self._sites())
