Flush before a hand-over, and sharpen its proofs

Change: a shard that ends here is taken out of the routes first, so later requests wait for its next owner; rows of a lost shard wait for nobody.

--- a/beryllug/control/commit.py
+++ b/beryllug/control/commit.py
@@ -97,12 +97,17 @@
         return not self.state.pending
 
     async def wait(self, row: journal_data.Row, wait_s: float) -> bool:
-        """Wait until a row is durable; False at once in an outage."""
+        """Wait until a row is durable; False at once in an outage.
+
+        Rows of a shard that was lost or handed over meanwhile wait for
+        nobody.
+        """
         row_id = shard_state.row_id(row)
         if row_id not in self.state.pending:
             return True
         self._wake.set()
-        return not self.down and await self._waiters.wait(row_id, wait_s)
+        hopeless = self.down or not self.serving
+        return not hopeless and await self._waiters.wait(row_id, wait_s)
 
     def dump(self) -> dict[str, Any]:
         """Return the state."""
--- a/beryllug/control/journal_test.py
+++ b/beryllug/control/journal_test.py
@@ -17,6 +17,8 @@
 class OneTryTest(nodes_test.NodesCase):
     """One key is granted once."""
 
+    sizes = nodes_test.Sizes(lease_s=nodes_test.LONG_LEASE_S)
+
     async def test_same_key_at_two_hosts(self) -> None:
         """A guest taps twice, and each tap reaches another entry host.
 
@@ -95,6 +97,8 @@
 class LostAnswerTest(nodes_test.NodesCase):
     """Writes of the log whose answer is lost."""
 
+    sizes = nodes_test.Sizes(lease_s=nodes_test.LONG_LEASE_S)
+
     async def test_answer_lost(self) -> None:
         """A write of intents or outcomes goes wrong and is settled.
 
--- a/beryllug/control/membership.py
+++ b/beryllug/control/membership.py
@@ -58,6 +58,7 @@
         table = self._prober.table
         return {
             'own': table.own,
+            'rounds': self._prober.rounds,
             'members': [known.member for known in table.known.values()],
             'notes': list(table.notes.values()),
         }
--- a/beryllug/control/probing.py
+++ b/beryllug/control/probing.py
@@ -45,6 +45,7 @@
 
     Attributes:
         table: What is believed of them.
+        rounds: Rounds of probes so far.
         revision: Revision of the configuration that peers are told.
         listeners: Called with each member heard and its revision.
     """
@@ -53,6 +54,7 @@
         """Make the prober; it knows only itself before `start`."""
         self.table = membership.Table(own)
         self.revision = 0
+        self.rounds = 0
         self.listeners: list[Listener] = []
         self._cfg = join
         self._random = random.Random(own.name)
@@ -88,16 +90,15 @@
         return member_data.ProbeReply(reply is not None)
 
     async def _run(self) -> None:
-        rounds = 0
         while True:
             started = time.monotonic()
-            if rounds % JOIN_ROUNDS == 0 or len(self.table.ring) < 2:
+            if self.rounds % JOIN_ROUNDS == 0 or len(self.table.ring) < 2:
                 await self._join()
-            await self._probe(rounds % WHOLE_ROUNDS == 0)
+            await self._probe(self.rounds % WHOLE_ROUNDS == 0)
             membership.expire(
                 self.table, self._cfg.heartbeat_s, time.monotonic()
             )
-            rounds += 1
+            self.rounds += 1
             spent_s = time.monotonic() - started
             await asyncio.sleep(self._cfg.heartbeat_s - spent_s)
 
--- a/beryllug/control/shards.py
+++ b/beryllug/control/shards.py
@@ -56,10 +56,8 @@
 
     async def stop(self, grace_s: float) -> None:
         """Make pending rows durable; the leases are given back after."""
-        owners = list(self._owners.values())
-        await asyncio.gather(*(owner.flush(grace_s) for owner in owners))
-        for owner in owners:
-            await owner.stop()
+        shards = list(self._owners)
+        await asyncio.gather(*(self._end(shard, grace_s) for shard in shards))
 
     def dump(self) -> dict[str, Any]:
         """Return the state of every owned shard."""
@@ -78,10 +76,7 @@
 
     async def before_release(self, name: str) -> None:
         """Make the rows of a shard durable that is to be handed over."""
-        owner = self._owners.pop(shard_of_lease(name), None)
-        if owner is not None:
-            await owner.flush(self._cfg.drain_s)
-            await owner.stop()
+        await self._end(shard_of_lease(name), self._cfg.drain_s)
 
     async def route(
         self,
@@ -111,6 +106,13 @@
         logging.warning('event=shard_unreachable shard=%d', shard)
         return None
 
+    async def _end(self, shard: int, grace_s: float) -> None:
+        """Flush a shard; what comes from now on waits for its next owner."""
+        owner = self._owners.pop(shard, None)
+        if owner is not None:
+            await owner.flush(grace_s)
+            await owner.stop()
+
     async def _forward(
         self, shard: int, routed: Routed[Ask, Reply]
     ) -> Reply | None:
