--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -96,8 +96,8 @@
     def close(self) -> None:
         """Give the connection back if the answer is whole, else cut it.
 
-        Only the first call does: a connection that were given back twice
-        would carry two requests at once, and mix their answers up.
+        Only the first call does. At a second one the connection may already
+        carry another caller's request, which would be cut off.
         """
         if self._closed:
             return
@@ -137,6 +137,11 @@
         self._connect_s = connect_s
         self._kept: dict[str, dict[http_link.Link, _Connection]] = {}
 
+    @property
+    def kept(self) -> int:
+        """Count the idle connections that are kept for reuse."""
+        return sum(len(kept) for kept in self._kept.values())
+
     async def request(
         self,
         address: str,
--- a/beryllug/drivers/http_reader.py
+++ b/beryllug/drivers/http_reader.py
@@ -142,7 +142,7 @@
             HTTPStatus.BAD_REQUEST, 'two framings in one request'
         )
     if chunked and event.http_version != CHUNKS_SINCE:
-        raise RefusedError(HTTPStatus.BAD_REQUEST, 'chunks need HTTP/1.1')
+        raise RefusedError(HTTPStatus.BAD_REQUEST, 'chunks in an old version')
     if event.method == CONNECT:
         raise RefusedError(HTTPStatus.METHOD_NOT_ALLOWED, 'this is no tunnel')
 
--- /dev/null
+++ b/beryllug/drivers/http_server_test.py
@@ -0,0 +1,391 @@
+"""Hostile and unlucky clients at the HTTP server."""
+
+import asyncio
+import socket
+import struct
+import unittest
+from collections.abc import Callable
+
+from beryllug.drivers import http_data, http_server
+
+LIMITS = http_data.Limits(
+    header_bytes=2048,
+    body_bytes=1000,
+    read_s=0.1,
+    idle_s=0.2,
+    write_s=0.2,
+)
+# A test that would hang fails after so long.
+HANG_S = 10.0
+GOOD = b'GET /good HTTP/1.1\r\nhost: x\r\n\r\n'
+HIDDEN = b'GET /hidden HTTP/1.1\r\nhost: x\r\n\r\n'
+POST = b'POST /a HTTP/1.1\r\nhost: x\r\n'
+
+# What no server should take, and the status that answers it.
+REFUSED: tuple[tuple[str, bytes, int], ...] = (
+    ('noise', b'\x00\x01\x02\r\n\r\n', 400),
+    ('TLS hello', b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n', 400),
+    ('no version', b'GET /\r\n\r\n', 400),
+    ('no target', b'GET HTTP/1.1\r\nhost: x\r\n\r\n', 400),
+    ('space in target', b'GET /a b HTTP/1.1\r\nhost: x\r\n\r\n', 400),
+    ('byte in target', b'GET /\xff HTTP/1.1\r\nhost: x\r\n\r\n', 400),
+    ('no host', b'GET / HTTP/1.1\r\n\r\n', 400),
+    ('two hosts', b'GET / HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n', 400),
+    ('space before colon', b'%bx : y\r\n\r\n' % POST, 400),
+    ('no colon', b'%bxy\r\n\r\n' % POST, 400),
+    ('no name', b'%b: y\r\n\r\n' % POST, 400),
+    ('NUL in a value', b'%bx: a\x00b\r\n\r\n' % POST, 400),
+    ('CR in a value', b'%bx: a\rb\r\n\r\n' % POST, 400),
+    ('folded first line', b'GET / HTTP/1.1\r\n x: y\r\nhost: x\r\n\r\n', 400),
+    ('tunnel', b'CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n', 405),
+    ('long value', b'%bx: %b\r\n\r\n' % (POST, b'y' * 3000), 431),
+    ('many fields', b'%b%b\r\n' % (POST, b'a: b\r\n' * 700), 431),
+    ('endless head', b'%bx: %b' % (POST, b'y' * 9000), 431),
+    ('length and chunks', b'%bcontent-length: 5\r\ntransfer-encoding: chunked'
+     b'\r\n\r\n0\r\n\r\n%b' % (POST, HIDDEN), 400),
+    ('two lengths', b'%bcontent-length: 0\r\ncontent-length: 9\r\n\r\n%b'
+     % (POST, HIDDEN), 400),
+    ('list of lengths', b'%bcontent-length: 0, 9\r\n\r\n%b'
+     % (POST, HIDDEN), 400),
+    ('signed length', b'%bcontent-length: +5\r\n\r\nhello' % POST, 400),
+    ('negative length', b'%bcontent-length: -5\r\n\r\nhello' % POST, 400),
+    ('hex length', b'%bcontent-length: 0x5\r\n\r\nhello' % POST, 400),
+    ('empty length', b'%bcontent-length:\r\n\r\nhello' % POST, 400),
+    ('huge length', b'%bcontent-length: %d\r\n\r\n' % (POST, 10**15), 413),
+    ('endless length', b'%bcontent-length: %b\r\n\r\n'
+     % (POST, b'9' * 99), 400),
+    ('body over bound', b'%bcontent-length: 1001\r\n\r\n' % POST, 413),
+    ('chunks over bound', b'%btransfer-encoding: chunked\r\n\r\n'
+     b'3e8\r\n%b\r\n1\r\na\r\n0\r\n\r\n' % (POST, b'y' * 1000), 413),
+    ('chunked twice', b'%btransfer-encoding: chunked, chunked\r\n\r\n'
+     b'0\r\n\r\n%b' % (POST, HIDDEN), 501),
+    ('two encodings', b'%btransfer-encoding: chunked\r\n'
+     b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n%b' % (POST, HIDDEN), 501),
+    ('other encoding', b'%btransfer-encoding: gzip\r\n\r\n' % POST, 501),
+    ('identity', b'%btransfer-encoding: identity\r\n\r\n' % POST, 501),
+    ('like chunked', b'%btransfer-encoding: xchunked\r\n\r\n' % POST, 501),
+    ('chunks in 1.0', b'POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n'
+     b'0\r\n\r\n%b' % HIDDEN, 400),
+    ('chunk size', b'%btransfer-encoding: chunked\r\n\r\nzz\r\n' % POST, 400),
+    ('signed chunk', b'%btransfer-encoding: chunked\r\n\r\n-1\r\n' % POST, 400),
+    ('hex chunk', b'%btransfer-encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n'
+     % POST, 400),
+    ('endless chunk size', b'%btransfer-encoding: chunked\r\n\r\n%b\r\n'
+     % (POST, b'0' * 30), 400),
+    ('chunk end', b'%btransfer-encoding: chunked\r\n\r\n1\r\naXX0\r\n\r\n%b'
+     % (POST, HIDDEN), 400),
+    ('chunk LF', b'%btransfer-encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n%b'
+     % (POST, HIDDEN), 400),
+)  # fmt: skip
+
+# What the standard lets a server read in one way only.
+READ_ALIKE: tuple[tuple[str, bytes, bytes], ...] = (
+    ('folded value', b'GET /a HTTP/1.1\r\nhost: x\r\ny: 1\r\n 2\r\n\r\n', b''),
+    ('bare LF', b'POST /a HTTP/1.1\nhost: x\ncontent-length: 2\n\nhi', b'hi'),
+    ('same length twice', b'%bcontent-length: 2\r\ncontent-length: 2\r\n\r\nhi'
+     % POST, b'hi'),
+    ('chunk extension', b'%btransfer-encoding: chunked\r\n\r\n2;a=b\r\nhi\r\n'
+     b'0\r\n\r\n' % POST, b'hi'),
+    ('trailers', b'%btransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n'
+     b'content-length: 9\r\n\r\n' % POST, b'hi'),
+    ('expect', b'%bexpect: 100-continue\r\ncontent-length: 2\r\n\r\nhi'
+     % POST, b'hi'),
+    ('upgrade', b'GET /a HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n'
+     b'upgrade: websocket\r\n\r\n', b''),
+)  # fmt: skip
+
+
+class _ServerCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.seen: list[http_data.Request] = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.server = http_server.HttpServer(self._handle, LIMITS)
+        self.port = await self.server.start('127.0.0.1', 0)
+        self.addAsyncCleanup(self.server.stop)
+
+    async def talk(self, raw: bytes, *, ends: bool = True) -> bytes:
+        """Send bytes, close the sending side, return all that comes back."""
+        reader, writer = await self.connect()
+        writer.write(raw)
+        if ends:
+            writer.write_eof()
+        try:
+            async with asyncio.timeout(HANG_S):
+                return await reader.read()
+        except ConnectionError:
+            return b''
+        finally:
+            writer.close()
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection to the server."""
+        return await asyncio.open_connection('127.0.0.1', self.port)
+
+    async def check_alive(self) -> None:
+        """Check that the next connection works."""
+        answer = await self.talk(GOOD)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+        self.assertEqual(self.seen.pop().target, '/good')
+
+    async def until_seen(self, count: int) -> None:
+        """Wait until the handler has been called so often."""
+        await self.until(lambda: len(self.seen) >= count)
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(HANG_S):
+            while not holds():
+                await asyncio.sleep(0)
+
+    async def _handle(
+        self, req: http_data.Request, exchange: http_server.Exchange
+    ) -> None:
+        self.seen.append(req)
+        await self.gate.wait()
+        match req.target:
+            case '/huge':
+                await exchange.respond(200, bytes(20_000_000))
+            case '/split':
+                headers = {'x': 'a\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200'}
+                await exchange.respond(200, b'body', headers)
+            case '/chunks':
+                await exchange.start(200, {'x-name': 'caf\xe9'})
+                await exchange.send(b'one')
+                await exchange.finish(b'two')
+            case '/empty':
+                await exchange.respond(204, b'never sent')
+            case '/half':
+                await exchange.start(200, {})
+                await exchange.send(b'one')
+                raise ValueError('handler is broken')
+            case _:
+                await exchange.respond(200, req.target.encode() + req.body)
+
+
+class HostileTest(_ServerCase):
+    """Bad requests never reach the handler and cost nobody else anything."""
+
+    async def test_refused(self) -> None:
+        """Each bad request is answered as not run, and nothing after it.
+
+        Some of them hide a second request behind one whose end could be
+        read in two ways. It must not be served: its sender would get the
+        answer, or a caller behind the same proxy would.
+        """
+        for title, raw, status in REFUSED:
+            with self.subTest(title):
+                answer = await self.talk(raw)
+                head, _, body = answer.partition(b'\r\n\r\n')
+                self.assertIn(b' %d ' % status, head.split(b'\r\n')[0])
+                self.assertIn(b'x-run: not_run', head)
+                self.assertIn(b'"run":"not_run"', body)
+                self.assertEqual(answer.count(b'HTTP/1.1'), 1)
+                self.assertEqual(self.seen, [])
+                await self.check_alive()
+
+    async def test_cut_short(self) -> None:
+        """A request that ends early is never handled, wherever it ends."""
+        whole = b'%bcontent-length: 5\r\n\r\nhello' % POST
+        ends = reversed(range(len(whole)))
+        await asyncio.gather(*(self.talk(whole[:end]) for end in ends))
+        self.assertEqual(self.seen, [])
+        await self.check_alive()
+
+    async def test_read_alike(self) -> None:
+        """Odd requests with one meaning are read so, and end where they end."""
+        for title, raw, body in READ_ALIKE:
+            with self.subTest(title):
+                answer = await self.talk(raw + GOOD)
+                self.assertEqual(answer.count(b'HTTP/1.1 200'), 2)
+                self.assertEqual(
+                    [(req.target, req.body) for req in self.seen],
+                    [('/a', body), ('/good', b'')],
+                )
+                self.seen.clear()
+
+    async def test_refusal_is_read(self) -> None:
+        """A client that is still sending its body gets to read the refusal.
+
+        The server refuses after the head, while the client writes on.
+        Closing at once would reset the connection and the client would lose
+        the answer that tells it that nothing was run.
+        """
+        raw = b'%bcontent-length: 900000\r\n\r\n%b' % (POST, bytes(900000))
+        answer = await self.talk(raw, ends=False)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 413'))
+
+    async def test_slow(self) -> None:
+        """A client that dribbles is cut off, with 408 once it has begun."""
+        cases = (
+            ('nothing', b'', b''),
+            ('head', b'GET / HTTP/1.1\r\nhost:', b'HTTP/1.1 408'),
+            ('body', b'%bcontent-length: 5\r\n\r\nhe' % POST, b'HTTP/1.1 408'),
+        )
+        for title, raw, expected in cases:
+            with self.subTest(title):
+                answer = await self.talk(raw, ends=False)
+                self.assertEqual(answer[:12], expected)
+                self.assertEqual(self.seen, [])
+        await self.check_alive()
+
+    async def test_dribble(self) -> None:
+        """Bytes that keep coming do not buy a client more time."""
+        reader, writer = await self.connect()
+        writer.write(b'GET / HTTP/1.1\r\n')
+        answered = asyncio.create_task(reader.read())
+        sent = 0
+        while not answered.done():
+            writer.write(b'a: b\r\n')
+            sent += 1
+            await asyncio.sleep(0.01)
+        self.assertTrue((await answered).startswith(b'HTTP/1.1 408'))
+        self.assertLess(sent * len('a: b\r\n'), LIMITS.header_bytes)
+        writer.close()
+
+    async def test_slow_reader(self) -> None:
+        """A client that doesn't read its answer is cut off."""
+        reader, writer = await self.connect()
+        writer.write(b'GET /huge HTTP/1.1\r\nhost: x\r\n\r\n')
+        await self.until_seen(1)
+        await self.until(lambda: not self.server.in_flight)
+        self.seen.clear()
+        await self.check_alive()
+        writer.close()
+
+    async def test_reset_in_body(self) -> None:
+        """A client that resets in the middle of its body isn't served."""
+        reader, writer = await self.connect()
+        writer.write(b'%bcontent-length: 5\r\n\r\nhe' % POST)
+        await self.until(lambda: self.server.in_flight > 0)
+        sock = writer.get_extra_info('socket')
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+        await self.until(lambda: not self.server.in_flight)
+        self.assertEqual(self.seen, [])
+        await self.check_alive()
+
+    async def test_too_many(self) -> None:
+        """Connections over the bound are closed; the others go on."""
+        limits = http_data.Limits(connections=3)
+        server = http_server.HttpServer(self._handle, limits)
+        self.port = await server.start('127.0.0.1', 0)
+        self.addAsyncCleanup(server.stop)
+        opened = [await self.connect() for _ in range(limits.connections)]
+        self.assertEqual(await self.talk(GOOD, ends=False), b'')
+        for reader, writer in opened:
+            writer.write(GOOD)
+            self.assertTrue(await reader.readline())
+            writer.close()
+
+
+class ExchangeTest(_ServerCase):
+    """Answers reach clients as the handler meant them."""
+
+    async def test_pipelined(self) -> None:
+        """Requests sent at once are answered one by one, in their order."""
+        raw = b''.join(
+            b'GET /%d HTTP/1.1\r\nhost: x\r\n\r\n' % number
+            for number in range(20)
+        )
+        answer = await self.talk(raw)
+        bodies = [part.split(b'HTTP')[0] for part in answer.split(b'\r\n\r\n')]
+        self.assertEqual(bodies[1:], [b'/%d' % each for each in range(20)])
+
+    async def test_half_closed(self) -> None:
+        """A client that closed its sending side still gets its answer."""
+        self.gate.clear()
+        answered = asyncio.create_task(self.talk(GOOD))
+        await self.until_seen(1)
+        self.gate.set()
+        self.assertTrue((await answered).endswith(b'/good'))
+
+    async def test_answers(self) -> None:
+        """Answers without a body have none, and the next one follows."""
+        chunks = b'3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n'
+        cases = (
+            (b'HEAD /a', b''),
+            (b'HEAD /chunks', b''),
+            (b'GET /chunks', chunks),
+            (b'GET /empty', b''),
+        )
+        for line, expected in cases:
+            with self.subTest(line.decode()):
+                self.assertEqual(await self._answers(line), (expected, True))
+
+    async def test_broken_handler(self) -> None:
+        """A handler that fails gives a 500, or an answer cut short.
+
+        It fails before its answer has begun, by a header that would split
+        the answer in two, or in the middle of it.
+        """
+        cases = (
+            (b'GET /split', b'', True),
+            (b'GET /half', b'3\r\none\r\n', False),
+        )
+        for line, expected, more in cases:
+            with self.subTest(line.decode()), self.assertLogs('absl'):
+                self.assertEqual(await self._answers(line), (expected, more))
+
+    async def test_latin(self) -> None:
+        """A header byte beyond ASCII goes out as it came in."""
+        answer = await self.talk(b'GET /chunks HTTP/1.1\r\nhost: x\r\n\r\n')
+        self.assertIn(b'x-name: caf\xe9\r\n', answer)
+
+    async def _answers(self, line: bytes) -> tuple[bytes, bool]:
+        """Return the first of two answers' bodies, and whether both came."""
+        raw = b'%b HTTP/1.1\r\nhost: x\r\n\r\n%b' % (line, GOOD)
+        answer = await self.talk(raw)
+        _, _, rest = answer.partition(b'\r\n\r\n')
+        body, more, _ = rest.partition(b'HTTP/1.1 200')
+        return body, bool(more)
+
+
+class StopTest(_ServerCase):
+    """A stop cuts off no request that a client has begun to send."""
+
+    async def test_in_flight(self) -> None:
+        """A request that is handled and one half sent are both answered."""
+        self.gate.clear()
+        handled = asyncio.create_task(self.talk(GOOD, ends=False))
+        await self.until_seen(1)
+        reader, writer = await self.connect()
+        writer.write(GOOD[:10])
+        await self.until(lambda: self.server.in_flight == 2)
+        stopping = asyncio.create_task(self.server.stop(5))
+        await asyncio.sleep(0)
+        writer.write(GOOD[10:])
+        await self.until_seen(2)
+        self.gate.set()
+        async with asyncio.timeout(HANG_S):
+            answers = await handled, await reader.read()
+        for answer in answers:
+            self.assertIn(b'connection: close', answer)
+            self.assertTrue(answer.endswith(b'/good'))
+        await stopping
+        writer.close()
+
+    async def test_idle(self) -> None:
+        """Idle connections are closed at once, new ones are refused."""
+        reader, writer = await self.connect()
+        writer.write(GOOD)
+        await reader.readuntil(b'/good')
+        await self.server.stop(5)
+        self.assertEqual(await reader.read(), b'')
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        writer.close()
+
+    async def test_drain(self) -> None:
+        """While draining every request is served, and ends its connection."""
+        self.server.drain()
+        answer = await self.talk(GOOD, ends=False)
+        self.assertIn(b'connection: close', answer)
+        self.assertTrue(answer.endswith(b'/good'))
+
+
+if __name__ == '__main__':
+    unittest.main()
