Replace all hosts one by one without refusing or cutting a request

Cause: stops_test had 10 holds and reports refused as 'not run' while four hosts were replaced. The RPC address stopped first and the leases were given back only after it, so for a second nobody owned the shards of that host. Ruled out: letting the entry wait out the gap; a gap that need not be there should not be waited for. A table of mutations.

--- a/beryllug/control/rpc_endpoint.py
+++ b/beryllug/control/rpc_endpoint.py
@@ -1,6 +1,7 @@
 """Service 'rpc': the address on which entries and peers call this process.
 
-It starts last and stops first, so no call meets a service that is not there.
+It starts before the leases and stops after them: a process that hands its
+shards over still forwards what reaches it to their new owners.
 """
 
 from typing import Any
--- /dev/null
+++ b/beryllug/proofs/mutations.py
@@ -0,0 +1,194 @@
+"""Take each safeguard out and see its proof turn red.
+
+``python -m beryllug.proofs.mutations [NAME...]`` copies the package, changes
+one place in the copy, runs the proof on it and expects it to fail. A proof
+that stays green proves nothing, and the run ends with exit code 1.
+"""
+
+import os
+import shutil
+import subprocess  # noqa: S404
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+PACKAGE = 'beryllug'
+TIMEOUT_S = 300
+TAIL_LINES = 3
+
+
+class Mutation(NamedTuple):
+    """One safeguard taken out.
+
+    Attributes:
+        name: Short name, with the promise it belongs to.
+        path: The module, below the package.
+        edits: Texts that stand there once, each with its replacement.
+        proof: The test that must turn red.
+    """
+
+    name: str
+    path: str
+    edits: tuple[tuple[str, str], ...]
+    proof: str
+
+
+MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        'allowed: the account is not asked',
+        'core/versions.py',
+        (
+            (
+                'for version in declared if allows(account, version.ref)',
+                'for version in declared',
+            ),
+        ),
+        'proofs.whole_path_test',
+    ),
+    Mutation(
+        'withdrawn: still offered to new work',
+        'core/versions.py',
+        (
+            (
+                'if not version.withdrawn and version.ref not in stopped',
+                'if version.ref not in stopped',
+            ),
+            (
+                'or version.withdrawn or not allows(account, ref)',
+                'or not allows(account, ref)',
+            ),
+        ),
+        'proofs.versions_test',
+    ),
+    Mutation(
+        'withdrawn: a frozen process trusts its old view',
+        'entry/chat_order.py',
+        (('if not wired.link.may_accept(time.monotonic()):', 'if False:'),),
+        'proofs.versions_test',
+    ),
+    Mutation(
+        'session: the pin is not looked up',
+        'entry/sessions.py',
+        (
+            (
+                'pin = self._from_token(call) or await self._from_record(call)',
+                'pin = None',
+            ),
+        ),
+        'proofs.sessions_test',
+    ),
+    Mutation(
+        'session: no record for callers without the token',
+        'entry/sessions.py',
+        (
+            (
+                'pin = self._from_token(call) or await self._from_record(call)',
+                'pin = self._from_token(call)',
+            ),
+        ),
+        'proofs.sessions_test',
+    ),
+    Mutation(
+        'at most once: the journal is not asked',
+        'entry/plain.py',
+        (
+            (
+                'if not call.facts.repeatable:\n            first =',
+                'if False:\n            first =',
+            ),
+        ),
+        'proofs.not_run_test',
+    ),
+    Mutation(
+        'not run: said of a request that may have run',
+        'core/retry.py',
+        (('return failure in SURELY_NOT_RUN', 'return True'),),
+        'proofs.not_run_test',
+    ),
+    Mutation(
+        'whole answer: a broken stream is not resumed',
+        'entry/turn_runner.py',
+        (
+            (
+                'incoming = await self._resume(turn, opened, relay.tail.size)',
+                'incoming = None',
+            ),
+        ),
+        'proofs.not_run_test',
+    ),
+    Mutation(
+        'whole answer: resumed at the wrong byte',
+        'entry/turn_runner.py',
+        (('opened, relay.tail.size)', 'opened, max(0, relay.tail.size - 1))'),),
+        'proofs.not_run_test',
+    ),
+    Mutation(
+        'billed: an outcome that is late is forgotten',
+        'entry/outbox.py',
+        (
+            (
+                'self._owed[row.request_id] = row\n        try:',
+                'self._owed.pop(row.request_id, None)\n        try:',
+            ),
+        ),
+        'proofs.faults_test',
+    ),
+)
+
+
+def main() -> None:
+    """Run the named mutations, or all."""
+    wanted = sys.argv[1:]
+    green = [
+        mutation.name
+        for mutation in MUTATIONS
+        if (not wanted or any(name in mutation.name for name in wanted))
+        and not _turns_red(mutation)
+    ]
+    for name in green:
+        _say(f'stayed green: {name}')
+    sys.exit(bool(green))
+
+
+def _turns_red(mutation: Mutation) -> bool:
+    root = Path(__file__).resolve().parents[2]
+    with tempfile.TemporaryDirectory(prefix='beryllug-mutation-') as copy:
+        shutil.copytree(root / PACKAGE, Path(copy) / PACKAGE)
+        _apply(mutation, Path(copy) / PACKAGE / mutation.path)
+        command = [
+            sys.executable,
+            '-m',
+            'unittest',
+            f'{PACKAGE}.{mutation.proof}',
+        ]
+        ended = subprocess.run(  # noqa: S603
+            command,
+            cwd=copy,
+            env={**os.environ, 'PYTHONPATH': copy},
+            capture_output=True,
+            timeout=TIMEOUT_S,
+            check=False,
+            text=True,
+        )
+    last = ' '.join(ended.stderr.strip().splitlines()[-TAIL_LINES:])
+    _say(f'{mutation.name}: {last}')
+    return ended.returncode != 0
+
+
+def _apply(mutation: Mutation, path: Path) -> None:
+    text = path.read_text(encoding='utf-8')
+    for old, new in mutation.edits:
+        if text.count(old) != 1:
+            raise LookupError(f'{mutation.name}: not there once: {old}')
+        text = text.replace(old, new)
+    path.write_text(text, encoding='utf-8')
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -155,12 +155,14 @@
         serving.serve(server)
     services.register('peers', calls)
     services.register('membership', members)
+    # Peers and entries must reach this process while it hands its shards
+    # over: with the address closed first, holds were refused meanwhile.
+    services.register('rpc', rpc_endpoint.RpcEndpoint(server, cfg.listen))
     services.register('leases', held)
     services.register('journal', rows)
     services.register('config', view)
     services.register('answers', kept)
     services.register('servers', servers.BackendServers(listed, engines, view))
-    services.register('rpc', rpc_endpoint.RpcEndpoint(server, cfg.listen))
     return lambda: view.revision > 0 and view.accepts()
 
 
--- a/beryllug/standins/harness.py
+++ b/beryllug/standins/harness.py
@@ -212,11 +212,16 @@
             TimeoutError: It does not in time; carries its log.
         """
         try:
-            await wait_for(lambda: self._is_ready(name), READY_S)
+            await wait_for(lambda: self.is_ready(name), READY_S)
         except TimeoutError:
             log = self.processes.log(name)
             raise TimeoutError(f'{name} is not ready: {log}')
 
+    async def is_ready(self, name: str) -> bool:
+        """Tell whether a process passes its readiness check."""
+        status, _ = await self.get(self.operators_of(name), '/readyz')
+        return status == OK
+
     def operators_of(self, name: str) -> str:
         """Return the operators' address of a process."""
         return fleet_settings.operators_of(name, self.hosts)
@@ -239,10 +244,6 @@
             return 0, b''
         return incoming.status, body
 
-    async def _is_ready(self, name: str) -> bool:
-        status, _ = await self.get(self.operators_of(name), '/readyz')
-        return status == OK
-
     def _sites(self) -> fleet_settings.Sites:
         return fleet_settings.Sites(
             hosts=tuple(self.hosts),
--- a/beryllug/standins/records.py
+++ b/beryllug/standins/records.py
@@ -1,6 +1,6 @@
 """The records of the other side: what the parties of a deployment hold."""
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 from beryllug.control import segments
 from beryllug.core import journal_data
@@ -9,6 +9,7 @@
     engine_runs,
     harness,
     object_api,
+    party,
     plain_service,
 )
 
@@ -31,19 +32,33 @@
     return found
 
 
-def engine_runs_of(fleet: harness.Fleet) -> list[engine_runs.RunRecord]:
-    """Return what all model engines ran."""
+def engine_runs_of(
+    fleet: harness.Fleet, servers: Container[str] | None = None
+) -> list[engine_runs.RunRecord]:
+    """Return what all model engines ran, or those that are named."""
     found: list[engine_runs.RunRecord] = []
-    for made in fleet.servers.values():
+    for made in _named(fleet, servers):
         if isinstance(made.party, engine.EngineParty):
             found.extend(made.party.worker.records)
     return found
 
 
-def plain_runs_of(fleet: harness.Fleet) -> list[plain_service.PlainRun]:
-    """Return what all plain services ran."""
+def plain_runs_of(
+    fleet: harness.Fleet, servers: Container[str] | None = None
+) -> list[plain_service.PlainRun]:
+    """Return what all plain services ran, or those that are named."""
     found: list[plain_service.PlainRun] = []
-    for made in fleet.servers.values():
+    for made in _named(fleet, servers):
         if isinstance(made.party, plain_service.PlainServiceParty):
             found.extend(made.party.runs)
     return found
+
+
+def _named(
+    fleet: harness.Fleet, servers: Container[str] | None
+) -> list[party.StandIn]:
+    return [
+        made
+        for server_id, made in fleet.servers.items()
+        if servers is None or server_id in servers
+    ]
--- a/beryllug/standins/traffic.py
+++ b/beryllug/standins/traffic.py
@@ -12,6 +12,7 @@
 REPORT_TOKENS = 60
 PAUSE_S = 0.01
 RETRY_S = 0.1
+CHECK_S = 0.2
 TRIES = 60
 OK = 200
 SERVER_ERROR = 500
@@ -93,6 +94,19 @@
         """Send to a host again."""
         self._down.discard(host)
 
+    async def balance(self) -> None:
+        """Send only to hosts whose readiness check passes, as a balancer.
+
+        Run it as a task; it ends when it is cancelled.
+        """
+        while True:
+            for index, _ in enumerate(self._fleet.hosts):
+                if await self._fleet.is_ready(f'entry-{index}'):
+                    self.use(index)
+                else:
+                    self.avoid(index)
+            await asyncio.sleep(CHECK_S)
+
     async def _run(self, index: int) -> None:
         rng = random.Random(self._seed * 1000 + index)
         key = sample.LARGE_KEY if index % 3 else sample.SMALL_KEY
