--- a/beryllug/control/operators.py
+++ b/beryllug/control/operators.py
@@ -4,9 +4,10 @@
 import json
 from typing import Any, Protocol
 
-from beryllug.control import config_desk, fleet_status
+from beryllug.control import config, config_desk, fleet_status, part_fetch
 from beryllug.control import operator_replies as replies
 from beryllug.core import config_data, diff, document_plain, edits, plain
+from beryllug.drivers import rpc
 from beryllug.kernel import ops
 
 GET = 'GET'
@@ -46,6 +47,25 @@
     }
 
 
+def for_control(
+    view: config.Config,
+    calls: part_fetch.PeerCalls,
+    server: rpc.RpcServer,
+    usage: Usage | None = None,
+) -> ops.Routes:
+    """Return all routes of a control process.
+
+    Args:
+        view: The configuration service.
+        calls: Calls of peers.
+        server: Takes the method by which peers ask for this process's state.
+        usage: The journal; None in a process without one.
+    """
+    status = fleet_status.FleetStatus(view, calls)
+    status.serve(server)
+    return routes(config_desk.ConfigDesk(view), status, usage)
+
+
 class ConfigRoutes:
     """Shows, judges and applies whole documents."""
 
