--- a/beryllug/parsing/document.py
+++ b/beryllug/parsing/document.py
@@ -15,6 +15,7 @@
 Findings = list[finding.Finding]
 MAX_BYTES = 4194304
 MAX_FINDINGS = 1000
+TOO_SHORT = 'too_short'
 
 
 class _RepeatedError(ValueError):
@@ -69,10 +70,18 @@
 def _findings(exc: pydantic.ValidationError, source: str) -> Findings:
     """Turn the library's errors into findings, each with its path."""
     errors = exc.errors(include_url=False, include_input=False)
-    return [
+    inside = {error['loc'][:-depth] for error in errors for depth in (1, 2)}
+    found = [
         finding.Finding(source, _path(error['loc']), error['msg'])
-        for error in errors[:MAX_FINDINGS]
+        for error in errors
+        # A list is counted without its broken items, so it seems too short
+        # when its only item has a finding of its own.
+        if error['type'] != TOO_SHORT or error['loc'] not in inside
     ]
+    more = len(found) - MAX_FINDINGS
+    if more > 0:
+        return [*found[:MAX_FINDINGS], _whole(source, f'has {more} more')]
+    return found
 
 
 def _path(location: tuple[str | int, ...]) -> str:
