Refuse edits of a document that a newer release wrote

Cause: in a rolling upgrade an old control passes over fields it doesn't know; an edit through it would write the document back without them. Ruled out: comparing re-rendered parts with the stored ones (new defaults differ without any loss). Change: an edit is refused when a stored field is unknown; the document is shown with all its fields, so applying it there is refused as well. Operators' keys can be replaced while the process runs.

--- a/beryllug/control/config_desk.py
+++ b/beryllug/control/config_desk.py
@@ -18,6 +18,7 @@
 from beryllug.core import (
     config_data,
     config_root,
+    document_parts,
     document_plain,
     edits,
     finding,
@@ -27,6 +28,7 @@
 JUDGE = 'beryllug.checks.judge'
 SOURCE = 'document'
 PRESENT = -1
+OLDER = 'a newer release wrote the document; ask a control of that release'
 
 Findings = list[finding.Finding]
 Judged = tuple[config_data.Document | None, Findings]
@@ -64,11 +66,16 @@
         document: Its document.
         source: Where it was read: the platform, or this process when the
             platform can't be read.
+        rendered: The document as operators write it, with all its fields.
+        understood: False when a newer release wrote fields into it that this
+            one doesn't know.
     """
 
     root: config_root.Root
     document: config_data.Document
     source: str
+    rendered: dict[str, Any]
+    understood: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,10 +103,15 @@
             found = await self._store.read()
         except object_data.ObjectApiError:
             root = config_root.Root(self._view.revision)
-            return Shown(root, self._view.document, 'this process')
+            return _shown(root, self._view.document, 'this process')
         if found is None:
-            return Shown(config_root.Root(), config_data.Document(), 'platform')
-        return Shown(found.root, found.document, 'platform')
+            empty = config_data.Document()
+            return _shown(config_root.Root(), empty, 'platform')
+        shown = _shown(found.root, found.document, 'platform')
+        if all(map(document_parts.is_understood, found.chunks)):
+            return shown
+        written = document_parts.join_plain(found.chunks)
+        return shown._replace(rendered=written, understood=False)
 
     async def past(self, revision: int) -> config_data.Document | None:
         """Return the document of a remembered revision, or None.
@@ -141,12 +153,12 @@
             return result.Ok(revision)
         if order.expect_revision == PRESENT:
             order = order._replace(expect_revision=shown.root.revision)
+        if not shown.understood:
+            return result.Err(_refused(edit, OLDER))
         try:
             document = edits.apply(shown.document, edit)
         except LookupError as exc:
-            reason = str(exc.args[0])
-            missing = finding.Finding('edit', type(edit).__name__, reason)
-            return result.Err(Invalid((missing,)))
+            return result.Err(_refused(edit, str(exc.args[0])))
         text = json.dumps(document_plain.render(document))
         return await self.apply(text.encode(), order)
 
@@ -166,6 +178,16 @@
         return outcome
 
 
+def _shown(
+    root: config_root.Root, document: config_data.Document, source: str
+) -> Shown:
+    return Shown(root, document, source, document_plain.render(document))
+
+
+def _refused(edit: edits.Edit, reason: str) -> Invalid:
+    return Invalid((finding.Finding('edit', type(edit).__name__, reason),))
+
+
 def _word(outcome: Outcome) -> str:
     if outcome.is_ok():
         return 'accepted'
--- a/beryllug/control/operators.py
+++ b/beryllug/control/operators.py
@@ -95,7 +95,7 @@
                 'revision': shown.root.revision,
                 'author': shown.root.author,
                 'source': shown.source,
-                'document': document_plain.render(shown.document),
+                'document': shown.rendered,
             },
         )
 
--- a/beryllug/control/operators_test.py
+++ b/beryllug/control/operators_test.py
@@ -13,7 +13,12 @@
     fleet_status,
     operators,
 )
-from beryllug.core import config_root, rpc_data, settings_data
+from beryllug.core import (
+    config_root,
+    document_parts,
+    rpc_data,
+    settings_data,
+)
 from beryllug.drivers import (
     config_store,
     http_client,
@@ -256,6 +261,41 @@
             [('v2', True), ('v1', False)],
         )
 
+    async def test_newer_release(self) -> None:
+        """A control of the next release wrote a field that this one lacks.
+
+        During a rolling upgrade an operator edits through an old control. It
+        would write the document back without the new field, and nobody would
+        notice. It refuses the edit; serving by the document goes on.
+        """
+        await self.apply(TEXT, 0, 'ann')
+        stored = self.api.stored[config_root.KEY]
+        root = config_root.decode(stored.value)
+        await self.view.watch.read()
+        newer = []
+        for digest in root.parts:
+            key = document_parts.key_of(digest)
+            part = self.api.stored[key].value
+            changed = part.replace(b'"weight":5', b'"weight":5,"tier":"gold"')
+            made = document_parts.make(changed)
+            newer.append(made.digest)
+            await self.api.write(
+                document_parts.key_of(made.digest), made.content, None
+            )
+        root = root._replace(revision=2, parts=tuple(newer))
+        await self.api.write(
+            config_root.KEY, config_root.encode(root), stored.version
+        )
+        status, body = await self.call(
+            'POST', '/v1/restore?model=desk-small&version=v1&author=a', ''
+        )
+        self.assertEqual(status, 422)
+        self.assertIn('newer release', body['findings'][0]['reason'])
+        shown = await self.get('/v1/config')
+        self.assertEqual(shown['document']['accounts'][0]['tier'], 'gold')
+        await self.view.watch.read()
+        self.assertEqual(self.view.revision, 2)
+
     async def test_status(self) -> None:
         """All processes are named, also those that don't answer."""
         stream = self.view.feed.stream(rpc_data.ViewAsk('e0', 'zone-1'))
--- a/beryllug/core/document_parts.py
+++ b/beryllug/core/document_parts.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Any, NamedTuple
 
-from beryllug.core import config_data, document_plain
+from beryllug.core import config_data, document_plain, plain
 
 PREFIX = 'beryllug/parts/'
 SMALL = 16384
@@ -73,6 +73,19 @@
     return Records(section, records)
 
 
+def is_understood(content: bytes) -> bool:
+    """Tell whether this release knows all fields of a part.
+
+    A newer release may have written fields that this one passes over. It
+    can still serve by such a document, but what it would write of it lacks
+    those fields, so it must not make a new document out of it.
+    """
+    part = parse(content)
+    sections = {part.section: part.records}
+    known = document_plain.render(config_data.Document(**sections))
+    return plain.knows(known, json.loads(content))
+
+
 def join(parts: Iterable[Records]) -> config_data.Document:
     """Build the document of parsed parts, in their order."""
     sections: dict[str, list[Any]] = {}
@@ -83,6 +96,15 @@
     )
 
 
+def join_plain(chunks: Iterable[bytes]) -> dict[str, Any]:
+    """Return the document as it was written, with fields unknown here."""
+    sections: dict[str, Any] = {}
+    for chunk in chunks:
+        for section, records in json.loads(chunk).items():
+            sections.setdefault(section, []).extend(records)
+    return sections
+
+
 def manifest(digests: Sequence[str]) -> Part:
     """Make the part that lists the parts of a document."""
     return make(json.dumps(list(digests)).encode())
--- a/beryllug/core/plain.py
+++ b/beryllug/core/plain.py
@@ -33,6 +33,23 @@
     return cast('Record', _build(kind, plain))
 
 
+def knows(known: Any, whole: Any) -> bool:
+    """Tell whether plain data has no field that another one lacks.
+
+    Args:
+        known: What `to_plain` made of a record that was read.
+        whole: What the record was read from.
+    """
+    if isinstance(whole, Mapping):
+        return all(
+            name in known and knows(known[name], part)
+            for name, part in whole.items()
+        )
+    if isinstance(whole, list):
+        return all(map(knows, known, whole))
+    return True
+
+
 def _build(kind: Any, plain: Any) -> Any:
     if hasattr(kind, '_fields'):
         return _build_record(kind, plain)
--- a/beryllug/drivers/config_store.py
+++ b/beryllug/drivers/config_store.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -31,11 +32,13 @@
         version: The store's version of the root.
         root: The root.
         document: The document that it stands for.
+        chunks: The bytes of its parts, as they were written.
     """
 
     version: int
     root: config_root.Root
     document: config_data.Document
+    chunks: tuple[bytes, ...] = ()
 
 
 class Apply(NamedTuple):
@@ -116,14 +119,15 @@
             if not found.version:
                 return None
             try:
-                document = await self.assemble(found.root)
+                chunks = await self.parts.get(found.root.parts)
             except part_store.PartMissingError:
                 # Parts of an old root are collected some time after. This
                 # root was overtaken while its parts were read: read anew.
                 await asyncio.sleep(_pause(attempt))
             else:
                 self.parts.keep_only(found.root.parts)
-                return Snapshot(found.version, found.root, document)
+                understood = await self._understood(found.root)
+                return Snapshot(found.version, found.root, document, understood)
         raise part_store.PartMissingError('parts of the root are missing')
 
     async def read_root(self) -> _Found:
@@ -150,8 +154,7 @@
             PartMissingError: The root was overtaken and its parts collected.
             ObjectApiError: The platform can't be read.
         """
-        chunks = await self.parts.get(root.parts)
-        return document_parts.join(map(document_parts.parse, chunks))
+        return _join(await self.parts.get(root.parts))
 
     async def past(self, revision: int) -> config_data.Document | None:
         """Return the document of a remembered revision, or None.
@@ -200,7 +203,7 @@
                 digests = document_parts.read_manifest(listed[0])
                 chunks = await self.parts.get(digests)
                 self.parts.keep_only(root.parts)
-                return document_parts.join(map(document_parts.parse, chunks))
+                return _join(chunks)
         return None
 
 
@@ -297,6 +300,10 @@
         return result.Ok(root.revision)
 
 
+def _join(chunks: Iterable[bytes]) -> config_data.Document:
+    return document_parts.join(map(document_parts.parse, chunks))
+
+
 def _decode(raw: bytes) -> config_root.Root:
     if not raw:
         return config_root.Root()
--- a/beryllug/kernel/ops.py
+++ b/beryllug/kernel/ops.py
@@ -75,6 +75,10 @@
         await self._server.stop()
         self._metrics.stop()
 
+    def replace_keys(self, keys: tuple[str, ...]) -> None:
+        """Take new operators' keys, as when settings are read anew."""
+        self._cfg = self._cfg._replace(keys=keys)
+
     def dump(self) -> dict[str, Any]:
         """Return the address."""
         return {'listen': self._cfg.listen}
--- a/beryllug/kernel/ops_test.py
+++ b/beryllug/kernel/ops_test.py
@@ -81,6 +81,14 @@
                 status, _ = await self._get(path, authorization)
                 self.assertEqual(status, expected)
 
+    async def test_rotation(self) -> None:
+        """After a rotation the old key is refused, without a restart."""
+        self.operators.replace_keys((NEXT_KEY,))
+        for key, expected in ((KEY, 401), (NEXT_KEY, 200)):
+            with self.subTest(key):
+                status, _ = await self._get('/dump', f'Bearer {key}')
+                self.assertEqual(status, expected)
+
     async def test_dump(self) -> None:
         """The dump has the state of each service by name."""
         _, body = await self._get('/dump', f'Bearer {KEY}')
