--- a/beryllug/drivers/config_store.py
+++ b/beryllug/drivers/config_store.py
@@ -126,8 +126,9 @@
                 await asyncio.sleep(_pause(attempt))
             else:
                 self.parts.keep_only(found.root.parts)
-                understood = await self._understood(found.root)
-                return Snapshot(found.version, found.root, document, understood)
+                return Snapshot(
+                    found.version, found.root, _join(chunks), chunks
+                )
         raise part_store.PartMissingError('parts of the root are missing')
 
     async def read_root(self) -> _Found:
