--- a/beryllug/drivers/config_store.py
+++ b/beryllug/drivers/config_store.py
@@ -99,6 +99,10 @@
     root: config_root.Root
 
 
+class UnreadableError(object_data.ObjectApiError):
+    """A newer release wrote what this one can't read at all."""
+
+
 class ConfigStore:
     """Reads and applies configurations."""
 
@@ -302,7 +306,10 @@
 
 
 def _join(chunks: Iterable[bytes]) -> config_data.Document:
-    return document_parts.join(map(document_parts.parse, chunks))
+    try:
+        return document_parts.join(map(document_parts.parse, chunks))
+    except ValueError as exc:
+        raise UnreadableError(str(exc)) from exc
 
 
 def _decode(raw: bytes) -> config_root.Root:
