--- a/beryllug/control/commit.py
+++ b/beryllug/control/commit.py
@@ -12,11 +12,12 @@
 
 from absl import logging
 
-from beryllug.control import readback, segments, waiters
+from beryllug.control import images, segments, waiters
 from beryllug.core import (
     journal_data,
     journal_log,
     shard_state,
+    usage,
 )
 from beryllug.drivers import object_api, object_data
 
@@ -32,12 +33,14 @@
         fencing: Fencing token of its lease.
         boot: Random id of this process start.
         commits_per_s: Most platform writes a second.
+        retention_s: How long rows are kept.
     """
 
     shard: int
     fencing: int
     boot: str
     commits_per_s: float
+    retention_s: float
 
 
 class Committer:
@@ -46,6 +49,7 @@
     Attributes:
         cfg: What it is bound to.
         state: What is remembered of the shard.
+        totals: Usage of each segment that the stored usage lacks.
         log: The shard's log.
         serving: Whether it has taken over and not lost the shard since.
     """
@@ -54,6 +58,7 @@
         """Make a committer; it takes over after `start`."""
         self.cfg = cfg
         self.state = shard_state.ShardState()
+        self.totals: dict[int, usage.Totals] = {}
         self.log = segments.ShardLog(api, cfg.shard, cfg.fencing, cfg.boot)
         self.serving = False
         self._api = api
@@ -158,7 +163,9 @@
 
     async def _read_log(self) -> None:
         seqs = await self.log.take_over()
-        self.state = await readback.replay(self._api, self.cfg.shard, seqs)
+        restored = await images.restore(self._api, self.cfg.shard, seqs)
+        self.state = restored.state
+        self.totals = restored.totals
         journal_log.replayed(self.state, time.monotonic())
         self.serving = True
 
@@ -206,7 +213,9 @@
 
     def _take_in(self, rows: Sequence[journal_data.Row]) -> None:
         head = self.log.head
+        totals = self.totals.setdefault(head.seq, usage.Totals())
         for row in rows:
+            usage.add_row(totals, row)
             journal_log.committed(self.state, row, head.seq, head.segment.at)
         row_ids = map(shard_state.row_id, rows)
         done = [rid for rid in row_ids if rid not in self.state.pending]
--- a/beryllug/control/fake_platform_test.py
+++ b/beryllug/control/fake_platform_test.py
@@ -89,6 +89,7 @@
         cut: Whether this process alone can't reach the platform.
         gate: Cleared to hold writes before they are sent.
         held: Set while a write is held there.
+        reads: Reads made.
         delay_s: How long each of its calls takes.
         stall_s: How long this process is paused after its next write, cut
             off from the platform from then on.
@@ -102,6 +103,7 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.held = asyncio.Event()
+        self.reads = 0
         self.delay_s = 0.0
         self.stall_s = 0.0
         self.faults: deque[Fault] = deque()
@@ -110,6 +112,7 @@
 
     async def read(self, key: str) -> object_data.Object | None:
         """Read an object."""
+        self.reads += 1
         await self._reach()
         return self._store.kept.get(key)
 
--- /dev/null
+++ b/beryllug/control/images.py
@@ -0,0 +1,193 @@
+"""Images of shards and sums of usage in the platform."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from beryllug.control import segments
+from beryllug.core import (
+    image_data,
+    journal_log,
+    segment_data,
+    shard_image,
+    shard_state,
+    usage,
+    usage_data,
+)
+from beryllug.drivers import object_api, object_data
+
+PREFIX = 'beryllug/journal-index'
+USAGE_PREFIX = 'beryllug/usage'
+ROOT = 'root'
+READS_AT_ONCE = 16
+NO_IMAGE = image_data.Image(
+    0, 0, (), image_data.PackedTable(b'', b'', 0), float('-inf'), ()
+)
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_image = msgspec.msgpack.Decoder(image_data.Image).decode
+_decode_table = msgspec.msgpack.Decoder(image_data.PackedTable).decode
+_decode_usage = msgspec.msgpack.Decoder(usage_data.Usage).decode
+
+
+class Restored(NamedTuple):
+    """What a new owner knows after it has read a shard.
+
+    Attributes:
+        state: The shard's state.
+        totals: Usage of each segment that is not in the stored usage.
+    """
+
+    state: shard_state.ShardState
+    totals: dict[int, usage.Totals]
+
+
+def image_key(shard: int) -> str:
+    """Return the key of a shard's image."""
+    return f'{PREFIX}/{shard}/{ROOT}'
+
+
+def table_key(shard: int, name: str) -> str:
+    """Return the key of one table of a shard's index."""
+    return f'{PREFIX}/{shard}/{name}'
+
+
+def usage_key(shard: int) -> str:
+    """Return the key of a shard's usage."""
+    return f'{USAGE_PREFIX}/{shard}'
+
+
+async def read_image(
+    api: object_api.ObjectApi, shard: int
+) -> tuple[int, image_data.Image | None]:
+    """Return the version and content of a shard's image."""
+    stored = await api.read(image_key(shard))
+    if stored is None:
+        return 0, None
+    return stored.version, _decode_image(stored.value)
+
+
+async def write_image(
+    api: object_api.ObjectApi,
+    shard: int,
+    image: image_data.Image,
+    expected: int,
+) -> int:
+    """Write a shard's image on condition and return its new version."""
+    return await api.write(image_key(shard), _encode(image), expected)
+
+
+async def write_table(
+    api: object_api.ObjectApi,
+    shard: int,
+    name: str,
+    table: image_data.PackedTable,
+) -> None:
+    """Write one full table; its name holds the owner's fencing token."""
+    await api.write(table_key(shard, name), _encode(table), None)
+
+
+async def read_usage(
+    api: object_api.ObjectApi, shard: int
+) -> tuple[int, usage_data.Usage]:
+    """Return the version and content of a shard's usage."""
+    stored = await api.read(usage_key(shard))
+    if stored is None:
+        return 0, usage_data.Usage()
+    return stored.version, _decode_usage(stored.value)
+
+
+async def write_usage(
+    api: object_api.ObjectApi,
+    shard: int,
+    content: usage_data.Usage,
+    expected: int,
+) -> int:
+    """Write a shard's usage on condition and return its new version."""
+    return await api.write(usage_key(shard), _encode(content), expected)
+
+
+async def restore(
+    api: object_api.ObjectApi, shard: int, seqs: list[int]
+) -> Restored:
+    """Read a shard: its image, then the rows after it.
+
+    Args:
+        api: The platform.
+        shard: The shard.
+        seqs: Numbers of its segments in order, closed for earlier owners.
+
+    Raises:
+        ObjectApiError: The platform failed; start anew.
+    """
+    _, counted = await read_usage(api, shard)
+    _, image = await read_image(api, shard)
+    if image is None:
+        image = NO_IMAGE
+    state = await _restore_state(api, shard, image)
+    restored = Restored(state, {})
+    needed = min(image.upto, counted.folded)
+    later = [seq for seq in seqs if seq > needed]
+    async for seq, segment in read_all(api, shard, later):
+        if seq > image.upto:
+            journal_log.replay(state, segment.rows, seq, segment.at)
+        if seq > counted.folded:
+            restored.totals[seq] = usage.of_rows(segment.rows)
+    return restored
+
+
+async def report(api: object_api.ObjectApi, shards: int) -> usage_data.Usage:
+    """Return what all accounts used, each request once.
+
+    Args:
+        api: The platform.
+        shards: Number of shards.
+
+    Raises:
+        ObjectApiError: The platform failed.
+    """
+    totals = usage.Totals()
+    for shard in range(shards):
+        _, counted = await read_usage(api, shard)
+        usage.add(totals, counted)
+        seqs = await segments.list_seqs(api, shard)
+        later = [seq for seq in seqs if seq > counted.folded]
+        async for _, segment in read_all(api, shard, later):
+            usage.add(totals, usage.stored(usage.of_rows(segment.rows), 0))
+    return usage.stored(totals, 0)
+
+
+async def read_all(
+    api: object_api.ObjectApi, shard: int, seqs: Sequence[int]
+) -> AsyncIterator[tuple[int, segment_data.SegmentRows]]:
+    """Yield segments in their order, a few read at once."""
+    for start in range(0, len(seqs), READS_AT_ONCE):
+        chunk = seqs[start : start + READS_AT_ONCE]
+        found = await asyncio.gather(
+            *(segments.read_rows(api, shard, seq) for seq in chunk)
+        )
+        for seq, segment in zip(chunk, found, strict=True):
+            if segment is not None:
+                yield seq, segment
+
+
+async def _restore_state(
+    api: object_api.ObjectApi, shard: int, image: image_data.Image
+) -> shard_state.ShardState:
+    tables = await asyncio.gather(
+        *(_read_table(api, shard, ref.name) for ref in image.tables)
+    )
+    return shard_image.restore(image, tables)
+
+
+async def _read_table(
+    api: object_api.ObjectApi, shard: int, name: str
+) -> image_data.PackedTable:
+    stored = await api.read(table_key(shard, name))
+    if stored is None:
+        # Without it keys would be forgotten that are remembered: do not
+        # serve, try again.
+        raise object_data.UnavailableError(f'no table {name}')
+    return _decode_table(stored.value)
--- a/beryllug/control/journal.py
+++ b/beryllug/control/journal.py
@@ -5,16 +5,17 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, TypeVar
 
-from beryllug.control import shard_owner, shards
+from beryllug.control import images, shard_owner, shards
 from beryllug.core import (
     journal,
     journal_data,
     rpc_data,
     settings_data,
     shard_state,
+    usage_data,
 )
 from beryllug.drivers import methods, rpc
 
@@ -35,6 +36,7 @@
             cfg: Settings.
             boot: Random id of this process start.
         """
+        self._api = parts.api
         self._count = cfg.shards
         self._shards = shards.Shards(parts, cfg, boot)
 
@@ -83,6 +85,18 @@
         )
         return reply or rpc_data.LookupReply(None, available=False)
 
+    def owners(self) -> Mapping[int, shard_owner.ShardOwner]:
+        """Return the owners of the shards that this process owns."""
+        return self._shards.owners
+
+    async def usage(self) -> usage_data.Usage:
+        """Return what all accounts used, each request once.
+
+        Raises:
+            ObjectApiError: The platform failed.
+        """
+        return await images.report(self._api, self._count)
+
     async def _by_shard(
         self,
         rows: Sequence[journal_data.Row],
--- a/beryllug/control/nodes_test.py
+++ b/beryllug/control/nodes_test.py
@@ -7,7 +7,7 @@
 import asyncio
 import time
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from beryllug.control import (
@@ -174,6 +174,13 @@
         ack = await self.journal.finish(rpc_data.OutcomeBatch((row,)))
         return ack.durable[0]
 
+    async def finish_all(
+        self, rows: Sequence[journal_data.Row]
+    ) -> tuple[bool, ...]:
+        """Hand several outcomes to this node at once."""
+        ack = await self.journal.finish(rpc_data.OutcomeBatch(tuple(rows)))
+        return ack.durable
+
 
 class NodesCase(unittest.IsolatedAsyncioTestCase):
     """A store, a network and nodes that end with the test."""
@@ -217,7 +224,7 @@
         """Return all rows of the log as the platform holds them."""
         found: list[journal_data.Row] = []
         for key, stored in sorted(self.store.kept.items()):
-            if key.startswith(segments.PREFIX):
+            if key.startswith(f'{segments.PREFIX}/'):
                 found.extend(segments.decode(stored.value).rows)
         return found
 
--- a/beryllug/control/readback.py
+++ b/beryllug/control/readback.py
@@ -1,6 +1,7 @@
 """Reads rows back from a shard's log."""
 
-from collections.abc import Iterable
+import asyncio
+from typing import NamedTuple
 
 from beryllug.control import segments
 from beryllug.core import (
@@ -13,8 +14,19 @@
 from beryllug.drivers import object_api, object_data
 
 
+class Read(NamedTuple):
+    """Rows of a segment, in order and by what they are deduplicated by."""
+
+    rows: list[journal_data.Row]
+    by_id: dict[shard_state.RowId, journal_data.Row]
+
+
 class RowReader:
-    """Reads the rows that an index names."""
+    """Reads the rows that an index names.
+
+    Readers of one segment at one time share the read: an entry that sends
+    hundreds of outcomes again would else have each read the same rows.
+    """
 
     def __init__(
         self, api: object_api.ObjectApi, shard: int, log: segments.ShardLog
@@ -23,49 +35,64 @@
         self._api = api
         self._shard = shard
         self._log = log
+        self._reading: dict[int, asyncio.Task[Read | None]] = {}
 
-    async def rows(self, seq: int) -> list[journal_data.Row] | None:
+    async def read(self, seq: int) -> Read | None:
         """Return a segment's rows, or None when it can't be read now."""
-        head = self._log.head
-        if seq == head.seq:
-            return [segments.decode_row(raw) for raw in head.segment.rows]
-        try:
-            segment = await segments.read_rows(self._api, self._shard, seq)
-        except object_data.ObjectApiError:
-            return None
-        return [] if segment is None else segment.rows
+        task = self._reading.get(seq)
+        if task is None:
+            task = asyncio.create_task(self._read(seq))
+            self._reading[seq] = task
+            task.add_done_callback(lambda _: self._reading.pop(seq))
+        return await asyncio.shield(task)
 
     async def about_key(
         self, seq: int, row: journal_data.Row
     ) -> journal.Found | None:
         """Find the row that decides about the key of an intent."""
-        rows = await self.rows(seq)
-        if rows is None:
+        found = await self.read(seq)
+        if found is None:
             return None
-        chosen = journal_log.about_key(rows, row.account_id, row.shard_key)
+        chosen = journal_log.about_key(
+            found.rows, row.account_id, row.shard_key
+        )
         return journal.Found(seq, chosen)
 
     async def outcome(
         self, seq: int, row: journal_data.Row
     ) -> journal.Found | None:
         """Find an outcome by its request id."""
-        rows = await self.rows(seq)
-        if rows is None:
+        found = await self.read(seq)
+        if found is None:
             return None
-        wanted = shard_state.row_id(row)
-        same = (known for known in rows if shard_state.row_id(known) == wanted)
-        return journal.Found(seq, next(same, None))
+        return journal.Found(seq, found.by_id.get(shard_state.row_id(row)))
 
     async def latest(
         self, seq: int, ask: rpc_data.LookupAsk
     ) -> rpc_data.LookupReply:
         """Find the latest row that a lookup asks for."""
-        rows = await self.rows(seq)
-        if rows is None:
+        found = await self.read(seq)
+        if found is None:
             return rpc_data.LookupReply(None, available=False)
-        matching = [row for row in rows if matches(row, ask)]
+        matching = [row for row in found.rows if matches(row, ask)]
         return rpc_data.LookupReply(matching[-1] if matching else None)
 
+    async def _read(self, seq: int) -> Read | None:
+        rows = await self._rows(seq)
+        if rows is None:
+            return None
+        return Read(rows, {shard_state.row_id(row): row for row in rows})
+
+    async def _rows(self, seq: int) -> list[journal_data.Row] | None:
+        head = self._log.head
+        if seq == head.seq:
+            return [segments.decode_row(raw) for raw in head.segment.rows]
+        try:
+            segment = await segments.read_rows(self._api, self._shard, seq)
+        except object_data.ObjectApiError:
+            return None
+        return [] if segment is None else segment.rows
+
 
 def matches(row: journal_data.Row, ask: rpc_data.LookupAsk) -> bool:
     """Tell whether a row is of the kind and key that is asked for."""
@@ -74,19 +101,3 @@
         ask.account_id,
         ask.shard_key,
     )
-
-
-async def replay(
-    api: object_api.ObjectApi, shard: int, seqs: Iterable[int]
-) -> shard_state.ShardState:
-    """Build the state of a shard from its segments.
-
-    Raises:
-        ObjectApiError: The platform failed; start anew.
-    """
-    state = shard_state.ShardState()
-    for seq in seqs:
-        segment = await segments.read_rows(api, shard, seq)
-        if segment is not None:
-            journal_log.replay(state, segment.rows, seq, segment.at)
-    return state
--- a/beryllug/control/segments.py
+++ b/beryllug/control/segments.py
@@ -20,7 +20,7 @@
 PREFIX = 'beryllug/journal'
 SEQ_DIGITS = 12
 SEAL_BYTES = 49152
-BATCH_BYTES = 524288
+BATCH_BYTES = 262144
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_segment = msgspec.msgpack.Decoder(segment_data.Segment).decode
@@ -74,6 +74,17 @@
     return None if stored is None else _decode_rows(stored.value)
 
 
+async def read(
+    api: object_api.ObjectApi, shard: int, seq: int
+) -> segment_data.Stored | None:
+    """Read one segment as it stands; None where there is none."""
+    found = await api.read(key_of(shard, seq))
+    if found is None:
+        return None
+    segment = _decode_segment(found.value)
+    return segment_data.Stored(seq, found.version, segment)
+
+
 class ShardLog:
     """Appends to one shard's log under one fencing token.
 
@@ -197,11 +208,7 @@
         return True
 
     async def _read(self, seq: int) -> segment_data.Stored | None:
-        found = await self._api.read(key_of(self._shard, seq))
-        if found is None:
-            return None
-        segment = _decode_segment(found.value)
-        return segment_data.Stored(seq, found.version, segment)
+        return await read(self._api, self._shard, seq)
 
     async def _write(
         self, seq: int, segment: segment_data.Segment, expected: int
--- a/beryllug/control/shards.py
+++ b/beryllug/control/shards.py
@@ -38,7 +38,11 @@
 
 
 class Shards:
-    """Owners of the shards whose leases this process holds."""
+    """Owners of the shards whose leases this process holds.
+
+    Attributes:
+        owners: They by shard.
+    """
 
     def __init__(
         self, parts: Parts, cfg: settings_data.Control, boot: str
@@ -47,7 +51,7 @@
         self._parts = parts
         self._cfg = cfg
         self._boot = boot
-        self._owners: dict[int, shard_owner.ShardOwner] = {}
+        self.owners: dict[int, shard_owner.ShardOwner] = {}
 
     def start(self) -> None:
         """Want the lease of every shard."""
@@ -56,19 +60,19 @@
 
     async def stop(self, grace_s: float) -> None:
         """Make pending rows durable; the leases are given back after."""
-        shards = list(self._owners)
+        shards = list(self.owners)
         await asyncio.gather(*(self._end(shard, grace_s) for shard in shards))
 
     def dump(self) -> dict[str, Any]:
         """Return the state of every owned shard."""
         return {
-            str(shard): owner.dump() for shard, owner in self._owners.items()
+            str(shard): owner.dump() for shard, owner in self.owners.items()
         }
 
     async def on_lease(self, name: str, fencing: int) -> None:
         """Begin or end to own a shard."""
         shard = shard_of_lease(name)
-        owner = self._owners.pop(shard, None)
+        owner = self.owners.pop(shard, None)
         if owner is not None:
             await owner.stop()
         if fencing:
@@ -93,7 +97,7 @@
         """
         deadline = time.monotonic() + HAND_OVER_S
         while True:
-            owner = self._owners.get(shard)
+            owner = self.owners.get(shard)
             if owner is not None:
                 return await local(owner)
             reply = await self._forward(shard, routed)
@@ -108,7 +112,7 @@
 
     async def _end(self, shard: int, grace_s: float) -> None:
         """Flush a shard; what comes from now on waits for its next owner."""
-        owner = self._owners.pop(shard, None)
+        owner = self.owners.pop(shard, None)
         if owner is not None:
             await owner.flush(grace_s)
             await owner.stop()
@@ -131,11 +135,15 @@
         owner = shard_owner.ShardOwner(
             self._parts.api,
             commit.OwnerCfg(
-                shard, fencing, self._boot, self._cfg.commits_per_s
+                shard,
+                fencing,
+                self._boot,
+                self._cfg.commits_per_s,
+                self._cfg.retention_s,
             ),
             lambda: self._valid_s(shard, fencing),
         )
-        self._owners[shard] = owner
+        self.owners[shard] = owner
         owner.start()
 
     def _valid_s(self, shard: int, fencing: int) -> float:
--- /dev/null
+++ b/beryllug/control/upkeep_test.py
@@ -0,0 +1,211 @@
+"""Usage, images and expiry of a shard.
+
+Rows are large, so that a few of them fill a segment.
+"""
+
+import asyncio
+import unittest
+
+from beryllug.control import (
+    fake_platform_test,
+    images,
+    nodes_test,
+    segments,
+    shard_owner,
+)
+from beryllug.core import digest_index, journal_data, usage_data
+from beryllug.drivers import object_data
+
+Fault = fake_platform_test.Fault
+LARGE = 'x' * 20000
+COST = 7
+PAST = 0.0
+FUTURE = 1e12
+
+
+def _billed(number: int) -> journal_data.Row:
+    stage = journal_data.StageUse('model', 'v1', 'server', 10, 20, COST)
+    row = nodes_test.intent(f'r{number}', f'k{number}')
+    return nodes_test.outcome(row)._replace(stages=(stage,), note=LARGE)
+
+
+def _owner(node: nodes_test.Node) -> shard_owner.ShardOwner:
+    return node.journal.owners()[0]
+
+
+class UpkeepCase(nodes_test.NodesCase):
+    """Bills requests and checks their sum."""
+
+    async def _bill(self, node: nodes_test.Node, start: int, end: int) -> None:
+        for number in range(start, end):
+            await self.finish_at_last(node, _billed(number))
+
+    async def _check(self, node: nodes_test.Node, requests: int) -> None:
+        used = await node.journal.usage()
+        billed = len({row.request_id for row in self._bills()})
+        account = used.accounts[0]
+        self.assertEqual(account.requests, requests)
+        self.assertLessEqual(billed, requests)
+        cost = sum(use.cost_micro for use in used.versions)
+        self.assertEqual(account.cost_micro, cost)
+        self.assertIsInstance(used, usage_data.Usage)
+
+    def _bills(self) -> list[journal_data.Row]:
+        kind = journal_data.RowKind.OUTCOME
+        return [row for row in self.rows() if row.kind is kind]
+
+    def _segments(self) -> list[str]:
+        prefix = segments.prefix_of(0)
+        return [key for key in self.store.kept if key.startswith(prefix)]
+
+
+class UsageTest(UpkeepCase):
+    """Each request counts once, over owners and faults."""
+
+    async def test_usage_counts_once(self) -> None:
+        """Usage is right before, between and after folds that go wrong.
+
+        A fold whose answer is lost is repeated, an owner is killed between
+        folds, its successor folds the same segments: the account's sum
+        counts each request once whoever asks, whenever.
+        """
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        owner.client.faulty = images.USAGE_PREFIX
+        upkeep = _owner(owner).upkeep
+        faults = (Fault.LOST_ANSWER, Fault.LOST, Fault.REFUSED)
+        for number, fault in enumerate(faults):
+            with self.subTest(fault):
+                await self._bill(owner, number * 10, number * 10 + 5)
+                owner.client.faults.append(fault)
+                await self._check(owner, number * 10 + 5)
+                with self.assertRaises(object_data.ObjectApiError):
+                    await upkeep.round(PAST)
+                await self._check(owner, number * 10 + 5)
+                await self._bill(owner, number * 10 + 5, number * 10 + 10)
+                await upkeep.round(PAST)
+                await self._check(owner, number * 10 + 10)
+        await self._bill(owner, 30, 40)
+        await owner.kill(self.network)
+        await nodes_test.until(successor.owns)
+        await self._check(successor, 40)
+        await _owner(successor).upkeep.round(PAST)
+        await self._bill(successor, 40, 45)
+        await self._check(successor, 45)
+
+    async def test_paused_fold(self) -> None:
+        """Two owners fold the same segments, one of them by mistake.
+
+        The earlier owner was paused right before its write, and wakes after
+        the new owner has counted more and deleted what it counted. The late
+        write meets another version; else what was deleted would be lost.
+        """
+        owner = await self.start_owner('1')
+        successor = await self.start_node('2')
+        await self._bill(owner, 0, 10)
+        owner.client.faulty = 'beryllug/'
+        owner.client.gate.clear()
+        folding = asyncio.create_task(_owner(owner).upkeep.round(PAST))
+        await owner.client.held.wait()
+        await nodes_test.until(successor.owns)
+        await _owner(successor).upkeep.round(FUTURE)
+        owner.client.gate.set()
+        with self.assertRaises(object_data.ConflictError):
+            await folding
+        await self._check(successor, 10)
+
+
+class UpkeepTest(UpkeepCase):
+    """Images, expiry, and tries that never end."""
+
+    sizes = nodes_test.Sizes(lease_s=nodes_test.LONG_LEASE_S)
+
+    async def test_takeover_reads_the_image(self) -> None:
+        """A new owner knows old keys without reading old rows.
+
+        Of forty segments it reads the image and the rows after it; it still
+        answers for the first key and for an open try.
+        """
+        owner = await self.start_owner('1')
+        open_try = nodes_test.intent('open', 'open')
+        await owner.begin(open_try)
+        first = nodes_test.intent('first', 'first')
+        await owner.begin(first)
+        await owner.finish(nodes_test.outcome(first))
+        await self._bill(owner, 0, 120)
+        await _owner(owner).upkeep.round(PAST)
+        self.assertGreater(len(self._segments()), 35)
+        second = await self.start_node('2')
+        before = second.client.reads
+        await owner.stop()
+        await nodes_test.until(second.owns)
+        self.assertLess(second.client.reads - before, 20)
+        self.assertIn('open', _owner(second).state.tries)
+        for row, expected in (
+            (first, journal_data.GrantKind.FINISHED),
+            (open_try, journal_data.GrantKind.UNKNOWN),
+        ):
+            with self.subTest(expected):
+                again = row._replace(request_id='again', entry='e/2')
+                grant = await second.begin(again)
+                self.assertEqual(grant.kind, expected)
+        self.assertTrue(await second.finish(_billed(5)))
+        await self._check(second, 121)
+
+    async def test_tables_are_saved(self) -> None:
+        """An index of several tables survives a takeover."""
+        self.addCleanup(
+            setattr, digest_index, 'MAX_USED', digest_index.MAX_USED
+        )
+        digest_index.MAX_USED = 200
+        owner = await self.start_owner('1')
+        rows = [
+            _billed(number)._replace(note='x' * 200) for number in range(450)
+        ]
+        for start in range(0, len(rows), 50):
+            await owner.finish_all(rows[start : start + 50])
+        await _owner(owner).upkeep.round(PAST)
+        saved = [key for key in self.store.kept if images.PREFIX in key]
+        self.assertEqual(len(saved), 3)
+        second = await self.start_node('2')
+        await owner.stop()
+        await nodes_test.until(second.owns)
+        before = len(self.rows())
+        for start in range(0, len(rows), 50):
+            acks = await second.finish_all(rows[start : start + 50])
+            self.assertTrue(all(acks))
+        self.assertEqual(len(self.rows()), before)
+
+    async def test_expiry(self) -> None:
+        """Old segments are deleted, what was used stays counted."""
+        owner = await self.start_owner('1')
+        await self._bill(owner, 0, 30)
+        await _owner(owner).upkeep.round(PAST)
+        kept = len(self._segments())
+        await _owner(owner).upkeep.round(FUTURE)
+        self.assertGreater(kept, 9)
+        self.assertEqual(len(self._segments()), 1)
+        await self._check(owner, 30)
+        await self._bill(owner, 30, 40)
+        await self._check(owner, 40)
+
+    async def test_tries_end(self) -> None:
+        """A try whose outcome nobody sends ends as unknown, and is billed so.
+
+        Its entry and its owner were lost; a resend still learns that the
+        outcome is unknown, and memory is not kept for ever.
+        """
+        owner = await self.start_owner('1')
+        await owner.begin(nodes_test.intent('one'))
+        for attempt in _owner(owner).state.tries.values():
+            attempt.since = float('-inf')
+        await _owner(owner).upkeep.round(PAST)
+        await owner.begin(nodes_test.intent('other', 'other'))
+        self.assertIn(('unknown', 'one'), self.log())
+        self.assertEqual(len(_owner(owner).state.tries), 1)
+        grant = await owner.begin(nodes_test.intent('two'))
+        self.assertEqual(grant.kind, journal_data.GrantKind.UNKNOWN)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/core/digest_index.py
+++ b/beryllug/core/digest_index.py
@@ -26,16 +26,18 @@
         seqs: Segment number of each slot.
         used: Slots in use.
         newest_at: Wall-clock second of the newest row in it.
+        name: Name of the object that holds a copy, or empty.
     """
 
     digests: 'array[int]' = field(
         default_factory=lambda: array('Q', bytes(8 * SLOTS))
     )
     seqs: 'array[int]' = field(
-        default_factory=lambda: array('L', bytes(8 * SLOTS))
+        default_factory=lambda: array('I', bytes(4 * SLOTS))
     )
     used: int = 0
     newest_at: float = float('-inf')
+    name: str = ''
 
 
 @dataclass(slots=True)
@@ -67,7 +69,7 @@
         seq: Number of the segment that holds the row.
         at: Wall-clock second of the row's commit.
     """
-    if not index.tables or index.tables[-1].used >= MAX_USED:
+    if not index.tables or is_full(index.tables[-1]):
         index.tables.append(Table())
         _drop_beyond(index, MAX_TABLES)
     table = index.tables[-1]
@@ -94,6 +96,35 @@
         _drop_beyond(index, len(index.tables) - 1)
 
 
+def is_full(table: Table) -> bool:
+    """Tell whether a table takes no more digests."""
+    return table.used >= MAX_USED
+
+
+def pack(table: Table) -> tuple[bytes, bytes]:
+    """Return a table's digests and segments without its free slots."""
+    pairs = [
+        (key, seq)
+        for key, seq in zip(table.digests, table.seqs, strict=True)
+        if key
+    ]
+    digests = array('Q', (key for key, _ in pairs))
+    seqs = array('I', (seq for _, seq in pairs))
+    return digests.tobytes(), seqs.tobytes()
+
+
+def unpack(digests: bytes, seqs: bytes, newest_at: float, name: str) -> Table:
+    """Make a table of what `pack` returned."""
+    table = Table(newest_at=newest_at, name=name)
+    keys = array('Q', digests)
+    for key, seq in zip(keys, array('I', seqs), strict=True):
+        slot = _slot(table, key)
+        table.digests[slot] = key
+        table.seqs[slot] = seq
+    table.used = len(keys)
+    return table
+
+
 def size(index: Index) -> int:
     """Return the number of remembered digests."""
     return sum(table.used for table in index.tables)
--- /dev/null
+++ b/beryllug/core/usage.py
@@ -0,0 +1,111 @@
+"""Sums of what client accounts used, from the outcome rows of the journal.
+
+The sum of a shard stands in the platform with the number of the last segment
+it counts, and both change in one conditional update: however often owners
+change or writes are repeated, a segment is counted once.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from beryllug.core import journal_data, usage_data
+
+
+@dataclass(slots=True)
+class Totals:
+    """Running sums.
+
+    Attributes:
+        accounts: Requests and cost by account.
+        versions: Stages, tokens in and out, and cost by account, model and
+            version.
+    """
+
+    accounts: dict[str, tuple[int, int]] = field(default_factory=dict)
+    versions: dict[tuple[str, str, str], tuple[int, int, int, int]] = field(
+        default_factory=dict
+    )
+
+
+def add_row(totals: Totals, row: journal_data.Row) -> None:
+    """Count a row of the log; only outcomes are bills."""
+    if row.kind is not journal_data.RowKind.OUTCOME:
+        return
+    cost = sum(stage.cost_micro for stage in row.stages)
+    _add_account(totals, row.account_id, 1, cost)
+    for stage in row.stages:
+        key = (row.account_id, stage.model, stage.version)
+        use = (1, stage.tokens_in, stage.tokens_out, stage.cost_micro)
+        _add_version(totals, key, use)
+
+
+def add(totals: Totals, usage: usage_data.Usage) -> None:
+    """Add stored sums."""
+    for account in usage.accounts:
+        _add_account(
+            totals, account.account_id, account.requests, account.cost_micro
+        )
+    for account_id, model, version, *use in usage.versions:
+        stages, tokens_in, tokens_out, cost = use
+        _add_version(
+            totals,
+            (account_id, model, version),
+            (stages, tokens_in, tokens_out, cost),
+        )
+
+
+def of_rows(rows: Iterable[journal_data.Row]) -> Totals:
+    """Sum up rows."""
+    totals = Totals()
+    for row in rows:
+        add_row(totals, row)
+    return totals
+
+
+def stored(totals: Totals, folded: int) -> usage_data.Usage:
+    """Return sums as they are stored, in a stable order."""
+    return usage_data.Usage(
+        folded,
+        tuple(
+            usage_data.AccountUse(account_id, *use)
+            for account_id, use in sorted(totals.accounts.items())
+        ),
+        tuple(
+            usage_data.VersionUse(*key, *use)
+            for key, use in sorted(totals.versions.items())
+        ),
+    )
+
+
+def fold(
+    before: usage_data.Usage, segments: dict[int, Totals], upto: int
+) -> usage_data.Usage:
+    """Add whole segments to a shard's sum, each once.
+
+    Args:
+        before: The sum as it stands in the platform.
+        segments: Sums of single segments by their numbers.
+        upto: The last segment to count; all up to it must be complete.
+    """
+    totals = Totals()
+    add(totals, before)
+    for seq, segment in segments.items():
+        # Another owner may have counted some meanwhile.
+        if before.folded < seq <= upto:
+            add(totals, stored(segment, seq))
+    return stored(totals, max(before.folded, upto))
+
+
+def _add_account(
+    totals: Totals, account_id: str, requests: int, cost: int
+) -> None:
+    known = totals.accounts.get(account_id, (0, 0))
+    totals.accounts[account_id] = (known[0] + requests, known[1] + cost)
+
+
+def _add_version(
+    totals: Totals, key: tuple[str, str, str], use: tuple[int, int, int, int]
+) -> None:
+    known = totals.versions.get(key, (0, 0, 0, 0))
+    stages, tokens_in, tokens_out, cost = map(sum, zip(known, use, strict=True))
+    totals.versions[key] = (stages, tokens_in, tokens_out, cost)
