--- a/beryllug/entry/batcher.py
+++ b/beryllug/entry/batcher.py
@@ -1,7 +1,8 @@
 """Group calls: many requests wait, one message carries them all.
 
 A remote call costs far more than a row in it. While requests come one by
-one each goes at once; under load those of one moment share a call.
+one each goes at once; under load calls keep a gap between them, and what comes
+in the gap shares the next call.
 """
 
 import asyncio
@@ -11,7 +12,7 @@
 Item = TypeVar('Item')
 Reply = TypeVar('Reply')
 
-LINGER_S = 0.001
+GAP_S = 0.004
 MAX_BATCH = 256
 
 
@@ -26,6 +27,7 @@
         self._waiting: list[tuple[Item, asyncio.Future[Reply]]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
+        self._sent_at = float('-inf')
 
     async def submit(self, item: Item) -> Reply:
         """Send an item with others and return its reply.
@@ -39,7 +41,8 @@
         if len(self._waiting) >= MAX_BATCH:
             self._flush()
         elif self._timer is None:
-            self._timer = loop.call_later(LINGER_S, self._flush)
+            due = max(loop.time(), self._sent_at + GAP_S)
+            self._timer = loop.call_at(due, self._flush)
         return await fut
 
     async def stop(self) -> None:
@@ -54,6 +57,7 @@
         batch = self._waiting
         self._waiting = []
         if batch:
+            self._sent_at = asyncio.get_running_loop().time()
             task = asyncio.create_task(self._run(batch))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
