Serve the operators' console of forms

Cause: operators drive the system through forms whose output is one validated document. Ruled out: a program in the browser (a second implementation of forms, a build, and no test without a browser); state kept by the process (hosts are replaced at any time). Change: pages without scripts from the JSON Schema; the names of inputs are the paths of findings; a draft of changed records travels in the page and ends in the desk's apply. The operators' address takes name and key from a browser too.

--- a/beryllug/control/operators.py
+++ b/beryllug/control/operators.py
@@ -4,7 +4,13 @@
 import json
 from typing import Any, Protocol
 
-from beryllug.control import config, config_desk, fleet_status, part_fetch
+from beryllug.control import (
+    config,
+    config_desk,
+    console,
+    fleet_status,
+    part_fetch,
+)
 from beryllug.control import operator_replies as replies
 from beryllug.core import config_data, diff, document_plain, edits, plain
 from beryllug.drivers import rpc
@@ -41,10 +47,11 @@
         **EditRoutes(desk).answers(),
         **StatusRoutes(status, usage).answers(),
     }
-    return {
+    served = {
         ops.Route(*route): functools.partial(replies.serve, answer)
         for route, answer in answers.items()
     }
+    return {**served, **console.Console(desk).routes()}
 
 
 def for_control(
--- a/beryllug/kernel/ops.py
+++ b/beryllug/kernel/ops.py
@@ -4,6 +4,7 @@
 of the operators' keys. A role adds routes of its own.
 """
 
+import base64
 import hmac
 import json
 from collections.abc import Awaitable, Callable, Mapping
@@ -18,8 +19,8 @@
 UNAUTHORIZED = 401
 NOT_FOUND = 404
 UNAVAILABLE = 503
-BEARER = 'bearer '
 JSON = MappingProxyType({'content-type': http_server.JSON_TYPE})
+ASK_KEY = MappingProxyType({'www-authenticate': 'Basic realm="beryllug"'})
 PROMETHEUS = MappingProxyType({'content-type': metrics.CONTENT_TYPE})
 HEALTH = '/healthz'
 READINESS = '/readyz'
@@ -27,6 +28,13 @@
 METRICS = '/metrics'
 
 
+class Credentials(NamedTuple):
+    """Who sends a request: a name, where given, and a key."""
+
+    user: str
+    key: str
+
+
 class Route(NamedTuple):
     """A method and the path it is served under."""
 
@@ -96,7 +104,7 @@
             await self._serve_operator(req, path, exchange)
         else:
             await exchange.respond_json(
-                UNAUTHORIZED, {'error': 'send a valid operator key'}
+                UNAUTHORIZED, {'error': 'send a valid operator key'}, ASK_KEY
             )
 
     async def _serve_operator(
@@ -127,11 +135,32 @@
 
     def _is_operator(self, req: http_data.Request) -> bool:
         """Compare with every valid key in constant time."""
-        sent = req.headers.get('authorization', '')
-        if sent[: len(BEARER)].lower() != BEARER:
-            return False
-        key = sent[len(BEARER) :].strip().encode()
+        key = credentials(req).key.encode()
         matches = [
             hmac.compare_digest(key, valid.encode()) for valid in self._cfg.keys
         ]
         return any(matches)
+
+
+def credentials(req: http_data.Request) -> Credentials:
+    """Return what a request says of its sender; empty where it says nothing.
+
+    Tools send the key as a bearer token. A browser asks its user for a name
+    and a password, which is the key, and sends both.
+    """
+    scheme, _, sent = req.headers.get('authorization', '').partition(' ')
+    match scheme.lower():
+        case 'bearer':
+            return Credentials('', sent.strip())
+        case 'basic':
+            return _basic(sent)
+    return Credentials('', '')
+
+
+def _basic(sent: str) -> Credentials:
+    try:
+        text = base64.b64decode(sent, validate=True).decode()
+    except ValueError:
+        return Credentials('', '')
+    user, _, key = text.partition(':')
+    return Credentials(user, key)
--- a/beryllug/kernel/ops_test.py
+++ b/beryllug/kernel/ops_test.py
@@ -1,5 +1,6 @@
 """Tests of the operators' address."""
 
+import base64
 import json
 import unittest
 from collections.abc import Iterable
@@ -13,6 +14,11 @@
 NEXT_KEY = 'operator-key-number-two'
 CFG = settings_data.Operators('127.0.0.1:0', (KEY, NEXT_KEY))
 
+
+def _basic(user: str, key: str) -> str:
+    return base64.b64encode(f'{user}:{key}'.encode()).decode()
+
+
 # Path, authorization, expected status.
 ACCESS: tuple[tuple[str, str, int], ...] = (
     ('/healthz', '', 200),
@@ -23,6 +29,11 @@
     ('/dump', 'Bearer x', 401),
     ('/dump', f'Bearer {KEY}', 200),
     ('/dump', f'bearer {NEXT_KEY}', 200),
+    ('/dump', f'Basic {_basic("ann", KEY)}', 200),
+    ('/dump', f'Basic {_basic("ann", "wrong")}', 401),
+    ('/dump', f'Basic {_basic(KEY, "")}', 401),
+    ('/dump', 'Basic %%%', 401),
+    ('/dump', 'Basic', 401),
     ('/metrics', '', 401),
     ('/metrics', f'Bearer {KEY}', 200),
     ('/own', f'Bearer {KEY}', 200),
