--- a/beryllug/bench/replay.py
+++ b/beryllug/bench/replay.py
@@ -34,6 +34,7 @@
         seed: Seed of the load.
         disturb: Plans faults on the world's clock, or None.
         flood: Factor on the first account's requests in the window.
+        warm_up: Length of the run before the window.
     """
 
     deployment: deployments.Deployment
@@ -43,13 +44,14 @@
     seed: int = 1
     disturb: Disturb | None = None
     flood: float = 1.0
+    warm_up: float = WARM_UP_S
 
 
 def replay(run: Run) -> entry_host.World:
     """Run a load to its end and return the world it leaves."""
-    until = WARM_UP_S + run.seconds
-    world = _world(run.deployment, recorder.Recorder(WARM_UP_S, until))
-    hosts = [
+    until = run.warm_up + run.seconds
+    world = _world(run.deployment, recorder.Recorder(run.warm_up, until))
+    world.hosts = [
         entry_host.EntryHost(
             world,
             f'entry-{number}',
@@ -62,16 +64,16 @@
         run.load * deployments.capacity(run.deployment),
         until,
         run.flood,
-        WARM_UP_S,
+        run.warm_up,
     )
     source = workload.requests(run.deployment.kinds, rate, run.seed)
     balancer = random.Random(run.seed)
     if run.disturb is not None:
         run.disturb(world)
-    _report(world, hosts)
+    _report(world)
     for req in source:
         world.clock.run(req.at)
-        balancer.choice(hosts).take(req)
+        balancer.choice(world.hosts).take(req)
     world.clock.run(until + DRAIN_S)
     return world
 
@@ -96,7 +98,7 @@
     return entry_host.World(time, deployment, engines, seen, targets)
 
 
-def _report(world: entry_host.World, hosts: list[entry_host.EntryHost]) -> None:
+def _report(world: entry_host.World) -> None:
     """Measure every engine's load now, deliver it later, and go on."""
     loads = tuple(
         view_data.ServerLoad(
@@ -108,6 +110,6 @@
         for server in world.deployment.view.servers
         if server.pool == deployments.RUNNERS
     )
-    for host in hosts:
+    for host in world.hosts:
         world.clock.after(REPORT_LAG_S, host.report, loads)
-    world.clock.after(REPORT_EVERY_S, _report, world, hosts)
+    world.clock.after(REPORT_EVERY_S, _report, world)
