Push changes through a forest, as differences of parts

Ruled out: smaller parts alone (the root's list grows); differences record by record (a second format of documents, where zlib with the old part as dictionary needs none). Change: each control pushes to three others in a forest over the zone's members; a part travels as its difference from the one it replaces and is taken only by its digest; parts are cut at 4 KB; comparisons go to the same eight partners instead of to any of the fleet.

--- a/beryllug/bench/config_bench.py
+++ b/beryllug/bench/config_bench.py
@@ -9,12 +9,30 @@
 import time
 from typing import NamedTuple
 
+import msgspec
 from hdrh import histogram
 
 from beryllug.bench import config_fleet, recorder, report
+from beryllug.control import config_holder, peers, view_push
 from beryllug.core import config_data, config_state, document_parts
 
 
+class _Nobody:
+    """No other process."""
+
+    def everyone(self) -> tuple[str, ...]:
+        """Return nobody."""
+        return ()
+
+    def partners(self) -> tuple[str, ...]:
+        """Return nobody."""
+        return ()
+
+    def children(self) -> tuple[str, ...]:
+        """Return nobody."""
+        return ()
+
+
 class Arrangement(NamedTuple):
     """Who watches the platform, and the bounds for it.
 
@@ -50,8 +68,9 @@
     Arrangement('all watch', 0, MOST_CALLS_ALL, MOST_IDLE_ALL),
     Arrangement('2 watch', FEW, MOST_CALLS_FEW, MOST_IDLE_FEW),
 )
-MOST_PART_OF_BYTES = 0.15
-MOST_PART_OF_TIME = 0.5
+MOST_PART_OF_BYTES = 0.03
+MOST_PART_OF_TIME = 0.1
+MOST_PUSH_BYTES = 500
 
 
 def run(figures: report.Report) -> list[str]:
@@ -154,6 +173,7 @@
     figures.bound(
         'bytes that move, of the whole', moved / whole, MOST_PART_OF_BYTES
     )
+    figures.bound('bytes of a push', _push_bytes(old, new), MOST_PUSH_BYTES)
     empty = config_state.Held()
     began = time.process_time()
     held = config_state.hold(1, old, empty)
@@ -170,6 +190,17 @@
     )
 
 
+def _push_bytes(old: dict[str, bytes], new: dict[str, bytes]) -> int:
+    """Return the size of the message that brings the change to a peer."""
+    holder = config_holder.ConfigHolder()
+    calls = peers.Peers(config_fleet.KEYS)
+    push = view_push.ViewPush(holder, calls, _Nobody(), '127.0.0.1:1')
+    before = config_state.hold(1, old, holder.held)
+    holder.take(config_state.hold(2, new, before), 'platform')
+    push.spread(before)
+    return len(msgspec.msgpack.encode(push.news()))
+
+
 def _parts(document: config_data.Document) -> dict[str, bytes]:
     return dict(document_parts.split(document))
 
--- a/beryllug/control/config.py
+++ b/beryllug/control/config.py
@@ -234,6 +234,5 @@
                     revision=held.revision, document=held.document
                 )
             )
-            if self.others.watches():
-                self.push.spread(before)
+            self.push.spread(before)
         self._show_keys()
--- a/beryllug/control/config_test.py
+++ b/beryllug/control/config_test.py
@@ -198,11 +198,14 @@
                 self.assertEqual(node.document, _numbered(number))
 
     async def test_few_watch(self) -> None:
-        """Two of eight watch; the others take the changes from them."""
+        """Two of twelve watch; the others take the changes from them.
+
+        Two push to three each, and these push on.
+        """
         pushes_only = mock.patch.object(config, 'COMPARE_BEATS', NEVER_BEATS)
         pushes_only.start()
         self.addCleanup(pushes_only.stop)
-        names = [f'c{number}' for number in range(8)]
+        names = [f'c{number}' for number in range(12)]
         nodes = await self.start(*names, watchers=2)
         watching = [
             name for name in names if self.nodes[name].dump()['watches']
--- a/beryllug/control/neighbours.py
+++ b/beryllug/control/neighbours.py
@@ -6,13 +6,14 @@
 that disagree for a while watch both, which costs a call and harms nothing.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from beryllug.core import rendezvous, settings_data
+from beryllug.core import push_tree, rendezvous, settings_data
 
 WATCHERS = 'config watchers'
 CHORES = 'config chores'
+PARTNERS = 8
 
 
 class Members(Protocol):
@@ -55,23 +56,39 @@
 
     def everyone(self) -> tuple[str, ...]:
         """Return the addresses of all other control processes."""
-        live = self._others(self._live())
+        live = self._addresses(self._live())
         seeds = self._cfg.peers
         own = self._cfg.listen
         known = dict.fromkeys((*live, *seeds))
         return tuple(address for address in known if address != own)
 
-    def followers(self) -> tuple[str, ...]:
-        """Return the addresses of those of the zone that don't watch."""
-        watchers = self._watchers()
-        return self._others(
-            [name for name in self._zone() if name not in watchers]
-        )
+    def partners(self) -> tuple[str, ...]:
+        """Return the addresses of the few processes to compare with.
+
+        The same few as long as they live: to talk to any of a large fleet
+        would cost a connection each time, and a change still reaches all in
+        a few rounds. Without any, the peers of the settings.
+        """
+        own = self._process.name
+        others = [name for name in self._live() if name != own]
+        chosen = rendezvous.order(own, others)[:PARTNERS]
+        return self._addresses(chosen) or self.everyone()
+
+    def children(self) -> tuple[str, ...]:
+        """Return the addresses of those who get changes from this one."""
+        order, roots = self._order()
+        own = self._process.name
+        return self._addresses(push_tree.children(order, roots, own))
 
     def _watchers(self) -> frozenset[str]:
+        order, roots = self._order()
+        return frozenset(order[:roots])
+
+    def _order(self) -> tuple[list[str], int]:
+        """Return the members of the zone, and how many of them watch."""
         zone = self._zone()
-        count = self._cfg.watchers or len(zone)
-        return frozenset(rendezvous.order(WATCHERS, zone)[:count])
+        roots = self._cfg.watchers or len(zone)
+        return rendezvous.order(WATCHERS, zone), roots
 
     def _zone(self) -> list[str]:
         """Return the live members of this zone, this process included."""
@@ -88,12 +105,8 @@
             return ()
         return self._members.live(self._clock())
 
-    def _others(self, names: list[str] | tuple[str, ...]) -> tuple[str, ...]:
+    def _addresses(self, names: Iterable[str]) -> tuple[str, ...]:
         if self._members is None:
             return ()
-        found = (
-            self._members.address_of(name)
-            for name in names
-            if name != self._process.name
-        )
+        found = map(self._members.address_of, names)
         return tuple(address for address in found if address)
--- a/beryllug/control/part_fetch.py
+++ b/beryllug/control/part_fetch.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from beryllug.core import config_state, document_parts, rpc_data
+from beryllug.core import config_state, document_parts, part_delta, rpc_data
 from beryllug.drivers import methods, rpc
 
 CALL_S = 2.0
@@ -87,10 +87,20 @@
     known: dict[str, bytes], parts: Iterable[rpc_data.ConfigPart]
 ) -> bool:
     """Add the parts whose bytes are those that their digest names."""
-    whole = {
-        part.digest: part.content
-        for part in parts
-        if document_parts.make(part.content).digest == part.digest
-    }
-    known.update(whole)
-    return bool(whole)
+    added = False
+    for part in parts:
+        content = _content(known, part)
+        if document_parts.make(content).digest == part.digest:
+            known[part.digest] = content
+            added = True
+    return added
+
+
+def _content(known: dict[str, bytes], part: rpc_data.ConfigPart) -> bytes:
+    """Return the bytes of a part; empty where its base isn't held."""
+    if not part.base:
+        return part.content
+    try:
+        return part_delta.expand(part.content, known[part.base])
+    except (LookupError, ValueError):
+        return b''
--- a/beryllug/control/view_push.py
+++ b/beryllug/control/view_push.py
@@ -1,21 +1,26 @@
 """Exchange of configuration between control processes.
 
-A process that watches the platform pushes each new revision to those of its
-zone that don't. Beside that every process compares with one other at random
-now and then, which mends whatever a push missed and lets a new host start
-from its peers while the platform is away.
+A process that watches the platform pushes each new revision to some of those
+of its zone that don't, and these push it on. Beside that every process
+compares with one of a few others now and then, which mends whatever a push
+missed and lets a new host start from its peers while the platform is away.
 """
 
 import asyncio
+import itertools
 import random
 import time
-from collections.abc import Sequence
 from typing import Protocol
 
 from absl import logging
 
 from beryllug.control import config_holder, part_fetch
-from beryllug.core import config_state, document_parts, rpc_data
+from beryllug.core import (
+    config_state,
+    document_parts,
+    part_delta,
+    rpc_data,
+)
 from beryllug.drivers import methods, rpc
 
 CALL_S = 2.0
@@ -30,8 +35,11 @@
     def everyone(self) -> tuple[str, ...]:
         """Return the addresses of all other control processes."""
 
-    def followers(self) -> tuple[str, ...]:
-        """Return the addresses of those of the zone that don't watch."""
+    def partners(self) -> tuple[str, ...]:
+        """Return the addresses of those to compare with."""
+
+    def children(self) -> tuple[str, ...]:
+        """Return the addresses of those to push to."""
 
 
 class ViewPush:
@@ -57,7 +65,7 @@
         self._others = others
         self._address = address
         self._random = random.Random(address)
-        self._before: Sequence[str] = ()
+        self._before = config_state.Held()
         self._obtaining = 0
         self._pushes: dict[str, asyncio.Task[None]] = {}
 
@@ -82,22 +90,22 @@
         await asyncio.gather(*map(self.compare, asked))
 
     async def run(self, interval_s: float) -> None:
-        """Compare with one peer at random, again and again."""
+        """Compare with one peer after the other, without end."""
         while True:
             jitter = LEAST_JITTER + self._random.random()
             await asyncio.sleep(interval_s * jitter)
-            everyone = self._others.everyone()
-            if everyone:
-                await self.compare(self._random.choice(everyone))
+            partners = self._others.partners()
+            if partners:
+                await self.compare(self._random.choice(partners))
 
     def spread(self, before: config_state.Held) -> None:
-        """Push what is held to the zone's processes that don't watch.
+        """Push what is held to those who get it from this process.
 
         Args:
             before: What was held before; peers are told the difference.
         """
-        self._before = before.digests
-        for address in self._others.followers():
+        self._before = before
+        for address in self._others.children():
             # A push that is under way looks again when it ends, so a slow
             # peer has one call open and never a backlog.
             if address not in self._pushes:
@@ -150,12 +158,26 @@
             keys_version=self._holder.keys.version,
         )
 
+    def news(self) -> rpc_data.ConfigOffer:
+        """Tell what is held and how it differs from what was before."""
+        held = self._holder.held
+        before = self._before
+        change = config_state.splice(before.digests, held.digests)
+        end = len(before.digests) - change.tail
+        replaced = before.digests[change.head : end]
+        parts = tuple(
+            _part(held.chunks[digest], digest, before, base)
+            for digest, base in itertools.zip_longest(change.added, replaced)
+            if digest is not None
+        )
+        return self.offer()._replace(splice=change, parts=parts)
+
     async def _push(self, address: str) -> None:
         pushed = 0
         try:
             while pushed < self._holder.held.revision:
                 pushed = self._holder.held.revision
-                await self._exchange(address, self._news())
+                await self._exchange(address, self.news())
         finally:
             self._pushes.pop(address, None)
 
@@ -175,16 +197,6 @@
             await self._obtain(reply)
         return reply
 
-    def _news(self) -> rpc_data.ConfigOffer:
-        """Tell what is held and how it differs from what was before."""
-        held = self._holder.held
-        change = config_state.splice(self._before, held.digests)
-        parts = tuple(
-            rpc_data.ConfigPart(digest, held.chunks[digest])
-            for digest in change.added
-        )
-        return self.offer()._replace(splice=change, parts=parts)
-
     async def _obtain(self, offer: rpc_data.ConfigOffer) -> None:
         """Put a peer's newer configuration together and take it."""
         if offer.revision <= self._obtaining:
@@ -204,3 +216,13 @@
             self._holder.take(offered, 'peer')
         finally:
             self._obtaining = 0
+
+
+def _part(
+    content: bytes, digest: str, before: config_state.Held, base: str | None
+) -> rpc_data.ConfigPart:
+    """Return a part as its difference from the one that it replaces."""
+    if base is None:
+        return rpc_data.ConfigPart(digest, content)
+    delta = part_delta.compress(content, before.chunks[base])
+    return rpc_data.ConfigPart(digest, delta, base)
--- a/beryllug/core/document_parts.py
+++ b/beryllug/core/document_parts.py
@@ -13,7 +13,7 @@
 from beryllug.core import config_data, document_plain, plain
 
 PREFIX = 'beryllug/parts/'
-SMALL = 16384
+SMALL = 4096
 LARGE = 262144
 CUT_ONE_IN = 8
 DIGEST_BYTES = 32
--- a/beryllug/core/rpc_data.py
+++ b/beryllug/core/rpc_data.py
@@ -213,10 +213,17 @@
 
 
 class ConfigPart(NamedTuple):
-    """One part of a document, under its digest."""
+    """One part of a document, under its digest.
+
+    Attributes:
+        digest: Digest of its whole bytes.
+        content: Its bytes, or their difference from the base.
+        base: Digest of the part they differ from, or empty.
+    """
 
     digest: str
     content: bytes
+    base: str = ''
 
 
 class ConfigOffer(NamedTuple):
