Let holds go on in a platform outage, at most once each

Cause: every request that may not repeat was refused while the platform was down, though its owner was alive and nobody else could own the shard. Ruled out: going on without a second copy (a killed owner's grants run again after the outage); asking all members for promises (890 at full size), so the lease lists at most a dozen candidates and others wait 150 lease times; a quorum among ourselves (a replicated store of our own). The lease object lists candidates with their starts and whether something is unflushed. Bounds: 900 s at 6 s leases without renewal; when owner, copy holder and entry are lost at once a key is refused for 300 s, and a resend after that could run again.

--- a/beryllug/control/commit.py
+++ b/beryllug/control/commit.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
 from absl import logging
@@ -24,6 +24,8 @@
 RETRY_S = 0.1
 MAX_FAILURES = 3
 
+Prepare = Callable[[shard_state.ShardState], Awaitable[None]]
+
 
 class OwnerCfg(NamedTuple):
     """What an owner is bound to.
@@ -54,14 +56,23 @@
         serving: Whether it has taken over and not lost the shard since.
     """
 
-    def __init__(self, api: object_api.ObjectApi, cfg: OwnerCfg) -> None:
-        """Make a committer; it takes over after `start`."""
+    def __init__(
+        self, api: object_api.ObjectApi, cfg: OwnerCfg, prepare: Prepare
+    ) -> None:
+        """Make a committer; it takes over after `start`.
+
+        Args:
+            api: The platform.
+            cfg: What it is bound to.
+            prepare: Completes the state before it is served.
+        """
         self.cfg = cfg
         self.state = shard_state.ShardState()
         self.totals: dict[int, usage.Totals] = {}
         self.log = segments.ShardLog(api, cfg.shard, cfg.fencing, cfg.boot)
         self.serving = False
         self._api = api
+        self._prepare = prepare
         self._waiters = waiters.Waiters()
         self._wake = asyncio.Event()
         self._served = asyncio.Event()
@@ -123,6 +134,7 @@
             'writes': self.log.writes,
             'tries': len(self.state.tries),
             'pending': len(self.state.pending),
+            'unflushed': len(self.state.unflushed),
             'platform_down': self.down,
         }
 
@@ -167,6 +179,7 @@
         self.state = restored.state
         self.totals = restored.totals
         journal_log.replayed(self.state, time.monotonic())
+        await self._prepare(self.state)
         self.serving = True
 
     async def _commit(self) -> None:
--- a/beryllug/control/journal.py
+++ b/beryllug/control/journal.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, TypeVar
 
-from beryllug.control import images, shard_owner, shards
+from beryllug.control import candidate_calls, images, shard_owner, shards
 from beryllug.core import (
     journal,
     journal_data,
@@ -17,7 +17,7 @@
     shard_state,
     usage_data,
 )
-from beryllug.drivers import methods, rpc
+from beryllug.drivers import methods
 
 Parts = shards.Parts
 Reply = TypeVar('Reply')
@@ -40,11 +40,12 @@
         self._count = cfg.shards
         self._shards = shards.Shards(parts, cfg, boot)
 
-    def serve(self, server: rpc.RpcServer) -> None:
+    def serve(self, server: candidate_calls.Server) -> None:
         """Add the journal's methods to the server of this process."""
         server.unary(methods.BEGIN, self.begin)
         server.unary(methods.FINISH, self.finish)
         server.unary(methods.LOOKUP, self.lookup)
+        self._shards.serve(server)
 
     async def start(self) -> None:
         """Want the lease of every shard."""
@@ -56,7 +57,7 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of every owned shard."""
-        return self._shards.dump()
+        return {**self._shards.dump(), 'outage': self._shards.dump_outage()}
 
     async def begin(self, batch: rpc_data.IntentBatch) -> rpc_data.GrantBatch:
         """Make intents durable and grant their dispatch."""
--- a/beryllug/control/lease_balance.py
+++ b/beryllug/control/lease_balance.py
@@ -4,9 +4,10 @@
 from collections.abc import Iterable, Mapping
 
 from beryllug.control import lease_lookup, lease_task
-from beryllug.core import lease_spread
+from beryllug.core import lease_data, lease_spread
 
 SETTLED_LEASES = 2
+MAX_CANDIDATES = 12
 
 
 class Balance:
@@ -38,6 +39,31 @@
         self._update()
         return lease_spread.rank(self._spread, name, self._own)
 
+    def candidates(self, name: str) -> tuple[lease_data.Candidate, ...]:
+        """Return who may take a lease from this process.
+
+        They are few whatever the size of the fleet: in an outage the holder
+        needs a promise of each.
+        """
+        self._update()
+        members = self._members.live(time.monotonic())
+        if len(members) > MAX_CANDIDATES:
+            members = lease_spread.best(self._spread, name)
+        return tuple(
+            lease_data.Candidate(member, self._members.started(member))
+            for member in members
+            if member != self._own
+        )
+
+    def own(self) -> lease_data.Candidate:
+        """Return this process as others list it."""
+        started = self._members.started(self._own)
+        return lease_data.Candidate(self._own, started)
+
+    def address_of(self, member: str) -> str | None:
+        """Return a member's address."""
+        return self._members.address_of(member)
+
     def preferred(self, name: str) -> str | None:
         """Return who should hold a lease."""
         return self._spread.preferred.get(name)
--- a/beryllug/control/lease_lookup.py
+++ b/beryllug/control/lease_lookup.py
@@ -28,6 +28,9 @@
     def address_of(self, member: str) -> str | None:
         """Return a member's address."""
 
+    def started(self, member: str) -> int:
+        """Return the number of a member's start, 0 when not known."""
+
     def publish(self, note: member_data.Note) -> None:
         """Pass a fact on to all members."""
 
--- a/beryllug/control/lease_task.py
+++ b/beryllug/control/lease_task.py
@@ -16,7 +16,7 @@
 RETRY_S = 0.2
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(lease_data.Lease).decode
+decode = msgspec.msgpack.Decoder(lease_data.Lease).decode
 
 
 class Tended(NamedTuple):
@@ -26,7 +26,7 @@
         api: The platform.
         owner: This process.
         terms: Durations.
-        rank: Returns this process's place for a lease.
+        standing: Returns how this process stands to a lease.
         changed: Called with name and fencing token when a lease is won, and
             with 0 when it is lost or given back.
     """
@@ -34,7 +34,7 @@
     api: object_api.ObjectApi
     owner: lease_data.Owner
     terms: lease_data.Terms
-    rank: Callable[[str], int]
+    standing: Callable[[str], lease_data.Standing]
     changed: Callable[[str, int], Awaitable[None]]
 
 
@@ -81,6 +81,19 @@
             self.state.known = False
             self._wake.set()
 
+    def renew_now(self) -> None:
+        """Renew at once, so that others read what has changed."""
+        if self.state.fencing:
+            self.state.renewed_at = min(
+                self.state.renewed_at,
+                time.monotonic() - self._tended.terms.renew_s,
+            )
+            self._wake.set()
+
+    def watch_anew(self) -> None:
+        """Forget for how long the lease was seen unchanged."""
+        self.state.read_at = float('-inf')
+
     async def read(self) -> bool:
         """Read the lease; False when the platform does not answer."""
         try:
@@ -88,7 +101,7 @@
         except object_data.ObjectApiError:
             return False
         version = found.version if found else 0
-        content = _decode(found.value) if found else None
+        content = decode(found.value) if found else None
         lease.observed(
             self.state,
             self._tended.owner,
@@ -106,9 +119,12 @@
 
     async def _step(self) -> None:
         now = time.monotonic()
-        rank = self._tended.rank(self.state.name)
         action = lease.decide(
-            self.state, self._tended.owner, self._tended.terms, rank, now
+            self.state,
+            self._tended.owner,
+            self._tended.terms,
+            self._tended.standing(self.state.name),
+            now,
         )
         match action:
             case lease.Read():
@@ -122,6 +138,7 @@
 
     async def _write(self, write: lease.Write) -> None:
         sent_at = time.monotonic()
+        lease.sending(self.state, write)
         try:
             version = await self._tended.api.write(
                 PREFIX + self.state.name,
--- a/beryllug/control/leases.py
+++ b/beryllug/control/leases.py
@@ -10,7 +10,14 @@
 import time
 from typing import Any, Protocol
 
-from beryllug.control import lease_balance, lease_lookup, lease_task, peers
+from beryllug.control import (
+    candidate_calls,
+    lease_balance,
+    lease_lookup,
+    lease_outage,
+    lease_task,
+    peers,
+)
 from beryllug.core import (
     lease,
     lease_data,
@@ -27,12 +34,21 @@
     async def on_lease(self, name: str, fencing: int) -> None:
         """Take in that a lease is held with a token, or with 0 is not."""
 
-    async def before_release(self, name: str) -> None:
-        """Finish what is done under a lease that is to be given back."""
+    async def before_release(self, name: str) -> bool:
+        """Finish what is done under a lease that is to be given back.
+
+        Returns:
+            False when it can't be given back, only lapse: something stands
+            in memory that the next holder must gather.
+        """
 
 
 class Leases:
-    """Holds leases of this process and knows the holders of others."""
+    """Holds leases of this process and knows the holders of others.
+
+    Attributes:
+        outage: What a platform outage needs to know of the leases.
+    """
 
     def __init__(
         self,
@@ -59,8 +75,11 @@
             owner.name, self._tasks, members, lease_s
         )
         terms = lease_data.terms(lease_s)
+        self.outage = lease_outage.LeaseOutage(
+            self._tasks, terms, self._balance
+        )
         self._tended = lease_task.Tended(
-            api, owner, terms, self._balance.rank, self._changed
+            api, owner, terms, self.outage.standing, self._changed
         )
         self._holders: dict[str, Holder] = {}
         self._lookup = lease_lookup.LeaseLookup(
@@ -68,7 +87,7 @@
         )
         self._task: asyncio.Task[None] | None = None
 
-    def serve(self, server: rpc.RpcServer) -> None:
+    def serve(self, server: candidate_calls.Server) -> None:
         """Add the methods to the server of this process."""
         server.unary(methods.LEASE_GIVEN, self.take_hint)
 
@@ -173,8 +192,8 @@
 
     async def _hand_over(self, name: str, wait_s: float) -> None:
         holder = self._holders.get(name)
-        if holder is not None:
-            await holder.before_release(name)
+        if holder is not None and not await holder.before_release(name):
+            return
         if await self._tasks[name].give_back(wait_s):
             await self._hint(name)
 
--- a/beryllug/control/leases_test.py
+++ b/beryllug/control/leases_test.py
@@ -110,8 +110,8 @@
         return [grant.kind for grant in await asyncio.gather(*asked)]
 
     def _served(self, node: nodes_test.Node) -> list[str]:
-        dump = node.journal.dump()
-        return [shard for shard, owner in dump.items() if owner['serving']]
+        owners = node.journal.owners().items()
+        return [str(shard) for shard, owner in owners if owner.serving]
 
 
 if __name__ == '__main__':
--- a/beryllug/control/membership.py
+++ b/beryllug/control/membership.py
@@ -35,7 +35,9 @@
         # was set back, peers' reports of the last start raise it.
         incarnation = round(time.time() * MILLISECONDS)
         zone = join.zone if join else ''
-        own = member_data.Member(name, address, zone, incarnation)
+        own = member_data.Member(
+            name, address, zone, incarnation, started=incarnation
+        )
         self._alone = join is None
         self._prober = probing.Prober(own, join or ALONE)
 
@@ -84,6 +86,11 @@
         found = membership.find(self._prober.table, member)
         return found and found.zone
 
+    def started(self, member: str) -> int:
+        """Return the number of a member's start, 0 when not known."""
+        found = membership.find(self._prober.table, member)
+        return found.started if found else 0
+
     def publish(self, note: member_data.Note) -> None:
         """Pass a fact on to all members."""
         membership.merge_note(self._prober.table, note)
--- a/beryllug/control/nodes_test.py
+++ b/beryllug/control/nodes_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 import unittest
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -42,6 +43,8 @@
         handlers: Handlers by address and method name.
         silent: Addresses that can't be reached.
         losing: Addresses whose replies are lost.
+        held: Names of methods whose calls wait.
+        calls: Calls made by method.
     """
 
     def __init__(self) -> None:
@@ -49,6 +52,8 @@
         self.handlers: dict[tuple[str, str], rpc.Unary] = {}
         self.silent: set[str] = set()
         self.losing: set[str] = set()
+        self.held: set[str] = set()
+        self.calls: Counter[str] = Counter()
 
     async def call(
         self,
@@ -59,6 +64,9 @@
     ) -> rpc.Reply:
         """Call a handler as a peer would."""
         await asyncio.sleep(0)
+        self.calls[method.name] += 1
+        while method.name in self.held:
+            await asyncio.sleep(POLL_S)
         handler = self.handlers.get((address, method.name))
         if handler is None or address in self.silent:
             raise rpc.RpcError('UNAVAILABLE', address)
@@ -75,6 +83,7 @@
         """Make an empty membership."""
         self.names: list[str] = []
         self.notes: dict[str, member_data.Note] = {}
+        self.starts: dict[str, int] = {}
 
     def live(self, now: float) -> tuple[str, ...]:
         """Return all names."""
@@ -88,6 +97,10 @@
         """Return a member's address."""
         return f'127.0.0.1:{member}'
 
+    def started(self, member: str) -> int:
+        """Return the number of a member's start."""
+        return self.starts.get(member, 1)
+
     def publish(self, note: member_data.Note) -> None:
         """Keep a fact; the fake network spreads none."""
 
@@ -130,13 +143,14 @@
         )
         parts = journal.Parts(self.client, self.leases, network)
         self.journal = journal.Journal(parts, cfg, f'boot-{name}')
-        for method, handler in (
-            ('Begin', self.journal.begin),
-            ('Finish', self.journal.finish),
-            ('Lookup', self.journal.lookup),
-            ('LeaseGiven', self.leases.take_hint),
-        ):
-            network.handlers[address, method] = handler
+        self._served = network, address
+        self.journal.serve(self)
+        self.leases.serve(self)
+
+    def unary(self, method: rpc.Method[Any, Any], handler: rpc.Unary) -> None:
+        """Serve a method on the network, as `rpc.RpcServer` does."""
+        network, address = self._served
+        network.handlers[address, method.name] = handler
 
     async def start(self) -> None:
         """Start leases and journal."""
@@ -157,7 +171,8 @@
 
     def owns(self) -> bool:
         """Tell whether this node serves its shard."""
-        return any(owner['serving'] for owner in self.journal.dump().values())
+        owners = self.journal.owners().values()
+        return any(owner.serving for owner in owners)
 
     def holds(self) -> bool:
         """Tell whether this node holds the lease of its shard now."""
--- /dev/null
+++ b/beryllug/control/promises.py
@@ -0,0 +1,120 @@
+"""Promises not to take leases, asked for and given in an outage.
+
+The rules stand in `core.outage`.
+"""
+
+import asyncio
+import time
+
+from beryllug.control import candidate_calls, lease_outage
+from beryllug.core import outage, outage_data
+from beryllug.drivers import methods, object_api, object_data
+
+PROBE_KEY = 'beryllug/leases/probe'
+PROBE_S = 0.5
+CALL_S = 1.0
+ASK_SHARE = 0.25
+
+
+class Promises:
+    """Promises of this process, given and got."""
+
+    def __init__(
+        self,
+        api: object_api.ObjectApi,
+        leases: lease_outage.LeaseOutage,
+        calls: candidate_calls.CandidateCalls,
+        boot: str,
+    ) -> None:
+        """Bind to the platform, the leases and the peers.
+
+        Args:
+            api: The platform.
+            leases: This process's leases.
+            calls: Calls to candidates.
+            boot: Random id of this process's start.
+        """
+        self._api = api
+        self._leases = leases
+        self._calls = calls
+        self._boot = boot
+        self._got = outage.Promises()
+        self._given: set[str] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    def serve(self, server: candidate_calls.Server) -> None:
+        """Add the method to the server of this process."""
+        server.unary(methods.PROMISE, self.promise)
+
+    def start(self) -> None:
+        """Begin to ask for promises whenever leases can't be renewed."""
+        self._task = asyncio.create_task(self._keep_asking())
+
+    async def stop(self) -> None:
+        """Stop asking."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self) -> dict[str, float]:
+        """Return for how long each promise still holds, in seconds."""
+        now = time.monotonic()
+        return {
+            name: round(until - now, 3)
+            for name, until in self._got.until.items()
+        }
+
+    def given_to(self, boot: str) -> bool:
+        """Tell whether this process ever promised to one process start."""
+        return boot in self._given
+
+    def valid_s(self, lease_name: str) -> float:
+        """Return for how long surely nobody takes a lease held here."""
+        candidates = self._leases.candidates(lease_name)
+        end = min(
+            outage.covered_until(self._got, candidates),
+            self._leases.limit(lease_name),
+        )
+        return max(0.0, end - time.monotonic())
+
+    async def promise(
+        self, ask: outage_data.PromiseAsk
+    ) -> outage_data.PromiseReply:
+        """Promise to take no lease, if the platform is down here too."""
+        if await self._reaches_platform():
+            return outage_data.PromiseReply(given=False)
+        free = self._leases.hold_off(time.monotonic() + ask.promise_s)
+        if free:
+            self._given.add(ask.boot)
+        return outage_data.PromiseReply(given=free)
+
+    async def _keep_asking(self) -> None:
+        pause_s = self._leases.terms.promise_s * ASK_SHARE
+        while True:
+            if self._leases.is_struggling(time.monotonic()):
+                await self._ask_promises()
+            await asyncio.sleep(pause_s)
+
+    async def _ask_promises(self) -> None:
+        names = {
+            candidate.name
+            for lease_name in self._leases.held_names()
+            for candidate in self._leases.candidates(lease_name)
+        }
+        await asyncio.gather(*map(self._ask_promise, names))
+
+    async def _ask_promise(self, name: str) -> None:
+        terms = self._leases.terms
+        ask = outage_data.PromiseAsk(self._boot, terms.promise_s)
+        sent_at = time.monotonic()
+        reply = await self._calls.call(name, methods.PROMISE, ask, CALL_S)
+        if reply is not None and reply.given:
+            outage.promised(self._got, name, sent_at, terms)
+
+    async def _reaches_platform(self) -> bool:
+        try:
+            async with asyncio.timeout(PROBE_S):
+                await self._api.read(PROBE_KEY)
+        except (object_data.ObjectApiError, TimeoutError):
+            return False
+        return True
--- a/beryllug/control/shard_owner.py
+++ b/beryllug/control/shard_owner.py
@@ -5,19 +5,21 @@
 from collections.abc import Callable
 from typing import Any
 
-from beryllug.control import commit, readback, upkeep
+from beryllug.control import commit, readback, shard_cover, upkeep
 from beryllug.core import journal, journal_data, rpc_data, shard_state
 from beryllug.drivers import object_api
 
 BEGIN_WAIT_S = 2.0
 FINISH_WAIT_S = 2.0
 MAX_PENDING = 20000
+TEND_S = 0.2
 
 
 class ShardOwner:
     """Decides about the rows of one shard while its lease holds.
 
     Attributes:
+        fencing: Fencing token of its lease.
         upkeep: Its occasional work.
     """
 
@@ -26,6 +28,7 @@
         api: object_api.ObjectApi,
         cfg: commit.OwnerCfg,
         valid_s: Callable[[], float],
+        cover: shard_cover.ShardCover,
     ) -> None:
         """Make an owner; it serves after `start`.
 
@@ -33,11 +36,14 @@
             api: The platform.
             cfg: What it is bound to.
             valid_s: Tells for how many more seconds the lease surely holds.
+            cover: Covers grants while the platform is down.
         """
-        self._valid_s = valid_s
-        self._commits = commit.Committer(api, cfg)
+        self.fencing = cfg.fencing
+        self._lease_s = valid_s
+        self._cover = cover
+        self._commits = commit.Committer(api, cfg, cover.prepare)
         self.upkeep = upkeep.Upkeep(api, self._commits, cfg.retention_s)
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._reader = readback.RowReader(api, cfg.shard, self._commits.log)
 
     @property
@@ -45,25 +51,38 @@
         """What is remembered of the shard."""
         return self._commits.state
 
+    @property
+    def serving(self) -> bool:
+        """Whether it has taken over and not lost the shard since."""
+        return self._commits.serving
+
     def start(self) -> None:
         """Take the shard over, then serve."""
         self._commits.start()
-        self._task = asyncio.create_task(self.upkeep.run())
+        self._tasks = [
+            asyncio.create_task(self.upkeep.run()),
+            asyncio.create_task(self._tend()),
+        ]
 
     async def stop(self) -> None:
         """Stop; whoever waits learns that nothing was promised."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._commits.stop()
+        self._cover.keep_own(self.state)
 
     async def flush(self, grace_s: float) -> bool:
-        """Wait until no row is pending; False when that takes too long."""
-        return await self._commits.flush(grace_s)
+        """Make all durable; False when something stays in memory only."""
+        await self._commits.flush(grace_s)
+        if self.state.unflushed or not self._commits.serving:
+            return False
+        await self._cover.settle()
+        return True
 
     def dump(self) -> dict[str, Any]:
         """Return the owner's state."""
-        return self._commits.dump()
+        return {**self._commits.dump(), 'cover': self._cover.dump()}
 
     async def begin(self, row: journal_data.Row) -> journal_data.Grant:
         """Answer an intent when it is durable, or why it is not."""
@@ -77,12 +96,7 @@
             decision = journal.begin(self.state, row, time.monotonic(), found)
         if isinstance(decision, journal_data.Grant):
             return decision
-        if not await self._commits.wait(row, BEGIN_WAIT_S):
-            journal.deny(self.state, row)
-            return journal.unavailable(row)
-        # The await above can have taken longer than the lease held: a new
-        # owner may have answered for this key meanwhile.
-        return journal.grant(self.state, row, self._valid_s())
+        return await self._grant(row)
 
     async def finish(self, row: journal_data.Row) -> bool:
         """Return whether a row is durable; when not it is kept pending."""
@@ -115,3 +129,33 @@
         if seq is None:
             return rpc_data.LookupReply(None)
         return await self._reader.latest(seq, ask)
+
+    async def _grant(self, row: journal_data.Row) -> journal_data.Grant:
+        """Grant an intent once it is durable, or copied in an outage.
+
+        Each await can have taken longer than the lease held, and a new owner
+        may have answered for this key meanwhile: the time that is left is
+        read after it.
+        """
+        now = time.monotonic()
+        is_new = journal.is_new(self.state, row)
+        if is_new and self._cover.refuses_new(now):
+            journal.deny(self.state, row)
+            return journal.unavailable(row)
+        if await self._commits.wait(row, BEGIN_WAIT_S):
+            return journal.grant(self.state, row, self._valid_s())
+        if self._commits.down and await self._cover.cover(row):
+            valid_s = self._cover.valid_s()
+            return journal.grant_unflushed(self.state, row, valid_s)
+        journal.deny(self.state, row)
+        return journal.unavailable(row)
+
+    def _valid_s(self) -> float:
+        """Return for how long surely no other process owns the shard."""
+        return max(self._lease_s(), self._cover.valid_s())
+
+    async def _tend(self) -> None:
+        while True:
+            await asyncio.sleep(TEND_S)
+            if self._commits.serving:
+                await self._cover.tend(self.state)
--- a/beryllug/control/shards.py
+++ b/beryllug/control/shards.py
@@ -7,7 +7,16 @@
 
 from absl import logging
 
-from beryllug.control import commit, leases, peers, shard_owner
+from beryllug.control import (
+    candidate_calls,
+    commit,
+    copies,
+    leases,
+    peers,
+    promises,
+    shard_cover,
+    shard_owner,
+)
 from beryllug.core import settings_data
 from beryllug.drivers import object_api, rpc
 
@@ -51,15 +60,29 @@
         self._parts = parts
         self._cfg = cfg
         self._boot = boot
+        self._unflushed: set[int] = set()
         self.owners: dict[int, shard_owner.ShardOwner] = {}
+        calls = candidate_calls.CandidateCalls(parts.leases.outage, parts.peers)
+        given = promises.Promises(parts.api, parts.leases.outage, calls, boot)
+        kept = copies.Copies(
+            parts.leases.outage, calls, given.given_to, self.surrender
+        )
+        self._outage = shard_cover.OutageParts(parts.leases.outage, given, kept)
+
+    def serve(self, server: candidate_calls.Server) -> None:
+        """Add the methods for outages to the server of this process."""
+        self._outage.promises.serve(server)
+        self._outage.copies.serve(server)
 
     def start(self) -> None:
         """Want the lease of every shard."""
         for shard in range(self._cfg.shards):
             self._parts.leases.want(lease_name(shard), self)
+        self._outage.promises.start()
 
     async def stop(self, grace_s: float) -> None:
         """Make pending rows durable; the leases are given back after."""
+        await self._outage.promises.stop()
         shards = list(self.owners)
         await asyncio.gather(*(self._end(shard, grace_s) for shard in shards))
 
@@ -69,6 +92,13 @@
             str(shard): owner.dump() for shard, owner in self.owners.items()
         }
 
+    def dump_outage(self) -> dict[str, Any]:
+        """Return promises and copies."""
+        return {
+            'promises_s': self._outage.promises.dump(),
+            'copies': self._outage.copies.dump(),
+        }
+
     async def on_lease(self, name: str, fencing: int) -> None:
         """Begin or end to own a shard."""
         shard = shard_of_lease(name)
@@ -78,9 +108,16 @@
         if fencing:
             self._own(shard, fencing)
 
-    async def before_release(self, name: str) -> None:
+    async def before_release(self, name: str) -> bool:
         """Make the rows of a shard durable that is to be handed over."""
-        await self._end(shard_of_lease(name), self._cfg.drain_s)
+        return await self._end(shard_of_lease(name), self._cfg.drain_s)
+
+    async def surrender(self, shard: int, fencing: int) -> None:
+        """End an owner that is older than a fencing token."""
+        owner = self.owners.get(shard)
+        if owner is not None and owner.fencing < fencing:
+            self.owners.pop(shard)
+            await owner.stop()
 
     async def route(
         self,
@@ -110,12 +147,16 @@
         logging.warning('event=shard_unreachable shard=%d', shard)
         return None
 
-    async def _end(self, shard: int, grace_s: float) -> None:
+    async def _end(self, shard: int, grace_s: float) -> bool:
         """Flush a shard; what comes from now on waits for its next owner."""
         owner = self.owners.pop(shard, None)
-        if owner is not None:
-            await owner.flush(grace_s)
-            await owner.stop()
+        if owner is None:
+            return shard not in self._unflushed
+        flushed = await owner.flush(grace_s)
+        await owner.stop()
+        if not flushed:
+            self._unflushed.add(shard)
+        return flushed
 
     async def _forward(
         self, shard: int, routed: Routed[Ask, Reply]
@@ -132,6 +173,7 @@
             return None
 
     def _own(self, shard: int, fencing: int) -> None:
+        self._unflushed.discard(shard)
         owner = shard_owner.ShardOwner(
             self._parts.api,
             commit.OwnerCfg(
@@ -142,6 +184,10 @@
                 self._cfg.retention_s,
             ),
             lambda: self._valid_s(shard, fencing),
+            shard_cover.ShardCover(
+                self._outage,
+                shard_cover.Tenure(lease_name(shard), shard, fencing),
+            ),
         )
         self.owners[shard] = owner
         owner.start()
--- a/beryllug/core/journal.py
+++ b/beryllug/core/journal.py
@@ -120,6 +120,34 @@
     )
 
 
+def grant_unflushed(
+    state: shard_state.ShardState, row: journal_data.Row, valid_s: float
+) -> journal_data.Grant:
+    """Answer an intent of which another process keeps a copy.
+
+    It stays pending and is written when the platform is back.
+
+    Args:
+        state: The shard.
+        row: The intent.
+        valid_s: Seconds for which surely nobody takes the lease.
+    """
+    attempt = state.tries.get(row.request_id)
+    if attempt is None or valid_s <= 0:
+        deny(state, row)
+        return unavailable(row)
+    if attempt.phase is shard_state.Phase.WAITING:
+        attempt.phase = shard_state.Phase.OPEN
+        state.unflushed.add(row.request_id)
+    return grant(state, row, valid_s)
+
+
+def is_new(state: shard_state.ShardState, row: journal_data.Row) -> bool:
+    """Tell whether an intent is of a key of which nothing is known."""
+    attempt = state.tries.get(row.request_id)
+    return attempt is None or attempt.phase is shard_state.Phase.WAITING
+
+
 def deny(state: shard_state.ShardState, row: journal_data.Row) -> None:
     """Give up a try whose intent did not become durable in time."""
     attempt = state.tries.get(row.request_id)
--- a/beryllug/core/journal_log.py
+++ b/beryllug/core/journal_log.py
@@ -70,6 +70,22 @@
             _end(state, attempt, journal_data.OutcomeState.NOT_RUN)
 
 
+def gathered(
+    state: shard_state.ShardState,
+    rows: Iterable[journal_data.Row],
+    now: float,
+) -> None:
+    """Take in copies of intents that an earlier owner granted from memory."""
+    for row in rows:
+        known = row.request_id in state.tries
+        if known or shard_state.has_outcome(state, row.request_id):
+            continue
+        shard_state.add_try(state, row, shard_state.Phase.INHERITED, now)
+        state.boots[shard_state.entry_name(row.entry)] = ''
+        state.pending[shard_state.row_id(row)] = row
+        state.unflushed.add(row.request_id)
+
+
 def expire(state: shard_state.ShardState, now: float) -> None:
     """Give tries that never ended an outcome: nobody will send one."""
     for attempt in state.tries.values():
@@ -108,6 +124,7 @@
 def _committed_intent(
     state: shard_state.ShardState, row: journal_data.Row, seq: int, at: float
 ) -> None:
+    state.unflushed.discard(row.request_id)
     attempt = state.tries.get(row.request_id)
     if attempt is None:
         # Denied while its write was under way, and the write took effect.
--- a/beryllug/core/lease.py
+++ b/beryllug/core/lease.py
@@ -7,7 +7,7 @@
 changed since, so the holder's time is over before the taker's begins.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from beryllug.core import lease_data
 
@@ -57,6 +57,10 @@
         valid_until: Second until which it holds.
         renewed_at: When the last write that took effect was sent.
         releasing: Whether it is being given back.
+        taking: Whether a write that takes it is under way, or its effect is
+            not known.
+        before: The lease as it was when this process took it.
+        listed: Candidates in writes of which the effect is not known.
     """
 
     name: str
@@ -70,6 +74,9 @@
     valid_until: float = float('-inf')
     renewed_at: float = float('-inf')
     releasing: bool = False
+    taking: bool = False
+    before: lease_data.Lease | None = None
+    listed: set[lease_data.Candidate] = field(default_factory=set)
 
 
 def token(
@@ -87,7 +94,7 @@
     state: LeaseState,
     owner: lease_data.Owner,
     terms: lease_data.Terms,
-    rank: int,
+    standing: lease_data.Standing,
     now: float,
 ) -> Action:
     """Choose what to do next about a lease.
@@ -96,16 +103,38 @@
         state: What is known of it.
         owner: This process.
         terms: Durations.
-        rank: Place among the live processes that want it, 0 the preferred.
+        standing: How this process stands to it.
         now: Second of the monotonic clock.
     """
     if not state.known:
         return Read()
     if state.fencing:
-        return _decide_holder(state, terms, now)
-    if rank >= OBSERVERS or state.releasing:
+        return _decide_holder(state, terms, standing, now)
+    if standing.rank >= OBSERVERS or state.releasing:
         return Wait(now + terms.lease_s)
-    return _decide_waiter(state, owner, terms, rank, now)
+    return _decide_waiter(state, owner, terms, standing, now)
+
+
+def sending(state: LeaseState, write: Write) -> None:
+    """Take in that a write is about to be sent."""
+    state.listed.update(write.lease.candidates)
+    if not state.fencing:
+        state.taking = True
+        state.before = state.lease
+
+
+def candidates(state: LeaseState) -> tuple[lease_data.Candidate, ...]:
+    """Return who may take a held lease from this process.
+
+    Renewals of which the effect is not known may have listed others.
+    """
+    known = state.lease.candidates if state.lease else ()
+    return tuple(dict.fromkeys((*known, *state.listed)))
+
+
+def outage_limit(state: LeaseState, terms: lease_data.Terms) -> float:
+    """Return until when no process that is no candidate takes the lease."""
+    return state.renewed_at + terms.fallback_s - terms.margin_s
 
 
 def observed(
@@ -128,6 +157,8 @@
     state.lease = lease
     state.read_at = now
     state.known = True
+    if state.unsure_since is None:
+        state.taking = False
     if lease is None or not _is_own(lease, owner):
         _lose(state)
     elif changed and state.unsure_since is not None:
@@ -148,6 +179,8 @@
     state.seen_since = now
     state.read_at = now
     state.unsure_since = None
+    state.taking = False
+    state.listed.clear()
     if write.lease.holder:
         _hold(state, terms, write.lease, sent_at)
     else:
@@ -172,46 +205,96 @@
 
 
 def _decide_holder(
-    state: LeaseState, terms: lease_data.Terms, now: float
+    state: LeaseState,
+    terms: lease_data.Terms,
+    standing: lease_data.Standing,
+    now: float,
 ) -> Action:
     lease = state.lease
     assert lease is not None
     if state.releasing:
-        return Write(
-            lease._replace(holder='', boot='', address=''), state.version
-        )
+        given = lease_data.Lease('', lease.fencing)
+        return Write(given, state.version)
     due = state.renewed_at + terms.renew_s
     if now < due:
         return Wait(due)
-    renewed = lease._replace(renewals=lease.renewals + 1)
+    renewed = lease._replace(
+        renewals=lease.renewals + 1,
+        candidates=_candidates(standing, lease),
+        unflushed=standing.unflushed,
+    )
     return Write(renewed, state.version)
 
 
+def _candidates(
+    standing: lease_data.Standing, lease: lease_data.Lease | None
+) -> tuple[lease_data.Candidate, ...]:
+    """Return who may take a lease from now on.
+
+    While rows may stand in a candidate's memory only, the earlier
+    candidates stay listed: the next holder must ask them too.
+    """
+    earlier: tuple[lease_data.Candidate, ...] = ()
+    if standing.unflushed and lease is not None:
+        earlier = lease.candidates
+    return tuple(dict.fromkeys((*standing.candidates, *earlier)))
+
+
+def _may_take(lease: lease_data.Lease | None, owner: lease_data.Owner) -> bool:
+    """Tell whether a process needs to wait no longer than a lease holds."""
+    if lease is None or not lease.holder or not lease.candidates:
+        return True
+    names = {candidate.name for candidate in lease.candidates}
+    return owner.name in names or owner.name == lease.holder
+
+
 def _decide_waiter(
     state: LeaseState,
     owner: lease_data.Owner,
     terms: lease_data.Terms,
-    rank: int,
+    standing: lease_data.Standing,
     now: float,
 ) -> Action:
-    lease = state.lease
-    due = state.seen_since + rank * terms.stagger_s
-    if lease is not None and lease.holder:
-        due += terms.lease_s + terms.margin_s
     read_due = state.read_at + terms.poll_s
     if now >= read_due:
         # A lease is taken only right after it was seen unchanged: a process
         # that was paused must not act on what it saw before the pause.
         return Read()
-    if now < due:
-        return Wait(min(due, read_due))
-    fencing = lease.fencing if lease else 0
+    due = _take_due(state, owner, terms, standing)
+    if now < due or not standing.may_take:
+        return Wait(min(max(due, now + terms.poll_s), read_due))
+    lease = state.lease
+    held = lease is not None and bool(lease.holder)
     taken = lease_data.Lease(
-        owner.name, fencing + 1, 0, owner.boot, owner.address
+        owner.name,
+        fencing=lease.fencing + 1 if lease else 1,
+        boot=owner.boot,
+        address=owner.address,
+        candidates=_candidates(standing._replace(unflushed=held), lease),
+        unflushed=held,
     )
     return Write(taken, state.version)
 
 
+def _take_due(
+    state: LeaseState,
+    owner: lease_data.Owner,
+    terms: lease_data.Terms,
+    standing: lease_data.Standing,
+) -> float:
+    """Return from when a process may take a lease that stays unchanged."""
+    lease = state.lease
+    due = state.seen_since + standing.rank * terms.stagger_s
+    if lease is None or not lease.holder:
+        return due
+    due += terms.lease_s + terms.margin_s
+    if not _may_take(lease, owner):
+        # In an outage the holder goes on under promises of the candidates
+        # alone. Others leave it more time than it then allows itself.
+        due += terms.fallback_s
+    return due
+
+
 def _hold(
     state: LeaseState,
     terms: lease_data.Terms,
--- a/beryllug/core/lease_data.py
+++ b/beryllug/core/lease_data.py
@@ -7,6 +7,18 @@
 from typing import NamedTuple
 
 
+class Candidate(NamedTuple):
+    """A process that may take a lease from its holder.
+
+    Attributes:
+        name: Its name in the fleet.
+        started: Number of its start, by which a later start is told apart.
+    """
+
+    name: str
+    started: int
+
+
 class Lease(NamedTuple):
     """Content of a lease object.
 
@@ -17,6 +29,10 @@
         boot: Random id of the holder's process start, by which a process
             tells its own write from one of an earlier process of its name.
         address: Where the holder is reached, ``ip:port``.
+        candidates: Who may take it when it lapses; others must wait much
+            longer. None means anyone.
+        unflushed: Whether the holder may have granted requests whose rows
+            the platform does not have, and some candidate has copies.
     """
 
     holder: str
@@ -24,6 +40,8 @@
     renewals: int = 0
     boot: str = ''
     address: str = ''
+    candidates: tuple[Candidate, ...] = ()
+    unflushed: bool = False
 
 
 class Token(NamedTuple):
@@ -66,6 +84,10 @@
         renew_s: Time between two renewals.
         poll_s: Time between two reads by a process that waits for it.
         stagger_s: How much longer each less preferred process waits.
+        fallback_s: How much longer a process waits that is no candidate.
+        promise_s: How long a promise not to take leases holds; shorter than
+            a lease, so that a process that forgot it by a restart has not
+            watched a lease for long enough to take it.
     """
 
     lease_s: float
@@ -73,6 +95,8 @@
     renew_s: float
     poll_s: float
     stagger_s: float
+    fallback_s: float
+    promise_s: float
 
 
 # Shares of the time that a lease holds.
@@ -80,6 +104,8 @@
 RENEWAL = 0.25
 POLL = 0.15
 STAGGER = 0.08
+PROMISE = 0.8
+FALLBACK = 150
 
 
 def terms(lease_s: float) -> Terms:
@@ -90,9 +116,28 @@
         renew_s=lease_s * RENEWAL,
         poll_s=lease_s * POLL,
         stagger_s=lease_s * STAGGER,
+        fallback_s=lease_s * FALLBACK,
+        promise_s=lease_s * PROMISE,
     )
 
 
+class Standing(NamedTuple):
+    """How a process stands to a lease it wants.
+
+    Attributes:
+        rank: Place among the live processes that want it, 0 the preferred.
+        candidates: Who may take it from this process.
+        unflushed: Whether this process has granted, or may have to gather,
+            what the platform does not have.
+        may_take: False while it promised not to take leases.
+    """
+
+    rank: int
+    candidates: tuple[Candidate, ...] = ()
+    unflushed: bool = False
+    may_take: bool = True
+
+
 class Given(NamedTuple):
     """Tells the process that is preferred next that a lease was given back.
 
--- a/beryllug/core/lease_spread.py
+++ b/beryllug/core/lease_spread.py
@@ -72,6 +72,13 @@
     return order[0] if order else None
 
 
+def best(spread: Spread, name: str) -> tuple[str, ...]:
+    """Return the members that come first for a lease."""
+    preferred = spread.preferred.get(name)
+    tops = tuple(member for _, member in spread.tops.get(name, ()))
+    return tuple(dict.fromkeys((preferred, *tops))) if preferred else tops
+
+
 def share(spread: Spread, name: str) -> int:
     """Return how many leases of a kind one member should hold at most."""
     kind = _kind(name)
--- a/beryllug/core/lease_test.py
+++ b/beryllug/core/lease_test.py
@@ -44,6 +44,7 @@
 
     name: str
     rank: int
+    listed: tuple[str, ...] = ()
     rate: float = 1.0
     paused_until: float = 0.0
     state: lease.LeaseState = field(
@@ -77,7 +78,14 @@
     if now < process.wait_until:
         return
     action = lease.decide(
-        process.state, process.owner, TERMS, process.rank, now
+        process.state,
+        process.owner,
+        TERMS,
+        lease_data.Standing(
+            process.rank,
+            tuple(lease_data.Candidate(name, 1) for name in process.listed),
+        ),
+        now,
     )
     match action:
         case lease.Wait(until):
@@ -92,6 +100,7 @@
                 now,
             )
         case lease.Write() if fate != 'down':
+            lease.sending(process.state, action)
             _write(process, platform, action, now, fate)
 
 
@@ -145,6 +154,24 @@
         self._run_quietly(platform, (first, second), 10, 10 + TERMS.lease_s / 2)
         self.assertTrue(second.holds(10 + TERMS.lease_s / 2))
 
+    def test_others_than_candidates_wait(self) -> None:
+        """A lease that lists its candidates is left to them for long.
+
+        In an outage its holder goes on under their promises alone; a process
+        that it did not list must not take the lease in that time.
+        """
+        platform = Platform()
+        holder, stranger = Process('one', 0), Process('two', 0)
+        holder.listed = ('three',)
+        self._run_quietly(platform, (holder,), 0, 10)
+        late = holder.state.renewed_at + TERMS.lease_s
+        limit = lease.outage_limit(holder.state, TERMS)
+        self._run_quietly(platform, (stranger,), 10, limit + 1)
+        self.assertGreater(limit, 10 * late)
+        self.assertEqual(platform.tokens, {1: 'boot-one'})
+        self._run_quietly(platform, (stranger,), limit + 1, limit + 30)
+        self.assertEqual(platform.tokens, {1: 'boot-one', 2: 'boot-two'})
+
     def test_old_replica(self) -> None:
         """A read that lags behind neither ends nor begins anything."""
         platform = Platform()
--- a/beryllug/core/member_data.py
+++ b/beryllug/core/member_data.py
@@ -23,6 +23,7 @@
         incarnation: Grows with each start of the process, and each time it
             contradicts a report of its own death.
         status: What is believed of it.
+        started: Its incarnation when it started, which tells starts apart.
     """
 
     name: str
@@ -30,6 +31,7 @@
     zone: str
     incarnation: int
     status: Status = Status.ALIVE
+    started: int = 0
 
 
 class Note(NamedTuple):
--- a/beryllug/core/shard_state.py
+++ b/beryllug/core/shard_state.py
@@ -47,6 +47,8 @@
         keys: Request id of the latest try of each key in `tries`.
         pending: Rows that wait to become durable, in order.
         index: Segment of the latest row by digest, for all that is durable.
+        unflushed: Request ids of tries that may run although their intent
+            is not durable yet: copies of them stand in another process.
         boots: The process start last heard of each entry process that has
             tries, by the entry's name; empty when not heard yet.
     """
@@ -55,6 +57,7 @@
     keys: dict[tuple[str, str], str] = field(default_factory=dict)
     pending: dict[RowId, journal_data.Row] = field(default_factory=dict)
     index: digest_index.Index = field(default_factory=digest_index.Index)
+    unflushed: set[str] = field(default_factory=set)
     boots: dict[str, str] = field(default_factory=dict)
 
 
--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -1,6 +1,6 @@
 """The methods that our processes call on one another."""
 
-from beryllug.core import lease_data, member_data, rpc_data
+from beryllug.core import lease_data, member_data, outage_data, rpc_data
 from beryllug.drivers import rpc
 
 WATCH_VIEW = rpc.Method('WatchView', rpc_data.ViewAsk, rpc_data.ViewUpdate)
@@ -25,3 +25,11 @@
 PROBE = rpc.Method('Probe', member_data.ProbeAsk, member_data.ProbeReply)
 LEASE_GIVEN = rpc.Method('LeaseGiven', lease_data.Given, rpc_data.Empty)
 STATUS = rpc.Method('Status', rpc_data.Empty, rpc_data.StatusReply)
+
+# Platform outages.
+PROMISE = rpc.Method(
+    'Promise', outage_data.PromiseAsk, outage_data.PromiseReply
+)
+COPY = rpc.Method('Copy', outage_data.CopyAsk, outage_data.CopyReply)
+FLUSHED = rpc.Method('Flushed', outage_data.FlushedAsk, rpc_data.Empty)
+GATHER = rpc.Method('Gather', outage_data.GatherAsk, outage_data.GatherReply)
