--- a/beryllug/scripts/cli_render.py
+++ b/beryllug/scripts/cli_render.py
@@ -84,6 +84,32 @@
     return (*table(head, processes), '', *table(server_head, servers))
 
 
+def usage(body: dict[str, Any]) -> Lines:
+    """Write what each account used, then by version."""
+    accounts = [
+        (used['account_id'], str(used['requests']), str(used['cost_micro']))
+        for used in body['accounts']
+    ]
+    versions = [
+        (
+            used['account_id'],
+            used['model'],
+            used['version'],
+            str(used['stages']),
+            str(used['tokens_in']),
+            str(used['tokens_out']),
+            str(used['cost_micro']),
+        )
+        for used in body['versions']
+    ]
+    head = ('ACCOUNT', 'REQUESTS', 'COST (MILLIONTHS)')
+    version_head = (
+        *('ACCOUNT', 'MODEL', 'VERSION', 'STAGES'),
+        *('TOKENS IN', 'TOKENS OUT', 'COST (MILLIONTHS)'),
+    )
+    return (*table(head, accounts), '', *table(version_head, versions))
+
+
 def plain_data(body: Any) -> Lines:
     """Write what has no form of its own as JSON."""
     return tuple(json.dumps(body, indent=2).splitlines())
--- a/beryllug/scripts/commands.py
+++ b/beryllug/scripts/commands.py
@@ -97,7 +97,7 @@
 async def usage(target: cli_data.Target) -> cli_data.Outcome:
     """Show what was billed."""
     ask = operator_link.Ask(GET, '/v1/usage')
-    return await _call(target, ask, cli_render.plain_data)
+    return await _call(target, ask, cli_render.usage)
 
 
 async def dump(target: cli_data.Target) -> cli_data.Outcome:
