Test control in virtual time

Ruled out: longer leases (slower still), looser checks. Change: virtual_time_test jumps the clock where a loop would wait; leases have their real length of 6 s. A process whose lease began with nothing to gather no longer says that something is unflushed.

--- a/beryllug/control/fake_platform_test.py
+++ b/beryllug/control/fake_platform_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import unittest
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -91,8 +92,8 @@
         held: Set while a write is held there.
         reads: Reads made.
         delay_s: How long each of its calls takes.
-        stall_s: How long this process is paused after its next write, cut
-            off from the platform from then on.
+        applied: Called after a write to `faulty` has taken effect, before
+            its answer is seen.
         faults: Faults of the next writes to keys with `faulty`.
         faulty: Prefix of the keys that faults are for.
     """
@@ -104,8 +105,8 @@
         self.gate.set()
         self.held = asyncio.Event()
         self.reads = 0
-        self.delay_s = 0.0
-        self.stall_s = 0.0
+        self.delay_s = 0.002
+        self.applied: Callable[[], None] = _do_nothing
         self.faults: deque[Fault] = deque()
         self.faulty = 'beryllug/journal/'
         self._store = store
@@ -137,7 +138,8 @@
         await self._reach()
         if not matching or not self.faults:
             version = self._store.apply(key, body, expected_version)
-            await self._stall(matching)
+            if matching:
+                self.applied()
             return version
         match self.faults.popleft():
             case Fault.LOST_ANSWER:
@@ -160,17 +162,16 @@
         """Refuse: control's leases and journal do not watch."""
         raise object_data.UnavailableError(prefix)
 
-    async def _stall(self, matching: bool) -> None:
-        if matching and self.stall_s:
-            self.cut = True
-            await asyncio.sleep(self.stall_s)
-
     async def _reach(self) -> None:
         await asyncio.sleep(self.delay_s)
         if self.cut or self._store.down:
             raise object_data.UnavailableError('down')
 
 
+def _do_nothing() -> None:
+    """Let a write's answer be seen at once."""
+
+
 class FakePlatformTest(unittest.IsolatedAsyncioTestCase):
     """The fake keeps its conditions."""
 
--- a/beryllug/control/journal_test.py
+++ b/beryllug/control/journal_test.py
@@ -17,8 +17,6 @@
 class OneTryTest(nodes_test.NodesCase):
     """One key is granted once."""
 
-    sizes = nodes_test.Sizes(lease_s=nodes_test.LONG_LEASE_S)
-
     async def test_same_key_at_two_hosts(self) -> None:
         """A guest taps twice, and each tap reaches another entry host.
 
@@ -97,8 +95,6 @@
 class LostAnswerTest(nodes_test.NodesCase):
     """Writes of the log whose answer is lost."""
 
-    sizes = nodes_test.Sizes(lease_s=nodes_test.LONG_LEASE_S)
-
     async def test_answer_lost(self) -> None:
         """A write of intents or outcomes goes wrong and is settled.
 
@@ -232,14 +228,13 @@
         """
         owner = await self.start_owner('1')
         successor = await self.start_node('2')
-        owner.client.gate.clear()
-        owner.client.faulty = 'beryllug/'
+        owner.pause(self.network)
         asked = asyncio.create_task(owner.begin(nodes_test.intent('one')))
         await owner.client.held.wait()
         await nodes_test.until(successor.owns)
         grant = await successor.begin(nodes_test.intent('two'))
         self.assertEqual(grant.kind, Kind.GRANTED)
-        owner.client.gate.set()
+        owner.wake(self.network)
         self.assertEqual((await asked).kind, Kind.UNAVAILABLE)
         await nodes_test.until(lambda: not owner.owns())
         self.assertEqual(self.log(), [('intent', 'two')])
@@ -253,13 +248,13 @@
         owner = await self.start_owner('1')
         successor = await self.start_node('2')
         await self._fill_segment(owner)
-        owner.client.gate.clear()
-        owner.client.faulty = 'beryllug/'
+        owner.pause(self.network)
         asked = asyncio.create_task(owner.begin(nodes_test.intent('one')))
         await owner.client.held.wait()
         await nodes_test.until(successor.owns)
-        owner.client.gate.set()
+        owner.wake(self.network)
         self.assertEqual((await asked).kind, Kind.UNAVAILABLE)
+        await nodes_test.until(lambda: not owner.owns())
         self.assertNotIn(('intent', 'one'), self.log())
 
     async def test_paused_after_its_write(self) -> None:
@@ -270,10 +265,13 @@
         unknown, and bills it so.
         """
         owner = await self.start_owner('1')
-        owner.client.stall_s = nodes_test.LEASE_S
+        owner.client.applied = self._pause
         grant = await owner.begin(nodes_test.intent('one'))
         self.assertEqual(grant.kind, Kind.UNAVAILABLE)
 
+    def _pause(self) -> None:
+        self.clock.now += nodes_test.LEASE_S
+
     async def _fill_segment(self, owner: nodes_test.Node) -> None:
         row = nodes_test.outcome(nodes_test.intent('big', 'big'))
         large = row._replace(note='x' * 60000)
--- a/beryllug/control/lease_outage.py
+++ b/beryllug/control/lease_outage.py
@@ -45,16 +45,18 @@
         )
 
     def mark(self, name: str, *, unflushed: bool) -> None:
-        """Say with the next renewal whether something is unflushed."""
-        if unflushed == (name in self.unflushed):
-            return
+        """Say with the next renewal whether something is unflushed.
+
+        That nothing is any more is said at once: it spares the next holder
+        asking the candidates.
+        """
         if unflushed:
             self.unflushed.add(name)
-        else:
-            self.unflushed.discard(name)
+            return
         task = self._tasks.get(name)
-        if task is not None:
+        if name in self.unflushed and task is not None:
             task.renew_now()
+        self.unflushed.discard(name)
 
     def is_struggling(self, now: float) -> bool:
         """Tell whether a held lease could not be renewed for a while."""
--- a/beryllug/control/leases_test.py
+++ b/beryllug/control/leases_test.py
@@ -8,6 +8,7 @@
 from beryllug.core import journal_data
 
 Kind = journal_data.GrantKind
+HAND_OVER_S = 0.1
 
 
 class HandOverTest(nodes_test.NodesCase):
@@ -43,12 +44,14 @@
         told and takes it at once. No request is refused, and each row stands
         in the log once.
         """
-        self.sizes = nodes_test.Sizes(lease_s=nodes_test.LONG_LEASE_S)
         first = await self.start_owner('1')
         second = await self.start_node('2')
         asking = asyncio.create_task(self._ask(second, 40))
         await asyncio.sleep(0.05)
         await first.stop()
+        stopped_at = time.monotonic()
+        await nodes_test.until(second.owns)
+        self.assertLess(time.monotonic() - stopped_at, HAND_OVER_S)
         self.network.silent.add('127.0.0.1:1')
         kinds = await asking
         self.assertEqual(set(kinds), {Kind.GRANTED})
@@ -62,7 +65,7 @@
         The old holder gives up one at a time, after it has flushed: of the
         requests that come meanwhile none is refused.
         """
-        self.sizes = nodes_test.Sizes(shards=4, lease_s=1.0)
+        self.sizes = nodes_test.Sizes(shards=4)
         first = await self.start_owner('1')
         await nodes_test.until(lambda: len(self._served(first)) == 4)
         first.client.delay_s = nodes_test.POLL_S
--- a/beryllug/control/membership_test.py
+++ b/beryllug/control/membership_test.py
@@ -10,12 +10,12 @@
 from collections import Counter
 from collections.abc import Callable
 
-from beryllug.control import membership, probing
+from beryllug.control import membership, probing, virtual_time_test
 from beryllug.core import member_data
 from beryllug.drivers import rpc
 
-ROUND_S = 0.02
-WAIT_S = 8.0
+ROUND_S = 1.0
+WAIT_S = 400.0
 
 
 class Network:
@@ -71,11 +71,12 @@
         return reply
 
 
-class MembershipTest(unittest.IsolatedAsyncioTestCase):
+class MembershipTest(virtual_time_test.VirtualTimeCase):
     """What members believe of one another."""
 
     async def asyncSetUp(self) -> None:
         """Make an empty network."""
+        await super().asyncSetUp()
         self.network = Network()
 
     async def asyncTearDown(self) -> None:
--- a/beryllug/control/nodes_test.py
+++ b/beryllug/control/nodes_test.py
@@ -17,6 +17,7 @@
     leases,
     segments,
     shards,
+    virtual_time_test,
 )
 from beryllug.core import (
     journal_data,
@@ -28,11 +29,9 @@
 )
 from beryllug.drivers import rpc
 
-LEASE_S = 0.5
-# Long enough never to lapse on a busy machine.
-LONG_LEASE_S = 10.0
-WAIT_S = 5.0
-POLL_S = 0.005
+LEASE_S = 6.0
+WAIT_S = 120.0
+POLL_S = 0.02
 ACCOUNT = 'kesarvan'
 
 
@@ -157,6 +156,21 @@
         await self.journal.start()
         await self.leases.start()
 
+    def pause(self, network: Network) -> None:
+        """Hold this node at its next writes, and let it answer nobody.
+
+        Its reads and timers go on, which a frozen process's do not; what
+        counts here is what it does with its old authority.
+        """
+        network.silent.add(f'127.0.0.1:{self.name}')
+        self.client.faulty = 'beryllug/'
+        self.client.gate.clear()
+
+    def wake(self, network: Network) -> None:
+        """Let a paused node go on."""
+        network.silent.discard(f'127.0.0.1:{self.name}')
+        self.client.gate.set()
+
     async def kill(self, network: Network) -> None:
         """Stop at once, as by SIGKILL: nothing is flushed or given back."""
         network.silent.add(f'127.0.0.1:{self.name}')
@@ -197,13 +211,14 @@
         return ack.durable
 
 
-class NodesCase(unittest.IsolatedAsyncioTestCase):
+class NodesCase(virtual_time_test.VirtualTimeCase):
     """A store, a network and nodes that end with the test."""
 
     sizes = Sizes()
 
     async def asyncSetUp(self) -> None:
         """Make the store and the network."""
+        await super().asyncSetUp()
         self.store = fake_platform_test.Store()
         self.network = Network()
         self.members = Members()
@@ -281,8 +296,6 @@
 class NodesTest(NodesCase):
     """The nodes of these tests own and hand over as real ones do."""
 
-    sizes = Sizes(lease_s=LONG_LEASE_S)
-
     async def test_second_node_waits(self) -> None:
         """Only one of two nodes serves the shard."""
         first = await self.start_owner('1')
--- a/beryllug/control/outage_test.py
+++ b/beryllug/control/outage_test.py
@@ -11,14 +11,11 @@
 from beryllug.core import journal_data, lease_data, outage
 
 Kind = journal_data.GrantKind
-SIZES = nodes_test.Sizes(lease_s=1.0)
 
 
 class OutageCase(nodes_test.NodesCase):
     """Three nodes, the first of which owns the shard."""
 
-    sizes = SIZES
-
     async def asyncSetUp(self) -> None:
         """Start the nodes and let the lease list its candidates."""
         await super().asyncSetUp()
--- a/beryllug/control/shard_cover.py
+++ b/beryllug/control/shard_cover.py
@@ -43,14 +43,20 @@
     """Copies of one shard's intents, got and given."""
 
     def __init__(self, parts: OutageParts, tenure: Tenure) -> None:
-        """Bind to an ownership; until it is settled, others must gather."""
+        """Bind to an ownership.
+
+        Where the shard was not given back, others must gather as this
+        process does, until it has and all is durable.
+        """
         self._parts = parts
         self._tenure = tenure
         self._queue = copy_queue.CopyQueue(self._send)
         self._told: set[str] = set()
         self._refuse_until = float('-inf')
         self._settled = False
-        parts.leases.mark(tenure.lease_name, unflushed=True)
+        before = parts.leases.before(tenure.lease_name)
+        if before is not None and before.holder:
+            parts.leases.mark(tenure.lease_name, unflushed=True)
 
     def dump(self) -> dict[str, Any]:
         """Return the state."""
--- a/beryllug/control/upkeep_test.py
+++ b/beryllug/control/upkeep_test.py
@@ -118,8 +118,6 @@
 class UpkeepTest(UpkeepCase):
     """Images, expiry, and tries that never end."""
 
-    sizes = nodes_test.Sizes(lease_s=nodes_test.LONG_LEASE_S)
-
     async def test_takeover_reads_the_image(self) -> None:
         """A new owner knows old keys without reading old rows.
 
