--- a/beryllug/proofs/faults_test.py
+++ b/beryllug/proofs/faults_test.py
@@ -6,60 +6,14 @@
 """
 
 import asyncio
+import random
 import unittest
 
-from beryllug.proofs import scenario
+from beryllug.proofs import faults, scenario
 from beryllug.standins import fleet_settings
 
-
-async def _kill_entry(running: scenario.Running) -> None:
-    """The callers of one entry host see their connections break."""
-    running.traffic.avoid(0)
-    await running.fleet.processes.kill(fleet_settings.entry_name(0))
-    await running.traffic.reach(30)
-    await running.fleet.restart(fleet_settings.entry_name(0))
-    running.traffic.use(0)
-
-
-async def _kill_control(running: scenario.Running) -> None:
-    """An owner of journal shards is lost with rows that were not flushed."""
-    await running.fleet.processes.kill(fleet_settings.control_name(0))
-    await running.traffic.reach(60)
-    await running.fleet.restart(fleet_settings.control_name(0))
-
-
-async def _freeze_control(running: scenario.Running) -> None:
-    """An owner is paused past its lease and wakes with old authority."""
-    name = fleet_settings.control_name(0)
-    running.fleet.processes.freeze(name)
-    await asyncio.sleep(12)
-    running.fleet.processes.thaw(name)
-    await running.traffic.reach(30)
-
-
-async def _stop_control(running: scenario.Running) -> None:
-    """A control process is stopped gracefully."""
-    name = fleet_settings.control_name(1)
-    code = await running.fleet.processes.terminate(name)
-    assert code == 0, f'exit code {code}'
-    await running.traffic.reach(40)
-    await running.fleet.restart(name)
-
-
-async def _drop_platform_answers(running: scenario.Running) -> None:
-    """Writes take effect in the platform and their answers are lost."""
-    for _ in range(10):
-        running.fleet.platform.put_faults(drop_answer=True, times=2)
-        await running.traffic.reach(5)
-    running.fleet.platform.put_faults()
-
-
-async def _platform_outage(running: scenario.Running) -> None:
-    """The platform refuses connections for a while."""
-    running.fleet.platform.put_faults(refuse=True)
-    await asyncio.sleep(8)
-    running.fleet.platform.put_faults()
-    await asyncio.sleep(4)
+# Deployments that run beside each other.
+AT_ONCE = 4
 
 
 async def _outage_and_kills(running: scenario.Running) -> None:
@@ -78,14 +32,18 @@
     await asyncio.sleep(2)
 
 
-CASES: tuple[tuple[str, scenario.Case], ...] = (
-    ('entry killed', scenario.Case(1, _kill_entry)),
-    ('control killed', scenario.Case(2, _kill_control)),
-    ('control frozen', scenario.Case(3, _freeze_control)),
-    ('control stopped', scenario.Case(4, _stop_control)),
-    ('answers lost', scenario.Case(5, _drop_platform_answers)),
-    ('platform outage', scenario.Case(6, _platform_outage)),
-    ('outage and kills', scenario.Case(7, _outage_and_kills)),
+def _alone(fault: faults.Fault) -> scenario.Fault:
+    """Return a fault whose target is always the same."""
+
+    async def hit(running: scenario.Running) -> None:  # noqa: WPS430
+        await fault(running, random.Random(0))
+
+    return hit
+
+
+CASES: tuple[tuple[str, scenario.Fault], ...] = (
+    *((fault.__name__, _alone(fault)) for fault in faults.ALL),
+    ('outage and kills', _outage_and_kills),
 )
 
 
@@ -94,9 +52,24 @@
 
     async def test_cases(self) -> None:
         """Run every case and print its counts."""
-        for title, case in CASES:
+        gate = asyncio.Semaphore(AT_ONCE)
+        await asyncio.gather(
+            *(
+                self._case(seed, title, fault, gate)
+                for seed, (title, fault) in enumerate(CASES)
+            )
+        )
+
+    async def _case(
+        self,
+        seed: int,
+        title: str,
+        fault: scenario.Fault,
+        gate: asyncio.Semaphore,
+    ) -> None:
+        async with gate:
             with self.subTest(title):
-                report, _ = await scenario.run(case)
+                report, _ = await scenario.run(scenario.Case(seed, fault))
                 print(f'{title}: {report.line()}')  # noqa: WPS421
                 self.assertEqual(report.violations, ())
 
--- a/beryllug/scripts/beryllugd.py
+++ b/beryllug/scripts/beryllugd.py
@@ -2,6 +2,8 @@
 
 It reads the settings, starts the services of its role, and on SIGTERM stops
 them without cutting off a request. Broken settings are all reported at once.
+SIGHUP reads the keys of the settings file anew, so they are rotated without a
+restart.
 """
 
 import asyncio
@@ -48,17 +50,28 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    services = compose.compose(cfg, path)
-    await services.start()
+    composed = compose.compose(cfg)
+    loop.add_signal_handler(signal.SIGHUP, _replace_keys, composed, path)
+    await composed.services.start()
     logging.info(
         'event=ready process=%s role=%s', cfg.process.name, cfg.process.role
     )
     await stopping.wait()
     logging.info('event=stopping process=%s', cfg.process.name)
-    await _stop(services, cfg)
+    await _stop(composed.services, cfg)
     logging.info('event=stopped process=%s', cfg.process.name)
 
 
+def _replace_keys(composed: compose.Composed, path: str) -> None:
+    """Take rotated keys; broken settings change nothing."""
+    cfg, findings = settings.load(path)
+    for item in findings:
+        logging.error('event=settings_refused %s', finding.describe(item))
+    if cfg is not None:
+        composed.replace_keys(cfg)
+        logging.info('event=keys_replaced process=%s', cfg.process.name)
+
+
 async def _stop(
     services: registry.Registry, cfg: settings_data.Settings
 ) -> None:
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -6,6 +6,7 @@
 
 import os
 import time
+from typing import NamedTuple
 
 
 from beryllug.control import (
@@ -59,20 +60,28 @@
 BOOT_BYTES = 6
 
 
-def compose(cfg: settings_data.Settings, path: str) -> registry.Registry:
-    """Return the services of a process, not started.
+class Composed(NamedTuple):
+    """The services of a process, and the keys that may be replaced."""
 
-    Args:
-        cfg: Its settings.
-        path: Where they stand, to read rotated keys anew.
-    """
+    services: registry.Registry
+    fleet_keys: fleet_key.KeyRing
+
+    def replace_keys(self, cfg: settings_data.Settings) -> None:
+        """Take the keys of settings that were read anew."""
+        self.fleet_keys.replace(cfg.fleet.keys)
+        operators_api = self.services.find('operators', ops.Operators)
+        operators_api.replace_keys(cfg.operators.keys)
+
+
+def compose(cfg: settings_data.Settings) -> Composed:
+    """Return the services of a process, not started."""
     services = registry.Registry()
     keys = fleet_key.KeyRing(cfg.fleet.keys)
     if cfg.entry is not None:
         _add_entry(services, cfg, cfg.entry, keys)
     if cfg.control is not None:
         _add_control(services, cfg, cfg.control, keys)
-    return services
+    return Composed(services, keys)
 
 
 def _add_entry(
@@ -171,7 +180,7 @@
         settings.operators,
         services,
         lambda: view.revision > 0 and view.accepts(),
-        operators.for_control(view, calls, server),
+        operators.for_control(view, calls, server, rows),
     )
     services.register('operators', operators_api)
 
--- a/beryllug/standins/fleet_settings.py
+++ b/beryllug/standins/fleet_settings.py
@@ -1,14 +1,19 @@
 """Settings files and addresses of a deployment on loopback."""
 
 import contextlib
+import itertools
+import os
 import socket
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 HOST = '127.0.0.1'
 OPERATOR_KEY = 'operator-key-of-the-harness'
 FLEET_KEY = 'fleet-key-of-the-harness'
 CONTROL = 'control'
+PORTS_BEGIN = 10000
+PORTS_END = 32000
+PORTS_APART = 211
 
 
 class HostPorts(NamedTuple):
@@ -75,15 +80,34 @@
 
 
 def free_ports() -> HostPorts:
-    """Find free ports; another process may take one before we use it."""
-    with contextlib.ExitStack() as stack:
-        found = [stack.enter_context(socket.socket()) for _ in range(FIELDS)]
-        for sock in found:
-            sock.bind((HOST, 0))
-        ports = [bound.getsockname()[1] for bound in found]
+    """Find free ports outside the range that connections take.
+
+    A port of that range may be taken by any connection between this look
+    and the start of the process that is to listen on it.
+    """
+    ports = [next(_candidates) for _ in range(FIELDS)]
     return HostPorts(*(f'{HOST}:{port}' for port in ports))
 
 
+def _free() -> Iterator[int]:
+    """Yield ports that are free, beginning at a place of this process."""
+    span = PORTS_END - PORTS_BEGIN
+    start = os.getpid() * PORTS_APART
+    for step in itertools.count():
+        port = PORTS_BEGIN + (start + step) % span
+        if _is_free(port):
+            yield port
+
+
+def _is_free(port: int) -> bool:
+    with contextlib.closing(socket.socket()) as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 def _parse(name: str) -> tuple[str, int]:
     role, _, index = name.partition('-')
     return role, int(index)
@@ -114,3 +138,4 @@
 
 
 FIELDS = len(HostPorts._fields)
+_candidates = _free()
--- a/beryllug/standins/harness.py
+++ b/beryllug/standins/harness.py
@@ -231,12 +231,17 @@
         await self.spawn(name)
         await self.wait_ready(name)
 
-    async def get(self, address: str, target: str) -> tuple[int, bytes]:
+    async def get(
+        self,
+        address: str,
+        target: str,
+        key: str = fleet_settings.OPERATOR_KEY,
+    ) -> tuple[int, bytes]:
         """Get from an operators' address; status 0 without an answer."""
         outgoing = http_data.Outgoing(
             'GET',
             target,
-            {'authorization': f'Bearer {fleet_settings.OPERATOR_KEY}'},
+            {'authorization': f'Bearer {key}'},
         )
         try:
             incoming, body = await self.client.call(address, outgoing)
--- a/beryllug/standins/processes.py
+++ b/beryllug/standins/processes.py
@@ -20,7 +20,7 @@
 
     async def spawn(self, name: str, settings: str) -> None:
         """Start a daemon with the text of its settings."""
-        path = Path(self._dir.name) / f'{name}.ini'
+        path = self._settings_path(name)
         path.write_text(settings, encoding='utf-8')
         with self._log_path(name).open('ab') as sink:
             self._running[name] = await asyncio.create_subprocess_exec(
@@ -50,13 +50,23 @@
         process.kill()
         await process.wait()
 
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a daemon."""
+        self._running[name].send_signal(number)
+
     def freeze(self, name: str) -> None:
         """Freeze a daemon."""
-        self._running[name].send_signal(signal.SIGSTOP)
+        self.signal(name, signal.SIGSTOP)
 
     def thaw(self, name: str) -> None:
         """Let a frozen daemon go on."""
-        self._running[name].send_signal(signal.SIGCONT)
+        self.signal(name, signal.SIGCONT)
+
+    def rewrite(self, name: str, old: str, new: str) -> None:
+        """Change a text in a daemon's settings file."""
+        path = self._settings_path(name)
+        text = path.read_text(encoding='utf-8')
+        path.write_text(text.replace(old, new), encoding='utf-8')
 
     async def terminate(self, name: str) -> int:
         """Stop a daemon gracefully and return its exit code."""
@@ -75,5 +85,8 @@
         await asyncio.gather(*map(self.terminate, self.names()))
         self._dir.cleanup()
 
+    def _settings_path(self, name: str) -> Path:
+        return Path(self._dir.name) / f'{name}.ini'
+
     def _log_path(self, name: str) -> Path:
         return Path(self._dir.name) / f'{name}.log'
