Keep the latest pin, and refuse nobody at the start of an outage

Cause: an entry's late resend put a session's older pin over its newer one; the requests of an outage's first seconds were refused until candidates had been asked; a write that hung held requests for seconds. Change: rows of which the latest counts are compared by their time; a request that meets an outage has the candidates asked at once, and shares that round; a write over 0.8 s counts as a sign of an outage.

--- a/beryllug/control/journal_test.py
+++ b/beryllug/control/journal_test.py
@@ -322,15 +322,35 @@
 class LookupTest(nodes_test.NodesCase):
     """Lookups by key."""
 
+    async def test_pin_while_one_is_written(self) -> None:
+        """A session is pinned anew while its first pin is being written."""
+        owner = await self.start_owner('1')
+        pin = nodes_test.intent('s1', 'session')._replace(
+            kind=journal_data.RowKind.SESSION
+        )
+        owner.client.gate.clear()
+        first = asyncio.create_task(owner.finish(pin))
+        await owner.client.held.wait()
+        second = asyncio.create_task(
+            owner.finish(pin._replace(note='second', at=1))
+        )
+        await asyncio.sleep(nodes_test.POLL_S)
+        owner.client.gate.set()
+        self.assertEqual(await asyncio.gather(first, second), [True, True])
+        self.assertEqual([row.note for row in self.rows()], ['', 'second'])
+
     async def test_lookup(self) -> None:
-        """The latest row of a kind is found from any node, and after kills."""
+        """The latest row of a kind is found from any node, and after kills.
+
+        A session's older pin that comes again late does not take its place.
+        """
         owner = await self.start_owner('1')
         successor = await self.start_node('2')
         pin = nodes_test.intent('s1', 'session')._replace(
             kind=journal_data.RowKind.SESSION
         )
-        for note in ('first', 'second'):
-            await successor.finish(pin._replace(note=note))
+        for at, note in enumerate(('first', 'second')):
+            await successor.finish(pin._replace(note=note, at=at))
         ask = rpc_data.LookupAsk(
             nodes_test.ACCOUNT, 'session', journal_data.RowKind.SESSION
         )
@@ -340,6 +360,10 @@
         await nodes_test.until(successor.owns)
         reply = await successor.journal.lookup(ask)
         self.assertEqual(reply.row and reply.row.note, 'second')
+        stale = pin._replace(note='first', at=0)
+        self.assertTrue(await successor.finish(stale))
+        reply = await successor.journal.lookup(ask)
+        self.assertEqual(reply.row and reply.row.note, 'second')
         reply = await successor.journal.lookup(ask._replace(shard_key='none'))
         self.assertEqual(reply, rpc_data.LookupReply(None))
 
--- a/beryllug/control/outage_test.py
+++ b/beryllug/control/outage_test.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 import unittest
 
 from beryllug.control import lease_task, nodes_test, shards
@@ -104,6 +105,21 @@
             ],
         )
 
+    async def test_nobody_is_refused_at_the_start(self) -> None:
+        """The first guests of an outage wait for promises, not long.
+
+        Then a write hangs instead of failing: they are not refused either.
+        """
+        self.store.down = True
+        await self.grant('one')
+        self.store.down = False
+        await nodes_test.until(lambda: ('intent', 'one') in self.log())
+        for node in self.nodes:
+            node.client.delay_s = 30
+        start = time.monotonic()
+        await self.grant('two')
+        self.assertLess(time.monotonic() - start, 2)
+
     async def test_somebody_reaches_the_platform(self) -> None:
         """Only the owner is cut off: it must not go on, another takes over.
 
--- a/beryllug/control/promises.py
+++ b/beryllug/control/promises.py
@@ -40,6 +40,9 @@
         self._boot = boot
         self._got = outage.Promises()
         self._given: set[str] = set()
+        self._pause_s = leases.terms.promise_s * ASK_SHARE
+        self._asked_at = float('-inf')
+        self._round: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
 
     def serve(self, server: candidate_calls.Server) -> None:
@@ -77,6 +80,18 @@
         )
         return max(0.0, end - time.monotonic())
 
+    async def cover(self, lease_name: str) -> float:
+        """Return for how long a lease is covered, asking for it if needed.
+
+        The first requests of an outage need not be refused. When candidates
+        were asked a moment ago and did not promise, they are not asked again.
+        """
+        waited_s = time.monotonic() - self._asked_at
+        recent = self._round is not None and waited_s < self._pause_s
+        if not self.valid_s(lease_name) and not recent:
+            await self._ask_round()
+        return self.valid_s(lease_name)
+
     async def promise(
         self, ask: outage_data.PromiseAsk
     ) -> outage_data.PromiseReply:
@@ -89,11 +104,17 @@
         return outage_data.PromiseReply(given=free)
 
     async def _keep_asking(self) -> None:
-        pause_s = self._leases.terms.promise_s * ASK_SHARE
         while True:
             if self._leases.is_struggling(time.monotonic()):
-                await self._ask_promises()
-            await asyncio.sleep(pause_s)
+                await self._ask_round()
+            await asyncio.sleep(self._pause_s)
+
+    async def _ask_round(self) -> None:
+        """Ask all candidates, together with whoever asks now."""
+        if self._round is None or self._round.done():
+            self._asked_at = time.monotonic()
+            self._round = asyncio.create_task(self._ask_promises())
+        await asyncio.shield(self._round)
 
     async def _ask_promises(self) -> None:
         names = {
--- a/beryllug/control/shard_cover.py
+++ b/beryllug/control/shard_cover.py
@@ -81,7 +81,7 @@
 
     async def cover(self, row: journal_data.Row) -> bool:
         """Have an intent copied; tell whether it may be granted."""
-        if self.valid_s() <= 0:
+        if await self._parts.promises.cover(self._tenure.lease_name) <= 0:
             return False
         self._settled = False
         self._parts.leases.mark(self._tenure.lease_name, unflushed=True)
--- a/beryllug/control/shard_owner.py
+++ b/beryllug/control/shard_owner.py
@@ -10,6 +10,8 @@
 from beryllug.drivers import object_api
 
 BEGIN_WAIT_S = 2.0
+# A write that takes longer counts as a sign of an outage.
+SLOW_S = 0.8
 FINISH_WAIT_S = 2.0
 MAX_PENDING = 20000
 TEND_S = 0.2
@@ -142,11 +144,13 @@
         if is_new and self._cover.refuses_new(now):
             journal.deny(self.state, row)
             return journal.unavailable(row)
-        if await self._commits.wait(row, BEGIN_WAIT_S):
+        if await self._commits.wait(row, SLOW_S):
             return journal.grant(self.state, row, self._valid_s())
-        if self._commits.down and await self._cover.cover(row):
+        if await self._cover.cover(row):
             valid_s = self._cover.valid_s()
             return journal.grant_unflushed(self.state, row, valid_s)
+        if await self._commits.wait(row, BEGIN_WAIT_S):
+            return journal.grant(self.state, row, self._valid_s())
         journal.deny(self.state, row)
         return journal.unavailable(row)
 
--- a/beryllug/core/journal.py
+++ b/beryllug/core/journal.py
@@ -168,20 +168,19 @@
         read first.
     """
     shard_state.hear(state, row.entry)
-    if row.kind is not journal_data.RowKind.OUTCOME:
-        state.pending[shard_state.row_id(row)] = row
+    row_id = shard_state.row_id(row)
+    waiting = state.pending.get(row_id)
+    if waiting is not None:
+        if _supersedes(row, waiting):
+            state.pending[row_id] = row
         return Waiting()
-    if shard_state.row_id(row) in state.pending:
-        return Waiting()
-    seq = digest_index.find(
-        state.index, shard_state.request_digest(row.request_id)
-    )
+    seq = digest_index.find(state.index, _finish_digest(row))
     if seq is not None:
         if found is None or found.seq != seq:
             return ReadBack(seq)
-        if found.row is not None:
+        if found.row is not None and not _supersedes(row, found.row):
             return True
-    state.pending[shard_state.row_id(row)] = row
+    state.pending[row_id] = row
     return Waiting()
 
 
@@ -205,6 +204,23 @@
     )
 
 
+def _finish_digest(row: journal_data.Row) -> int:
+    if row.kind is journal_data.RowKind.OUTCOME:
+        return shard_state.request_digest(row.request_id)
+    return shard_state.kind_digest(row.kind, row.account_id, row.shard_key)
+
+
+def _supersedes(row: journal_data.Row, known: journal_data.Row) -> bool:
+    """Tell whether a row takes the place of one that is known.
+
+    A bill is written once. Of the pins of a session the latest holds: an
+    entry that could not reach its owner for a while sends an older one
+    again, which must not put the session back on a withdrawn version.
+    """
+    is_outcome = row.kind is journal_data.RowKind.OUTCOME
+    return not is_outcome and row.at > known.at
+
+
 def _begin_again(
     state: shard_state.ShardState,
     row: journal_data.Row,
--- a/beryllug/core/journal_log.py
+++ b/beryllug/core/journal_log.py
@@ -9,6 +9,7 @@
 from beryllug.core import digest_index, journal_data, shard_state
 
 LONGEST_RUN_S = 3600.0
+ONCE = frozenset((journal_data.RowKind.INTENT, journal_data.RowKind.OUTCOME))
 
 
 def committed(
@@ -24,8 +25,7 @@
         at: Wall-clock second of the commit.
     """
     row_id = shard_state.row_id(row)
-    session = row.kind is journal_data.RowKind.SESSION
-    if not session or state.pending.get(row_id) == row:
+    if row.kind in ONCE or state.pending.get(row_id) == row:
         # A later pin of the same session may have come meanwhile; it waits
         # for its own commit.
         state.pending.pop(row_id, None)
