Deliver a report whose entry host died, from the engine that made it

Cause: a report whose entry process was killed was answered 'in progress' or 'unknown' to every resend, although the engine had gone on and had it whole. Ruled out: copying the growing answer to a peer; the engine keeps it already and gives it out by request id from any byte. One run and one bill each.

--- a/beryllug/control/shard_owner.py
+++ b/beryllug/control/shard_owner.py
@@ -122,6 +122,8 @@
         """Return the latest row of a kind under a key."""
         if not await self._commits.ready(FINISH_WAIT_S):
             return rpc_data.LookupReply(None, available=False)
+        if ask.kind is journal_data.RowKind.INTENT:
+            return rpc_data.LookupReply(journal.open_intent(self.state, ask))
         for row in reversed(self.state.pending.values()):
             if readback.matches(row, ask):
                 return rpc_data.LookupReply(row)
--- a/beryllug/core/journal.py
+++ b/beryllug/core/journal.py
@@ -22,6 +22,7 @@
     digest_index,
     journal_data,
     journal_log,
+    rpc_data,
     shard_state,
 )
 
@@ -184,6 +185,15 @@
     return Waiting()
 
 
+def open_intent(
+    state: shard_state.ShardState, ask: rpc_data.LookupAsk
+) -> journal_data.Row | None:
+    """Return the intent of a key's latest try that has no outcome."""
+    found = state.keys.get((ask.account_id, ask.shard_key))
+    first = state.tries.get(found) if found else None
+    return first.row if first else None
+
+
 def find_latest(
     state: shard_state.ShardState,
     kind: journal_data.RowKind,
--- a/beryllug/entry/answers.py
+++ b/beryllug/entry/answers.py
@@ -12,7 +12,7 @@
 
 from beryllug.core import journal_data, rpc_data
 from beryllug.drivers import methods, rpc
-from beryllug.entry import call_data, control_calls
+from beryllug.entry import control_calls
 
 INLINE_BYTES = 4096
 STORE_S = 3.0
@@ -51,7 +51,7 @@
 
     async def keep(
         self,
-        call: call_data.Call,
+        request_id: str,
         status: int,
         content_type: str,
         body: bytes,
@@ -59,11 +59,9 @@
         """Keep an answer and return what its outcome row says of it."""
         if len(body) <= INLINE_BYTES:
             return journal_data.StoredAnswer(status, content_type, body)
-        if not await self._store(call.request_id, body):
-            self._owe(call.request_id, body)
-        return journal_data.StoredAnswer(
-            status, content_type, b'', call.request_id
-        )
+        if not await self._store(request_id, body):
+            self._owe(request_id, body)
+        return journal_data.StoredAnswer(status, content_type, b'', request_id)
 
     async def fetch(self, answer: journal_data.StoredAnswer) -> bytes | None:
         """Return the body of a kept answer; None when it can't be read now."""
--- a/beryllug/entry/bills.py
+++ b/beryllug/entry/bills.py
@@ -15,7 +15,7 @@
     refusal,
     request_id,
 )
-from beryllug.entry import call_data, outbox
+from beryllug.entry import begun, call_data, outbox
 
 FINISH_S = 2.0
 RUNNING_RETRY_S = 1.0
@@ -47,9 +47,7 @@
         """Return the number of outcomes by state."""
         return {'outcomes': dict(self._counts)}
 
-    async def begin(
-        self, call: call_data.Call, note: str
-    ) -> journal_data.Row | None:
+    async def begin(self, call: call_data.Call, note: str) -> begun.Begun:
         """Ask for the right to run a call once.
 
         Args:
@@ -57,21 +55,49 @@
             note: What a later look needs, as the version it will run on.
 
         Returns:
-            None when it may run now, or the outcome of its first try.
+            That it may run now, or what became of its first try.
 
         Raises:
-            RefusedError: It may not run now.
+            RefusedError: It may not run now, and has no first try.
         """
         row = self._row(call, journal_data.RowKind.INTENT, note)
         grant = await self._outbox.begin(row)
         match grant.kind:
             case journal_data.GrantKind.GRANTED:
-                return None
-            case journal_data.GrantKind.FINISHED:
-                return grant.first
+                return begun.MayRun()
+            case journal_data.GrantKind.FINISHED if grant.first:
+                return begun.Finished(grant.first)
+            case (
+                journal_data.GrantKind.RUNNING | journal_data.GrantKind.UNKNOWN
+            ):
+                return begun.Unfinished(grant.request_id, _refusal(grant))
             case _:
                 raise refusal.RefusedError(_refusal(grant))
 
+    async def finish_first(
+        self,
+        intent: journal_data.Row,
+        use: journal_data.StageUse,
+        answer: journal_data.StoredAnswer,
+    ) -> journal_data.Row:
+        """Write the outcome of a try whose own entry process is gone.
+
+        Should that process still write its own, the owner of the shard keeps
+        the first of the two: there is one bill.
+        """
+        state = journal_data.OutcomeState.DONE
+        self._counts[state.value] += 1
+        row = intent._replace(
+            kind=journal_data.RowKind.OUTCOME,
+            at=time.time(),
+            entry=self._entry,
+            state=state,
+            stages=(use,),
+            answer=answer,
+        )
+        await self._outbox.finish(row, FINISH_S)
+        return row
+
     async def finish(
         self,
         call: call_data.Call,
--- a/beryllug/entry/chat_bill.py
+++ b/beryllug/entry/chat_bill.py
@@ -44,7 +44,10 @@
         answer = None
         if not turn.call.facts.repeatable:
             answer = await self._parts.answers.keep(
-                turn.call, OK, headers.EVENTS_TYPE, bytes(relay.kept)
+                turn.call.request_id,
+                OK,
+                headers.EVENTS_TYPE,
+                bytes(relay.kept),
             )
         self._judge(turn, relay.first_at, failed=False)
         self._rate(turn, bytes(relay.kept))
@@ -92,7 +95,7 @@
                 headers.CONTENT_TYPE, headers.JSON_TYPE
             )
             answer = await self._parts.answers.keep(
-                turn.call, status, content_type, body
+                turn.call.request_id, status, content_type, body
             )
         use = use_of_body(turn, opened.attempt, body)
         await self._parts.bills.finish(
@@ -138,24 +141,37 @@
     turn: chat_data.Turn, attempt: routing.Attempt, tokens: tuple[int, int]
 ) -> journal_data.StageUse:
     """Return the detail of a bill for one stage."""
-    tokens_in, tokens_out = tokens
-    return journal_data.StageUse(
-        model=turn.version.ref.model,
-        version=turn.version.ref.version,
-        server_id=attempt.server.server_id,
-        tokens_in=tokens_in,
-        tokens_out=tokens_out,
-        cost_micro=cost_micro(turn.version, tokens_in + tokens_out),
-    )
+    return _use(turn.version, attempt.server.server_id, tokens)
 
 
 def use_of_body(
     turn: chat_data.Turn, attempt: routing.Attempt, body: bytes
 ) -> journal_data.StageUse:
     """Return the detail for an answer that was read whole."""
+    return use_of_kept(turn.version, attempt.server.server_id, body)
+
+
+def use_of_kept(
+    version: config_data.Version, server_id: str, body: bytes
+) -> journal_data.StageUse:
+    """Return the detail for a whole answer of a version."""
     usage = _usage_in(body)
     tokens = (usage.tokens_in, usage.tokens_out) if usage else (0, 0)
-    return use_of(turn, attempt, tokens)
+    return _use(version, server_id, tokens)
+
+
+def _use(
+    version: config_data.Version, server_id: str, tokens: tuple[int, int]
+) -> journal_data.StageUse:
+    tokens_in, tokens_out = tokens
+    return journal_data.StageUse(
+        model=version.ref.model,
+        version=version.ref.version,
+        server_id=server_id,
+        tokens_in=tokens_in,
+        tokens_out=tokens_out,
+        cost_micro=cost_micro(version, tokens_in + tokens_out),
+    )
 
 
 def cost_micro(version: config_data.Version, tokens: int) -> int:
--- a/beryllug/entry/chat_data.py
+++ b/beryllug/entry/chat_data.py
@@ -37,3 +37,9 @@
 def name_of(ref: config_data.VersionRef) -> str:
     """Return how a version is shown: ``model@version``."""
     return f'{ref.model}@{ref.version}'
+
+
+def parse_name(name: str) -> config_data.VersionRef:
+    """Return the version of a name that `name_of` made."""
+    model, _, version = name.rpartition('@')
+    return config_data.VersionRef(model, version)
--- a/beryllug/entry/fetches.py
+++ b/beryllug/entry/fetches.py
@@ -4,6 +4,8 @@
 connection. Fetching it again gives the same bytes and is no new request.
 """
 
+import asyncio
+
 from beryllug.core import (
     journal_data,
     refusal,
@@ -12,19 +14,20 @@
     view_index,
 )
 from beryllug.drivers import http_data, http_server
-from beryllug.entry import answers, intake, outbox, replays
+from beryllug.entry import intake, parts, recovery, replays
 
 PREFIX = '/v1/requests/'
 RETRY_AFTER_S = 1.0
+RECOVERY_S = 30.0
 
 
 class FetchFlow:
     """Serves ``GET /v1/requests/ID``."""
 
-    def __init__(self, rows: outbox.Outbox, kept: answers.Answers) -> None:
-        """Bind the journal and the kept answers."""
-        self._outbox = rows
-        self._answers = kept
+    def __init__(self, wired: parts.Parts) -> None:
+        """Bind the services."""
+        self._parts = wired
+        self._recovery = recovery.Recovery(wired)
 
     async def serve(
         self,
@@ -45,29 +48,44 @@
         # Another account's id must look just like one that never was.
         if row is None or row.account_id != account.account_id:
             raise _not_found(wanted)
-        await replays.replay_first(self._answers, row, exchange)
+        await replays.replay_first(self._parts.answers, row, exchange)
 
     async def _find(
         self, account_id: str, wanted: str
+    ) -> journal_data.Row | None:
+        outcome = await self._look(
+            account_id, wanted, journal_data.RowKind.OUTCOME
+        )
+        if outcome is not None:
+            return outcome
+        intent = await self._look(
+            account_id, wanted, journal_data.RowKind.INTENT
+        )
+        if intent is None:
+            return None
+        deadline = asyncio.get_running_loop().time() + RECOVERY_S
+        found = await self._recovery.find(account_id, wanted, deadline)
+        if found is None:
+            raise _unfinished(wanted)
+        return found
+
+    async def _look(
+        self, account_id: str, wanted: str, kind: journal_data.RowKind
     ) -> journal_data.Row | None:
         family = request_id.family_of(wanted)
-        for kind in (journal_data.RowKind.OUTCOME, journal_data.RowKind.INTENT):
-            ask = rpc_data.LookupAsk(account_id, family, kind)
-            reply = await self._outbox.lookup(ask)
-            if not reply.available:
-                raise _unavailable()
-            if reply.row is not None and reply.row.request_id == wanted:
-                return _finished(reply.row)
-        return None
-
-
-def _finished(row: journal_data.Row) -> journal_data.Row:
-    if row.kind is journal_data.RowKind.OUTCOME:
-        return row
-    raise refusal.RefusedError(
+        ask = rpc_data.LookupAsk(account_id, family, kind)
+        reply = await self._parts.outbox.lookup(ask)
+        if not reply.available:
+            raise _unavailable()
+        row = reply.row
+        return row if row and row.request_id == wanted else None
+
+
+def _unfinished(wanted: str) -> refusal.RefusedError:
+    return refusal.RefusedError(
         refusal.Refusal(
             refusal.Code.IN_PROGRESS,
-            f'{row.request_id} has no outcome yet',
+            f'{wanted} has no outcome yet',
             refusal.Run.RAN,
             RETRY_AFTER_S,
         )
--- a/beryllug/entry/parts.py
+++ b/beryllug/entry/parts.py
@@ -12,6 +12,7 @@
     control_link,
     crashes,
     exposure,
+    outbox,
     ratings,
     routing,
     sessions,
@@ -26,6 +27,7 @@
     admission: admission.Admission
     attempts: attempts.Attempts
     bills: bills.Bills
+    outbox: outbox.Outbox
     answers: answers.Answers
     sessions: sessions.Sessions
     crashes: crashes.Crashes
--- a/beryllug/entry/plain.py
+++ b/beryllug/entry/plain.py
@@ -11,6 +11,7 @@
 from beryllug.drivers import http_client, http_data, http_server, plain_service
 from beryllug.entry import (
     attempts,
+    begun,
     call_data,
     delivery,
     headers,
@@ -52,9 +53,9 @@
     ) -> None:
         wired = self._parts
         if not call.facts.repeatable:
-            first = await wired.bills.begin(call, call.facts.asked)
-            if first is not None:
-                await replays.replay_first(wired.answers, first, exchange)
+            found = await wired.bills.begin(call, call.facts.asked)
+            if not isinstance(found, begun.MayRun):
+                await self._first_try(found, exchange)
                 return
         try:
             opened = await wired.attempts.open(call, self._order(call, pool))
@@ -66,6 +67,17 @@
         finally:
             wired.attempts.close(call, opened)
 
+    async def _first_try(
+        self,
+        found: begun.Finished | begun.Unfinished,
+        exchange: http_server.Exchange,
+    ) -> None:
+        match found:
+            case begun.Finished(row=row):
+                await replays.replay_first(self._parts.answers, row, exchange)
+            case begun.Unfinished(refused=refused):
+                raise refusal.RefusedError(refused)
+
     async def _deliver(
         self,
         call: call_data.Call,
@@ -108,7 +120,7 @@
         answer = None
         if not call.facts.repeatable:
             answer = await self._parts.answers.keep(
-                call, incoming.status, _content_type(incoming), body
+                call.request_id, incoming.status, _content_type(incoming), body
             )
         use = journal_data.StageUse(
             model=call.facts.asked,
--- /dev/null
+++ b/beryllug/entry/recovery.py
@@ -0,0 +1,115 @@
+"""Recover an answer whose entry host was lost before it was delivered.
+
+The engine that runs a request goes on without its entry process and keeps the
+answer for a while. Another entry process takes it up by the request's id from
+its first byte, writes the outcome, and gives it to the caller. Nothing is run
+a second time.
+"""
+
+import asyncio
+
+from absl import logging
+
+from beryllug.core import config_data, journal_data, request_id, rpc_data
+from beryllug.drivers import engine_stream, http_client, http_data
+from beryllug.entry import chat_bill, chat_data, headers, parts
+
+OK = 200
+
+
+class Recovery:
+    """Finds answers at the engines by request id."""
+
+    def __init__(self, wired: parts.Parts) -> None:
+        """Bind the services."""
+        self._parts = wired
+
+    async def find(
+        self, account_id: str, wanted: str, deadline: float
+    ) -> journal_data.Row | None:
+        """Find the answer of a try that has an intent and no outcome.
+
+        Args:
+            account_id: The client account.
+            wanted: Id of the try.
+            deadline: Monotonic second until which the answer is waited for.
+
+        Returns:
+            Its outcome, written now; None where no engine has its answer.
+        """
+        intent = await self._intent(account_id, wanted)
+        version = self._version(intent) if intent else None
+        if intent is None or version is None:
+            return None
+        index = self._parts.link.index
+        for server in index.servers.get(version.pool, ()):
+            found = await self._take_up(server.address, wanted, deadline)
+            if found is not None:
+                return await self._finish(
+                    intent, version, server.server_id, found
+                )
+        return None
+
+    async def _intent(
+        self, account_id: str, wanted: str
+    ) -> journal_data.Row | None:
+        ask = rpc_data.LookupAsk(
+            account_id,
+            request_id.family_of(wanted),
+            journal_data.RowKind.INTENT,
+        )
+        reply = await self._parts.outbox.lookup(ask)
+        row = reply.row
+        return row if row and row.request_id == wanted else None
+
+    def _version(self, intent: journal_data.Row) -> config_data.Version | None:
+        """Return the version that the try runs on, by its note."""
+        index = self._parts.link.index
+        return index.versions.get(chat_data.parse_name(intent.note))
+
+    async def _take_up(
+        self, address: str, wanted: str, deadline: float
+    ) -> tuple[str, bytes] | None:
+        """Read a kept answer whole; returns its media type and its body."""
+        try:
+            incoming = await self._parts.engine.resume(address, wanted, 0)
+        except (http_data.NotSentError, http_data.BrokenError):
+            return None
+        if incoming is None:
+            return None
+        try:
+            async with asyncio.timeout_at(deadline):
+                body = await incoming.read()
+        except (http_data.BrokenError, TimeoutError):
+            return None
+        finally:
+            incoming.close()
+        whole = incoming.status == OK and _is_whole(incoming, body)
+        return (_media_type(incoming), body) if whole else None
+
+    async def _finish(
+        self,
+        intent: journal_data.Row,
+        version: config_data.Version,
+        server_id: str,
+        found: tuple[str, bytes],
+    ) -> journal_data.Row:
+        media_type, body = found
+        answer = await self._parts.answers.keep(
+            intent.request_id, OK, media_type, body
+        )
+        use = chat_bill.use_of_kept(version, server_id, body)
+        logging.info('event=recovered request_id=%s', intent.request_id)
+        return await self._parts.bills.finish_first(intent, use, answer)
+
+
+def _is_whole(incoming: http_client.Incoming, body: bytes) -> bool:
+    if _media_type(incoming) != headers.EVENTS_TYPE:
+        return bool(body)
+    tail = engine_stream.StreamTail()
+    tail.feed(body)
+    return tail.is_whole()
+
+
+def _media_type(incoming: http_client.Incoming) -> str:
+    return incoming.headers.get(headers.CONTENT_TYPE, headers.JSON_TYPE)
--- a/beryllug/entry/seats.py
+++ b/beryllug/entry/seats.py
@@ -4,7 +4,15 @@
 
 from beryllug.core import evidence_book, limits, refusal, versions
 from beryllug.drivers import http_server
-from beryllug.entry import call_data, chat_data, parts, probe, replays
+from beryllug.entry import (
+    begun,
+    call_data,
+    chat_data,
+    parts,
+    probe,
+    recovery,
+    replays,
+)
 
 
 class Seat(NamedTuple):
@@ -20,6 +28,7 @@
     def __init__(self, wired: parts.Parts) -> None:
         """Bind the services."""
         self._parts = wired
+        self._recovery = recovery.Recovery(wired)
 
     def take(
         self,
@@ -71,15 +80,31 @@
         """
         if turn.call.facts.repeatable:
             return True
-        bills = self._parts.bills
-        first = await bills.begin(
-            turn.call, chat_data.name_of(turn.version.ref)
-        )
-        if first is None:
-            return True
-        await replays.replay_first(self._parts.answers, first, exchange)
+        note = chat_data.name_of(turn.version.ref)
+        match await self._parts.bills.begin(turn.call, note):
+            case begun.MayRun():
+                return True
+            case begun.Finished(row=row):
+                await replays.replay_first(self._parts.answers, row, exchange)
+            case begun.Unfinished(request_id=first, refused=refused):
+                await self._recover(turn.call, first, refused, exchange)
         return False
 
+    async def _recover(
+        self,
+        call: call_data.Call,
+        first: str,
+        refused: refusal.Refusal,
+        exchange: http_server.Exchange,
+    ) -> None:
+        """Give the answer of a first try from the engine that runs it."""
+        found = await self._recovery.find(
+            call.account.account_id, first, call.deadline
+        )
+        if found is None:
+            raise refusal.RefusedError(refused)
+        await replays.replay_first(self._parts.answers, found, exchange)
+
     def _note_move(
         self, call: call_data.Call, session: versions.Session
     ) -> None:
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -108,6 +108,7 @@
         admission=admission.Admission(len(cfg.controls), link, routes),
         attempts=attempts.Attempts(routes, crash_reports),
         bills=bills.Bills(start, rows),
+        outbox=rows,
         answers=answers.Answers(calls),
         sessions=sessions.Sessions(start, link, rows),
         crashes=crash_reports,
@@ -120,7 +121,7 @@
     flows = callers.Flows(
         chat.ChatFlow(wired),
         plain.PlainFlow(wired),
-        fetches.FetchFlow(rows, wired.answers),
+        fetches.FetchFlow(wired),
     )
     edge = callers.Callers(cfg, link, flows)
     services.register('control_link', link)
