--- a/beryllug/control/commit.py
+++ b/beryllug/control/commit.py
@@ -16,13 +16,17 @@
 from beryllug.core import (
     journal_data,
     journal_log,
+    pace,
     shard_state,
     usage,
 )
 from beryllug.drivers import object_api, object_data
 
 RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0
 MAX_FAILURES = 3
+# A quiet shard may use so many seconds of its rate at once.
+BURST_S = 0.5
 
 Prepare = Callable[[shard_state.ShardState], Awaitable[None]]
 
@@ -78,6 +82,8 @@
         self._served = asyncio.Event()
         self._unsettled = False
         self._failures = 0
+        burst = max(1, round(cfg.commits_per_s * BURST_S))
+        self._pace = pace.Pace(1 / cfg.commits_per_s, burst)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -174,8 +180,12 @@
         )
 
     async def _read_log(self) -> None:
-        seqs = await self.log.take_over()
-        restored = await images.restore(self._api, self.cfg.shard, seqs)
+        base = await images.read_base(self._api, self.cfg.shard)
+        last = await self.log.take_over(images.after(base))
+        # An earlier owner can have written a newer image until it was shut
+        # out, and have deleted what an older one needs.
+        base = await images.read_base(self._api, self.cfg.shard)
+        restored = await images.restore(self._api, self.cfg.shard, base, last)
         self.state = restored.state
         self.totals = restored.totals
         journal_log.replayed(self.state, time.monotonic())
@@ -183,20 +193,21 @@
         self.serving = True
 
     async def _commit(self) -> None:
-        started = time.monotonic()
-        pause_s = 1 / self.cfg.commits_per_s
+        await asyncio.sleep(pace.wait_s(self._pace, time.monotonic()))
+        pace.spend(self._pace, time.monotonic())
+        pause_s = 0.0
         try:
             await self._commit_once()
         except object_data.ConflictError:
             self._unsettled = True
         except object_data.RateLimitedError as exc:
-            pause_s = max(pause_s, exc.retry_after_s)
+            pause_s = exc.retry_after_s
         except object_data.ObjectApiError as exc:
             self._fail(exc)
-            pause_s = RETRY_S
+            pause_s = min(RETRY_S * self._failures, LONGEST_RETRY_S)
         if self.state.pending or self._failures:
             self._wake.set()
-        await asyncio.sleep(started + pause_s - time.monotonic())
+        await asyncio.sleep(pause_s)
 
     def _fail(self, exc: Exception) -> None:
         """Count a failure; while the platform is down nobody waits for it.
--- a/beryllug/control/images.py
+++ b/beryllug/control/images.py
@@ -32,6 +32,13 @@
 _decode_usage = msgspec.msgpack.Decoder(usage_data.Usage).decode
 
 
+class Base(NamedTuple):
+    """What stands for the older segments of a shard."""
+
+    usage: usage_data.Usage
+    image: image_data.Image
+
+
 class Restored(NamedTuple):
     """What a new owner knows after it has read a shard.
 
@@ -109,35 +116,44 @@
     return await api.write(usage_key(shard), _encode(content), expected)
 
 
+async def read_base(api: object_api.ObjectApi, shard: int) -> Base:
+    """Read what stands for the older segments of a shard."""
+    _, counted = await read_usage(api, shard)
+    _, image = await read_image(api, shard)
+    return Base(counted, image or NO_IMAGE)
+
+
 async def restore(
-    api: object_api.ObjectApi, shard: int, seqs: list[int]
+    api: object_api.ObjectApi, shard: int, base: Base, last: int
 ) -> Restored:
     """Read a shard: its image, then the rows after it.
 
     Args:
         api: The platform.
         shard: The shard.
-        seqs: Numbers of its segments in order, closed for earlier owners.
+        base: What stands for its older segments.
+        last: Its last segment, closed for earlier owners.
 
     Raises:
         ObjectApiError: The platform failed; start anew.
     """
-    _, counted = await read_usage(api, shard)
-    _, image = await read_image(api, shard)
-    if image is None:
-        image = NO_IMAGE
+    image = base.image
     state = await _restore_state(api, shard, image)
     restored = Restored(state, {})
-    needed = min(image.upto, counted.folded)
-    later = [seq for seq in seqs if seq > needed]
+    later = range(after(base) + 1, last + 1)
     async for seq, segment in read_all(api, shard, later):
         if seq > image.upto:
             journal_log.replay(state, segment.rows, seq, segment.at)
-        if seq > counted.folded:
+        if seq > base.usage.folded:
             restored.totals[seq] = usage.of_rows(segment.rows)
     return restored
 
 
+def after(base: Base) -> int:
+    """Return the segment up to which none need be read."""
+    return min(base.image.upto, base.usage.folded)
+
+
 async def report(api: object_api.ObjectApi, shards: int) -> usage_data.Usage:
     """Return what all accounts used, each request once.
 
@@ -152,8 +168,8 @@
     for shard in range(shards):
         _, counted = await read_usage(api, shard)
         usage.add(totals, counted)
-        seqs = await segments.list_seqs(api, shard)
-        later = [seq for seq in seqs if seq > counted.folded]
+        last = await segments.find_last(api, shard, counted.folded)
+        later = range(counted.folded + 1, last + 1)
         async for _, segment in read_all(api, shard, later):
             usage.add(totals, usage.stored(usage.of_rows(segment.rows), 0))
     return usage.stored(totals, 0)
--- a/beryllug/control/journal.py
+++ b/beryllug/control/journal.py
@@ -84,7 +84,9 @@
             shards.Routed(methods.LOOKUP, forwarded, forwarded.hops),
             lambda owner: owner.lookup(ask),
         )
-        return reply or rpc_data.LookupReply(None, available=False)
+        if isinstance(reply, shards.Lost):
+            return rpc_data.LookupReply(None, available=False)
+        return reply
 
     def owners(self) -> Mapping[int, shard_owner.ShardOwner]:
         """Return the owners of the shards that this process owns."""
@@ -110,6 +112,8 @@
         for place, row in enumerate(rows):
             shard = self._shard_of(row.account_id, row.shard_key)
             groups.setdefault(shard, []).append(place)
+        if len(groups) == 1:
+            return tuple(await handle(next(iter(groups)), rows))
         handled = (
             handle(shard, [rows[index] for index in places])
             for shard, places in groups.items()
@@ -129,8 +133,8 @@
             shards.Routed(methods.BEGIN, batch, batch.hops),
             lambda owner: _begin_at(owner, rows),
         )
-        if reply is None:
-            return [journal.unavailable(row) for row in rows]
+        if isinstance(reply, shards.Lost):
+            return [_lost(row, reply) for row in rows]
         return reply.grants
 
     async def _finish_in(
@@ -142,21 +146,37 @@
             shards.Routed(methods.FINISH, batch, batch.hops),
             lambda owner: _finish_at(owner, rows),
         )
-        return [False for _ in rows] if reply is None else reply.durable
+        if isinstance(reply, shards.Lost):
+            return [False for _ in rows]
+        return reply.durable
 
     def _shard_of(self, account_id: str, shard_key: str) -> int:
         return shard_state.shard_of(account_id, shard_key, self._count)
 
 
+def _lost(row: journal_data.Row, lost: shards.Lost) -> journal_data.Grant:
+    return journal.unavailable(row)._replace(doubtful=lost.doubtful)
+
+
+async def _each(
+    handle: Callable[[journal_data.Row], Awaitable[Reply]],
+    rows: Sequence[journal_data.Row],
+) -> Sequence[Reply]:
+    """Handle rows side by side; one alone needs no task of its own."""
+    if len(rows) == 1:
+        return [await handle(rows[0])]
+    return await asyncio.gather(*map(handle, rows))
+
+
 async def _begin_at(
     owner: shard_owner.ShardOwner, rows: Sequence[journal_data.Row]
 ) -> rpc_data.GrantBatch:
-    grants = await asyncio.gather(*map(owner.begin, rows))
+    grants = await _each(owner.begin, rows)
     return rpc_data.GrantBatch(tuple(grants))
 
 
 async def _finish_at(
     owner: shard_owner.ShardOwner, rows: Sequence[journal_data.Row]
 ) -> rpc_data.Ack:
-    durable = await asyncio.gather(*map(owner.finish, rows))
+    durable = await _each(owner.finish, rows)
     return rpc_data.Ack(tuple(durable))
--- a/beryllug/control/nodes_test.py
+++ b/beryllug/control/nodes_test.py
@@ -68,7 +68,7 @@
             await asyncio.sleep(POLL_S)
         handler = self.handlers.get((address, method.name))
         if handler is None or address in self.silent:
-            raise rpc.RpcError('UNAVAILABLE', address)
+            raise rpc.RpcError('UNAVAILABLE', 'failed to connect')
         reply: rpc.Reply = await handler(ask)
         if address in self.losing:
             raise rpc.RpcError('DEADLINE_EXCEEDED', address)
--- a/beryllug/control/segments.py
+++ b/beryllug/control/segments.py
@@ -19,7 +19,12 @@
 
 PREFIX = 'beryllug/journal'
 SEQ_DIGITS = 12
-SEAL_BYTES = 49152
+# A segment takes more rows until it holds about as many bytes as a few
+# commits bring: small ones cost objects, large ones are rewritten often.
+LEAST_SEAL_BYTES = 16384
+MOST_SEAL_BYTES = 131072
+SEAL_COMMITS = 3
+SMOOTHING = 0.1
 BATCH_BYTES = 262144
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -66,6 +71,31 @@
     return _decode_rows(value_bytes)
 
 
+async def find_last(api: object_api.ObjectApi, shard: int, after: int) -> int:
+    """Return the number of a shard's last segment, 0 when there is none.
+
+    Segments have no gaps from `after` on, so a few reads find the end; a
+    listing of a day of segments would be megabytes.
+
+    Args:
+        api: The platform.
+        shard: The shard.
+        after: A segment up to which all is known, 0 for none.
+    """
+    known, step = after, 1
+    while await api.read(key_of(shard, known + step)) is not None:
+        known += step
+        step *= 2
+    while step > 1:
+        step //= 2
+        if await api.read(key_of(shard, known + step)) is not None:
+            known += step
+    if known > after or not after:
+        return known
+    # The next segment must be there, unless what was read is old.
+    return max(await list_seqs(api, shard), default=0)
+
+
 async def read_rows(
     api: object_api.ObjectApi, shard: int, seq: int
 ) -> segment_data.SegmentRows | None:
@@ -101,28 +131,30 @@
         """Bind the log to its shard; `take_over` must come first."""
         self.head = _empty(0, fencing, '')
         self.writes = 0
+        self._head_bytes = 0
+        self._commit_bytes = 0.0
         self._api = api
         self._shard = shard
         self._fencing = fencing
         self._boot = boot
 
-    async def take_over(self) -> list[int]:
-        """Shut out earlier owners and return the numbers of older segments.
+    async def take_over(self, after: int) -> int:
+        """Shut out earlier owners; return their last segment's number.
+
+        Args:
+            after: A segment up to which all is known, 0 for none.
 
         Raises:
             LostError: A later owner was here already.
             ObjectApiError: The platform failed; call again.
         """
-        seqs = await list_seqs(self._api, self._shard)
-        last = seqs[-1] if seqs else 0
+        last = await find_last(self._api, self._shard, after)
         while True:
             if last:
                 await self._seal(last)
+            if await self._create(last + 1):
+                return last
             last += 1
-            if await self._create(last):
-                break
-            seqs.append(last)
-        return seqs
 
     async def append(self, raws: Sequence[msgspec.Raw]) -> int:
         """Append rows and return the number of their segment.
@@ -134,6 +166,7 @@
         """
         base = self._base()
         nonce = self._nonce()
+        added = sum(map(size_of, raws))
         segment = segment_data.Segment(
             self._fencing,
             sealed=False,
@@ -142,7 +175,10 @@
             rows=[*base.segment.rows, *raws],
         )
         version = await self._write(base.seq, segment, base.version)
+        kept = self._head_bytes if base.version else 0
         self.head = segment_data.Stored(base.seq, version, segment)
+        self._head_bytes = kept + added
+        self._commit_bytes += SMOOTHING * (added - self._commit_bytes)
         return base.seq
 
     async def settle(self) -> list[msgspec.Raw]:
@@ -162,11 +198,14 @@
             return []
         self._check_owner(found.segment)
         self.head = found
+        self._head_bytes = sum(map(size_of, found.segment.rows))
         return found.segment.rows[len(base.segment.rows) :]
 
     def _base(self) -> segment_data.Stored:
         """Return what the next append goes onto."""
-        if _size(self.head.segment.rows) < SEAL_BYTES:
+        full = SEAL_COMMITS * self._commit_bytes
+        full = min(max(full, LEAST_SEAL_BYTES), MOST_SEAL_BYTES)
+        if self._head_bytes < full:
             return self.head
         return _empty(self.head.seq + 1, self._fencing, '')
 
@@ -234,15 +273,16 @@
     batch: list[msgspec.Raw] = []
     room = BATCH_BYTES
     for raw in raws:
-        room -= memoryview(raw).nbytes
+        room -= size_of(raw)
         if batch and room < 0:
             break
         batch.append(raw)
     return batch
 
 
-def _size(raws: Iterable[msgspec.Raw]) -> int:
-    return sum(memoryview(raw).nbytes for raw in raws)
+def size_of(raw: msgspec.Raw) -> int:
+    """Return the bytes of an encoded row."""
+    return memoryview(raw).nbytes
 
 
 def _empty(seq: int, fencing: int, nonce: str) -> segment_data.Stored:
--- a/beryllug/control/shards.py
+++ b/beryllug/control/shards.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, Generic, NamedTuple, TypeVar
 
 from absl import logging
@@ -25,6 +26,9 @@
 CALL_S = 3.0
 HAND_OVER_S = 1.0
 RETRY_S = 0.05
+# gRPC gives one status to a connection that was refused and to one that broke
+# in the middle of a call; only its text tells them apart.
+NOT_REACHED = 'failed to connect'
 
 Ask = TypeVar('Ask')
 Reply = TypeVar('Reply')
@@ -46,6 +50,17 @@
     hops: int
 
 
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """No owner answered.
+
+    Attributes:
+        doubtful: Whether one may have taken the message all the same.
+    """
+
+    doubtful: bool
+
+
 class Shards:
     """Owners of the shards whose leases this process holds.
 
@@ -124,28 +139,33 @@
         shard: int,
         routed: Routed[Ask, Reply],
         local: Callable[[shard_owner.ShardOwner], Awaitable[Reply]],
-    ) -> Reply | None:
-        """Hand a message to the shard's owner; None when none takes it.
+    ) -> Reply | Lost:
+        """Hand a message to the shard's owner.
 
         Two processes that each believe the other to be the owner would pass
         a message on for ever: it carries its hops, and their number ends it.
         A message may reach owners twice; they know its rows by their ids.
         While a shard is handed over, a short wait spares a refusal.
+
+        Returns:
+            The owner's reply, or that there was none.
         """
+        doubtful = False
         deadline = time.monotonic() + HAND_OVER_S
         while True:
             owner = self.owners.get(shard)
             if owner is not None:
                 return await local(owner)
             reply = await self._forward(shard, routed)
-            if reply is not None:
+            if not isinstance(reply, Lost):
                 return reply
+            doubtful = doubtful or reply.doubtful
             if time.monotonic() > deadline:
                 break
             await asyncio.sleep(RETRY_S)
             await self._parts.leases.owner_of(lease_name(shard), fresh=True)
         logging.warning('event=shard_unreachable shard=%d', shard)
-        return None
+        return Lost(doubtful)
 
     async def _end(self, shard: int, grace_s: float) -> bool:
         """Flush a shard; what comes from now on waits for its next owner."""
@@ -160,17 +180,17 @@
 
     async def _forward(
         self, shard: int, routed: Routed[Ask, Reply]
-    ) -> Reply | None:
+    ) -> Reply | Lost:
         owner = await self._parts.leases.owner_of(lease_name(shard))
         address = owner.address if owner else ''
         if address in {'', self._cfg.listen} or routed.hops > MAX_HOPS:
-            return None
+            return Lost(doubtful=False)
         try:
             return await self._parts.peers.call(
                 address, routed.method, routed.ask, CALL_S
             )
-        except rpc.RpcError:
-            return None
+        except rpc.RpcError as exc:
+            return Lost(doubtful=NOT_REACHED not in str(exc))
 
     def _own(self, shard: int, fencing: int) -> None:
         self._unflushed.discard(shard)
--- a/beryllug/control/upkeep.py
+++ b/beryllug/control/upkeep.py
@@ -97,7 +97,7 @@
             )
             table.name = name
             self._tables.add(name)
-        image = shard_image.take(state, upto, fencing)
+        image = shard_image.take(state, upto, fencing, self._first)
         self._image_version = await images.write_image(
             self._api, self._shard, image, self._image_version
         )
@@ -111,6 +111,7 @@
         if image.fencing > self._commits.cfg.fencing:
             raise object_data.ConflictError(version)
         self._tables = {ref.name for ref in image.tables}
+        self._first = max(self._first, image.first)
         return version
 
     async def _drop_tables(self, listed: set[str]) -> None:
--- a/beryllug/core/image_data.py
+++ b/beryllug/core/image_data.py
@@ -30,6 +30,7 @@
         partial: The table that is being filled.
         forgotten_at: Newest row that the index has forgotten.
         tries: Intents without outcome.
+        first: The oldest segment that has not been deleted.
     """
 
     upto: int
@@ -38,3 +39,4 @@
     partial: PackedTable
     forgotten_at: float
     tries: tuple[journal_data.Row, ...]
+    first: int = 1
--- a/beryllug/core/journal_data.py
+++ b/beryllug/core/journal_data.py
@@ -107,8 +107,12 @@
             used for another request; UNAVAILABLE that nothing was written.
         request_id: Id of the first try, which the caller is told.
         first: The outcome row of the first try when it has finished.
-        valid_s: Seconds from receipt for which GRANTED may be used.
+        valid_s: Seconds for which GRANTED may be used, counted from when
+            the intent was sent.
         retry_after_s: When asking again can help, for UNAVAILABLE.
+        doubtful: With UNAVAILABLE, that the owner's answer was lost and the
+            intent may be durable. The entry then takes it back by an outcome
+            NOT_RUN, or every resend would be told UNKNOWN.
     """
 
     kind: GrantKind
@@ -116,3 +120,4 @@
     first: Row | None = None
     valid_s: float = 0.0
     retry_after_s: float = 0.0
+    doubtful: bool = False
--- a/beryllug/core/shard_image.py
+++ b/beryllug/core/shard_image.py
@@ -31,7 +31,7 @@
 
 
 def take(
-    state: shard_state.ShardState, upto: int, fencing: int
+    state: shard_state.ShardState, upto: int, fencing: int, first: int
 ) -> image_data.Image:
     """Return the image of a shard; full tables must have been saved.
 
@@ -39,6 +39,7 @@
         state: The shard.
         upto: The last segment whose rows it has all taken in.
         fencing: Fencing token of its owner.
+        first: Its oldest segment.
     """
     tables = state.index.tables
     saved = [table for table in tables if table.name]
@@ -58,6 +59,7 @@
             for attempt in state.tries.values()
             if attempt.phase is not waiting
         ),
+        first,
     )
 
 
