--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.installed
 
-.PHONY: check demo bench slopes format lint test
+.PHONY: check demo bench slopes mutations format lint test
 
 check: $(STAMP) lint test
 
@@ -20,7 +20,7 @@
 	.venv/bin/lint-imports
 
 test: $(STAMP)
-	$(PY) -m unittest discover -s beryllug -t . -p '*_test.py'
+	$(PY) -m beryllug.proofs.run_all
 
 demo: $(STAMP)
 	$(PY) -m beryllug.scripts.demo
@@ -30,3 +30,6 @@
 
 slopes: $(STAMP)
 	$(PY) -m beryllug.bench.slopes
+
+mutations: $(STAMP)
+	$(PY) -m beryllug.proofs.mutations
--- /dev/null
+++ b/beryllug/proofs/run_all.py
@@ -0,0 +1,103 @@
+"""Run every test module, some beside each other: ``make test``.
+
+Each module is a process of its own, so one that hangs or crashes shows as
+itself. The longest come first. Modules named on the command line run alone.
+"""
+
+import asyncio
+import re
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+PACKAGE = 'beryllug'
+AT_ONCE = 4
+TIMEOUT_S = 600
+RAN = re.compile(r'^Ran (\d+) tests?', re.MULTILINE)
+FAILED = re.compile(r'(?:failures|errors)=(\d+)')
+
+
+class Ended(NamedTuple):
+    """What became of a module's tests."""
+
+    module: str
+    ran: int
+    failed: int
+    said: str
+
+
+def main() -> None:
+    """Run the modules and end with their counts."""
+    root = Path(__file__).resolve().parents[2]
+    modules = sys.argv[1:] or _discover(root)
+    ended = asyncio.run(_run(modules, root))
+    ran = sum(item.ran for item in ended)
+    failed = sum(item.failed for item in ended)
+    sys.stdout.write(f'{ran - failed} passed, {failed} failed\n')
+    sys.exit(1 if failed else 0)
+
+
+def _discover(root: Path) -> list[str]:
+    """Return the test modules, those with real processes first."""
+    paths = (root / PACKAGE).rglob('*_test.py')
+    names = [
+        '.'.join(path.relative_to(root).with_suffix('').parts) for path in paths
+    ]
+    return sorted(names, key=lambda name: ('.proofs.' not in name, name))
+
+
+async def _run(modules: Sequence[str], root: Path) -> list[Ended]:
+    gate = asyncio.Semaphore(AT_ONCE)
+    return await asyncio.gather(
+        *(_run_module(module, root, gate) for module in modules)
+    )
+
+
+async def _run_module(
+    module: str, root: Path, gate: asyncio.Semaphore
+) -> Ended:
+    async with gate:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'unittest',
+            module,
+            cwd=root,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        try:
+            raw, _ = await asyncio.wait_for(process.communicate(), TIMEOUT_S)
+        except TimeoutError:
+            process.kill()
+            raw = b'timed out'
+    ended = _judge(module, raw.decode(errors='replace'), process.returncode)
+    _show(ended)
+    return ended
+
+
+def _judge(module: str, said: str, code: int | None) -> Ended:
+    found = RAN.findall(said)
+    ran = int(found[-1]) if found else 0
+    failed = sum(map(int, FAILED.findall(said)))
+    if code != 0 or not found:
+        # A table test counts each broken row; a module that died counts one.
+        failed = max(1, min(failed, ran))
+    return Ended(module, max(ran, failed), failed, said)
+
+
+def _show(ended: Ended) -> None:
+    word = 'FAILED' if ended.failed else 'ok'
+    sys.stdout.write(f'{word:6} {ended.ran:4} {ended.module}\n')
+    if ended.failed:
+        sys.stdout.write(ended.said)
+    elif '.proofs.' in ended.module:
+        lines = ended.said.splitlines()
+        counted = [line for line in lines if 'violations=' in line]
+        sys.stdout.writelines(f'       {line}\n' for line in counted)
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- a/beryllug/standins/records.py
+++ b/beryllug/standins/records.py
@@ -13,13 +13,15 @@
     plain_service,
 )
 
+SEGMENTS = f'{segments.PREFIX}/'
+
 
 def rows(fleet: harness.Fleet) -> Iterator[journal_data.Row]:
     """Return every row of the journal that the platform holds."""
     behaviour = fleet.platform.party
     assert isinstance(behaviour, object_api.ObjectApiParty)
     for stored in behaviour.store.stored():
-        if stored.key.startswith(segments.PREFIX):
+        if stored.key.startswith(SEGMENTS):
             yield from segments.decode(stored.value).rows
 
 
