Send orders under a lease, so that a paused holder does no harm

Cause: a holder may act on authority it no longer has, and some engines ignore the fencing number of an order. Ruled out: trusting the lease alone, which a pause outlasts; unloading a withdrawn version everywhere, which a late order could repeat on the only copy after the version was declared as live again. Change: service 'orders', one sender a pool under the lease orders/<pool>. It reads the engine's load back, looks at its lease right before the write, breaks the write off in time, shows its token to every engine, and before engines that ignore tokens first waits for a lease and a write. Loads keep to one budget of weight-store reads a process. Conclusion: a holder that is frozen between its look and the write stays possible before engines that ignore the token; it can load, or unload a version that another engine keeps, and the next reports put it right.

--- a/beryllug/core/orders_test.py
+++ b/beryllug/core/orders_test.py
@@ -1,6 +1,7 @@
 """Which orders follow from a document, roll-outs and reports."""
 
 import unittest
+from typing import Any
 
 from beryllug.core import config_data, orders, orders_data, view_data
 
@@ -14,6 +15,10 @@
 STOPPED = view_data.RolloutStatus('a', '2', 0, view_data.Verdict.STOPPED)
 
 
+Refs = set[config_data.VersionRef]
+Situation = tuple[str, dict[str, Refs], config_data.Document, Any]
+
+
 def _pool(*, checks: bool) -> config_data.Pool:
     kind = config_data.PoolKind.ENGINE
     return config_data.Pool('p', kind, 8, checks_fencing=checks)
@@ -58,14 +63,14 @@
         load_x = orders_data.Load('x', A2)
         load_y = orders_data.Load('y', A2)
         unload_x = orders_data.Unload('x', A2)
-        cases = (
+        cases: tuple[Situation, ...] = (
             ('as desired', {'x': both, 'y': both}, live, set()),
             ('candidate missing', {'x': both, 'y': {A1}}, live, {load_y}),
-            ('nothing loaded', {'x': set()}, gone, {('x', A1)}),
+            ('nothing', {'x': set()}, gone, {orders_data.Load('x', A1)}),
             ('withdrawn', {'x': both}, gone, {unload_x}),
             ('not declared', {'x': {A1, A2, A3}}, live, set()),
-            ('two at once', {s: {A1} for s in 'xyz'}, live, 2),
-            ('unloads one by one', {s: both for s in 'xyz'}, gone, 1),
+            ('two at once', dict.fromkeys('xyz', {A1}), live, 2),
+            ('unloads one by one', dict.fromkeys('xyz', both), gone, 1),
             ('both ways', {'x': {A1}, 'y': both}, live, {load_x}),
         )
         for title, loaded, document, expected in cases:
@@ -158,9 +163,9 @@
         book = orders_data.Book(4, 0)
         world = _world({'x': {A1, A2}}, _document())
         pool = _pool(checks=True)
-        (step,) = orders.steps(book, pool, world, TERMS, NOW)
-        self.assertEqual(step, orders_data.Assert('x', A1))
-        orders.accepted(book, step)
+        chosen = orders.steps(book, pool, world, TERMS, NOW)
+        self.assertEqual(chosen, [orders_data.Assert('x', A1)])
+        orders.accepted(book, chosen[0])
         self.assertEqual(orders.steps(book, pool, world, TERMS, NOW), [])
 
 
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -16,6 +16,7 @@
     leases,
     membership,
     operators,
+    orders,
     peers,
     probing,
     rpc_endpoint,
@@ -32,6 +33,7 @@
     plain_service,
     rating,
     rpc,
+    weight_store,
 )
 from beryllug.entry import (
     admission,
@@ -177,6 +179,12 @@
     services.register('config', view)
     services.register('answers', kept)
     services.register('servers', servers.BackendServers(listed, engines, view))
+    stored = None
+    if cfg.weight_store:
+        stored = weight_store.HttpWeightStore(
+            client, cfg.weight_store, ENGINE_S
+        )
+    services.register('orders', orders.Orders(cfg, view, held, engines, stored))
     operators_api = ops.Operators(
         settings.operators,
         services,
