--- a/beryllug/drivers/engine.py
+++ b/beryllug/drivers/engine.py
@@ -27,6 +27,11 @@
 RUN = 'x-run'
 NOT_RUN = 'not_run'
 JSON_TYPE = 'application/json'
+DECLINES = (
+    HTTPStatus.NOT_FOUND,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
 REASON_BYTES = 200
 
 _Shape = TypeVar('_Shape')
@@ -243,8 +248,13 @@
 
 
 def is_declined(incoming: http_client.Incoming) -> bool:
-    """Tell whether the server itself says that it did not run the request."""
-    return incoming.headers.get(RUN) == NOT_RUN
+    """Tell whether the server did not run a request that another may run.
+
+    The server itself says so. An answer that finds fault with the request
+    is none of these: every server would give it, and it is the caller's.
+    """
+    elsewhere = incoming.status in DECLINES
+    return elsewhere and incoming.headers.get(RUN) == NOT_RUN
 
 
 def _chat_headers(ask: engine_data.ChatAsk) -> http_data.Headers:
--- a/beryllug/standins/engine_answers.py
+++ b/beryllug/standins/engine_answers.py
@@ -14,6 +14,7 @@
 from beryllug.drivers import http_data
 
 HASH_CHARS = 16
+MAX_TOKENS = 32768
 BLOCK_CHARS = 256
 WORDS = ('oil', 'time', 'room', 'price', 'slot', 'spa', 'car', 'desk')
 DIFFICULTY = re.compile(r'difficulty=(\d+(?:\.\d+)?)')
@@ -56,14 +57,17 @@
     messages = document.get('messages') or []
     prompt = '\n'.join(_text(message) for message in messages)
     named = req.headers.get('x-model') or str(document.get('model', ''))
-    tokens = document.get('max_completion_tokens') or document.get('max_tokens')
+    asked = document.get('max_completion_tokens') or document.get('max_tokens')
+    tokens = int(asked or default_tokens)
+    if tokens > MAX_TOKENS:
+        raise ValueError(f'more than {MAX_TOKENS} tokens')
     return Ask(
         request_id=req.headers.get('x-request-id', digest(prompt)),
         account_id=req.headers.get('x-account', ''),
         model=named,
         version=req.headers.get('x-model-version', ''),
         prompt=prompt,
-        tokens=int(tokens or default_tokens),
+        tokens=tokens,
         stream=bool(document.get('stream')),
         priority=int(req.headers.get('x-priority', '0')),
     )
--- a/beryllug/standins/engine_test.py
+++ b/beryllug/standins/engine_test.py
@@ -158,6 +158,14 @@
         self.assertTrue(engine.is_declined(incoming))
         incoming.close()
 
+    async def test_bad_request(self: Any) -> None:
+        """A request at fault itself is not declined: no other would run it."""
+        ask = _ask('r1', max_tokens=10**9)
+        incoming = await self.api.chat(self.address, ask)
+        self.assertEqual(incoming.status, 400)
+        self.assertFalse(engine.is_declined(incoming))
+        incoming.close()
+
     async def test_orders(self: Any) -> None:
         """Orders take effect; one with an old fencing token does not."""
         kinds = engine_data.OrderKind
