Judge roll-outs under a lease, and show one newest state everywhere

Cause: evidence had nowhere to go; a candidate was never dealt a share. Ruled out: acknowledging evidence before the record that holds it is written (lost with its holder, and the budget would be dealt twice); watching the records from every host (a call a host); taking whatever the next control process sends (a lagging one could bring a stopped candidate back). Change: RolloutJudge (record with conditional writes, lost answers settled by reading, a stop shown before it is durable), Rollouts (evidence to the holder), RolloutStates (pushed to all, ordered by the record's version; entries keep the newer too). Quiet entries report now and then, or they are never dealt a share. Shares go to a start of an entry, not to its name.

--- /dev/null
+++ b/beryllug/control/rollout_judge.py
@@ -0,0 +1,240 @@
+"""Decides about one roll-out while this process holds its lease.
+
+The record in the platform keeps the state and the sums of the evidence, so
+whoever holds the lease next goes on where this process stopped and skips no
+stage. Evidence is acknowledged once the record that contains it is written:
+what was lost with this process is reported again.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from absl import logging
+
+from beryllug.core import (
+    config_data,
+    rollout,
+    rollout_data,
+    rpc_data,
+    view_data,
+)
+from beryllug.drivers import object_api, object_data
+
+PREFIX = 'beryllug/rollouts/'
+TICK_S = 0.5
+IDLE_WRITE_S = 5.0
+WAIT_S = 1.5
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(rollout_data.Record).decode
+
+Declared = Callable[[], config_data.Rollout | None]
+IsHeld = Callable[[], bool]
+Show = Callable[[rpc_data.RolloutState], None]
+
+
+class RolloutJudge:
+    """The record of one roll-out, its evidence and its decisions."""
+
+    def __init__(
+        self,
+        model: str,
+        api: object_api.ObjectApi,
+        declared: Declared,
+        is_held: IsHeld,
+        show: Show,
+    ) -> None:
+        """Make a judge; `start` starts its task.
+
+        Args:
+            model: The model that is rolled out.
+            api: The platform.
+            declared: Returns its declaration in force, None without one.
+            is_held: Tells whether the lease is held at this moment.
+            show: Takes each new state.
+        """
+        self._model = model
+        self._api = api
+        self._declared = declared
+        self._is_held = is_held
+        self._show = show
+        self._record: rollout_data.Record | None = None
+        self._written: rollout_data.Record | None = None
+        self._version = 0
+        self._changed = asyncio.Event()
+        self._durable = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to decide."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop; what was not written is reported again by the entries."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self) -> dict[str, Any]:
+        """Return state and exposure."""
+        record = self._record
+        if record is None:
+            return {'version': self._version}
+        return {
+            'version': self._version,
+            'stage': record.stage,
+            'percent': record.percent,
+            'verdict': record.verdict.value,
+            'reason': record.reason,
+            'judged': record.exposure.judged,
+            'moved': record.exposure.moved,
+            'lost': record.exposure.lost,
+            'shares': {
+                entry: share._asdict()
+                for entry, share in record.exposure.shares.items()
+            },
+        }
+
+    def state(self) -> rpc_data.RolloutState | None:
+        """Return what entries are to know, None before the record is read."""
+        record = self._record
+        if record is None:
+            return None
+        budgets = {
+            entry: share.dealt
+            for entry, share in record.exposure.shares.items()
+        }
+        return rpc_data.RolloutState(
+            self._version,
+            rollout.status(record)._replace(version=self._version),
+            budgets,
+        )
+
+    async def take(self, report: rpc_data.EvidenceReport) -> bool:
+        """Take an entry's report; tell whether it is durable."""
+        declared = self._declared()
+        if self._record is None or declared is None:
+            return False
+        self._record = rollout.absorb(
+            self._record, declared, report, time.time()
+        )
+        self._changed.set()
+        durable = self._durable
+        try:
+            async with asyncio.timeout(WAIT_S):
+                await durable.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except (object_data.ObjectApiError, msgspec.DecodeError) as exc:
+                logging.warning(
+                    'event=rollout_not_written model=%s error=%s',
+                    self._model,
+                    exc,
+                )
+                self._forget_if_overtaken(exc)
+            await self._wait()
+
+    async def _step(self) -> None:
+        declared = self._declared()
+        if declared is None or not self._is_held():
+            return
+        if self._record is None:
+            await self._read(declared)
+        before = self._record
+        assert before is not None
+        self._decide(before, declared)
+        if self._record != self._written:
+            await self._write()
+
+    def _decide(
+        self, before: rollout_data.Record, declared: config_data.Rollout
+    ) -> None:
+        record = rollout.resume(before, declared, before.accounts)
+        decision = rollout.decide(record, declared)
+        record = rollout.carry_out(record, declared, decision)
+        self._record = rollout.deal(record, declared, time.time())
+        if record.verdict is not before.verdict or record.stage != before.stage:
+            logging.info(
+                'event=rollout model=%s candidate=%s stage=%d verdict=%s '
+                'reason=%s',
+                self._model,
+                record.candidate,
+                record.stage,
+                record.verdict.value,
+                record.reason,
+            )
+        if record.verdict is view_data.Verdict.STOPPED:
+            # A stop takes effect before it is durable: in an outage of the
+            # platform it would else wait while callers reach a bad version.
+            self._tell()
+
+    async def _read(self, declared: config_data.Rollout) -> None:
+        stored = await self._api.read(PREFIX + self._model)
+        record = _decode(stored.value) if stored else None
+        self._version = stored.version if stored else 0
+        self._written = record
+        accounts = record.accounts if record else 1
+        self._record = rollout.resume(record, declared, accounts)
+
+    async def _write(self) -> None:
+        """Write the record on the condition of its version: the fence.
+
+        Raises:
+            ObjectApiError: It was not written, or nobody knows.
+        """
+        record = self._record
+        assert record is not None
+        durable = self._durable
+        key = PREFIX + self._model
+        try:
+            version = await self._api.write(key, _encode(record), self._version)
+        except object_data.UncertainError:
+            version = await self._settle(record)
+        self._version = version
+        self._written = record
+        self._durable = asyncio.Event()
+        durable.set()
+        self._tell()
+
+    async def _settle(self, record: rollout_data.Record) -> int:
+        """Find out whether a write took effect whose answer was lost.
+
+        Raises:
+            ConflictError: Another holder has written since.
+        """
+        stored = await self._api.read(PREFIX + self._model)
+        if stored is not None and stored.value == _encode(record):
+            return stored.version
+        version = stored.version if stored else 0
+        if version == self._version:
+            raise object_data.UnavailableError('the write had no effect')
+        raise object_data.ConflictError(version)
+
+    def _forget_if_overtaken(self, exc: Exception) -> None:
+        """Read the record anew after another holder wrote it."""
+        if isinstance(exc, object_data.ConflictError):
+            self._record = None
+
+    def _tell(self) -> None:
+        state = self.state()
+        if state is not None:
+            self._show(state)
+
+    async def _wait(self) -> None:
+        await asyncio.sleep(TICK_S)
+        if self._written is not None and self._written == self._record:
+            try:
+                async with asyncio.timeout(IDLE_WRITE_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+        self._changed.clear()
--- a/beryllug/core/rpc_data.py
+++ b/beryllug/core/rpc_data.py
@@ -288,3 +288,30 @@
     """A control process and the entries that follow it."""
 
     processes: tuple[ProcessStatus, ...]
+
+
+class RolloutState(NamedTuple):
+    """State of one roll-out, from the process that decides about it.
+
+    Attributes:
+        version: Version of its record in the platform; a higher one is newer.
+        status: What entries and operators see.
+        budgets: Answers that each start of an entry process may have given
+            out in all.
+    """
+
+    version: int
+    status: view_data.RolloutStatus
+    budgets: dict[str, int]
+
+
+class RolloutAsk(NamedTuple):
+    """Ask the process that decides about a roll-out for its state."""
+
+    model: str
+
+
+class RolloutReply(NamedTuple):
+    """The state; None where the asked process does not decide about it."""
+
+    state: RolloutState | None
--- a/beryllug/core/view_data.py
+++ b/beryllug/core/view_data.py
@@ -71,6 +71,7 @@
         verdict: Whether it runs, was promoted or was stopped as bad.
         judged: Answers of the candidate that were judged so far.
         reason: Why the verdict fell, for operators.
+        version: Version of its record in the platform; higher is newer.
     """
 
     model: str
@@ -79,6 +80,7 @@
     verdict: Verdict
     judged: int = 0
     reason: str = ''
+    version: int = 0
 
 
 class View(NamedTuple):
--- a/beryllug/core/view_merge.py
+++ b/beryllug/core/view_merge.py
@@ -36,7 +36,7 @@
     if update.document is not None and update.revision > view.revision:
         view = view._replace(revision=update.revision, document=update.document)
     view = view._replace(
-        rollouts=_newer(view.rollouts, update.rollouts),
+        rollouts=_newer_rollouts(view.rollouts, update.rollouts),
         servers=_newer(view.servers, update.servers),
         loads=_newer(view.loads, update.loads),
     )
@@ -51,3 +51,32 @@
 
 def _newer(old: Part, new: Part | None) -> Part:
     return old if new is None else new
+
+
+Rollouts = tuple[view_data.RolloutStatus, ...]
+
+
+def _newer_rollouts(old: Rollouts, new: Rollouts | None) -> Rollouts:
+    """Take each roll-out's state unless the one that is known is newer.
+
+    The next control process may lag behind the one that was lost. Taking its
+    older state would bring a candidate back that was stopped.
+    """
+    if new is None:
+        return old
+    known = {status.model: status for status in old}
+    return tuple(
+        known[status.model]
+        if _is_older(status, known.get(status.model))
+        else status
+        for status in new
+    )
+
+
+def _is_older(
+    offered: view_data.RolloutStatus, known: view_data.RolloutStatus | None
+) -> bool:
+    if known is None or offered.version > known.version:
+        return False
+    stopped = known.verdict is view_data.Verdict.STOPPED
+    return offered.version < known.version or stopped
--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -33,3 +33,10 @@
 COPY = rpc.Method('Copy', outage_data.CopyAsk, outage_data.CopyReply)
 FLUSHED = rpc.Method('Flushed', outage_data.FlushedAsk, rpc_data.Empty)
 GATHER = rpc.Method('Gather', outage_data.GatherAsk, outage_data.GatherReply)
+EVIDENCE_HELD = rpc.Method(
+    'EvidenceHeld', rpc_data.EvidenceReport, rpc_data.Empty
+)
+ROLLOUT_PUSH = rpc.Method('RolloutPush', rpc_data.RolloutState, rpc_data.Empty)
+ROLLOUT_PULL = rpc.Method(
+    'RolloutPull', rpc_data.RolloutAsk, rpc_data.RolloutReply
+)
--- a/beryllug/entry/control_link.py
+++ b/beryllug/entry/control_link.py
@@ -27,15 +27,21 @@
 
     def __init__(
         self,
-        process: settings_data.Process,
+        ask: rpc_data.ViewAsk,
         cfg: settings_data.Entry,
         calls: control_calls.ControlCalls,
     ) -> None:
-        """Make the link; `start` connects."""
+        """Make the link; `start` connects.
+
+        Args:
+            ask: Names this start of the process, which shares are dealt to.
+            cfg: Settings.
+            calls: Calls to control processes.
+        """
         self.known = view_merge.Known()
         self.index = view_index.build(self.known.view)
         self._cfg = cfg
-        self._ask = rpc_data.ViewAsk(process.name, process.zone)
+        self._ask = ask
         self._calls = calls
         self._heard_at = float('-inf')
         self._task: asyncio.Task[None] | None = None
--- a/beryllug/entry/exposure.py
+++ b/beryllug/entry/exposure.py
@@ -24,7 +24,8 @@
 from beryllug.entry import control_calls, control_link, ratings
 
 REPORT_EVERY_S = 0.25
-REPORT_S = 2.0
+REPORT_S = 3.0
+QUIET_S = 5.0
 RATED_SHARE = 0.25
 
 Roles = dict[config_data.VersionRef, config_data.Rollout]
@@ -55,6 +56,7 @@
         self._rolling: Roles = {}
         self._document = link.known.view.document
         self._task: asyncio.Task[None] | None = None
+        self._reported_at = float('-inf')
         self._rng = random.Random(boot)
         link.listen(self._take_view)
 
@@ -178,7 +180,7 @@
             await self._report()
 
     async def _report(self) -> None:
-        if not self._has_news():
+        if not self._has_news(time.monotonic()):
             return
         now = time.monotonic()
         braked = tuple(
@@ -188,15 +190,26 @@
         )
         report = evidence_book.report(self._book, braked)
         try:
-            await self._calls.call(methods.EVIDENCE, report, REPORT_S)
+            reply = await self._calls.call(methods.EVIDENCE, report, REPORT_S)
         except rpc.RpcError as exc:
             logging.warning('event=evidence_report_failed error=%s', exc)
             return
+        if not reply.ok:
+            return
         evidence_book.acknowledge(self._book, report.sequence)
+        self._reported_at = now
+
+    def _has_news(self, now: float) -> bool:
+        """Tell whether to report; a quiet entry does so now and then.
 
-    def _has_news(self) -> bool:
+        An entry that is not heard of is dealt no share, and without a share
+        it never has an answer to report.
+        """
         book = self._book
-        return bool(book.counts or book.running or book.pending)
+        quiet = now - self._reported_at < QUIET_S
+        if not self._rolling:
+            return bool(book.pending)
+        return bool(book.counts or book.running or book.pending) or not quiet
 
 
 def _rolling(document: config_data.Document) -> Roles:
--- a/beryllug/proofs/sessions_test.py
+++ b/beryllug/proofs/sessions_test.py
@@ -10,6 +10,7 @@
 VERSION = 'x-beryllug-version'
 TOKEN = 'x-beryllug-session-token'
 MOVED = 'x-beryllug-session-moved'
+BOTH = frozenset(('desk-small@v1', 'desk-small@v2'))
 
 
 def _document(stages: tuple[int, ...]) -> config_data.Document:
@@ -44,8 +45,10 @@
         sessions, and each session goes on through the other host: half of
         them return their token, the others are known by their record.
         """
+        await harness.wait_for(self._has_budget, harness.READY_S)
         first = [await self._ask(0, index, '') for index in range(SESSIONS)]
         pinned = [reply.headers[VERSION] for reply in first]
+        self.assertEqual(set(pinned), BOTH)
         await self.fleet.processes.kill(fleet_settings.entry_name(0))
         await self._apply(_document((100,)))
         for index, reply in enumerate(first):
@@ -71,6 +74,12 @@
         self.assertEqual(refused.error()['code'], 'withdrawn')
         self.assertEqual(refused.error()['run'], 'not_run')
 
+    async def _has_budget(self) -> bool:
+        """Tell whether the first host may give out the candidate."""
+        state = await self.fleet.dump(fleet_settings.entry_name(0))
+        brakes = state['exposure']['brakes'].get('desk-small@v2', {})
+        return int(brakes.get('total', 0)) >= SESSIONS
+
     async def _ask(self, host: int, index: int, token: str) -> caller.Reply:
         fields = {'x_beryllug_session': f'guest-{index}'}
         if token:
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -19,11 +19,12 @@
     orders,
     peers,
     probing,
+    rollouts,
     rpc_endpoint,
     servers,
     shards,
 )
-from beryllug.core import cascade_data, lease_data, settings_data
+from beryllug.core import cascade_data, lease_data, rpc_data, settings_data
 from beryllug.drivers import (
     engine,
     fleet_key,
@@ -98,7 +99,8 @@
     start = f'{name}/{_boot()}'
     client = http_client.HttpClient()
     calls = control_calls.ControlCalls(cfg.controls, keys)
-    link = control_link.ControlLink(settings.process, cfg, calls)
+    ask = rpc_data.ViewAsk(start, settings.process.zone)
+    link = control_link.ControlLink(ask, cfg, calls)
     rows = outbox.Outbox(calls)
     routes = routing.Routing(name, settings.process.zone, link)
     crash_reports = crashes.Crashes(name, calls, link, client)
@@ -166,8 +168,9 @@
     rows = journal.Journal(shards.Parts(api, held, calls), cfg, boot)
     view = config.Config(process, cfg, api, calls, members)
     kept = control_answers.Answers(api)
+    judging = rollouts.Rollouts(cfg.listen, api, held, calls, members, view)
     server = rpc.RpcServer(keys)
-    for serving in (members, held, rows, view, kept):
+    for serving in (members, held, rows, view, kept, judging):
         serving.serve(server)
     services.register('peers', calls)
     services.register('membership', members)
@@ -178,6 +181,7 @@
     services.register('journal', rows)
     services.register('config', view)
     services.register('answers', kept)
+    services.register('rollouts', judging)
     services.register('servers', servers.BackendServers(listed, engines, view))
     stored = None
     if cfg.weight_store:
