Refuse a request that crashes servers after its one trial

Cause: entries reported lost servers over a method that no control process answered. A request that crashes its server was retried and resent without end, and each resend cost up to three more servers.

Ruled out: an owner by lease with a record in the platform (stops in an outage; a lost owner blocks); counting crashes alone (a common lookup that shared two crashes would be refused with the one that made them).

Change: control processes keep mergeable notes of losses and trials and tell all others before they answer. Trials go to a server without our requests where there is one, and others leave it alone meanwhile. A broken-off answer and a timeout are looked into too. Retries of requests whose server was lost take nothing from the retry budget, or innocent ones would get no answer. A request refused after a try that may have run is told "unknown", no longer "not run".

--- /dev/null
+++ b/beryllug/control/suspects_spread.py
@@ -0,0 +1,125 @@
+"""Tell other control processes what is known of suspected requests.
+
+A loss concerns every process, so all are told; in waves, since a process
+keeps clients for some dozens of peers only.
+"""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from typing import Protocol
+
+from absl import logging
+
+from beryllug.control import peers
+from beryllug.core import rendezvous, suspects_data
+from beryllug.drivers import methods, rpc
+
+TRIALS = 'trials of suspected requests'
+SPREAD_S = 0.5
+ASK_S = 0.3
+WAVE = 32
+
+
+class Others(Protocol):
+    """What this needs of the neighbours."""
+
+    def everyone(self) -> tuple[str, ...]:
+        """Return the addresses of all other control processes."""
+
+    def partners(self) -> tuple[str, ...]:
+        """Return the addresses of a few of them."""
+
+
+class Members(Protocol):
+    """What this needs of the membership."""
+
+    def live(self, now: float) -> tuple[str, ...]:
+        """Return the names of live members, this process among them."""
+
+    def address_of(self, member: str) -> str | None:
+        """Return a member's address."""
+
+
+class Spread:
+    """Calls of one control process to the others."""
+
+    def __init__(
+        self,
+        name: str,
+        others: Others,
+        members: Members,
+        calls: peers.Caller,
+    ) -> None:
+        """Bind the neighbours and the connections to them."""
+        self._name = name
+        self._others = others
+        self._members = members
+        self._calls = calls
+
+    def deciders(self) -> list[str]:
+        """Return who decides on trials: the first of these that answers."""
+        live = self._members.live(time.monotonic())
+        return rendezvous.order(TRIALS, {self._name, *live})
+
+    async def pass_on(
+        self, ask: suspects_data.TrialAsk
+    ) -> suspects_data.TrialReply | None:
+        """Have a trial decided by another process.
+
+        Returns:
+            The reply; None where this process is the one to decide.
+        """
+        passed = ask._replace(hops=ask.hops + 1)
+        for member in self.deciders():
+            if member == self._name:
+                return None
+            address = self._members.address_of(member)
+            if address is None:
+                continue
+            try:
+                return await self._calls.call(
+                    address, methods.TRY_SUSPECT, passed, ASK_S
+                )
+            except rpc.RpcError:
+                logging.warning('event=trial_not_decided member=%s', member)
+        return None
+
+    async def tell_all(self, notes: tuple[suspects_data.Note, ...]) -> None:
+        """Tell every other process, for a bounded time."""
+        addresses = self._others.everyone()
+        message = suspects_data.Notes(notes)
+        for start in range(0, len(addresses), WAVE):
+            await self._tell(addresses[start : start + WAVE], message)
+
+    async def ask_partners(self) -> tuple[suspects_data.Note, ...]:
+        """Return what a few others know."""
+        message = suspects_data.Notes(wants=True)
+        return await self._tell(self._others.partners(), message)
+
+    async def exchange(
+        self, notes: tuple[suspects_data.Note, ...], turn: int
+    ) -> None:
+        """Tell one of the partners, each in its turn."""
+        partners = self._others.partners()
+        if partners and notes:
+            partner = partners[turn % len(partners)]
+            await self._tell((partner,), suspects_data.Notes(notes))
+
+    async def _tell(
+        self, addresses: Sequence[str], message: suspects_data.Notes
+    ) -> tuple[suspects_data.Note, ...]:
+        replies = await asyncio.gather(
+            *(
+                self._calls.call(
+                    address, methods.TELL_SUSPECTS, message, SPREAD_S
+                )
+                for address in addresses
+            ),
+            return_exceptions=True,
+        )
+        notes: list[suspects_data.Note] = []
+        for reply in replies:
+            if isinstance(reply, suspects_data.Notes):
+                notes.extend(reply.notes)
+        return tuple(notes)
--- /dev/null
+++ b/beryllug/core/crash_causes.py
@@ -0,0 +1,86 @@
+"""Tell a poison request, a bad version and a dying host apart."""
+
+from collections.abc import Iterable
+
+from beryllug.core import suspects, suspects_data
+
+
+def crashes_of(
+    table: suspects_data.Table,
+) -> tuple[suspects_data.Crash, ...]:
+    """Return the lost servers, each with the requests not cleared since."""
+    found: list[suspects_data.Crash] = []
+    pairs: list[tuple[suspects_data.Loss, str]] = []
+    for note in table.notes.values():
+        pairs.extend((loss, note.fingerprint) for loss in note.losses)
+    pairs.sort(key=_lost_at)
+    for loss, fingerprint in pairs:
+        _add_crash(found, loss, fingerprint)
+    return tuple(found)
+
+
+def classify(
+    crashes: Iterable[suspects_data.Crash],
+) -> suspects_data.Cause:
+    """Tell what lost servers have in common.
+
+    A request that crashes servers is the one thing common to losses of
+    different servers, and it stays so whatever the version; hence it is
+    looked for first. A request that ran on a dying host is answered
+    elsewhere and is no longer among the crash's requests. A dying host is
+    lost again under other requests while its fellows live; so it needs one
+    server only, and no request common to its losses. A bad version is lost
+    on several servers under requests that have nothing in common but the
+    version. One loss alone tells nothing.
+    """
+    seen = tuple(crashes)
+    servers = {crash.server_id for crash in seen}
+    versions = {crash.version for crash in seen}
+    if len(seen) < 2:
+        return suspects_data.Cause.UNCLEAR
+    if _is_poison(seen):
+        return suspects_data.Cause.POISON
+    if len(servers) == 1:
+        common = frozenset.intersection(*(one.fingerprints for one in seen))
+        # The same request and the same server each time: either may be it.
+        if common:
+            return suspects_data.Cause.UNCLEAR
+        return suspects_data.Cause.DYING_HOST
+    if len(versions) == 1 and versions != {''}:
+        return suspects_data.Cause.BAD_VERSION
+    return suspects_data.Cause.UNCLEAR
+
+
+def _lost_at(pair: tuple[suspects_data.Loss, str]) -> float:
+    return pair[0].at
+
+
+def _is_poison(crashes: tuple[suspects_data.Crash, ...]) -> bool:
+    servers: dict[str, set[str]] = {}
+    for crash in crashes:
+        for fingerprint in crash.fingerprints:
+            servers.setdefault(fingerprint, set()).add(crash.server_id)
+    return any(len(lost) > 1 for lost in servers.values())
+
+
+def _add_crash(
+    found: list[suspects_data.Crash],
+    loss: suspects_data.Loss,
+    fingerprint: str,
+) -> None:
+    suspected: frozenset[str] = frozenset()
+    if not loss.cleared:
+        suspected = frozenset((fingerprint,))
+    for index, crash in enumerate(found):
+        if _is_loss_of(crash, loss):
+            both = crash.fingerprints | suspected
+            found[index] = crash._replace(fingerprints=both)
+            return
+    found.append(
+        suspects_data.Crash(loss.server_id, loss.version, loss.at, suspected)
+    )
+
+
+def _is_loss_of(crash: suspects_data.Crash, loss: suspects_data.Loss) -> bool:
+    near = loss.at - crash.at < suspects.WINDOW_S
+    return crash.server_id == loss.server_id and near
--- a/beryllug/core/retry.py
+++ b/beryllug/core/retry.py
@@ -16,6 +16,9 @@
 MOST_TOKENS = 4.0
 FIRST_TOKENS = 2.0
 MAX_ATTEMPTS = 3
+# Of a request whose server was lost: its trial may meet servers that were
+# lost with the first one.
+MAX_AFTER_CRASH = 6
 BASE_DELAY_S = 0.01
 MAX_DELAY_S = 0.5
 GROWTH = 4.0
@@ -76,6 +79,7 @@
         answer_begun: Whether the caller already has a byte of the answer.
         needs_s: Seconds that another attempt is expected to take.
         complete_by: Second by which the whole answer is owed.
+        crashed: Whether a server was lost while the request ran there.
     """
 
     pool: str
@@ -85,6 +89,7 @@
     answer_begun: bool
     needs_s: float
     complete_by: float
+    crashed: bool = False
 
 
 class Again(NamedTuple):
@@ -130,6 +135,12 @@
     delay_s = _delay_s(attempt, jitter)
     if now + delay_s + attempt.needs_s > attempt.complete_by:
         return Denial.TIME
+    if attempt.crashed:
+        # The lost server's other requests must be answered, however many
+        # they were: each is tried alone, so they come no faster than the
+        # servers that are left answer them.
+        budget.retries += 1
+        return Again(delay_s)
     if budget.tokens < 1:
         return Denial.BUDGET
     budget.tokens -= 1
@@ -162,7 +173,8 @@
         # The server may have run it although its answer was lost: a second
         # run would hold a second slot.
         return Denial.MAY_HAVE_RUN
-    if attempt.number >= MAX_ATTEMPTS:
+    most = MAX_AFTER_CRASH if attempt.crashed else MAX_ATTEMPTS
+    if attempt.number >= most:
         return Denial.ATTEMPTS
     return None
 
--- a/beryllug/core/rpc_data.py
+++ b/beryllug/core/rpc_data.py
@@ -28,11 +28,15 @@
         fingerprint: Hash of account and body.
         crashes: Backend servers lost while it ran there.
         until: Wall-clock second until which the entry counts.
+        refused: Whether it is refused; else it needs a trial before it runs.
+        trial_server: Server on which its trial may be running, or empty.
     """
 
     fingerprint: str
     crashes: int
     until: float
+    refused: bool = False
+    trial_server: str = ''
 
 
 class TokenKey(NamedTuple):
@@ -130,13 +134,25 @@
 
 
 class CrashReport(NamedTuple):
-    """A backend server was lost while these requests ran on it."""
+    """A backend server was lost while these requests ran on it.
+
+    Attributes:
+        entry: Name of the entry process.
+        server_id: The server.
+        version: Version of the run that broke, None for a plain service.
+        fingerprints: Requests of this entry that ran there.
+        at: Wall-clock second.
+        tried: Fingerprint of the request whose trial ran there, or empty.
+        trial_id: Id of that trial.
+    """
 
     entry: str
     server_id: str
     version: config_data.VersionRef | None
     fingerprints: tuple[str, ...]
     at: float
+    tried: str = ''
+    trial_id: str = ''
 
 
 class VersionEvidence(NamedTuple):
--- /dev/null
+++ b/beryllug/core/suspects_test.py
@@ -0,0 +1,139 @@
+"""Decisions on suspected requests, in tables."""
+
+import itertools
+import random
+import unittest
+
+from beryllug.core import config_data, rpc_data, suspects, suspects_data
+
+V1 = config_data.VersionRef('small', 'v1')
+Verdict = suspects_data.Verdict
+AT = 1000.0
+LATER = suspects.WINDOW_S
+
+
+def report(
+    server: str,
+    fingerprints: tuple[str, ...],
+    at: float = AT,
+    trial: tuple[str, str] = ('', ''),
+) -> rpc_data.CrashReport:
+    """Return a report; `trial` is the tried fingerprint and its trial."""
+    return rpc_data.CrashReport('e', server, V1, fingerprints, at, *trial)
+
+
+def ask(
+    table: suspects_data.Table,
+    name: str,
+    server: str,
+    trial_id: str = 't',
+    now: float = AT,
+) -> Verdict:
+    """Ask for a trial."""
+    question = suspects_data.TrialAsk(name, server, trial_id, 20)
+    return suspects.judge(table, question, now).verdict
+
+
+class JudgeTest(unittest.TestCase):
+    """The way of a suspected request."""
+
+    def setUp(self) -> None:
+        """Two requests shared a crash."""
+        self.table = suspects_data.Table()
+        suspects.reported(self.table, report('s1', ('a', 'b')), AT)
+
+    def test_convicted(self) -> None:
+        """The server of the trial is lost too: refused, for a time."""
+        self.assertEqual(ask(self.table, 'a', 's2'), Verdict.TRY)
+        lost = report('s2', ('a',), AT, ('a', 't'))
+        suspects.reported(self.table, lost, AT)
+        last = AT + suspects.REFUSED_S
+        for now, verdict in (
+            (AT, Verdict.REFUSE),
+            (last - 1, Verdict.REFUSE),
+            (last, Verdict.RUN),
+        ):
+            suspects.expire(self.table, now)
+            self.assertEqual(ask(self.table, 'a', 's3', 'u', now), verdict)
+        self.assertEqual(suspects.shown(self.table, last), ())
+
+    def test_restarted_server(self) -> None:
+        """The only server is back at once and lost again under the trial."""
+        ask(self.table, 'a', 's1')
+        lost = report('s1', ('a',), AT + 1, ('a', 't'))
+        suspects.reported(self.table, lost, AT + 1)
+        verdict = ask(self.table, 'a', 's1', 'u', AT + 1)
+        self.assertEqual(verdict, Verdict.REFUSE)
+
+    def test_cleared(self) -> None:
+        """An innocent request is answered and runs freely after that.
+
+        A late report of the same loss brings no new suspicion; a new loss
+        does.
+        """
+        ask(self.table, 'b', 's2')
+        suspects.ended(self.table, suspects_data.TrialEnd('b', 't', True))
+        suspects.reported(self.table, report('s1', ('b',), AT + 1), AT + 1)
+        self.assertEqual(ask(self.table, 'b', 's2', 'u'), Verdict.RUN)
+        again = AT + LATER
+        suspects.reported(self.table, report('s1', ('b',), again), again)
+        self.assertEqual(ask(self.table, 'b', 's2', 'u', again), Verdict.TRY)
+
+    def test_trials(self) -> None:
+        """One trial of a request, one trial on a server, until it ends."""
+        self.assertEqual(ask(self.table, 'a', 's2', 't'), Verdict.TRY)
+        for title, name, server, trial_id, verdict in (
+            ('asked again', 'a', 's2', 't', Verdict.TRY),
+            ('a copy elsewhere', 'a', 's3', 'u', Verdict.WAIT),
+            ('another on the same server', 'b', 's2', 'u', Verdict.WAIT),
+            ('another elsewhere', 'b', 's3', 'u', Verdict.TRY),
+            ('not suspected', 'c', 's2', 'w', Verdict.RUN),
+        ):
+            with self.subTest(title):
+                found = ask(self.table, name, server, trial_id)
+                self.assertEqual(found, verdict)
+        end = suspects_data.TrialEnd('a', 't', answered=False)
+        suspects.ended(self.table, end)
+        self.assertEqual(ask(self.table, 'a', 's4', 'x'), Verdict.TRY)
+
+    def test_bounded(self) -> None:
+        """A lost rack brings thousands of suspects; refusals are kept."""
+        ask(self.table, 'a', 's2')
+        lost = report('s2', ('a',), AT, ('a', 't'))
+        suspects.reported(self.table, lost, AT)
+        many = tuple(map(str, range(2 * suspects.MAX_NOTES)))
+        suspects.reported(self.table, report('s3', many, AT + 1), AT + 1)
+        self.assertEqual(len(self.table.notes), suspects.MAX_NOTES)
+        self.assertEqual(ask(self.table, 'a', 's4', 'u'), Verdict.REFUSE)
+
+
+class MergeTest(unittest.TestCase):
+    """Tables of processes that heard the same in another order are equal."""
+
+    def test_orders(self) -> None:
+        """Each order of four notes, some told twice, gives one table."""
+        loss = suspects_data.Loss('s1', 'v1', AT)
+        tried = suspects_data.Trial('t', 's2', AT + 20)
+        notes = (
+            suspects_data.Note('a', (loss,)),
+            suspects_data.Note('a', (loss._replace(cleared=True),)),
+            suspects_data.Note('a', (), (tried,)),
+            suspects_data.Note(
+                'a',
+                (loss._replace(at=AT - 1), loss._replace(trial_id='t')),
+                (tried._replace(ended=True),),
+            ),
+        )
+        rng = random.Random(1)
+        tables = []
+        for order in itertools.permutations(notes):
+            table = suspects_data.Table()
+            suspects.merge(table, (*order, *rng.choices(notes, k=2)), AT)
+            tables.append(table.notes)
+        for notes_found in tables:
+            self.assertEqual(notes_found, tables[0])
+        self.assertTrue(suspects.is_refused(tables[0]['a'], AT))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -47,6 +47,11 @@
         self._closed = False
         self._arrived = True
 
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the body was read to its end."""
+        return self._complete
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives, joining what came in one read.
 
--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -1,6 +1,12 @@
 """The methods that our processes call on one another."""
 
-from beryllug.core import lease_data, member_data, outage_data, rpc_data
+from beryllug.core import (
+    lease_data,
+    member_data,
+    outage_data,
+    rpc_data,
+    suspects_data,
+)
 from beryllug.drivers import rpc
 
 WATCH_VIEW = rpc.Method('WatchView', rpc_data.ViewAsk, rpc_data.ViewUpdate)
@@ -8,6 +14,13 @@
 FINISH = rpc.Method('Finish', rpc_data.OutcomeBatch, rpc_data.Ack)
 LOOKUP = rpc.Method('Lookup', rpc_data.LookupAsk, rpc_data.LookupReply)
 CRASH = rpc.Method('Crash', rpc_data.CrashReport, rpc_data.Empty)
+TRY_SUSPECT = rpc.Method(
+    'TrySuspect', suspects_data.TrialAsk, suspects_data.TrialReply
+)
+END_SUSPECT = rpc.Method('EndSuspect', suspects_data.TrialEnd, rpc_data.Empty)
+TELL_SUSPECTS = rpc.Method(
+    'TellSuspects', suspects_data.Notes, suspects_data.Notes
+)
 EVIDENCE = rpc.Method('Evidence', rpc_data.EvidenceReport, rpc_data.Empty)
 STORE_ANSWER = rpc.Method('StoreAnswer', rpc_data.AnswerBody, rpc_data.Empty)
 FETCH_ANSWER = rpc.Method(
--- a/beryllug/entry/attempts.py
+++ b/beryllug/entry/attempts.py
@@ -19,7 +19,7 @@
     view_data,
 )
 from beryllug.drivers import engine, http_client, http_data
-from beryllug.entry import call_data, crashes, probe, routing
+from beryllug.entry import call_data, crashes, probe, routing, trials
 
 SERVER_ERROR = 500
 RETRY_AFTER_S = 1.0
@@ -57,6 +57,7 @@
 
     failure: retry.Failure
     server_id: str
+    crashed: bool
 
 
 class Attempts:
@@ -68,6 +69,7 @@
         """Bind the routing service and the crash reports."""
         self._routing = routes
         self._crashes = crash_reports
+        self._trials = trials.Trials(routes, crash_reports)
 
     async def open(self, call: call_data.Call, order: Order) -> Opened:
         """Attempt until a server answers.
@@ -79,14 +81,19 @@
         """
         excluded: set[str] = set()
         surely_not_run = True
+        crashed = False
         number = 0
         self._routing.first_try(order.pick.pool)
         while True:
             number += 1
-            failed = await self._attempt(call, order, frozenset(excluded))
+            failed = await self._try(
+                call, order, frozenset(excluded), surely_not_run
+            )
             if isinstance(failed, Opened):
                 return failed
             excluded.add(failed.server_id)
+            crashed = crashed or failed.crashed
+            failed = failed._replace(crashed=crashed)
             if not retry.ran_for_sure_not(failed.failure):
                 surely_not_run = False
             await self._wait_or_refuse(
@@ -95,32 +102,68 @@
 
     def close(self, call: call_data.Call, opened: Opened) -> None:
         """End an attempt: give its connection back or cut it."""
+        attempt = opened.attempt
+        running = self._routing.running_on(attempt.server.server_id)
         opened.incoming.close()
-        self._routing.end(call, opened.attempt, time.monotonic())
+        self._routing.end(call, attempt, time.monotonic())
+        if opened.incoming.is_whole:
+            self._crashes.ended(call, attempt, answered=True)
+        else:
+            self._crashes.watch(call, attempt, running)
+
+    async def _try(
+        self,
+        call: call_data.Call,
+        order: Order,
+        excluded: frozenset[str],
+        surely_not_run: bool,
+    ) -> Opened | _Failed:
+        try:
+            return await self._attempt(call, order, excluded)
+        except refusal.RefusedError as exc:
+            if surely_not_run:
+                raise
+            # Refused now, but an earlier attempt may have run it.
+            told = exc.refusal._replace(run=refusal.Run.UNKNOWN)
+            raise refusal.RefusedError(told) from exc
 
     async def _attempt(
         self, call: call_data.Call, order: Order, excluded: frozenset[str]
     ) -> Opened | _Failed:
-        code = order.barred()
-        if code is not None:
-            raise _barred(code, order.pick.version)
-        now = time.monotonic()
         pick = order.pick._replace(excluded=excluded)
-        server = self._routing.choose(pick, now)
-        if server is None and excluded:
-            server = self._routing.choose(order.pick, now)
-        if server is None:
-            raise _no_server(order.pick.pool)
-        attempt = self._routing.attempt(order.pick, server, now)
+        place = await self._trials.place(call, pick)
+        # No await from here to the dispatch: a version may be withdrawn
+        # while a suspected request waits for its trial.
+        try:
+            attempt = self._may_dispatch(order, place)
+        except refusal.RefusedError:
+            if place.trial_id:
+                self._crashes.drop_trial(call, place.trial_id)
+            raise
         self._routing.begin(call, attempt)
         order.probe.begin()
         try:
             return await self._send(call, order, attempt)
         except BaseException:
             order.probe.drop()
+            running = self._routing.running_on(attempt.server.server_id)
             self._routing.end(call, attempt, time.monotonic())
+            self._crashes.watch(call, attempt, running)
             raise
 
+    def _may_dispatch(
+        self, order: Order, place: trials.Place
+    ) -> routing.Attempt:
+        code = order.barred()
+        if code is not None:
+            raise _barred(code, order.pick.version)
+        if place.server is None:
+            raise _no_server(order.pick.pool)
+        attempt = self._routing.attempt(
+            order.pick, place.server, time.monotonic()
+        )
+        return attempt._replace(trial_id=place.trial_id)
+
     async def _send(
         self, call: call_data.Call, order: Order, attempt: routing.Attempt
     ) -> Opened | _Failed:
@@ -136,6 +179,7 @@
         else:
             outcome = _outcome(call, incoming)
             if outcome is None:
+                self._crashes.answers(call, attempt)
                 return Opened(incoming, attempt, time.monotonic())
             await _drop(incoming)
             failure = outcome
@@ -144,7 +188,7 @@
             order.probe.drop()
         else:
             order.probe.end(evidence_book.Answer(failed=True, crashed=crashed))
-        return _Failed(failure, attempt.server.server_id)
+        return _Failed(failure, attempt.server.server_id, crashed)
 
     async def _note_failure(
         self,
@@ -158,8 +202,17 @@
             self._routing.failed(attempt, now)
         running = self._routing.running_on(attempt.server.server_id)
         self._routing.end(call, attempt, now)
-        if failure is retry.Failure.BROKEN:
-            return await self._crashes.suspect(attempt, running)
+        match failure:
+            case retry.Failure.BROKEN:
+                gone = await self._crashes.suspect(call, attempt, running)
+                if gone:
+                    self._routing.failed(attempt, now, gone=True)
+                return gone
+            case retry.Failure.TIMED_OUT:
+                # A host that lost its power says nothing at all.
+                self._crashes.watch(call, attempt, running)
+            case _:
+                self._crashes.ended(call, attempt, answered=False)
         return False
 
     async def _wait_or_refuse(
@@ -178,11 +231,11 @@
             answer_begun=False,
             needs_s=0,
             complete_by=call.deadline,
+            crashed=failed.crashed,
         )
         decision = self._routing.may_retry(attempt, time.monotonic())
         match decision:
             case retry.Again(delay_s):
-                self._crashes.refuse_suspect(call)
                 await asyncio.sleep(delay_s)
             case _:
                 raise _given_up(failed.failure, surely_not_run)
--- a/beryllug/entry/crashes.py
+++ b/beryllug/entry/crashes.py
@@ -6,23 +6,36 @@
 the other entry processes before it can meet another server.
 """
 
+import asyncio
+import os
 import time
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from typing import Any
 
 from absl import logging
 
-from beryllug.core import refusal, rpc_data
-from beryllug.drivers import http_client, http_data, methods, rpc
-from beryllug.entry import call_data, control_calls, control_link, routing
+from beryllug.core import rpc_data, suspects_data
+from beryllug.drivers import http_client, methods, rpc
+from beryllug.entry import (
+    call_data,
+    control_calls,
+    control_link,
+    liveness,
+    routing,
+    suspicions,
+)
 
 REPORT_S = 1.0
-PROBE = http_data.Outgoing('GET', '/v1/load', {}, fresh=True)
-MAX_CRASHES = 2
+ID_BYTES = 8
+RETRY_AFTER_S = 1.0
 
 
 class Crashes:
-    """Service 'crashes' of an entry process."""
+    """Service 'crashes' of an entry process.
+
+    Attributes:
+        known: What is known of suspected requests.
+    """
 
     def __init__(
         self,
@@ -32,69 +45,175 @@
         client: http_client.HttpClient,
     ) -> None:
         """Bind the link to control and the client for probes."""
+        self.known = suspicions.Suspicions(link)
         self._entry = entry
         self._calls = calls
-        self._link = link
         self._client = client
-        self._reported = 0
+        self._counts = {'reported': 0, 'trials': 0}
+        self._watched: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Do nothing: it works when it is called."""
 
     async def stop(self, grace_s: float) -> None:
-        """Do nothing: it holds no socket and no task."""
+        """Send what is still to be told, for a bounded time."""
+        if self._tasks:
+            _, late = await asyncio.wait(self._tasks, timeout=REPORT_S)
+            for task in late:
+                task.cancel()
 
     def dump(self) -> dict[str, Any]:
-        """Return the number of reported crashes."""
-        return {'reported': self._reported}
+        """Return counts of reports, trials and refusals."""
+        return {**self._counts, **self.known.dump()}
+
+    def refuse_suspect(self, call: call_data.Call) -> None:
+        """Refuse a call at once that has cost the server of its trial.
+
+        Not one that may run only once: it may have run under its key, and
+        the journal must be asked before "not run" is said. The attempt at a
+        server refuses that one.
+
+        Raises:
+            RefusedError: It is refused for now.
+        """
+        if call.facts.repeatable:
+            self.known.needs_trial(call)
+
+    async def ask_trial(
+        self, call: call_data.Call, server_id: str, trial_id: str
+    ) -> suspects_data.Verdict:
+        """Ask whether a suspected call may run on a server.
+
+        Raises:
+            RefusedError: It is refused, or nobody could decide.
+        """
+        ask = suspects_data.TrialAsk(
+            call.fingerprint,
+            server_id,
+            trial_id,
+            max(call.deadline - time.monotonic(), 0),
+        )
+        try:
+            reply = await self._calls.call(methods.TRY_SUSPECT, ask, REPORT_S)
+        except rpc.RpcError as exc:
+            raise suspicions.refused(RETRY_AFTER_S) from exc
+        match reply.verdict:
+            case suspects_data.Verdict.REFUSE:
+                raise suspicions.refused(reply.retry_after_s)
+            case suspects_data.Verdict.RUN:
+                self.known.forget(call.fingerprint)
+            case suspects_data.Verdict.TRY:
+                self._counts['trials'] += 1
+        return reply.verdict
 
     async def suspect(
-        self, attempt: routing.Attempt, fingerprints: Sequence[str]
+        self,
+        call: call_data.Call,
+        attempt: routing.Attempt,
+        fingerprints: Sequence[str],
     ) -> bool:
         """Report a crash if the server of a broken attempt is gone.
 
         Returns:
             Whether it is gone.
         """
-        if not await self._is_gone(attempt.server.address):
-            return False
-        self._reported += 1
+        gone = await liveness.is_gone(self._client, attempt.server.address)
+        if gone:
+            await self._report(call, attempt, fingerprints)
+        else:
+            self.ended(call, attempt, answered=False)
+        return gone
+
+    def ended(
+        self, call: call_data.Call, attempt: routing.Attempt, *, answered: bool
+    ) -> None:
+        """Tell that an attempt ended and its server lives."""
+        fingerprint = call.fingerprint
+        clears = answered and self.known.forget(fingerprint)
+        if attempt.trial_id or clears:
+            end = suspects_data.TrialEnd(
+                fingerprint, attempt.trial_id, answered
+            )
+            self._spawn(self._end(end))
+
+    def answers(self, call: call_data.Call, attempt: routing.Attempt) -> None:
+        """Tell that an attempt's answer has begun.
+
+        The server is free for another trial: an answer may take minutes, and
+        all others that shared the crash would wait for it. Should the server
+        be lost after all, the report still names this trial.
+        """
+        if attempt.trial_id:
+            self.drop_trial(call, attempt.trial_id)
+
+    def drop_trial(self, call: call_data.Call, trial_id: str) -> None:
+        """End a trial, without saying how."""
+        end = suspects_data.TrialEnd(call.fingerprint, trial_id, answered=False)
+        self._spawn(self._end(end))
+
+    def watch(
+        self,
+        call: call_data.Call,
+        attempt: routing.Attempt,
+        fingerprints: Sequence[str],
+    ) -> None:
+        """Look after an answer that broke off whether its server lives.
+
+        One look at a time for a server: callers that go away cut answers
+        off too, and each would else cost the server a connection.
+        """
+        server_id = attempt.server.server_id
+        if server_id in self._watched and not attempt.trial_id:
+            return
+        self._watched.add(server_id)
+        self._spawn(self._watch(call, attempt, tuple(fingerprints)))
+
+    async def _watch(
+        self,
+        call: call_data.Call,
+        attempt: routing.Attempt,
+        fingerprints: Sequence[str],
+    ) -> None:
+        try:
+            await self.suspect(call, attempt, fingerprints)
+        finally:
+            self._watched.discard(attempt.server.server_id)
+
+    async def _report(
+        self,
+        call: call_data.Call,
+        attempt: routing.Attempt,
+        fingerprints: Sequence[str],
+    ) -> None:
+        self._counts['reported'] += 1
         report = rpc_data.CrashReport(
             entry=self._entry,
             server_id=attempt.server.server_id,
             version=attempt.version,
             fingerprints=tuple(fingerprints),
             at=time.time(),
+            tried=call.fingerprint if attempt.trial_id else '',
+            trial_id=attempt.trial_id,
         )
+        self.known.reported(report)
         try:
             await self._calls.call(methods.CRASH, report, REPORT_S)
         except rpc.RpcError as exc:
             logging.warning('event=crash_report_failed error=%s', exc)
-        return True
-
-    def refuse_suspect(self, call: call_data.Call) -> None:
-        """Refuse a call that has already cost too many servers.
 
-        Raises:
-            RefusedError: It is under suspicion for more than one crash.
-        """
-        now = time.time()
-        for suspect in self._link.known.suspects:
-            same = suspect.fingerprint == call.fingerprint
-            if same and suspect.crashes >= MAX_CRASHES and now < suspect.until:
-                raise refusal.RefusedError(
-                    refusal.Refusal(
-                        refusal.Code.SUSPECT,
-                        'backend servers were lost while this request ran',
-                        retry_after_s=suspect.until - now,
-                    )
-                )
-
-    async def _is_gone(self, address: str) -> bool:
+    async def _end(self, end: suspects_data.TrialEnd) -> None:
         try:
-            await self._client.call(address, PROBE)
-        except http_data.NotSentError:
-            return True
-        except http_data.BrokenError:
-            return False
-        return False
+            await self._calls.call(methods.END_SUSPECT, end, REPORT_S)
+        except rpc.RpcError as exc:
+            logging.warning('event=trial_end_not_told error=%s', exc)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def new_trial() -> str:
+    """Return the id of a trial."""
+    return os.urandom(ID_BYTES).hex()
--- a/beryllug/entry/routing.py
+++ b/beryllug/entry/routing.py
@@ -34,6 +34,7 @@
         version: The version it runs, or None for a plain service.
         started: Monotonic second of the dispatch.
         load_share: Load of the server then, over its slots.
+        trial_id: Id of the trial of a suspected request, or empty.
     """
 
     server: view_data.BackendServer
@@ -41,6 +42,7 @@
     version: config_data.VersionRef | None
     started: float
     load_share: float
+    trial_id: str = ''
 
 
 class Routing:
@@ -116,10 +118,19 @@
         if running.pop(call.request_id, None) is not None:
             server_load.finished(self._state, server_id, now)
 
-    def failed(self, attempt: Attempt, now: float) -> None:
-        """Take a failure that the server is to blame for."""
+    def failed(
+        self, attempt: Attempt, now: float, *, gone: bool = False
+    ) -> None:
+        """Take a failure that the server is to blame for.
+
+        One that is gone is out at once, and not after some more failures:
+        each would cost another request one of its few attempts.
+        """
         seen = server_load.track(self._state, attempt.server.server_id)
-        ejection.failed(seen, now)
+        if not gone:
+            ejection.failed(seen, now)
+        elif not ejection.is_out(seen, now):
+            ejection.eject(seen, now, ejection.MOST_FAILING_S)
 
     def answered(self, attempt: Attempt, ratio: float, now: float) -> None:
         """Take an answer.
@@ -162,6 +173,12 @@
         """Return the fingerprints of our requests on a server."""
         return tuple(self._running.get(server_id, {}).values())
 
+    def busy(self) -> frozenset[str]:
+        """Return the servers on which requests of ours run."""
+        return frozenset(
+            server_id for server_id, runs in self._running.items() if runs
+        )
+
     def first_try(self, pool: str) -> None:
         """Count a first try, which earns its pool a part of a retry."""
         retry.first_try(self._retries, pool)
--- /dev/null
+++ b/beryllug/entry/trials.py
@@ -0,0 +1,124 @@
+"""Where an attempt goes: an ordinary one, or the trial of a suspect.
+
+A suspected request runs on a server of its own where there is one, so that
+its loss, should it come, costs no other request; and ordinary requests leave
+that server to it for as long as there is another.
+"""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from beryllug.core import balance_data, refusal, suspects_data, view_data
+from beryllug.entry import call_data, crashes, routing
+
+MAX_WAIT_S = 10.0
+FIRST_PAUSE_S = 0.02
+MOST_PAUSE_S = 0.2
+RETRY_AFTER_S = 1.0
+
+Servers = frozenset[str]
+
+
+class Place(NamedTuple):
+    """The server of an attempt, None without one, and its trial if any."""
+
+    server: view_data.BackendServer | None
+    trial_id: str = ''
+
+
+class Trials:
+    """Chooses the servers of attempts."""
+
+    def __init__(
+        self, routes: routing.Routing, crash_reports: crashes.Crashes
+    ) -> None:
+        """Bind the routing service and what is known of suspects."""
+        self._routing = routes
+        self._crashes = crash_reports
+
+    async def place(
+        self, call: call_data.Call, pick: balance_data.Pick
+    ) -> Place:
+        """Return where an attempt may go; awaits only for a suspect.
+
+        Raises:
+            RefusedError: It is a suspect and may not run now.
+        """
+        if not self._crashes.known.needs_trial(call):
+            return self._ordinary(pick)
+        try:
+            async with asyncio.timeout_at(
+                min(call.deadline, time.monotonic() + MAX_WAIT_S)
+            ):
+                return await self._suspect(call, pick)
+        except TimeoutError:
+            raise _busy()
+
+    async def _suspect(
+        self, call: call_data.Call, pick: balance_data.Pick
+    ) -> Place:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            trial_id = crashes.new_trial()
+            server = self._alone(pick)
+            if server is None:
+                return Place(None)
+            match await self._ask(call, server.server_id, trial_id):
+                case suspects_data.Verdict.TRY:
+                    return Place(server, trial_id)
+                case suspects_data.Verdict.RUN:
+                    return self._ordinary(pick)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MOST_PAUSE_S)
+
+    async def _ask(
+        self, call: call_data.Call, server_id: str, trial_id: str
+    ) -> suspects_data.Verdict:
+        try:
+            return await self._crashes.ask_trial(call, server_id, trial_id)
+        except BaseException:
+            # The caller went away, and the trial may have been granted: not
+            # ended, it would hold up the same request for its whole time.
+            self._crashes.drop_trial(call, trial_id)
+            raise
+
+    def _ordinary(self, pick: balance_data.Pick) -> Place:
+        tried = self._crashes.known.trial_servers()
+        return Place(self._first(pick, (tried, frozenset())))
+
+    def _alone(self, pick: balance_data.Pick) -> view_data.BackendServer | None:
+        tried = self._crashes.known.trial_servers()
+        busy = tried | self._routing.busy()
+        return self._first(pick, (busy, tried, frozenset()))
+
+    def _first(
+        self, pick: balance_data.Pick, avoided: tuple[Servers, ...]
+    ) -> view_data.BackendServer | None:
+        """Choose, avoiding less and less until there is a server."""
+        for excluded in _exclusions(pick.excluded, avoided):
+            found = self._routing.choose(
+                pick._replace(excluded=excluded), time.monotonic()
+            )
+            if found is not None:
+                return found
+        return None
+
+
+def _exclusions(
+    failed: Servers, avoided: tuple[Servers, ...]
+) -> Iterator[Servers]:
+    """Yield what to exclude: where it failed before counts for more."""
+    yield from (failed | one for one in avoided)
+    yield from avoided
+
+
+def _busy() -> refusal.RefusedError:
+    return refusal.RefusedError(
+        refusal.Refusal(
+            refusal.Code.SUSPECT,
+            'the same request is being tried after the loss of a server',
+            retry_after_s=RETRY_AFTER_S,
+        )
+    )
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -22,6 +22,9 @@
     rpc_endpoint,
     servers,
     shards,
+    suspects,
+    suspects_spread,
+    suspects_store,
 )
 from beryllug.core import cascade_data, lease_data, settings_data
 from beryllug.drivers import (
@@ -166,8 +169,14 @@
     rows = journal.Journal(shards.Parts(api, held, calls), cfg, boot)
     view = config.Config(process, cfg, api, calls, members)
     kept = control_answers.Answers(api)
+    suspected = suspects.Suspects(
+        process.name,
+        view,
+        suspects_spread.Spread(process.name, view.others, members, calls),
+        suspects_store.SuspectsStore(api),
+    )
     server = rpc.RpcServer(keys)
-    for serving in (members, held, rows, view, kept):
+    for serving in (members, held, rows, view, kept, suspected):
         serving.serve(server)
     services.register('peers', calls)
     services.register('membership', members)
@@ -178,6 +187,7 @@
     services.register('journal', rows)
     services.register('config', view)
     services.register('answers', kept)
+    services.register('suspects', suspected)
     services.register('servers', servers.BackendServers(listed, engines, view))
     stored = None
     if cfg.weight_store:
