Keep a deadline that bytes just missed; let others in between requests

Cause: a deadline was used up when a byte came in the turn of the loop in which it passed, and every later read failed too, so the 408 of a slow client was cut with a reset. Requests sent at once were served in one go while all other connections waited. The engine stand-in copied the list of kept runs at each request and kept every answer for ever. Change: expire fails the one read that waits, or leaves the deadline; the server lets others run between pipelined requests; the stand-in drops kept answers from the oldest and forgets their bodies, not under a reader. Mutations: deadline used up by a read that has its bytes, no turn for others, no pause and no resume of reading: each red in these tests.

--- a/beryllug/drivers/http_link.py
+++ b/beryllug/drivers/http_link.py
@@ -136,14 +136,17 @@
             raise ConnectionResetError('the other side has gone')
 
     def expire(self) -> None:
-        """Fail the read that waits, or cut the connection if none does."""
-        self.deadline = NEVER
+        """Fail the read that waits, or cut the connection if none does.
+
+        A read that has just got its bytes is let be; the deadline stands, so
+        the next read is failed by the next look at it.
+        """
         if self._reader is None:
+            self.deadline = NEVER
             self.abort()
-            return
-        self._exc = TimeoutError('the other side is too slow')
-        self._ended = True
-        _wake(self._reader)
+        elif not self._reader.done():
+            self.deadline = NEVER
+            self._reader.set_exception(TimeoutError('too slow'))
 
     def has_unread(self) -> bool:
         """Tell whether bytes or the end have come that nobody has read."""
--- a/beryllug/drivers/http_reader.py
+++ b/beryllug/drivers/http_reader.py
@@ -4,6 +4,7 @@
 then fails with `TimeoutError`.
 """
 
+import asyncio
 from http import HTTPStatus
 from typing import Any
 
@@ -49,6 +50,9 @@
             OSError: The connection broke, or was idle for too long.
         """
         if self._parser.trailing_data[0]:
+            # Many small requests sent at once would else be served in one
+            # go, while every other connection waits.
+            await asyncio.sleep(0)
             return True
         received = await self._link.read()
         self._parser.receive_data(received)
--- a/beryllug/drivers/http_server_test.py
+++ b/beryllug/drivers/http_server_test.py
@@ -295,6 +295,18 @@
         bodies = [part.split(b'HTTP')[0] for part in answer.split(b'\r\n\r\n')]
         self.assertEqual(bodies[1:], [b'/%d' % each for each in range(20)])
 
+    async def test_pipelined_beside_others(self) -> None:
+        """Many requests sent at once do not hold up another connection."""
+        reader, writer = await self.connect()
+        other_reader, other = await self.connect()
+        writer.write(b'GET /many HTTP/1.1\r\nhost: x\r\n\r\n' * 500)
+        other.write(GOOD)
+        async with asyncio.timeout(HANG_S):
+            await other_reader.readuntil(b'/good')
+        self.assertLess(len(self.seen), 500)
+        writer.close()
+        other.close()
+
     async def test_half_closed(self) -> None:
         """A client that closed its sending side still gets its answer."""
         self.gate.clear()
--- a/beryllug/standins/engine_runs.py
+++ b/beryllug/standins/engine_runs.py
@@ -108,6 +108,10 @@
             )
         self._wake.signal()
 
+    def forget(self) -> None:
+        """Forget the answer but for those who read it now."""
+        self._body = bytearray()
+
     def note_resume(self) -> None:
         """Count a reader that took the answer up again."""
         self.record = self.record._replace(resumes=self.record.resumes + 1)
@@ -119,9 +123,10 @@
 
     async def pieces(self, offset: int) -> AsyncIterator[bytes]:
         """Yield the answer from a byte on, as it grows, to the run's end."""
+        body = self._body
         while True:
             grown = self._wake.next()
-            piece = bytes(self._body[offset:])
+            piece = bytes(body[offset:])
             if piece:
                 offset += len(piece)
                 self._count(piece)
--- a/beryllug/standins/engine_worker.py
+++ b/beryllug/standins/engine_worker.py
@@ -1,6 +1,7 @@
 """The work of the engine stand-in: runs in a batch, without the sockets."""
 
 import asyncio
+import collections
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -63,7 +64,9 @@
         self._cfg = cfg
         self._switches = switches
         self._batch = engine_batch.Batch(cfg.concurrency, cfg.queue)
-        self._runs: dict[str, engine_runs.Run] = {}
+        self._runs: collections.OrderedDict[str, engine_runs.Run] = (
+            collections.OrderedDict()
+        )
         self._all: list[engine_runs.Run] = []
         self._tasks: dict[engine_runs.Run, asyncio.Task[None]] = {}
         self._loads: lagged.Lagged[dict[str, Any]] = lagged.Lagged(
@@ -194,10 +197,12 @@
 
     def _drop_old(self) -> None:
         oldest = time.time() - self._cfg.keep_s
-        for name, run in list(self._runs.items()):
+        while self._runs:
+            run = next(iter(self._runs.values()))
             if run.is_open or run.record.finished_at > oldest:
                 return
-            self._runs.pop(name)
+            self._runs.popitem(last=False)
+            run.forget()
 
 
 def _no_crash() -> None:
