--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -23,6 +23,9 @@
     rpc_endpoint,
     servers,
     shards,
+    suspects,
+    suspects_spread,
+    suspects_store,
 )
 from beryllug.core import cascade_data, lease_data, rpc_data, settings_data
 from beryllug.drivers import (
@@ -169,8 +172,14 @@
     view = config.Config(process, cfg, api, calls, members)
     kept = control_answers.Answers(api)
     judging = rollouts.Rollouts(cfg.listen, api, held, calls, members, view)
+    suspected = suspects.Suspects(
+        process.name,
+        view,
+        suspects_spread.Spread(process.name, view.others, members, calls),
+        suspects_store.SuspectsStore(api),
+    )
     server = rpc.RpcServer(keys)
-    for serving in (members, held, rows, view, kept, judging):
+    for serving in (members, held, rows, view, kept, judging, suspected):
         serving.serve(server)
     services.register('peers', calls)
     services.register('membership', members)
@@ -182,6 +191,7 @@
     services.register('config', view)
     services.register('answers', kept)
     services.register('rollouts', judging)
+    services.register('suspects', suspected)
     services.register('servers', servers.BackendServers(listed, engines, view))
     stored = None
     if cfg.weight_store:
