Serve short targets from the first request; end what a lost host left open

Ruled out: a smaller guess (any guess misses some target). Change: times are hoped for as a part of the target while none were learnt in the last seconds; an intent says how long its run may take at most; the operators' address starts first and stops last, ready only when all services run; usage leaves out what did not run; an address in use is one line and exit code 1.

--- a/beryllug/core/journal_data.py
+++ b/beryllug/core/journal_data.py
@@ -72,6 +72,8 @@
         stages: What it used, one item a stage.
         answer: The kept answer, if any.
         note: Free detail, as the pinned version of a session row.
+        longest_s: Seconds after which an intent's run has surely ended; 0
+            where it does not say.
     """
 
     kind: RowKind
@@ -85,6 +87,7 @@
     stages: tuple[StageUse, ...] = ()
     answer: StoredAnswer | None = None
     note: str = ''
+    longest_s: float = 0.0
 
 
 class GrantKind(StrEnum):
--- a/beryllug/core/usage.py
+++ b/beryllug/core/usage.py
@@ -28,9 +28,11 @@
 
 
 def add_row(totals: Totals, row: journal_data.Row) -> None:
-    """Count a row of the log; only outcomes are bills."""
+    """Count a row of the log; only outcomes of what ran are bills."""
     if row.kind is not journal_data.RowKind.OUTCOME:
         return
+    if row.state is journal_data.OutcomeState.NOT_RUN:
+        return
     cost = sum(stage.cost_micro for stage in row.stages)
     _add_account(totals, row.account_id, 1, cost)
     for stage in row.stages:
--- a/beryllug/entry/admission.py
+++ b/beryllug/entry/admission.py
@@ -35,6 +35,12 @@
     }
 )
 
+# Learnt times are used for so long after the last answer of their kind.
+KNOWN_S = 5.0
+# Part of its target that a request is hoped to take while nothing is known.
+HOPED_PART = 0.25
+MS = 1000
+
 
 class Admission:
     """Service 'admission' of an entry process."""
@@ -56,6 +62,7 @@
         self._routing = routes
         self._limits = limits.LimitState()
         self._estimates = estimates.EstimateState()
+        self._observed_at: dict[estimates.Key, float] = {}
         self._document = link.known.view.document
         self._weights: dict[str, int] = {}
         link.listen(self._take_view)
@@ -114,12 +121,12 @@
             RefusedError: It is refused, at once and not run.
         """
         now = time.monotonic()
-        known = self.estimate(name, call.facts.request_class)
+        first_token_s, service_s = self._expected(name, call.facts, now)
         ask = limits.Ask(
             account_id=call.account.account_id,
             targets=call.facts.targets,
-            first_token_s=known.first_token_s,
-            service_s=known.service_s,
+            first_token_s=first_token_s,
+            service_s=service_s,
             elapsed_s=now - call.facts.arrived_at,
         )
         room = self._routing.room(pool, self._entries, now)
@@ -148,8 +155,27 @@
             load_share: Load of the server at dispatch over its slots.
         """
         key = estimates.Key(name, facts.request_class)
+        self._observed_at[key] = time.monotonic()
         estimates.observe(self._estimates, key, *times, load_share)
 
+    def _expected(
+        self, name: str, facts: request_data.Facts, now: float
+    ) -> tuple[float, float]:
+        """Return the times to expect; hopeful ones while none are known.
+
+        A guess, or times of a slow moment long ago, would refuse every
+        request whose target they miss. None would run, and nothing would
+        ever be learnt: a fresh process would refuse all lookups for good.
+        """
+        key = estimates.Key(name, facts.request_class)
+        known = estimates.get(self._estimates, key)
+        age_s = now - self._observed_at.get(key, float('-inf'))
+        if age_s <= KNOWN_S and known.quiet_samples:
+            return known.first_token_s, known.service_s
+        first_s = HOPED_PART * facts.targets.first_token_ms / MS
+        whole_s = HOPED_PART * facts.targets.total_ms / MS
+        return min(known.first_token_s, first_s), min(known.service_s, whole_s)
+
     def _take_view(self, known: view_merge.Known) -> None:
         document = known.view.document
         if document is not self._document:
--- a/beryllug/entry/bills.py
+++ b/beryllug/entry/bills.py
@@ -19,6 +19,7 @@
 
 FINISH_S = 2.0
 RUNNING_RETRY_S = 1.0
+MS = 1000
 STATES = types.MappingProxyType(
     {
         refusal.Run.NOT_RUN: journal_data.OutcomeState.NOT_RUN,
@@ -60,7 +61,10 @@
         Raises:
             RefusedError: It may not run now, and has no first try.
         """
-        row = self._row(call, journal_data.RowKind.INTENT, note)
+        total_s = call.facts.targets.total_ms / MS
+        row = self._row(call, journal_data.RowKind.INTENT, note)._replace(
+            longest_s=total_s + FINISH_S
+        )
         grant = await self._outbox.begin(row)
         match grant.kind:
             case journal_data.GrantKind.GRANTED:
--- a/beryllug/kernel/registry.py
+++ b/beryllug/kernel/registry.py
@@ -26,11 +26,16 @@
 
 
 class Registry:
-    """The services of one process by name."""
+    """The services of one process by name.
+
+    Attributes:
+        started: Whether all of them have started and none was stopped.
+    """
 
     def __init__(self) -> None:
         """Make an empty registry."""
         self._services: dict[str, Service] = {}
+        self.started = False
 
     def register(self, name: str, service: Service) -> None:
         """Add a service; the order of calls is the order of starts.
@@ -68,9 +73,11 @@
                 raise
             started.append(service)
             logging.info('event=service_started service=%s', name)
+        self.started = True
 
     async def stop(self, grace_s: float) -> None:
         """Stop all services in reverse order."""
+        self.started = False
         await _stop_all(list(self._services.values()), grace_s)
 
     def dump(self) -> dict[str, Any]:
--- a/beryllug/proofs/reports_test.py
+++ b/beryllug/proofs/reports_test.py
@@ -17,9 +17,10 @@
 
 TOKEN_S = 0.01
 TOKENS = 200
+HOLD_MS = 2000
+MS = 1000
 KEY = 'report-of-the-week'
 PROMPT = 'who works on Sunday'
-IN_PROGRESS = 409
 
 
 class ReportsTest(unittest.IsolatedAsyncioTestCase):
@@ -35,7 +36,14 @@
             for server in sample.servers()
         )
         plan = sample.plan()._replace(servers=servers)
-        self.fleet = harness.Fleet(plan)
+        targets = tuple(
+            target._replace(total_ms=HOLD_MS)
+            if target.request_class == 'hold'
+            else target
+            for target in plan.document.targets
+        )
+        document = plan.document._replace(targets=targets)
+        self.fleet = harness.Fleet(plan._replace(document=document))
         await self.fleet.start()
         self.caller = caller.Caller(sample.LARGE_KEY)
         self.hosts = [ports.callers for ports in self.fleet.hosts]
@@ -95,6 +103,41 @@
         self.assertTrue(invariants.is_own(again, PROMPT))
         await self._check_once(again.headers[invariants.REQUEST_ID])
 
+    async def test_hold_of_lost_host(self) -> None:
+        """The entry host dies while a hold is at the booking service.
+
+        Nobody can know whether it ran. The resend is told that it is in
+        progress for as long as it may be, and "unknown" from then on; it is
+        never run again.
+        """
+        for made in self.fleet.servers.values():
+            made.put_faults(answer_delay_s=2 * HOLD_MS / MS)
+        first = asyncio.create_task(self._hold(0))
+        await harness.wait_for(self._is_held, harness.READY_S)
+        await self.fleet.processes.kill(fleet_settings.entry_name(0))
+        await first
+        told: list[str] = []
+
+        async def is_unknown() -> bool:  # noqa: WPS430
+            told.append((await self._hold(1)).error()['run'])
+            return told[-1] == 'unknown'
+
+        await harness.wait_for(is_unknown, harness.READY_S)
+        self.assertNotIn('not_run', told)
+        self.assertEqual(len(records.plain_runs_of(self.fleet)), 1)
+
+    async def _hold(self, host: int) -> caller.Reply:
+        return await self.caller.ask(
+            self.hosts[host],
+            'POST',
+            '/v1/services/booking/holds',
+            {'slot': KEY},
+            idempotency_key=KEY,
+        )
+
+    async def _is_held(self) -> bool:
+        return bool(records.plain_runs_of(self.fleet))
+
     async def _send(self, host: int) -> caller.Reply:
         return await self.caller.chat(
             self.hosts[host],
--- a/beryllug/scripts/beryllugd.py
+++ b/beryllug/scripts/beryllugd.py
@@ -17,6 +17,7 @@
 from beryllug.parsing import settings
 from beryllug.scripts import compose
 
+EXIT_FAILED = 1
 EXIT_USAGE = 2
 USAGE = 'usage: beryllugd SETTINGS.ini'
 GRACE_S = 130.0
@@ -52,7 +53,11 @@
         loop.add_signal_handler(number, stopping.set)
     composed = compose.compose(cfg)
     loop.add_signal_handler(signal.SIGHUP, _replace_keys, composed, path)
-    await composed.services.start()
+    try:
+        await composed.services.start()
+    except OSError as exc:
+        logging.error('event=start_failed error=%s', exc)
+        sys.exit(EXIT_FAILED)
     logging.info(
         'event=ready process=%s role=%s', cfg.process.name, cfg.process.role
     )
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -131,6 +131,15 @@
         fetches.FetchFlow(wired),
     )
     edge = callers.Callers(cfg, link, flows)
+    # It starts first and stops last: a process that drains still answers the
+    # balancer and shows its state.
+    operators_api = ops.Operators(
+        settings.operators,
+        services,
+        lambda: services.started and edge.is_ready(time.monotonic()),
+        {},
+    )
+    services.register('operators', operators_api)
     services.register('control_link', link)
     services.register('outbox', rows)
     services.register('answers', wired.answers)
@@ -142,13 +151,6 @@
     services.register('sessions', wired.sessions)
     services.register('crashes', crash_reports)
     services.register('callers', edge)
-    operators_api = ops.Operators(
-        settings.operators,
-        services,
-        lambda: edge.is_ready(time.monotonic()),
-        {},
-    )
-    services.register('operators', operators_api)
 
 
 def _add_control(
@@ -181,6 +183,13 @@
     server = rpc.RpcServer(keys)
     for serving in (members, held, rows, view, kept, judging, suspected):
         serving.serve(server)
+    operators_api = ops.Operators(
+        settings.operators,
+        services,
+        lambda: services.started and view.revision > 0 and view.accepts(),
+        operators.for_control(view, calls, server, rows),
+    )
+    services.register('operators', operators_api)
     services.register('peers', calls)
     services.register('membership', members)
     # Peers and entries must reach this process while it hands its shards
@@ -199,13 +208,6 @@
             client, cfg.weight_store, ENGINE_S
         )
     services.register('orders', orders.Orders(cfg, view, held, engines, stored))
-    operators_api = ops.Operators(
-        settings.operators,
-        services,
-        lambda: view.revision > 0 and view.accepts(),
-        operators.for_control(view, calls, server, rows),
-    )
-    services.register('operators', operators_api)
 
 
 def _boot() -> str:
