Tell kinds of orders apart where they are remembered

Cause: records of one shape compare equal as tuples, so an order to unload that was tried counted as an order to load the same version. Ruled out: a kind field; match on the class is the house style. Change: the three kinds are frozen data classes.

--- a/beryllug/control/order_sender.py
+++ b/beryllug/control/order_sender.py
@@ -25,6 +25,7 @@
 """
 
 import asyncio
+import dataclasses
 import os
 import time
 from collections.abc import Callable
@@ -137,7 +138,7 @@
             'tried': [
                 {
                     'kind': type(step).__name__,
-                    **step._asdict(),
+                    **dataclasses.asdict(step),
                     **tried._asdict(),
                 }
                 for step, tried in book.tried.items()
--- a/beryllug/core/orders_data.py
+++ b/beryllug/core/orders_data.py
@@ -52,21 +52,24 @@
     seen_at: float
 
 
-class Load(NamedTuple):
+@dataclass(frozen=True, slots=True, order=True)
+class Load:
     """The version shall be loaded on the server."""
 
     server_id: str
     ref: config_data.VersionRef
 
 
-class Unload(NamedTuple):
+@dataclass(frozen=True, slots=True, order=True)
+class Unload:
     """The version shall not be loaded on the server."""
 
     server_id: str
     ref: config_data.VersionRef
 
 
-class Assert(NamedTuple):
+@dataclass(frozen=True, slots=True, order=True)
+class Assert:
     """The version, which is loaded, shall stay so.
 
     It shows the engine the newest fencing token. Without it an engine for
--- a/beryllug/core/orders_test.py
+++ b/beryllug/core/orders_test.py
@@ -12,6 +12,7 @@
     write_s=1, settle_s=7, grace_s=20, longest_s=600, at_once=2
 )
 NOW = 1000.0
+KINDS = (orders_data.Load, orders_data.Unload, orders_data.Assert)
 STOPPED = view_data.RolloutStatus('a', '2', 0, view_data.Verdict.STOPPED)
 
 
@@ -158,6 +159,17 @@
                 )
                 self.assertEqual(chosen == [step], expected)
 
+    def test_kinds_differ(self) -> None:
+        """What was tried of one kind says nothing of another."""
+        made = {kind('x', A1) for kind in KINDS}
+        self.assertEqual(len(made), len(KINDS))
+
+    def test_is_loaded(self) -> None:
+        """A roll-out may begin where some engine reports the candidate."""
+        loads = [view_data.ServerLoad('x', 0, 0, NOW, (A1,))]
+        self.assertTrue(orders.is_loaded(A1, loads))
+        self.assertFalse(orders.is_loaded(A2, loads))
+
     def test_token_is_shown(self) -> None:
         """An engine with nothing to do is told of the new token."""
         book = orders_data.Book(4, 0)
