--- /dev/null
+++ b/beryllug/control/answers_test.py
@@ -0,0 +1,87 @@
+"""Tests of kept answers: whole or absent, and gone after their time."""
+
+import unittest
+
+from beryllug.control import answers
+from beryllug.core import answer_name, rpc_data
+from beryllug.drivers import http_client, object_api
+from beryllug.standins import object_api as platform
+
+DAY_S = answer_name.DAY_S
+RETENTION_S = 2 * DAY_S
+TIMEOUT_S = 2.0
+NOW = 20000.5 * DAY_S
+SIZES = (0, 1, answers.PART_BYTES, answers.PART_BYTES + 1, 2500000)
+AGES: tuple[tuple[float, bool], ...] = (
+    (0, True),
+    (RETENTION_S / DAY_S, True),
+    (RETENTION_S / DAY_S + 1.6, False),
+    (RETENTION_S / DAY_S + 3, False),
+)
+
+
+class _Leases:
+    def want(self, name: str) -> None:
+        """Do nothing."""
+
+    def held(self, name: str, now: float) -> object | None:
+        """Hold nothing: expiry is called by the test."""
+
+
+class AnswersTest(unittest.IsolatedAsyncioTestCase):
+    """Against the object API's stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the platform."""
+        self.platform = platform.stand_in()
+        address = await self.platform.start()
+        self.client = http_client.HttpClient()
+        api = object_api.HttpObjectApi(self.client, address, TIMEOUT_S)
+        self.kept = answers.Answers(api, _Leases(), RETENTION_S)
+
+    async def asyncTearDown(self) -> None:
+        """Stop it."""
+        await self.client.close()
+        await self.platform.stop()
+
+    async def test_sizes(self) -> None:
+        """An answer of any size comes back byte for byte."""
+        for size in SIZES:
+            with self.subTest(size):
+                body = bytes(number % 251 for number in range(size))
+                name = answer_name.make(f'r{size}', NOW)
+                stored = await self.kept.store(rpc_data.AnswerBody(name, body))
+                self.assertTrue(stored.ok)
+                found = await self.kept.fetch(rpc_data.AnswerKey(name))
+                self.assertEqual(found.found, size > 0)
+                self.assertEqual(found.body, body)
+
+    async def test_half_written(self) -> None:
+        """The platform goes away between two parts.
+
+        What was written so far is no answer; storing it again completes it.
+        """
+        body = bytes(2 * answers.PART_BYTES)
+        ask = rpc_data.AnswerBody(answer_name.make('r', NOW), body)
+        self.platform.put_faults(only='PUT', unavailable=True, times=1)
+        self.assertFalse((await self.kept.store(ask)).ok)
+        key = rpc_data.AnswerKey(ask.name)
+        self.assertFalse((await self.kept.fetch(key)).found)
+        self.assertTrue((await self.kept.store(ask)).ok)
+        self.assertEqual((await self.kept.fetch(key)).body, body)
+
+    async def test_expiry(self) -> None:
+        """Answers are kept for the retention and deleted after it."""
+        for age, _ in AGES:
+            name = answer_name.make(f'r{age}', NOW - age * DAY_S)
+            await self.kept.store(rpc_data.AnswerBody(name, b'answer'))
+        await self.kept.expire(NOW)
+        for age, is_kept in AGES:
+            with self.subTest(age=age):
+                name = answer_name.make(f'r{age}', NOW - age * DAY_S)
+                found = await self.kept.fetch(rpc_data.AnswerKey(name))
+                self.assertEqual(found.found, is_kept)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/core/rpc_data.py
+++ b/beryllug/core/rpc_data.py
@@ -215,17 +215,23 @@
 
 
 class AnswerBody(NamedTuple):
-    """A large answer to be kept in the platform."""
+    """A large answer to be kept in the platform.
 
-    request_id: str
+    Attributes:
+        name: Its day and request id, as the outcome row names it.
+        body: The answer.
+        found: Whether there is such an answer, in a reply.
+    """
+
+    name: str
     body: bytes
     found: bool = True
 
 
 class AnswerKey(NamedTuple):
-    """Ask for a kept answer."""
+    """Ask for a kept answer by its name."""
 
-    request_id: str
+    name: str
 
 
 class ConfigPart(NamedTuple):
--- a/beryllug/entry/answers.py
+++ b/beryllug/entry/answers.py
@@ -6,11 +6,12 @@
 """
 
 import asyncio
+import time
 from typing import Any
 
 from absl import logging
 
-from beryllug.core import journal_data, rpc_data
+from beryllug.core import answer_name, journal_data, rpc_data
 from beryllug.drivers import methods, rpc
 from beryllug.entry import control_calls
 
@@ -59,9 +60,10 @@
         """Keep an answer and return what its outcome row says of it."""
         if len(body) <= INLINE_BYTES:
             return journal_data.StoredAnswer(status, content_type, body)
-        if not await self._store(request_id, body):
-            self._owe(request_id, body)
-        return journal_data.StoredAnswer(status, content_type, b'', request_id)
+        name = answer_name.make(request_id, time.time())
+        if not await self._store(name, body):
+            self._owe(name, body)
+        return journal_data.StoredAnswer(status, content_type, b'', name)
 
     async def fetch(self, answer: journal_data.StoredAnswer) -> bytes | None:
         """Return the body of a kept answer; None when it can't be read now."""
@@ -77,8 +79,8 @@
             return None
         return reply.body if reply.found else None
 
-    async def _store(self, request_id: str, body: bytes) -> bool:
-        ask = rpc_data.AnswerBody(request_id, body)
+    async def _store(self, name: str, body: bytes) -> bool:
+        ask = rpc_data.AnswerBody(name, body)
         try:
             reply = await self._calls.call(methods.STORE_ANSWER, ask, STORE_S)
         except rpc.RpcError as exc:
@@ -86,13 +88,13 @@
             return False
         return reply.ok
 
-    def _owe(self, request_id: str, body: bytes) -> None:
+    def _owe(self, name: str, body: bytes) -> None:
         """Keep a body here until the platform takes it, within a bound."""
         size = sum(len(owed) for owed in self._owed.values())
         if size + len(body) > MAX_OWED_BYTES:
-            logging.error('event=answer_dropped request_id=%s', request_id)
+            logging.error('event=answer_dropped name=%s', name)
             return
-        self._owed[request_id] = body
+        self._owed[name] = body
 
     async def _resend(self) -> None:
         while True:
@@ -100,7 +102,7 @@
             await self._store_owed()
 
     async def _store_owed(self) -> None:
-        for request_id, body in list(self._owed.items()):
-            if not await self._store(request_id, body):
+        for name, body in list(self._owed.items()):
+            if not await self._store(name, body):
                 return
-            self._owed.pop(request_id, None)
+            self._owed.pop(name, None)
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -172,7 +172,7 @@
     held = leases.Leases(api, owner, cfg.lease_s, members, calls)
     rows = journal.Journal(shards.Parts(api, held, calls), cfg, boot)
     view = config.Config(process, cfg, api, calls, members)
-    kept = control_answers.Answers(api)
+    kept = control_answers.Answers(api, held, cfg.retention_s)
     judging = rollouts.Rollouts(cfg.listen, api, held, calls, members, view)
     suspected = suspects.Suspects(
         process.name,
