--- a/beryllug/core/journal.py
+++ b/beryllug/core/journal.py
@@ -246,7 +246,8 @@
     if ended is not None and not shard_state.is_not_run(ended):
         return _answer(row, ended)
     name = shard_state.entry_name(first.row.entry)
-    young = now - first.since < journal_log.LONGEST_RUN_S
+    longest_s = first.row.longest_s or journal_log.LONGEST_RUN_S
+    young = now - first.since < longest_s
     if young and state.boots.get(name) == first.row.entry:
         return _reply(journal_data.GrantKind.RUNNING, first.row)
     return _reply(journal_data.GrantKind.UNKNOWN, first.row)
