--- a/beryllug/bench/daemon_bench.py
+++ b/beryllug/bench/daemon_bench.py
@@ -15,6 +15,7 @@
 from hdrh import histogram
 
 from beryllug.bench import report
+from beryllug.drivers import http_data
 from beryllug.standins import (
     caller,
     engine_worker,
@@ -118,7 +119,16 @@
         listen.callers,
         fleet.servers[ENGINE].address,
     )
-    await asyncio.sleep(1)
+    probe = http_data.Outgoing('GET', '/', {})
+
+    async def answers() -> bool:  # noqa: WPS430
+        try:
+            await fleet.client.call(listen.callers, probe)
+        except http_data.NotSentError:
+            return False
+        return True
+
+    await harness.wait_for(answers, harness.READY_S)
     return started
 
 
