List the safeguards of orders among the mutations

Cause: the proofs of orders were seen red by hand only. Ruled out: one mutation a safeguard before real processes. A woken holder is stopped by its lease, its old configuration and the newer token that engines show; any one alone suffices, so that row takes all out. Change: seven rows, three on real processes and four in virtual time. Conclusion: none of the listed safeguards is without its proof.

--- a/beryllug/proofs/mutations.py
+++ b/beryllug/proofs/mutations.py
@@ -134,6 +134,88 @@
         ),
         'proofs.faults_test',
     ),
+    Mutation(
+        'orders: a version is unloaded under its last answers',
+        'core/orders.py',
+        (
+            (
+                'return now > sure_from + terms.longest_s',
+                'return now > sure_from',
+            ),
+        ),
+        'proofs.orders_test',
+    ),
+    Mutation(
+        'orders: the last copy is not kept',
+        'core/orders.py',
+        (
+            (
+                'return keeper(ref, world) == sight.server_id',
+                'return False',
+            ),
+        ),
+        'proofs.orders_test',
+    ),
+    Mutation(
+        'orders: a woken holder goes on by what it knew',
+        'control/order_sender.py',
+        (
+            (
+                'if token is None or now < self._paused_until:\n'
+                '            self.book = None',
+                'if token is None:\n            return self.book',
+            ),
+            (
+                'return self.book if self._wired.accepts() else None',
+                'return self.book',
+            ),
+            ('if token is None or token.fencing != book.fencing:', 'if False:'),
+            (
+                'return self.book is book and now + terms.write_s'
+                ' < token.valid_until',
+                'return True',
+            ),
+            ('book.superseded |= report.fencing > book.fencing', 'pass'),
+        ),
+        'proofs.orders_test',
+    ),
+    Mutation(
+        'orders: the lease is not looked at before the write',
+        'control/order_sender.py',
+        (
+            ('if token is None or token.fencing != book.fencing:', 'if False:'),
+            (
+                'return self.book is book and now + terms.write_s'
+                ' < token.valid_until',
+                'return True',
+            ),
+        ),
+        'control.orders_test',
+    ),
+    Mutation(
+        'orders: a write may outlast the lease',
+        'control/order_sender.py',
+        (('asyncio.timeout(terms.write_s)', 'asyncio.timeout(None)'),),
+        'control.orders_test',
+    ),
+    Mutation(
+        'orders: a new holder does not wait',
+        'core/orders.py',
+        (
+            (
+                'return pool.checks_fencing'
+                ' or now >= book.since + terms.settle_s',
+                'return True',
+            ),
+        ),
+        'control.orders_test',
+    ),
+    Mutation(
+        'orders: the new token is not shown',
+        'core/orders.py',
+        (('ASSERTS_AT_ONCE),', '0),'),),
+        'control.orders_test',
+    ),
 )
 
 
