Take out each safeguard against crashing requests and see red

Ruled out: proving the choice of servers with real processes; which server a request lands on is chance there, so it is a table on the entry's services.

Change: tests of the service on three control processes (told before answered, a missed message, a new process in an outage and without peers, the granting process lost, a race, clearing), of the choice of servers, of the retry rule, and eleven rows in the table of mutations. The first answer of a request that crashed its servers must now say "unknown".

--- a/beryllug/control/suspects.py
+++ b/beryllug/control/suspects.py
@@ -39,6 +39,13 @@
         """Replace the suspects of the view."""
 
 
+class Server(Protocol):
+    """What the service needs of the server of this process."""
+
+    def unary(self, method: Any, handler: rpc.Unary) -> None:
+        """Serve a method."""
+
+
 class Suspects:
     """Service 'suspects' of a control process.
 
@@ -63,7 +70,7 @@
         self._rounds = 0
         self._counts = {'reports': 0, 'trials': 0, 'refused': 0}
 
-    def serve(self, server: rpc.RpcServer) -> None:
+    def serve(self, server: Server) -> None:
         """Add the methods to the server of this process."""
         server.unary(methods.CRASH, self.report)
         server.unary(methods.TRY_SUSPECT, self.ask_trial)
@@ -135,6 +142,16 @@
             return suspects_data.Notes()
         return suspects_data.Notes(tuple(self.table.notes.values()))
 
+    async def round(self) -> None:
+        """Expire, record, and tell one peer what it may have missed."""
+        suspects.expire(self.table, time.time())
+        self._show()
+        notes = tuple(self.table.notes.values())
+        if self._spread.deciders()[0] == self._name:
+            await self._store.write(notes)
+        self._rounds += 1
+        await self._spread.exchange(notes[-NOTES_A_ROUND:], self._rounds)
+
     async def _decide(
         self, ask: suspects_data.TrialAsk
     ) -> suspects_data.TrialReply:
@@ -165,17 +182,7 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(ROUND_S)
-            await self._round()
-
-    async def _round(self) -> None:
-        """Expire, record, and tell one peer what it may have missed."""
-        suspects.expire(self.table, time.time())
-        self._show()
-        notes = tuple(self.table.notes.values())
-        if self._spread.deciders()[0] == self._name:
-            await self._store.write(notes)
-        self._rounds += 1
-        await self._spread.exchange(notes[-NOTES_A_ROUND:], self._rounds)
+            await self.round()
 
     def _show(self) -> None:
         self._view.publish(suspects=suspects.shown(self.table, time.time()))
--- /dev/null
+++ b/beryllug/control/suspects_test.py
@@ -0,0 +1,201 @@
+"""Control processes that tell each other of suspected requests."""
+
+import asyncio
+import unittest
+from typing import Any, NamedTuple
+
+from beryllug.control import (
+    fake_platform_test,
+    nodes_test,
+    suspects,
+    suspects_spread,
+    suspects_store,
+)
+from beryllug.core import rpc_data, suspects_data
+
+
+Verdict = suspects_data.Verdict
+NAMES = ('1', '2', '3')
+REQUEST = 'kutch:body'
+REPORT = rpc_data.CrashReport('entry', 's1', None, (REQUEST,), 0)
+
+
+class _View:
+    """Keeps what is published."""
+
+    def __init__(self) -> None:
+        self.suspects: tuple[rpc_data.Suspect, ...] = ()
+
+    def publish(
+        self, *, suspects: tuple[rpc_data.Suspect, ...] | None = None
+    ) -> None:
+        self.suspects = suspects or ()
+
+
+class _Others(NamedTuple):
+    """All nodes know all others."""
+
+    addresses: tuple[str, ...]
+
+    def everyone(self) -> tuple[str, ...]:
+        return self.addresses
+
+    def partners(self) -> tuple[str, ...]:
+        return self.addresses
+
+
+class _Server:
+    """Takes the handlers of a node into the fake network."""
+
+    def __init__(self, network: nodes_test.Network, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    def unary(self, method: Any, handler: Any) -> None:
+        self._network.handlers[self._address, method.name] = handler
+
+
+class SuspectsTest(unittest.IsolatedAsyncioTestCase):
+    """Three processes on a fake network with a fake platform."""
+
+    async def asyncSetUp(self) -> None:
+        """Start them; a report is always of the present."""
+        self.report = REPORT._replace(at=2e9)
+        self.network = nodes_test.Network()
+        self.members = nodes_test.Members()
+        self.store = fake_platform_test.Store()
+        self.views: dict[str, _View] = {}
+        self.nodes: dict[str, suspects.Suspects] = {}
+        for name in NAMES:
+            await self.start(name)
+
+    async def asyncTearDown(self) -> None:
+        """Stop them."""
+        for node in self.nodes.values():
+            await node.stop(0)
+
+    async def start(self, name: str) -> suspects.Suspects:
+        """Start a node, or start it anew with nothing known."""
+        before = self.nodes.get(name)
+        if before is None:
+            self.members.names.append(name)
+        else:
+            await before.stop(0)
+        others = tuple(_address(other) for other in NAMES if other != name)
+        self.views[name] = _View()
+        node = suspects.Suspects(
+            name,
+            self.views[name],
+            suspects_spread.Spread(
+                name, _Others(others), self.members, self.network
+            ),
+            suspects_store.SuspectsStore(fake_platform_test.Client(self.store)),
+        )
+        node.serve(_Server(self.network, _address(name)))
+        self.network.silent.discard(_address(name))
+        self.nodes[name] = node
+        await node.start()
+        return node
+
+    def known(self) -> list[str]:
+        """Return the nodes whose entries are told of the request."""
+        return [name for name, view in self.views.items() if view.suspects]
+
+    async def test_told_before_answered(self) -> None:
+        """The entry tries the request again once its report is answered.
+
+        By then each host must know, or the resend of the caller through
+        another one would cost a further server.
+        """
+        await self.nodes['1'].report(self.report)
+        self.assertEqual(self.known(), list(NAMES))
+
+    async def test_missed(self) -> None:
+        """A process that can't be reached learns it at the next rounds."""
+        self.network.silent.add(_address('3'))
+        await self.nodes['1'].report(self.report)
+        self.assertEqual(self.known(), ['1', '2'])
+        self.network.silent.clear()
+        for _ in NAMES:
+            await self.nodes['1'].round()
+        self.assertEqual(self.known(), list(NAMES))
+
+    async def test_new_process(self) -> None:
+        """A process that starts learns from peers, or from the platform.
+
+        In an outage the peers are enough; where all peers are replaced at
+        once, the platform's record is.
+        """
+        await self.nodes['1'].report(self.report)
+        self.store.down = True
+        await self.start('2')
+        self.assertEqual(self.known(), list(NAMES))
+        self.store.down = False
+        for node in self.nodes.values():
+            await node.round()
+        self.network.handlers.clear()
+        await self.start('3')
+        self.assertEqual(self.known(), list(NAMES))
+
+    async def test_one_trial(self) -> None:
+        """The process that grants trials is lost while one runs.
+
+        The next one grants none for the same request, and none on the same
+        server, since it was told before the first was begun. The loss of the
+        trial's server convicts the request everywhere.
+        """
+        await self.nodes['1'].report(self.report)
+        granted = await self.ask('1', 't1')
+        decider = self.decider()
+        self.network.silent.add(_address(decider))
+        alive = [name for name in NAMES if name != decider]
+        for name in alive:
+            found = await self.ask(name, f'again-{name}')
+            self.assertEqual((granted, found), (Verdict.TRY, Verdict.WAIT))
+        lost = self.report._replace(
+            server_id='s2', tried=REQUEST, trial_id='t1'
+        )
+        await self.nodes[alive[0]].report(lost)
+        for name in alive:
+            self.assertEqual(await self.ask(name, name), Verdict.REFUSE)
+            shown = self.views[name].suspects
+            self.assertTrue(shown[0].refused)
+
+    async def test_race(self) -> None:
+        """Hosts ask for a trial of one request at once: one gets it."""
+        await self.nodes['1'].report(self.report)
+        found = await asyncio.gather(*(self.ask(name, name) for name in NAMES))
+        self.assertEqual(
+            sorted(found), [Verdict.TRY, Verdict.WAIT, Verdict.WAIT]
+        )
+
+    async def test_cleared(self) -> None:
+        """An innocent request is answered: all are told, and it may run."""
+        await self.nodes['1'].report(self.report)
+        await self.ask('1', 't1')
+        end = suspects_data.TrialEnd(REQUEST, 't1', answered=True)
+        await self.nodes['2'].end(end)
+        self.assertEqual(self.known(), [])
+        for name in NAMES:
+            self.assertEqual(await self.ask(name, name), Verdict.RUN)
+
+    async def ask(self, name: str, trial_id: str) -> Verdict:
+        """Ask a node for a trial."""
+        ask = suspects_data.TrialAsk(REQUEST, 's2', trial_id, 20)
+        reply = await self.nodes[name].ask_trial(ask)
+        return reply.verdict
+
+    def decider(self) -> str:
+        """Return the node that granted the trial."""
+        trials = {
+            name: node.dump()['trials'] for name, node in self.nodes.items()
+        }
+        return max(trials, key=lambda name: trials[name])
+
+
+def _address(name: str) -> str:
+    return f'127.0.0.1:{name}'
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/core/retry_test.py
+++ b/beryllug/core/retry_test.py
@@ -61,6 +61,23 @@
         state = retry.RetryState()
         self.assertEqual(_granted(state, 1000, fails_each=1), 2)
 
+    def test_crashed(self) -> None:
+        """A lost server's requests are tried again, whatever the budget.
+
+        Dozens of innocent requests ran on a server that one of them crashed.
+        On the budget for single failures all but two would get no answer.
+        The number of their attempts stays bounded.
+        """
+        state = retry.RetryState()
+        _granted(state, 100, fails_each=1)
+        for number, granted in ((1, True), (5, True), (6, False)):
+            lost = ATTEMPT._replace(number=number, crashed=True)
+            decision = retry.may_retry(state, lost, 0, 0.5)
+            self.assertEqual(isinstance(decision, retry.Again), granted)
+        self.assertIs(
+            retry.may_retry(state, ATTEMPT, 0, 0.5), retry.Denial.BUDGET
+        )
+
     def test_single_failures(self) -> None:
         """While one try in twenty fails, each of them is tried again."""
         state = retry.RetryState()
--- /dev/null
+++ b/beryllug/entry/trials_test.py
@@ -0,0 +1,180 @@
+"""Which server a suspected request is tried on, and who else goes there."""
+
+import time
+import unittest
+from typing import Any, cast
+
+from beryllug.core import (
+    balance_data,
+    config_data,
+    refusal,
+    request_data,
+    rpc_data,
+    suspects_data,
+    view_data,
+)
+from beryllug.entry import (
+    call_data,
+    control_link,
+    crashes,
+    routing,
+    trials,
+)
+
+POOL = 'booking'
+PICK = balance_data.Pick(POOL)
+ZONE = 'zone-1'
+SERVERS = ('s0', 's1', 's2')
+DRAWS = 20
+Verdict = suspects_data.Verdict
+
+
+class _Calls:
+    """A control process that gives one verdict, and keeps what is asked."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        self.verdict = verdict
+        self.asked: list[Any] = []
+
+    async def call(self, method: Any, ask: Any, timeout_s: float) -> Any:
+        self.asked.append(ask)
+        return suspects_data.TrialReply(self.verdict)
+
+
+class TrialsTest(unittest.IsolatedAsyncioTestCase):
+    """One pool of three servers, as an entry process knows it."""
+
+    async def asyncSetUp(self) -> None:
+        """Make the services of an entry, without sockets."""
+        self.calls = _Calls(Verdict.TRY)
+        process: Any = type('Process', (), {'name': 'e', 'zone': ZONE})
+        calls = cast('Any', self.calls)
+        self.link = control_link.ControlLink(process, cast('Any', None), calls)
+        self.routing = routing.Routing('e', ZONE, self.link)
+        self.crashes = crashes.Crashes('e', calls, self.link, calls)
+        self.trials = trials.Trials(self.routing, self.crashes)
+
+    async def test_ordinary(self) -> None:
+        """Ordinary requests leave a server to its trial, if they can."""
+        for title, tried, wanted in (
+            ('no trial', (), set(SERVERS)),
+            ('one trial', ('s0',), {'s1', 's2'}),
+            ('two trials', ('s0', 's1'), {'s2'}),
+            ('trials everywhere', SERVERS, set(SERVERS)),
+        ):
+            with self.subTest(title):
+                self._show(tuple(_suspect(name, name) for name in tried))
+                found = {await self._place('other') for _ in range(DRAWS)}
+                self.assertEqual(found, wanted)
+
+    async def test_alone(self) -> None:
+        """A suspect runs where nothing of ours runs, if it can."""
+        self._show((_suspect('a:bad', ''),))
+        self.assertEqual(
+            {await self._place('bad') for _ in range(DRAWS)}, set(SERVERS)
+        )
+        for number, server in enumerate(SERVERS):
+            self._run_on(server)
+            left = set(SERVERS[number + 1 :]) or set(SERVERS)
+            found = {await self._place('bad') for _ in range(DRAWS)}
+            self.assertEqual(found, left)
+
+    async def test_verdicts(self) -> None:
+        """What control says is done; nobody asks for an unsuspected one."""
+        for verdict, refused in (
+            (Verdict.TRY, False),
+            (Verdict.RUN, False),
+            (Verdict.REFUSE, True),
+            (Verdict.WAIT, True),
+        ):
+            with self.subTest(verdict):
+                self._show((_suspect('a:bad', ''),))
+                self.calls.verdict = verdict
+                self.assertEqual(await self._place('bad') == '', refused)
+        self.calls.asked.clear()
+        self.assertNotEqual(await self._place('other'), '')
+        self.assertEqual(self.calls.asked, [])
+
+    def test_refused_at_once(self) -> None:
+        """A convicted request is refused without asking anybody.
+
+        One that may run only once is not, before the journal was asked: it
+        may have run, and "not run" would be a lie.
+        """
+        self._show((_suspect('a:bad', '')._replace(refused=True),))
+        with self.assertRaises(refusal.RefusedError):
+            self.crashes.refuse_suspect(_call('bad'))
+        self.crashes.refuse_suspect(_call('bad', repeatable=False))
+        with self.assertRaises(refusal.RefusedError):
+            self.crashes.known.needs_trial(_call('bad', repeatable=False))
+
+    async def _place(self, body_hash: str) -> str:
+        """Return the name of the server, empty where it is refused."""
+        try:
+            place = await self.trials.place(_call(body_hash), PICK)
+        except refusal.RefusedError:
+            return ''
+        return place.server.server_id if place.server else ''
+
+    def _run_on(self, server_id: str) -> None:
+        attempt = self.routing.attempt(
+            PICK, _server(server_id), time.monotonic()
+        )
+        self.routing.begin(_call(f'on {server_id}'), attempt)
+
+    def _show(self, suspects: tuple[rpc_data.Suspect, ...]) -> None:
+        pool = config_data.Pool(POOL, config_data.PoolKind.PLAIN, 4)
+        empty = view_data.EMPTY_VIEW.document
+        update = rpc_data.ViewUpdate(
+            1,
+            empty._replace(pools=(pool,)),
+            servers=tuple(map(_server, SERVERS)),
+            suspects=suspects,
+        )
+        self.link._take(update)
+
+
+def _suspect(fingerprint: str, trial_server: str) -> rpc_data.Suspect:
+    until = time.time() + 60
+    return rpc_data.Suspect(fingerprint, 1, until, trial_server=trial_server)
+
+
+def _server(server_id: str) -> view_data.BackendServer:
+    return view_data.BackendServer(
+        server_id, '127.0.0.1:9', ZONE, POOL, view_data.ServerState.LIVE
+    )
+
+
+def _call(body_hash: str, *, repeatable: bool = True) -> call_data.Call:
+    facts = request_data.Facts(
+        request_id=body_hash,
+        account_id='a',
+        request_class='draft',
+        asked='m',
+        session_key='s',
+        prefix_key='',
+        tokens_in=1,
+        tokens_out=1,
+        repeatable=repeatable,
+        arrived_at=0,
+        targets=config_data.Targets('draft', 1, 1),
+    )
+    return call_data.Call(
+        facts=facts,
+        account=config_data.Account('a', (), ()),
+        method='POST',
+        target='/',
+        body=b'',
+        content_type='',
+        body_hash=body_hash,
+        idempotency_key='',
+        session_id='',
+        session_token='',
+        stream=False,
+        deadline=time.monotonic() + 0.2,
+        wall=0,
+    )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/proofs/mutations.py
+++ b/beryllug/proofs/mutations.py
@@ -134,6 +134,92 @@
         ),
         'proofs.faults_test',
     ),
+    Mutation(
+        'crash: the other hosts are not told',
+        'control/suspects.py',
+        (('self._spread.tell_all(notes)', 'self._spread.tell_all(())'),),
+        'control.suspects_test',
+    ),
+    Mutation(
+        'crash: a trial is granted without telling the others',
+        'control/suspects.py',
+        (
+            (
+                'await self._tell_all((self.table.notes[ask.fingerprint],))',
+                'self._show()',
+            ),
+        ),
+        'control.suspects_test',
+    ),
+    Mutation(
+        'crash: a request has several trials at once',
+        'core/suspects.py',
+        (
+            (
+                'if running is not None or ask.server_id in trial_servers(',
+                'if ask.server_id in trial_servers(',
+            ),
+        ),
+        'core.suspects_test',
+    ),
+    Mutation(
+        'crash: two trials share a server',
+        'core/suspects.py',
+        (
+            (
+                'if running is not None or ask.server_id in trial_servers(',
+                'if running is not None or not trial_servers(',
+            ),
+        ),
+        'core.suspects_test',
+    ),
+    Mutation(
+        'crash: the loss of a trial convicts nobody',
+        'core/suspects.py',
+        (('loss.trial_id and now < loss.at', 'now < 0 * loss.at'),),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: refused after the first loss, innocent or not',
+        'core/suspects.py',
+        (('loss.trial_id and now < loss.at', 'now < loss.at'),),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: tried without being asked for',
+        'entry/trials.py',
+        (('if not self._crashes.known.needs_trial(call):', 'if True:'),),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: ordinary requests go to the server of a trial',
+        'entry/trials.py',
+        (('(tried, frozenset())))', '(frozenset(),)))'),),
+        'entry.trials_test',
+    ),
+    Mutation(
+        'crash: a trial goes to a server with other requests',
+        'entry/trials.py',
+        (('busy = tried | self._routing.busy()', 'busy = tried'),),
+        'entry.trials_test',
+    ),
+    Mutation(
+        'crash: "not run" is said of a try that crashed its server',
+        'entry/attempts.py',
+        (
+            (
+                'told = exc.refusal._replace(run=refusal.Run.UNKNOWN)',
+                'told = exc.refusal',
+            ),
+        ),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: retries of its victims draw on the budget',
+        'core/retry.py',
+        (('if attempt.crashed:\n', 'if False:\n'),),
+        'core.retry_test',
+    ),
     Mutation(
         'orders: a version is unloaded under its last answers',
         'core/orders.py',
--- a/beryllug/proofs/suspects_test.py
+++ b/beryllug/proofs/suspects_test.py
@@ -165,6 +165,8 @@
 
     def _check_resends(self, replies: list[caller.Reply], prompts: int) -> None:
         """The first resend may be the trial, where no server was left."""
+        for first in replies[:prompts]:
+            self.assertEqual(first.error().get('run'), 'unknown', first)
         for reply in replies[2 * prompts :]:
             self.assertEqual(reply.status, UNPROCESSABLE, reply)
             self.assertEqual(reply.error()['code'], REFUSED)
