--- a/beryllug/proofs/mutations.py
+++ b/beryllug/proofs/mutations.py
@@ -134,6 +134,174 @@
         ),
         'proofs.faults_test',
     ),
+    Mutation(
+        'crash: the other hosts are not told',
+        'control/suspects.py',
+        (('self._spread.tell_all(notes)', 'self._spread.tell_all(())'),),
+        'control.suspects_test',
+    ),
+    Mutation(
+        'crash: a trial is granted without telling the others',
+        'control/suspects.py',
+        (
+            (
+                'await self._tell_all((self.table.notes[ask.fingerprint],))',
+                'self._show()',
+            ),
+        ),
+        'control.suspects_test',
+    ),
+    Mutation(
+        'crash: a request has several trials at once',
+        'core/suspects.py',
+        (
+            (
+                'if running is not None or ask.server_id in trial_servers(',
+                'if ask.server_id in trial_servers(',
+            ),
+        ),
+        'core.suspects_test',
+    ),
+    Mutation(
+        'crash: two trials share a server',
+        'core/suspects.py',
+        (
+            (
+                'if running is not None or ask.server_id in trial_servers(',
+                'if running is not None or not trial_servers(',
+            ),
+        ),
+        'core.suspects_test',
+    ),
+    Mutation(
+        'crash: the loss of a trial convicts nobody',
+        'core/suspects.py',
+        (('loss.trial_id and now < loss.at', 'now < 0 * loss.at'),),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: refused after the first loss, innocent or not',
+        'core/suspects.py',
+        (('loss.trial_id and now < loss.at', 'now < loss.at'),),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: tried without being asked for',
+        'entry/trials.py',
+        (('if not self._crashes.known.needs_trial(call):', 'if True:'),),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: ordinary requests go to the server of a trial',
+        'entry/trials.py',
+        (('(tried, frozenset())))', '(frozenset(),)))'),),
+        'entry.trials_test',
+    ),
+    Mutation(
+        'crash: a trial goes to a server with other requests',
+        'entry/trials.py',
+        (('busy = tried | self._routing.busy()', 'busy = tried'),),
+        'entry.trials_test',
+    ),
+    Mutation(
+        'crash: "not run" is said of a try that crashed its server',
+        'entry/attempts.py',
+        (
+            (
+                'told = exc.refusal._replace(run=refusal.Run.UNKNOWN)',
+                'told = exc.refusal',
+            ),
+        ),
+        'proofs.suspects_test',
+    ),
+    Mutation(
+        'crash: retries of its victims draw on the budget',
+        'core/retry.py',
+        (('if attempt.crashed:\n', 'if False:\n'),),
+        'core.retry_test',
+    ),
+    Mutation(
+        'orders: a version is unloaded under its last answers',
+        'core/orders.py',
+        (
+            (
+                'return now > sure_from + terms.longest_s',
+                'return now > sure_from',
+            ),
+        ),
+        'proofs.orders_test',
+    ),
+    Mutation(
+        'orders: the last copy is not kept',
+        'core/orders.py',
+        (
+            (
+                'return keeper(ref, world) == sight.server_id',
+                'return False',
+            ),
+        ),
+        'proofs.orders_test',
+    ),
+    Mutation(
+        'orders: a woken holder goes on by what it knew',
+        'control/order_sender.py',
+        (
+            (
+                'if token is None or now < self._paused_until:\n'
+                '            self.book = None',
+                'if token is None:\n            return self.book',
+            ),
+            (
+                'return self.book if self._wired.accepts() else None',
+                'return self.book',
+            ),
+            ('if token is None or token.fencing != book.fencing:', 'if False:'),
+            (
+                'return self.book is book and now + terms.write_s'
+                ' < token.valid_until',
+                'return True',
+            ),
+            ('book.superseded |= report.fencing > book.fencing', 'pass'),
+        ),
+        'proofs.orders_test',
+    ),
+    Mutation(
+        'orders: the lease is not looked at before the write',
+        'control/order_sender.py',
+        (
+            ('if token is None or token.fencing != book.fencing:', 'if False:'),
+            (
+                'return self.book is book and now + terms.write_s'
+                ' < token.valid_until',
+                'return True',
+            ),
+        ),
+        'control.orders_test',
+    ),
+    Mutation(
+        'orders: a write may outlast the lease',
+        'control/order_sender.py',
+        (('asyncio.timeout(terms.write_s)', 'asyncio.timeout(None)'),),
+        'control.orders_test',
+    ),
+    Mutation(
+        'orders: a new holder does not wait',
+        'core/orders.py',
+        (
+            (
+                'return pool.checks_fencing'
+                ' or now >= book.since + terms.settle_s',
+                'return True',
+            ),
+        ),
+        'control.orders_test',
+    ),
+    Mutation(
+        'orders: the new token is not shown',
+        'core/orders.py',
+        (('ASSERTS_AT_ONCE),', '0),'),),
+        'control.orders_test',
+    ),
 )
 
 
