--- a/beryllug/control/answers.py
+++ b/beryllug/control/answers.py
@@ -10,7 +10,7 @@
 
 from absl import logging
 
-from beryllug.core import answer_name, rpc_data
+from beryllug.core import answer_data, answer_name, rpc_data
 from beryllug.drivers import methods, object_api, object_data, rpc
 
 PREFIX = 'beryllug/answers/'
@@ -75,7 +75,7 @@
         """Return counts of calls."""
         return dict(self._counts)
 
-    async def store(self, ask: rpc_data.AnswerBody) -> rpc_data.Empty:
+    async def store(self, ask: answer_data.AnswerBody) -> rpc_data.Empty:
         """Keep an answer; `ok` is False when the platform can't now."""
         parts = [
             ask.body[start : start + PART_BYTES]
@@ -93,7 +93,7 @@
         self._counts['stored'] += 1
         return rpc_data.Empty()
 
-    async def fetch(self, ask: rpc_data.AnswerKey) -> rpc_data.AnswerBody:
+    async def fetch(self, ask: answer_data.AnswerKey) -> answer_data.AnswerBody:
         """Return a kept answer; `found` is False where there is none.
 
         Raises:
@@ -105,7 +105,7 @@
             raise rpc.RpcError('UNAVAILABLE', str(exc)) from exc
         self._counts['fetched'] += 1
         found = body is not None
-        return rpc_data.AnswerBody(ask.name, body or b'', found)
+        return answer_data.AnswerBody(ask.name, body or b'', found)
 
     async def expire(self, now: float) -> None:
         """Delete the answers of days that are past the retention.
--- a/beryllug/control/answers_test.py
+++ b/beryllug/control/answers_test.py
@@ -2,14 +2,11 @@
 
 import unittest
 
-from beryllug.control import answers
-from beryllug.core import answer_name, rpc_data
-from beryllug.drivers import http_client, object_api
-from beryllug.standins import object_api as platform
+from beryllug.control import answers, fake_platform_test
+from beryllug.core import answer_data, answer_name
 
 DAY_S = answer_name.DAY_S
 RETENTION_S = 2 * DAY_S
-TIMEOUT_S = 2.0
 NOW = 20000.5 * DAY_S
 SIZES = (0, 1, answers.PART_BYTES, answers.PART_BYTES + 1, 2500000)
 AGES: tuple[tuple[float, bool], ...] = (
@@ -29,20 +26,13 @@
 
 
 class AnswersTest(unittest.IsolatedAsyncioTestCase):
-    """Against the object API's stand-in."""
+    """Against an in-memory platform."""
 
     async def asyncSetUp(self) -> None:
-        """Start the platform."""
-        self.platform = platform.stand_in()
-        address = await self.platform.start()
-        self.client = http_client.HttpClient()
-        api = object_api.HttpObjectApi(self.client, address, TIMEOUT_S)
-        self.kept = answers.Answers(api, _Leases(), RETENTION_S)
-
-    async def asyncTearDown(self) -> None:
-        """Stop it."""
-        await self.client.close()
-        await self.platform.stop()
+        """Make the platform."""
+        store = fake_platform_test.Store()
+        self.platform = fake_platform_test.Client(store)
+        self.kept = answers.Answers(self.platform, _Leases(), RETENTION_S)
 
     async def test_sizes(self) -> None:
         """An answer of any size comes back byte for byte."""
@@ -50,9 +40,11 @@
             with self.subTest(size):
                 body = bytes(number % 251 for number in range(size))
                 name = answer_name.make(f'r{size}', NOW)
-                stored = await self.kept.store(rpc_data.AnswerBody(name, body))
+                stored = await self.kept.store(
+                    answer_data.AnswerBody(name, body)
+                )
                 self.assertTrue(stored.ok)
-                found = await self.kept.fetch(rpc_data.AnswerKey(name))
+                found = await self.kept.fetch(answer_data.AnswerKey(name))
                 self.assertEqual(found.found, size > 0)
                 self.assertEqual(found.body, body)
 
@@ -62,10 +54,10 @@
         What was written so far is no answer; storing it again completes it.
         """
         body = bytes(2 * answers.PART_BYTES)
-        ask = rpc_data.AnswerBody(answer_name.make('r', NOW), body)
-        self.platform.put_faults(only='PUT', unavailable=True, times=1)
+        ask = answer_data.AnswerBody(answer_name.make('r', NOW), body)
+        self.platform.faults.append(fake_platform_test.Fault.REFUSED)
         self.assertFalse((await self.kept.store(ask)).ok)
-        key = rpc_data.AnswerKey(ask.name)
+        key = answer_data.AnswerKey(ask.name)
         self.assertFalse((await self.kept.fetch(key)).found)
         self.assertTrue((await self.kept.store(ask)).ok)
         self.assertEqual((await self.kept.fetch(key)).body, body)
@@ -74,12 +66,12 @@
         """Answers are kept for the retention and deleted after it."""
         for age, _ in AGES:
             name = answer_name.make(f'r{age}', NOW - age * DAY_S)
-            await self.kept.store(rpc_data.AnswerBody(name, b'answer'))
+            await self.kept.store(answer_data.AnswerBody(name, b'answer'))
         await self.kept.expire(NOW)
         for age, is_kept in AGES:
             with self.subTest(age=age):
                 name = answer_name.make(f'r{age}', NOW - age * DAY_S)
-                found = await self.kept.fetch(rpc_data.AnswerKey(name))
+                found = await self.kept.fetch(answer_data.AnswerKey(name))
                 self.assertEqual(found.found, is_kept)
 
 
--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -1,6 +1,7 @@
 """The methods that our processes call on one another."""
 
 from beryllug.core import (
+    answer_data,
     lease_data,
     member_data,
     outage_data,
@@ -22,9 +23,9 @@
     'TellSuspects', suspects_data.Notes, suspects_data.Notes
 )
 EVIDENCE = rpc.Method('Evidence', rpc_data.EvidenceReport, rpc_data.Empty)
-STORE_ANSWER = rpc.Method('StoreAnswer', rpc_data.AnswerBody, rpc_data.Empty)
+STORE_ANSWER = rpc.Method('StoreAnswer', answer_data.AnswerBody, rpc_data.Empty)
 FETCH_ANSWER = rpc.Method(
-    'FetchAnswer', rpc_data.AnswerKey, rpc_data.AnswerBody
+    'FetchAnswer', answer_data.AnswerKey, answer_data.AnswerBody
 )
 OFFER_CONFIG = rpc.Method(
     'OfferConfig', rpc_data.ConfigOffer, rpc_data.ConfigOffer
--- a/beryllug/entry/answers.py
+++ b/beryllug/entry/answers.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 
-from beryllug.core import answer_name, journal_data, rpc_data
+from beryllug.core import answer_data, answer_name, journal_data
 from beryllug.drivers import methods, rpc
 from beryllug.entry import control_calls
 
@@ -72,7 +72,7 @@
         owed = self._owed.get(answer.object_key)
         if owed is not None:
             return owed
-        ask = rpc_data.AnswerKey(answer.object_key)
+        ask = answer_data.AnswerKey(answer.object_key)
         try:
             reply = await self._calls.call(methods.FETCH_ANSWER, ask, FETCH_S)
         except rpc.RpcError:
@@ -80,7 +80,7 @@
         return reply.body if reply.found else None
 
     async def _store(self, name: str, body: bytes) -> bool:
-        ask = rpc_data.AnswerBody(name, body)
+        ask = answer_data.AnswerBody(name, body)
         try:
             reply = await self._calls.call(methods.STORE_ANSWER, ask, STORE_S)
         except rpc.RpcError as exc:
