--- a/beryllug/control/answers_test.py
+++ b/beryllug/control/answers_test.py
@@ -55,6 +55,7 @@
         """
         body = bytes(2 * answers.PART_BYTES)
         ask = answer_data.AnswerBody(answer_name.make('r', NOW), body)
+        self.platform.faulty = f'{answers.PREFIX}{ask.name}/{answers.FIRST}'
         self.platform.faults.append(fake_platform_test.Fault.REFUSED)
         self.assertFalse((await self.kept.store(ask)).ok)
         key = answer_data.AnswerKey(ask.name)
