Decide roll-outs by bets that stay valid under looking

Cause: the decisions came in as they stood, without their tests; some thresholds were bare numbers, and a false alarm at a low stage could have raised the stage.

Change: bounds of each measure in `evidence_bounds`, what the evidence says in `rollout_checks`; an alarm at or under half of the sessions holds and never advances; the chance of a wrong stop is spread over as many accounts as are seen, if more than declared. Tests of evidence, exposure and roll-outs.

Before and after: mutations, each red in at least one test: null rate of the incumbent alone, no later wealth, blocks without the incumbent, budget without what is out, report taken twice, share for a braked entry, no write-off, unbounded release, release in silence, pinned answers not counted, a stop taken back, a stopped name declared again, an alarm at a low stage, a stop on an alarm, a stage without evidence, no tests by account, no bound on accounts, a stage skipped on resume.

--- a/beryllug/core/evidence.py
+++ b/beryllug/core/evidence.py
@@ -18,13 +18,12 @@
 that turns bad is measured from money that has not been lost on its good time.
 """
 
-import functools
 import itertools
 import math
 from collections.abc import Iterator
 from typing import Final
 
-from beryllug.core import config_data, evidence_data, rpc_data
+from beryllug.core import evidence_data, rpc_data
 
 ALTERNATIVES: Final = 4
 TOP_RATE: Final = 0.9
@@ -47,40 +46,13 @@
 LATER_PAY: Final = 0.25
 REOPEN_PAY: Final = 0.15
 LEAST_CREDIT: Final = -2.0
-MOST_CREDIT: Final = math.log(16)
+MOST_GROWTH: Final = 16
+MOST_CREDIT: Final = math.log(MOST_GROWTH)
 
 Trial = evidence_data.Trial
 Sample = evidence_data.Sample
 
 
-@functools.lru_cache
-def bads_of(
-    declared: config_data.Rollout,
-) -> tuple[evidence_data.Bad, ...]:
-    """Return for each measure from which rate on a candidate is bad."""
-    return tuple(
-        _bad_of(declared, measure) for measure in evidence_data.MEASURES
-    )
-
-
-def _bad_of(
-    declared: config_data.Rollout, measure: evidence_data.Measure
-) -> evidence_data.Bad:
-    match measure:
-        case evidence_data.Measure.ERROR:
-            rate = declared.max_error_rate
-            return evidence_data.Bad(rate, 2, 0, Sample(40, 8 * rate))
-        case evidence_data.Measure.CRASH:
-            return evidence_data.Bad(0.01, 10, 0, Sample(2000, 0.2))
-        case evidence_data.Measure.LATE:
-            return evidence_data.Bad(0.1, 2, 0.1, Sample(40, 2))
-        case evidence_data.Measure.LOW:
-            return evidence_data.Bad(0.3, 2, 0.15, Sample(20, 2))
-        case evidence_data.Measure.LOSS:
-            rate = 1 - declared.min_rating
-            return evidence_data.Bad(rate, 1.3, 0.05, Sample(20, 10 * rate))
-
-
 def samples(
     counts: rpc_data.VersionEvidence,
 ) -> Iterator[evidence_data.Sample]:
@@ -141,7 +113,9 @@
 
 def weight(trial: Trial) -> float:
     """Return the logarithm of the wealth, the evidence of a bad candidate."""
-    return _log_mean(trial.wealth)
+    most = max(trial.wealth)
+    # A wealth under its stake decides nothing; its mean needs no computing.
+    return _log_mean(trial.wealth) if most > 0 else most
 
 
 def boundary(bad: evidence_data.Bad, incumbent_rate: float) -> float:
--- /dev/null
+++ b/beryllug/core/evidence_bounds.py
@@ -0,0 +1,67 @@
+"""From which rates on a candidate counts as bad.
+
+The operator declares an error rate and a least mean rating. The other bounds
+are set here, each as a distance from the incumbent, and all of them so that
+a candidate is never blamed for what its incumbent does as well.
+"""
+
+import functools
+from typing import Final
+
+from beryllug.core import config_data, evidence_data
+
+CRASH_RATE: Final = 0.01
+CRASH_RATIO: Final = 10
+LATE_RATE: Final = 0.1
+LATE_GAP: Final = 0.1
+LOW_RATE: Final = 0.3
+LOW_GAP: Final = 0.15
+LOSS_RATIO: Final = 1.3
+LOSS_GAP: Final = 0.05
+RATIO: Final = 2
+# What is assumed of an incumbent before it was measured: so many answers, and
+# the share of them that ended badly.
+PRIOR_ANSWERS: Final = 40
+PRIOR_ERROR_PART: Final = 0.2
+PRIOR_LOSS_PART: Final = 0.5
+PRIOR_LATE: Final = 0.05
+PRIOR_LOW: Final = 0.1
+PRIOR_CRASH_ANSWERS: Final = 2000
+PRIOR_CRASHES: Final = 0.2
+
+
+@functools.lru_cache
+def of(declared: config_data.Rollout) -> tuple[evidence_data.Bad, ...]:
+    """Return the bounds of a declared roll-out, one for each measure."""
+    return tuple(_of(declared, measure) for measure in evidence_data.MEASURES)
+
+
+def needs_rating(declared: config_data.Rollout) -> bool:
+    """Tell whether the candidate must be judged by ratings."""
+    return declared.min_rating > 0
+
+
+def _of(
+    declared: config_data.Rollout, measure: evidence_data.Measure
+) -> evidence_data.Bad:
+    match measure:
+        case evidence_data.Measure.ERROR:
+            rate = declared.max_error_rate
+            return _bad(rate, RATIO, 0, PRIOR_ERROR_PART * rate)
+        case evidence_data.Measure.CRASH:
+            prior = evidence_data.Sample(PRIOR_CRASH_ANSWERS, PRIOR_CRASHES)
+            return evidence_data.Bad(CRASH_RATE, CRASH_RATIO, 0, prior)
+        case evidence_data.Measure.LATE:
+            return _bad(LATE_RATE, RATIO, LATE_GAP, PRIOR_LATE)
+        case evidence_data.Measure.LOW:
+            return _bad(LOW_RATE, RATIO, LOW_GAP, PRIOR_LOW)
+        case evidence_data.Measure.LOSS:
+            rate = 1 - declared.min_rating
+            return _bad(rate, LOSS_RATIO, LOSS_GAP, PRIOR_LOSS_PART * rate)
+
+
+def _bad(
+    rate: float, ratio: float, gap: float, prior: float
+) -> evidence_data.Bad:
+    sample = evidence_data.Sample(PRIOR_ANSWERS, PRIOR_ANSWERS * prior)
+    return evidence_data.Bad(rate, ratio, gap, sample)
--- /dev/null
+++ b/beryllug/core/exposure_test.py
@@ -0,0 +1,140 @@
+"""Tests of the exposure budget and its shares."""
+
+import random
+import unittest
+
+from beryllug.core import config_data, exposure, rollout_data, rpc_data
+
+REF = config_data.VersionRef('desk', 'v2')
+DECLARED = config_data.Rollout(
+    'desk', 'v1', 'v2', (5, 100), 160, max_error_rate=0.05, min_rating=0.7
+)
+ENTRIES = tuple(f'entry-{place}' for place in range(6))
+
+
+def _report(entry: str, sequence: int) -> rpc_data.EvidenceReport:
+    return rpc_data.EvidenceReport(entry, sequence, ())
+
+
+def _counts(
+    answers: int, errors: int = 0, rated: int = 0, unrated: int = 0
+) -> rpc_data.VersionEvidence:
+    return rpc_data.VersionEvidence(
+        REF, 'kutch', answers, errors, 0, rated=rated, unrated=unrated
+    )
+
+
+def _heard(now: float = 0.0, sequence: int = 1) -> rollout_data.Exposure:
+    state = rollout_data.Exposure({})
+    for entry in ENTRIES:
+        heard = exposure.hear(
+            state, _report(entry, sequence), now, braked=entry == ENTRIES[0]
+        )
+        assert heard is not None
+        state = heard
+    return state
+
+
+def _take(
+    state: rollout_data.Exposure, entry: str, counts: rpc_data.VersionEvidence
+) -> rollout_data.Exposure:
+    return exposure.count(state, entry, counts, needs_rating=True)
+
+
+class ExposureTest(unittest.TestCase):
+    """What is out and not judged stays within the budget."""
+
+    def test_bound(self) -> None:
+        """Entries use their shares up while ratings come when they like.
+
+        Whatever the order, no more is dealt than was judged and the budget
+        allows beyond it, and no total ever falls.
+        """
+        for seed in range(10):
+            rng = random.Random(seed)
+            state = _heard()
+            for step in range(200):
+                state = self._step(rng, state)
+                unjudged = exposure.limit(DECLARED, rng.uniform(-2, 3))
+                before = state
+                state = exposure.deal(before, unjudged, now=step / 100)
+                dealt = exposure.out(state) - exposure.out(before)
+                allowed = unjudged + state.judged - exposure.out(before)
+                self.assertLessEqual(dealt, max(0, allowed))
+                for entry, share in state.shares.items():
+                    self.assertGreaterEqual(
+                        share.dealt, before.shares[entry].dealt
+                    )
+
+    def test_reported_twice(self) -> None:
+        """The acknowledgement of a report is lost and it comes again."""
+        state = _heard(sequence=3)
+        for sequence in (3, 2):
+            again = exposure.hear(
+                state, _report(ENTRIES[1], sequence), 1.0, braked=False
+            )
+            self.assertIsNone(again)
+
+    def test_who_is_dealt(self) -> None:
+        """An entry that holds the candidate back, or is silent, gets none."""
+        dealt = exposure.deal(_heard(), 10, now=1.0).shares
+        self.assertEqual(dealt[ENTRIES[0]].dealt, 0)
+        self.assertEqual({dealt[entry].dealt for entry in ENTRIES[1:]}, {1})
+        later = exposure.SILENT_S + 1
+        silent = exposure.deal(_heard(), 10, now=later).shares
+        self.assertEqual({share.dealt for share in silent.values()}, {0})
+
+    def test_dead_entries(self) -> None:
+        """Entry hosts die with shares that they may have used up.
+
+        Their shares stay taken, so nothing is dealt twice. Much later they
+        are returned, or such deaths would use up the budget for ever.
+        """
+        state = exposure.deal(_heard(), 10, now=0.0)
+        state = _take(state, ENTRIES[1], _counts(1))
+        out = exposure.out(state)
+        soon = exposure.write_off(state, exposure.WRITE_OFF_S - 1)
+        self.assertEqual(exposure.out(soon), out)
+        late = exposure.write_off(state, exposure.WRITE_OFF_S)
+        self.assertEqual(late.shares, {})
+        self.assertEqual((exposure.out(late), late.lost), (1, 4))
+
+    def test_silence(self) -> None:
+        """The rating service is down: answers are out and none is judged.
+
+        What it will never rate leaves the budget only when ratings arrive
+        again, and without any of the candidate's only a part of it.
+        """
+        state = exposure.deal(_heard(), 5, now=0.0)
+        for entry in ENTRIES[1:]:
+            state = _take(state, entry, _counts(1, unrated=1))
+        self.assertEqual(exposure.deal(state, 5, now=1.0), state)
+        released = exposure.release(state, DECLARED)
+        self.assertEqual(released.released, 5)
+        self.assertNotEqual(exposure.deal(released, 5, now=1.0), released)
+        many = _take(released, ENTRIES[1], _counts(100, unrated=100))
+        self.assertEqual(exposure.release(many, DECLARED).released, 40)
+
+    def test_pinned_sessions(self) -> None:
+        """Sessions on the candidate ask on, beyond the entry's share.
+
+        They keep their version; new sessions wait until that is judged.
+        """
+        state = exposure.deal(_heard(), 5, now=0.0)
+        state = _take(state, ENTRIES[1], _counts(8))
+        self.assertEqual(exposure.out(state), 12)
+        self.assertEqual(exposure.deal(state, 5, now=1.0), state)
+
+    def _step(
+        self, rng: random.Random, state: rollout_data.Exposure
+    ) -> rollout_data.Exposure:
+        entry = rng.choice(ENTRIES)
+        share = state.shares[entry]
+        used = rng.randint(0, max(0, share.dealt - share.given))
+        waiting = sum(one.given for one in state.shares.values())
+        rated = rng.randint(0, max(0, waiting - state.judged) // 2)
+        return _take(state, entry, _counts(used, rated=rated))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/core/rollout.py
+++ b/beryllug/core/rollout.py
@@ -9,63 +9,28 @@
 
 import functools
 import itertools
-import math
 from collections.abc import Callable, Iterator
-from typing import Final, NamedTuple
+from typing import Final
 
 from beryllug.core import (
     config_data,
     evidence,
+    evidence_bounds,
     evidence_data,
     exposure,
+    rollout_checks,
     rollout_data,
     rpc_data,
     view_data,
 )
 
-# Bound on the chance that a good candidate is ever stopped.
-WRONG_STOP: Final = 0.01
-STOP_AT: Final = -math.log(WRONG_STOP)
-# The chance is spread over the measures, the greater part on all accounts
-# together and the rest on the single accounts.
-SPREAD: Final = (0.4, 0.2, 0.08, 0.24, 0.08)
-EVERYONE_PART: Final = 0.6
-# Odds of twenty against a candidate hold its stage.
-WATCH_AT: Final = math.log(20)
-BASE_EVIDENCE: Final = 0.5
-# Odds from which on a candidate that serves nearly all is compared again. A
-# wrong alarm costs time only.
-ALARM_AT: Final = math.log(10000)
-# Before the last stages each account with this share of the answers must
-# have shown that the candidate suits it.
-LARGE_ACCOUNT: Final = 0.02
-EVERYONE: Final = ''
 OTHERS: Final = '*'
 MAX_ACCOUNTS: Final = 256
 MAX_STOPPED: Final = 32
-ALL_PERCENT: Final = 100
 
-Measure = evidence_data.Measure
-ERROR_PLACE: Final = evidence_data.MEASURES.index(Measure.ERROR)
-LOW_PLACE: Final = evidence_data.MEASURES.index(Measure.LOW)
-LEAST_ERRORS: Final = -1.0
 Record = rollout_data.Record
 
 
-class Rejection(NamedTuple):
-    """The test that speaks most against a candidate.
-
-    Attributes:
-        odds: Logarithm of its wealth, weighted by its part of the chance.
-        account_id: Its account, or empty for all.
-        measure: Its measure.
-    """
-
-    odds: float
-    account_id: str
-    measure: Measure
-
-
 def begin(
     declared: config_data.Rollout, accounts: int, before: Record | None
 ) -> Record:
@@ -143,21 +108,16 @@
     """Choose what becomes of the roll-out."""
     if record.verdict is view_data.Verdict.STOPPED:
         return rollout_data.Hold(record.reason)
-    worst = rejection(record)
-    if worst is not None and worst.odds >= STOP_AT:
+    worst = rollout_checks.rejection(record)
+    if worst is not None and worst.odds >= rollout_checks.STOP_AT:
         where = worst.account_id or 'all accounts'
         return rollout_data.Stop(f'{worst.measure} for {where}')
-    alarm = _alarm(record)
+    alarm = rollout_checks.alarm(record)
     if alarm:
-        return rollout_data.Reopen(alarm)
+        return _alarmed(record, alarm)
     if record.verdict is view_data.Verdict.PROMOTED:
         return rollout_data.Hold('promoted')
-    lacking = next(_lacking(record, declared), None)
-    if lacking is not None:
-        return rollout_data.Hold(lacking)
-    if record.stage + 1 < len(declared.stages):
-        return rollout_data.Advance()
-    return rollout_data.Promote()
+    return _proceed(record, declared)
 
 
 def carry_out(
@@ -190,7 +150,7 @@
     if record.verdict is not view_data.Verdict.RUNNING:
         return record
     kept = exposure.write_off(record.exposure, now)
-    unjudged = exposure.limit(declared, _credit(record, declared))
+    unjudged = exposure.limit(declared, rollout_checks.credit(record, declared))
     return record._replace(exposure=exposure.deal(kept, unjudged, now))
 
 
@@ -206,109 +166,6 @@
     )
 
 
-def rejection(record: Record) -> Rejection | None:
-    """Return the test that speaks most against the candidate."""
-    found = [
-        Rejection(odds, account_id, measure)
-        for account_id, trials in record.scopes.items()
-        for odds, measure in _odds(record, account_id, trials)
-    ]
-    return max(found, default=None)
-
-
-def needs_rating(declared: config_data.Rollout) -> bool:
-    """Tell whether the candidate must be judged by ratings."""
-    return declared.min_rating > 0
-
-
-def _odds(
-    record: Record,
-    account_id: str,
-    trials: tuple[evidence_data.Trial, ...],
-) -> Iterator[tuple[float, Measure]]:
-    part = EVERYONE_PART
-    if account_id != EVERYONE:
-        part = (1 - EVERYONE_PART) / record.accounts
-    for trial, spread, measure in zip(
-        trials, SPREAD, evidence_data.MEASURES, strict=True
-    ):
-        yield evidence.weight(trial) + math.log(part * spread), measure
-
-
-def _lacking(record: Record, declared: config_data.Rollout) -> Iterator[str]:
-    """Yield what is missing for the next stage."""
-    everyone = record.scopes.get(EVERYONE)
-    if everyone is None:
-        yield 'no evidence'
-        return
-    need = BASE_EVIDENCE + _growth(record, declared)
-    for measure, trial in _judged_trials(everyone, declared):
-        if trial.best > -need:
-            yield f'too little evidence on {measure}'
-    for account_id, trials in record.scopes.items():
-        for measure, trial in _judged_trials(trials, declared):
-            if evidence.weight(trial) >= WATCH_AT:
-                yield f'{measure} of {account_id or "all"} is doubtful'
-    if record.percent * 2 >= ALL_PERCENT:
-        yield from _lacking_accounts(record, declared)
-
-
-def _lacking_accounts(
-    record: Record, declared: config_data.Rollout
-) -> Iterator[str]:
-    """Yield large accounts that have not shown that it suits them.
-
-    A version that is bad for one account only shows in that account's
-    answers; the sum over all accounts would pass it.
-    """
-    least = LARGE_ACCOUNT * _incumbent_answers(record.scopes[EVERYONE])
-    for account_id, trials in record.scopes.items():
-        if _incumbent_answers(trials) < least:
-            continue
-        for measure, trial in _judged_trials(trials, declared):
-            if not evidence.suits(trial):
-                yield f'too little evidence on {measure} of {account_id}'
-
-
-def _growth(record: Record, declared: config_data.Rollout) -> float:
-    """Return the logarithm of how much the next stage multiplies callers."""
-    following = [*declared.stages[record.stage + 1 :], record.percent]
-    return math.log(max(following[0], record.percent) / record.percent)
-
-
-def _judged_trials(
-    trials: tuple[evidence_data.Trial, ...], declared: config_data.Rollout
-) -> Iterator[tuple[Measure, evidence_data.Trial]]:
-    """Yield the trials that a stage waits for."""
-    waited = {Measure.ERROR, Measure.LATE}
-    if needs_rating(declared):
-        waited.add(Measure.LOW)
-    for measure, trial in zip(evidence_data.MEASURES, trials, strict=True):
-        if measure in waited:
-            yield measure, trial
-
-
-def _credit(record: Record, declared: config_data.Rollout) -> float:
-    """Return the evidence that the candidate is good, for the budget.
-
-    The budget grows with what comes slowest, the ratings where there are
-    any. Failures show at once and are bounded by the stage; they only take
-    from it, so that a doubtful candidate meets new callers slowly while its
-    present ones show more of it.
-    """
-    trials = record.scopes.get(EVERYONE)
-    if trials is None:
-        return 0
-    errors = trials[ERROR_PLACE].credit
-    if not needs_rating(declared):
-        return errors
-    return trials[LOW_PLACE].credit + min(0, max(errors, LEAST_ERRORS))
-
-
-def _incumbent_answers(trials: tuple[evidence_data.Trial, ...]) -> float:
-    return trials[0].base.answers + trials[0].incumbent.answers
-
-
 Pair = dict[str, rpc_data.VersionEvidence]
 
 
@@ -335,7 +192,7 @@
     if not listed and len(record.scopes) > MAX_ACCOUNTS:
         account_id = OTHERS
     scopes = dict(record.scopes)
-    for name in (EVERYONE, account_id):
+    for name in (rollout_data.EVERYONE, account_id):
         scopes[name] = _observe(record, declared, scopes.get(name), pair)
     return record._replace(scopes=scopes)
 
@@ -352,7 +209,7 @@
         evidence.observe(trial, bad, candidate, incumbent)
         for trial, bad, candidate, incumbent in zip(
             trials,
-            evidence.bads_of(declared),
+            evidence_bounds.of(declared),
             _samples(pair.get(record.candidate)),
             _samples(pair.get(record.incumbent)),
             strict=True,
@@ -378,27 +235,42 @@
     state = record.exposure
     counts = pair.get(record.candidate)
     if counts is not None:
-        rated = needs_rating(declared)
+        rated = evidence_bounds.needs_rating(declared)
         state = exposure.count(state, entry, counts, needs_rating=rated)
     if any(part.rated for part in pair.values()):
         state = exposure.release(state, declared)
     return record._replace(exposure=state)
 
 
-def _alarm(record: Record) -> str:
-    """Return which test raised the alarm, or nothing."""
-    for account_id, trials in record.scopes.items():
-        for measure, trial in zip(evidence_data.MEASURES, trials, strict=True):
-            if trial.alarm >= ALARM_AT:
-                return f'{measure} of {account_id or "all"} got worse'
-    return ''
+def _alarmed(record: Record, alarm: str) -> rollout_data.Decision:
+    """Compare again where the candidate serves nearly all, else wait."""
+    promoted = record.verdict is view_data.Verdict.PROMOTED
+    if promoted or 2 * record.percent > rollout_data.ALL_PERCENT:
+        return rollout_data.Reopen(alarm)
+    return rollout_data.Hold(alarm)
+
+
+def _proceed(
+    record: Record, declared: config_data.Rollout
+) -> rollout_data.Decision:
+    """Go on when nothing is missing."""
+    lacking = next(rollout_checks.lacking(record, declared), None)
+    if lacking is not None:
+        return rollout_data.Hold(lacking)
+    if record.stage + 1 < len(declared.stages):
+        return rollout_data.Advance()
+    return rollout_data.Promote()
 
 
 def _reopen(
     record: Record, declared: config_data.Rollout, reason: str
 ) -> Record:
     """Go back to a stage at which the incumbent answers as well."""
-    compared = [stage for stage in declared.stages if 2 * stage <= ALL_PERCENT]
+    compared = [
+        stage
+        for stage in declared.stages
+        if 2 * stage <= rollout_data.ALL_PERCENT
+    ]
     stage = max(0, len(compared) - 1)
     reopen = functools.partial(evidence.reopen, times=record.reopened)
     return record._replace(
--- a/beryllug/core/rollout_data.py
+++ b/beryllug/core/rollout_data.py
@@ -9,6 +9,9 @@
 
 from beryllug.core import evidence_data, view_data
 
+EVERYONE = ''
+ALL_PERCENT = 100
+
 
 class EntryShare(NamedTuple):
     """An entry's share of the exposure budget.
