Wait until the streams to entries are written before a report is answered

Cause: a resend through another host now and then met a server although the request was to be refused: the view had 50 ms to get there, and a peer answered before its own streams were written at all.

Ruled out: only a longer pause; it says nothing on a busy machine.

Change: each control process waits for its streams to be written (200 ms at most, an entry may be frozen), then gives entries 50 ms to read them.

Next is an acknowledgement by the entries, and the log of a failing run.

--- a/beryllug/control/config.py
+++ b/beryllug/control/config.py
@@ -132,6 +132,10 @@
         if changed:
             self.feed.put(self.feed.parts._replace(**changed))
 
+    async def written(self, within_s: float) -> None:
+        """Wait until each entry has been sent the view, or time is up."""
+        await self.feed.written(within_s)
+
     def accepts(self) -> bool:
         """Tell whether entries may take new work, by the present contact."""
         return config_state.may_accept(
--- a/beryllug/control/suspects.py
+++ b/beryllug/control/suspects.py
@@ -23,9 +23,11 @@
 from beryllug.drivers import methods, rpc
 
 START_S = 1.0
-# The streams to entries are written within this; a caller that is answered
-# after it meets the suspicion on any entry host.
-SHOW_S = 0.05
+# A caller that is answered must meet the suspicion on any entry host. So the
+# streams to the entries are written first, for a bounded time since one may
+# be frozen; then the entries get the time to read them.
+WRITTEN_S = 0.2
+READ_S = 0.05
 ROUND_S = 5.0
 NOTES_A_ROUND = 32
 
@@ -38,6 +40,9 @@
     ) -> None:
         """Replace the suspects of the view."""
 
+    async def written(self, within_s: float) -> None:
+        """Wait until the entries have been sent the view."""
+
 
 class Server(Protocol):
     """What the service needs of the server of this process."""
@@ -137,7 +142,7 @@
     async def told(self, told: suspects_data.Notes) -> suspects_data.Notes:
         """Take a peer's notes; reply with all own ones where it wants them."""
         if suspects.merge(self.table, told.notes, time.time()):
-            self._show()
+            await self._show()
         if not told.wants:
             return suspects_data.Notes()
         return suspects_data.Notes(tuple(self.table.notes.values()))
@@ -145,7 +150,7 @@
     async def round(self) -> None:
         """Expire, record, and tell one peer what it may have missed."""
         suspects.expire(self.table, time.time())
-        self._show()
+        await self._show()
         notes = tuple(self.table.notes.values())
         if self._spread.deciders()[0] == self._name:
             await self._store.write(notes)
@@ -167,10 +172,7 @@
         return reply
 
     async def _tell_all(self, notes: tuple[suspects_data.Note, ...]) -> None:
-        self._show()
-        await asyncio.gather(
-            asyncio.sleep(SHOW_S), self._spread.tell_all(notes)
-        )
+        await asyncio.gather(self._show(), self._spread.tell_all(notes))
 
     async def _ask_peers(self) -> None:
         notes = await self._spread.ask_partners()
@@ -184,5 +186,9 @@
             await asyncio.sleep(ROUND_S)
             await self.round()
 
-    def _show(self) -> None:
-        self._view.publish(suspects=suspects.shown(self.table, time.time()))
+    async def _show(self) -> None:
+        """Tell the entries that follow this process, and wait for it."""
+        shown = suspects.shown(self.table, time.time())
+        self._view.publish(suspects=shown)
+        await self._view.written(WRITTEN_S)
+        await asyncio.sleep(READ_S)
--- a/beryllug/control/suspects_test.py
+++ b/beryllug/control/suspects_test.py
@@ -31,6 +31,9 @@
     ) -> None:
         self.suspects = suspects or ()
 
+    async def written(self, within_s: float) -> None:
+        await asyncio.sleep(0)
+
 
 class _Others(NamedTuple):
     """All nodes know all others."""
--- a/beryllug/control/view_feed.py
+++ b/beryllug/control/view_feed.py
@@ -6,12 +6,15 @@
 """
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncGenerator, Callable
 from typing import Any, NamedTuple
 
 from beryllug.core import rpc_data, view_parts
 
+WRITTEN_POLL_S = 0.005
+
 Accepts = Callable[[], bool]
 
 
@@ -39,6 +42,8 @@
         self._changed = asyncio.Event()
         self._opened = asyncio.Event()
         self._followers: dict[str, Follower] = {}
+        self._changes = 0
+        self._written: dict[str, int] = {}
 
     def open(self) -> None:
         """Let the streams begin.
@@ -52,9 +57,18 @@
     def put(self, parts: view_parts.ViewParts) -> None:
         """Replace the parts and wake the streams."""
         self.parts = parts
+        self._changes += 1
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def written(self, within_s: float) -> None:
+        """Wait until each stream has sent what was put, or time is up."""
+        wanted = self._changes
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                while any(done < wanted for done in self._written.values()):
+                    await asyncio.sleep(WRITTEN_POLL_S)
+
     def dump(self) -> dict[str, Any]:
         """Return the revision that each entry was sent."""
         return {found.entry: found.revision for found in self.followers()}
@@ -73,14 +87,18 @@
             while True:
                 changed = self._changed
                 present = self.parts
+                number = self._changes
+                self._written.setdefault(ask.entry, 0)
                 yield self._update(sent, present, ask.entry)
                 sent = present
+                self._written[ask.entry] = number
                 self._followers[ask.entry] = Follower(
                     ask.entry, ask.zone, present.revision
                 )
                 await self._wait(changed)
         finally:
             self._followers.pop(ask.entry, None)
+            self._written.pop(ask.entry, None)
 
     def _update(
         self,
--- a/beryllug/proofs/mutations.py
+++ b/beryllug/proofs/mutations.py
@@ -146,7 +146,7 @@
         (
             (
                 'await self._tell_all((self.table.notes[ask.fingerprint],))',
-                'self._show()',
+                'await self._show()',
             ),
         ),
         'control.suspects_test',
