Deal no shares of a candidate that no engine can run

Change: the judge deals only while some engine reports the version, or lists none because it runs any.

--- a/beryllug/control/rollout_judge.py
+++ b/beryllug/control/rollout_judge.py
@@ -33,6 +33,7 @@
 
 Declared = Callable[[], config_data.Rollout | None]
 IsHeld = Callable[[], bool]
+IsLoaded = Callable[[config_data.VersionRef], bool]
 Show = Callable[[rpc_data.RolloutState], None]
 
 
@@ -45,6 +46,7 @@
         api: object_api.ObjectApi,
         declared: Declared,
         is_held: IsHeld,
+        is_loaded: IsLoaded,
         show: Show,
     ) -> None:
         """Make a judge; `start` starts its task.
@@ -54,12 +56,14 @@
             api: The platform.
             declared: Returns its declaration in force, None without one.
             is_held: Tells whether the lease is held at this moment.
+            is_loaded: Tells whether engines can run a version.
             show: Takes each new state.
         """
         self._model = model
         self._api = api
         self._declared = declared
         self._is_held = is_held
+        self._is_loaded = is_loaded
         self._show = show
         self._record: rollout_data.Record | None = None
         self._written: rollout_data.Record | None = None
@@ -161,7 +165,12 @@
         record = rollout.resume(before, declared, before.accounts)
         decision = rollout.decide(record, declared)
         record = rollout.carry_out(record, declared, decision)
-        self._record = rollout.deal(record, declared, time.time())
+        candidate = config_data.VersionRef(record.model, record.candidate)
+        # Without an engine that has it loaded its first callers would find no
+        # server, which is no evidence against it.
+        if self._is_loaded(candidate):
+            record = rollout.deal(record, declared, time.time())
+        self._record = record
         if record.verdict is not before.verdict or record.stage != before.stage:
             logging.info(
                 'event=rollout model=%s candidate=%s stage=%d verdict=%s '
--- a/beryllug/control/rollouts.py
+++ b/beryllug/control/rollouts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 from typing import Any
 
 from beryllug.control import (
@@ -21,6 +22,7 @@
     config_data,
     lease_data,
     rpc_data,
+    view_data,
 )
 from beryllug.drivers import methods, object_api, rpc
 
@@ -194,12 +196,20 @@
             self._api,
             lambda: _declared(self._view.document, model),
             lambda: self._leases.held(name, time.monotonic()) is not None,
+            lambda ref: _can_run(ref, self._view.feed.parts.loads),
             self._states.show,
         )
         self._judges[model] = judge
         judge.start()
 
 
+def _can_run(
+    ref: config_data.VersionRef, loads: Iterable[view_data.ServerLoad]
+) -> bool:
+    """Tell whether an engine runs a version; one that lists none runs any."""
+    return any(not load.loaded or ref in load.loaded for load in loads)
+
+
 def _declared(
     document: config_data.Document, model: str
 ) -> config_data.Rollout | None:
