Measure slopes: what a thing costs as its size grows

Cause: docs/CAPACITY.md must give figures for a fleet that no test machine has, each from a slope that is re-run by one command. Ruled out: /proc/PID/stat for processor time (ticks of 10 ms, a nearly idle process spends one a second); bytes counted in our own code (HTTP/2 frames and headers would be missing); ports of the ephemeral range (of 100 processes one found its port taken by an outgoing connection). Real processes around stand-ins in processes. Before and after: there were no slopes.

--- /dev/null
+++ b/beryllug/bench/slopes/followers.py
@@ -0,0 +1,66 @@
+"""Stands in for entry processes that follow the view of controls."""
+
+import asyncio
+import contextlib
+import time
+
+from beryllug.bench.slopes import controls
+from beryllug.core import rpc_data
+from beryllug.drivers import fleet_key, methods, rpc
+from beryllug.standins import fleet_settings
+
+ZONE = 'zone-0'
+POLL_S = 0.2
+REACH_S = 20.0
+
+
+class Followers:
+    """Stands in for one entry process at each control.
+
+    Attributes:
+        seen: By control the wall-clock second at which an update with a
+            revision arrived.
+    """
+
+    def __init__(self, fleet: controls.Controls) -> None:
+        """Bind to the fleet; `start` connects."""
+        self.seen: dict[str, dict[int, float]] = {}
+        keys = fleet_key.KeyRing((fleet_settings.FLEET_KEY,))
+        self._clients = {
+            name: rpc.RpcClient(host.control, keys)
+            for name, host in zip(fleet.names, fleet.hosts)
+        }
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Follow every control."""
+        self._tasks = [
+            asyncio.create_task(self._follow(name)) for name in self._clients
+        ]
+
+    async def stop(self) -> None:
+        """Disconnect."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for client in self._clients.values():
+            await client.close()
+
+    async def reached(self, revision: int) -> None:
+        """Wait until every entry has a revision, or a bounded time."""
+        deadline = time.monotonic() + REACH_S
+        while time.monotonic() < deadline:
+            if all(revision in seen for seen in self.seen.values()):
+                return
+            await asyncio.sleep(POLL_S)
+
+    async def _follow(self, name: str) -> None:
+        """Follow one control, again and again as an entry does."""
+        ask = rpc_data.ViewAsk(f'entry-of-{name}', ZONE)
+        seen = self.seen.setdefault(name, {})
+        while True:
+            updates = self._clients[name].stream(methods.WATCH_VIEW, ask)
+            with contextlib.suppress(rpc.RpcError):
+                async for update in updates:
+                    seen.setdefault(update.revision, time.time())
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/beryllug/bench/slopes/parties.py
@@ -0,0 +1,65 @@
+"""Stand-ins of the outside parties as processes of their own.
+
+Inside the measuring process they would share its processor, and a fleet of
+a hundred processes would wait for it.
+"""
+
+import asyncio
+import sys
+from typing import Any, NamedTuple
+
+from beryllug.drivers import http_client, http_data
+
+START_S = 30.0
+
+
+class Party(NamedTuple):
+    """A running stand-in."""
+
+    process: asyncio.subprocess.Process
+    address: str
+    control: str
+
+
+async def start(kind: str, **options: object) -> Party:
+    """Start a stand-in of `standins.serve` and return when it serves.
+
+    Args:
+        kind: Its kind.
+        options: Its options, and those of `serve`.
+
+    Raises:
+        TimeoutError: It did not start.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'beryllug.standins.serve',
+        kind,
+        *(f'--{name}={given}' for name, given in options.items()),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    async with asyncio.timeout(START_S):
+        ready = await process.stdout.readline()
+    _, address, control = ready.decode().split()
+    return Party(process, address, control)
+
+
+async def stop(party: Party) -> None:
+    """Stop a stand-in."""
+    party.process.terminate()
+    await party.process.wait()
+
+
+async def record(
+    client: http_client.HttpClient, party: Party
+) -> dict[str, Any]:
+    """Return what a stand-in did so far."""
+    outgoing = http_data.Outgoing('GET', '/record', {})
+    incoming = await client.request(party.control, outgoing)
+    try:
+        document: dict[str, Any] = await incoming.read_json()
+    finally:
+        incoming.close()
+    return document
--- /dev/null
+++ b/beryllug/bench/slopes/process_stats.py
@@ -0,0 +1,32 @@
+"""Processor time and memory of another process, by the operating system."""
+
+import os
+import time
+from pathlib import Path
+
+PAGE = os.sysconf('SC_PAGE_SIZE')
+KIB = 1024
+CLOCK_BITS = 3
+WHOLE_PROCESS = 2
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of all threads of a process, in seconds.
+
+    ``/proc/PID/stat`` counts in ticks of 10 ms, too coarse for a process
+    that is nearly idle. The clock of a process is made of its id, as
+    ``clock_getcpuclockid`` does.
+    """
+    return time.clock_gettime(~pid << CLOCK_BITS | WHOLE_PROCESS)
+
+
+def resident(pid: int) -> int:
+    """Return the resident memory of a process, in bytes."""
+    fields = Path(f'/proc/{pid}/statm').read_text(encoding='ascii').split()
+    return int(fields[1]) * PAGE
+
+
+def shared(pid: int) -> int:
+    """Return how much of it is pages of files, as of libraries, in bytes."""
+    fields = Path(f'/proc/{pid}/statm').read_text(encoding='ascii').split()
+    return int(fields[2]) * PAGE
--- /dev/null
+++ b/beryllug/bench/slopes/rollout_slope.py
@@ -0,0 +1,102 @@
+"""One roll-out under way: what its evidence and its states cost.
+
+At each control an entry reports as fast as a busy one does: a quarter of a
+second after its last report was taken.
+"""
+
+import asyncio
+import statistics
+from collections.abc import Callable
+
+from beryllug.bench.slopes import (
+    controls,
+    fit,
+    ledger,
+    reports,
+    windows,
+)
+from beryllug.drivers import fleet_key, methods, rpc
+from beryllug.standins import fleet_settings
+
+SIZES = (4, 12, 36)
+SETTLE_S = 15.0
+WINDOW_S = 5.0
+REPEATS = 3
+REPORT_EVERY_S = 0.25
+REPORT_S = 3.0
+ACCOUNTS = 2
+PER = 'a process'
+SETTINGS = ('watchers = 2', 'shards = 1')
+
+
+ROWS: tuple[tuple[str, str, Callable[[windows.Rates], float]], ...] = (
+    (
+        'processor time of the control that judges',
+        'ms/s',
+        lambda rates: max(rates.cpu),
+    ),
+    (
+        'processor time of a control, the median',
+        'ms/s',
+        lambda rates: statistics.median(rates.cpu),
+    ),
+    (
+        'bytes that a control sends to others',
+        'B/s',
+        lambda rates: rates.carried,
+    ),
+    (
+        'bytes of all to and from the platform',
+        'B/s',
+        lambda rates: rates.platform * len(rates.cpu),
+    ),
+    (
+        'platform writes of all',
+        '1/s',
+        lambda rates: rates.calls.get('write', 0),
+    ),
+)
+
+
+async def run(shown: ledger.Ledger) -> None:
+    """Measure each size, one fleet for each at once."""
+    shown.section(f'a roll-out, {SIZES} controls with a busy entry each')
+    measured = await asyncio.gather(*map(_measure, SIZES))
+    for name, unit, figure in ROWS:
+        points = [
+            fit.Point(size, tuple(map(figure, rates)))
+            for size, rates in zip(SIZES, measured)
+        ]
+        shown.sweep(name, unit, PER, points)
+
+
+async def _measure(size: int) -> list[windows.Rates]:
+    plan = controls.Plan(reports.document(), size, settings=SETTINGS)
+    async with controls.running(plan) as fleet:
+        await asyncio.sleep(SETTLE_S)
+        keys = fleet_key.KeyRing((fleet_settings.FLEET_KEY,))
+        clients = [rpc.RpcClient(host.control, keys) for host in fleet.hosts]
+        tasks = [
+            asyncio.create_task(_report(client, f'entry-{number}/boot'))
+            for number, client in enumerate(clients)
+        ]
+        await asyncio.sleep(WINDOW_S)
+        rates = [await windows.watch(fleet, WINDOW_S) for _ in range(REPEATS)]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*(client.close() for client in clients))
+    return rates
+
+
+async def _report(client: rpc.RpcClient, entry: str) -> None:
+    """Report without end; a report that was not taken is sent again."""
+    sequence = 1
+    while True:
+        await asyncio.sleep(REPORT_EVERY_S)
+        told = reports.report(entry, sequence, ACCOUNTS)
+        try:
+            reply = await client.call(methods.EVIDENCE, told, REPORT_S)
+        except rpc.RpcError:
+            continue
+        sequence += reply.ok
