--- a/beryllug/entry/delivery_test.py
+++ b/beryllug/entry/delivery_test.py
@@ -1,6 +1,6 @@
 """Tests of the stream relay: the end waits, and no byte is lost."""
 
-import asyncio
+import time
 import unittest
 from collections.abc import AsyncIterator, Sequence
 from typing import Any, cast
@@ -109,7 +109,7 @@
     repeatable: bool, gone_after: int = NEVER
 ) -> tuple[delivery.StreamRelay, _Exchange]:
     exchange = _Exchange(gone_after)
-    call = _call(repeatable)
+    call = make_call('r', repeatable=repeatable)
     made = delivery.StreamRelay(call, cast('Any', exchange), keep=False)
     return made, exchange
 
@@ -118,9 +118,12 @@
     return _Incoming(pieces, broken)
 
 
-def _call(repeatable: bool) -> call_data.Call:
+def make_call(
+    body_hash: str, *, repeatable: bool = True, within_s: float = 60
+) -> call_data.Call:
+    """Return a small call, for tests of what is done with one."""
     facts = request_data.Facts(
-        request_id='r',
+        request_id=body_hash,
         account_id='a',
         request_class='draft',
         asked='m',
@@ -139,12 +142,12 @@
         target='/',
         body=b'',
         content_type='',
-        body_hash='',
+        body_hash=body_hash,
         idempotency_key='',
         session_id='',
         session_token='',
         stream=True,
-        deadline=asyncio.get_running_loop().time() + 60,
+        deadline=time.monotonic() + within_s,
         wall=0,
     )
 
--- a/beryllug/entry/trials_test.py
+++ b/beryllug/entry/trials_test.py
@@ -8,7 +8,6 @@
     balance_data,
     config_data,
     refusal,
-    request_data,
     rpc_data,
     suspects_data,
     view_data,
@@ -17,6 +16,7 @@
     call_data,
     control_link,
     crashes,
+    delivery_test,
     routing,
     trials,
 )
@@ -146,33 +146,8 @@
 
 
 def _call(body_hash: str, *, repeatable: bool = True) -> call_data.Call:
-    facts = request_data.Facts(
-        request_id=body_hash,
-        account_id='a',
-        request_class='draft',
-        asked='m',
-        session_key='s',
-        prefix_key='',
-        tokens_in=1,
-        tokens_out=1,
-        repeatable=repeatable,
-        arrived_at=0,
-        targets=config_data.Targets('draft', 1, 1),
-    )
-    return call_data.Call(
-        facts=facts,
-        account=config_data.Account('a', (), ()),
-        method='POST',
-        target='/',
-        body=b'',
-        content_type='',
-        body_hash=body_hash,
-        idempotency_key='',
-        session_id='',
-        session_token='',
-        stream=False,
-        deadline=time.monotonic() + 0.2,
-        wall=0,
+    return delivery_test.make_call(
+        body_hash, repeatable=repeatable, within_s=0.2
     )
 
 
