--- a/beryllug/control/config.py
+++ b/beryllug/control/config.py
@@ -16,7 +16,7 @@
     config_tidy,
     config_watch,
     neighbours,
-    part_fetch,
+    peers,
     view_feed,
     view_push,
 )
@@ -61,7 +61,7 @@
         process: settings_data.Process,
         cfg: settings_data.Control,
         api: object_api.ObjectApi,
-        calls: part_fetch.PeerCalls,
+        calls: peers.Caller,
         members: neighbours.Members | None = None,
     ) -> None:
         """Wire the parts; `start` begins to follow."""
--- a/beryllug/control/fleet_status.py
+++ b/beryllug/control/fleet_status.py
@@ -7,7 +7,7 @@
 import asyncio
 from typing import Any
 
-from beryllug.control import config, part_fetch
+from beryllug.control import config, peers
 from beryllug.core import rpc_data, settings_data
 from beryllug.drivers import methods, rpc
 
@@ -20,9 +20,7 @@
 class FleetStatus:
     """Tells the state of this process, and gathers that of all others."""
 
-    def __init__(
-        self, view: config.Config, calls: part_fetch.PeerCalls
-    ) -> None:
+    def __init__(self, view: config.Config, calls: peers.Caller) -> None:
         """Bind to the configuration service and the calls of peers."""
         self._view = view
         self._calls = calls
--- a/beryllug/control/operators.py
+++ b/beryllug/control/operators.py
@@ -9,7 +9,7 @@
     config_desk,
     console,
     fleet_status,
-    part_fetch,
+    peers,
 )
 from beryllug.control import operator_replies as replies
 from beryllug.core import config_data, diff, document_plain, edits, plain
@@ -56,7 +56,7 @@
 
 def for_control(
     view: config.Config,
-    calls: part_fetch.PeerCalls,
+    calls: peers.Caller,
     server: rpc.RpcServer,
     usage: Usage | None = None,
 ) -> ops.Routes:
--- a/beryllug/control/part_fetch.py
+++ b/beryllug/control/part_fetch.py
@@ -1,30 +1,17 @@
 """Puts a peer's newer configuration together from what is held and missing."""
 
 from collections.abc import Iterable
-from typing import Protocol
 
+from beryllug.control import peers
 from beryllug.core import config_state, document_parts, part_delta, rpc_data
-from beryllug.drivers import methods, rpc
+from beryllug.drivers import methods
 
 CALL_S = 2.0
 MAX_ROUNDS = 16
 
 
-class PeerCalls(Protocol):
-    """What the exchange needs of the service 'peers'."""
-
-    async def call(
-        self,
-        address: str,
-        method: rpc.Method[rpc.Ask, rpc.Reply],
-        ask: rpc.Ask,
-        timeout_s: float,
-    ) -> rpc.Reply:
-        """Call a method of one peer."""
-
-
 async def obtain(
-    calls: PeerCalls, offer: rpc_data.ConfigOffer, held: config_state.Held
+    calls: peers.Caller, offer: rpc_data.ConfigOffer, held: config_state.Held
 ) -> config_state.Held:
     """Return the configuration that a peer offers.
 
@@ -47,7 +34,7 @@
 
 
 async def _digests(
-    calls: PeerCalls,
+    calls: peers.Caller,
     offer: rpc_data.ConfigOffer,
     held: config_state.Held,
     known: dict[str, bytes],
@@ -66,7 +53,7 @@
 
 
 async def _complete(
-    calls: PeerCalls,
+    calls: peers.Caller,
     address: str,
     digests: Iterable[str],
     known: dict[str, bytes],
--- a/beryllug/control/view_push.py
+++ b/beryllug/control/view_push.py
@@ -14,7 +14,7 @@
 
 from absl import logging
 
-from beryllug.control import config_holder, part_fetch
+from beryllug.control import config_holder, part_fetch, peers
 from beryllug.core import (
     config_state,
     document_parts,
@@ -48,7 +48,7 @@
     def __init__(
         self,
         holder: config_holder.ConfigHolder,
-        calls: part_fetch.PeerCalls,
+        calls: peers.Caller,
         others: Others,
         address: str,
     ) -> None:
