Acknowledge evidence with the write that holds it, and show a read record

Cause: three faults in the judge of a roll-out. A report that arrived while a record was being written was acknowledged by that write, which did not hold it; a holder that died then lost it. A report that came again after its acknowledgement was lost changed nothing, so no write acknowledged it and its entry could report nothing more. A new holder of a record that does not change any more, as after a stop, never showed it to its own host's entries.

Ruled out: acknowledging at once (lost with the holder); a write a report.

Change: what arrives during a write waits for the next; a report that is already durable is acknowledged at once; a record that is read unchanged is shown.

--- a/beryllug/control/rollout_judge.py
+++ b/beryllug/control/rollout_judge.py
@@ -122,9 +122,12 @@
         declared = self._declared()
         if self._record is None or declared is None:
             return False
-        self._record = rollout.absorb(
-            self._record, declared, report, time.time()
-        )
+        before = self._record
+        self._record = rollout.absorb(before, declared, report, time.time())
+        if self._record is before and before == self._written:
+            # It was counted before and its acknowledgement was lost. Nothing
+            # changes, so no write would ever acknowledge it.
+            return True
         self._changed.set()
         durable = self._durable
         try:
@@ -193,6 +196,10 @@
         self._written = record
         accounts = record.accounts if record else 1
         self._record = rollout.resume(record, declared, accounts)
+        if self._record == record:
+            # Nothing may ever change again, as after a stop, and then no
+            # write would show it.
+            self._tell()
 
     async def _write(self) -> None:
         """Write the record on the condition of its version: the fence.
@@ -202,15 +209,16 @@
         """
         record = self._record
         assert record is not None
-        durable = self._durable
         key = PREFIX + self._model
+        # What arrives during the write is not in it, and waits for the next.
+        durable = self._durable
+        self._durable = asyncio.Event()
         try:
             version = await self._api.write(key, _encode(record), self._version)
         except object_data.UncertainError:
             version = await self._settle(record)
         self._version = version
         self._written = record
-        self._durable = asyncio.Event()
         durable.set()
         self._tell()
 
