--- a/beryllug/bench/slopes/fleet_slope.py
+++ b/beryllug/bench/slopes/fleet_slope.py
@@ -75,6 +75,7 @@
     for title, times in TIMES:
         _sweep(shown, title, 'ms', measured, times)
     _sweep(shown, 'resident memory of a control', 'MB', measured, _resident)
+    _sweep(shown, 'private memory of a control', 'MB', measured, _private)
 
 
 async def run_all_watch(shown: ledger.Ledger) -> None:
@@ -136,6 +137,10 @@
     return statistics.quantiles(one.resident)
 
 
+def _private(one: Measured) -> Sequence[float]:
+    return statistics.quantiles(one.private)
+
+
 TIMES: tuple[tuple[str, Get], ...] = (
     (
         'one change: accepted until in force at the last control',
