Learn what a cascade's stages are worth, and hold quality without ratings

Change: histograms of true ratings learnt by expectation maximisation, one price of quality a cascade that follows audits, further ratings in doubt, corrections by mismatched answers, nothing traded while there are no ratings.

--- a/beryllug/bench/__main__.py
+++ b/beryllug/bench/__main__.py
@@ -2,29 +2,33 @@
 
 A benchmark is a module of this package whose name ends in ``_bench`` and
 which has ``run(report)`` that returns its broken bounds. Names given on the
-command line choose some of them:
-``python -m beryllug.bench cascade retry``.
+command line choose some of them: ``python -m beryllug.bench cascade retry``.
+
+Benchmarks on a virtual clock run beside each other in a few processes. All
+others measure real time and run one by one after them.
 """
 
 import importlib
 import pkgutil
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from concurrent import futures
 
 from beryllug.bench import report
 
 PACKAGE = 'beryllug.bench'
 SUFFIX = '_bench'
+VIRTUAL = frozenset(
+    ('cascade_bench', 'latency_bench', 'overload_bench', 'rollout_bench')
+)
+PROCESSES = 3
 
 
 def main(chosen: Sequence[str]) -> int:
     """Run the chosen benchmarks, or all, and return the exit code."""
     broken: list[str] = []
-    for name in names(chosen):
-        module = importlib.import_module(f'{PACKAGE}.{name}')
-        figures = report.Report()
-        failed: list[str] = module.run(figures)
-        sys.stdout.write('\n'.join(figures.lines()))
+    for lines, failed in _tables(names(chosen)):
+        sys.stdout.write('\n'.join(lines))
         sys.stdout.write('\n')
         sys.stdout.flush()
         broken.extend(failed)
@@ -50,5 +54,22 @@
     return [name for name in found if name in wanted]
 
 
+def run_one(name: str) -> tuple[list[str], list[str]]:
+    """Run a benchmark; returns its table and its broken bounds."""
+    module = importlib.import_module(f'{PACKAGE}.{name}')
+    figures = report.Report()
+    failed: list[str] = module.run(figures)
+    return figures.lines(), failed
+
+
+def _tables(found: list[str]) -> Iterator[tuple[list[str], list[str]]]:
+    beside = [name for name in found if name in VIRTUAL]
+    with futures.ProcessPoolExecutor(PROCESSES) as executor:
+        yield from executor.map(run_one, beside)
+    for name in found:
+        if name not in VIRTUAL:
+            yield run_one(name)
+
+
 if __name__ == '__main__':
     sys.exit(main(sys.argv[1:]))
--- a/beryllug/bench/latency_bench.py
+++ b/beryllug/bench/latency_bench.py
@@ -33,6 +33,7 @@
 SLOW_PACE = 10.0
 SLOW_AT = 40.0
 PERCENTILES = (95, 99)
+LEAST_GOOD = 0.01
 
 LEAST_COST = entry_host.Policy()
 BASELINES = (
@@ -151,7 +152,7 @@
             mine = recorder.percentile_ms(ours, percent, classes)
             other = recorder.percentile_ms(theirs, percent, classes)
             figures.declared(f'{group} p{percent} over {name}', mine / other)
-        good = _good(ours, classes) / _good(theirs, classes)
+        good = _good(ours, classes) / max(_good(theirs, classes), LEAST_GOOD)
         figures.declared(f'{group} good over {name}', good)
 
 
--- /dev/null
+++ b/beryllug/bench/quality_run.py
@@ -0,0 +1,263 @@
+"""Replays requests to a cascade through eight hosts that learn apart."""
+
+import random
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from beryllug.bench import clock, deployments, quality, workload
+from beryllug.core import (
+    cascade,
+    cascade_data,
+    config_data,
+    rating_health,
+)
+
+PER_S = 10.0
+TOKENS_IN = 700
+MS = 1000
+THOUSAND = 1000
+
+
+class Plan(NamedTuple):
+    """What one run is made of.
+
+    Attributes:
+        policy: The policy under test.
+        seconds: Length of the run.
+        seed: Seed of the requests.
+        target: Quality target of the cascade.
+        fault: What is wrong with the rating service.
+        fault_at: Second from which it is.
+    """
+
+    policy: cascade_data.CascadePolicy
+    seconds: float
+    seed: int = 1
+    target: float = 0.9
+    fault: quality.Fault = quality.Fault.NONE
+    fault_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What the callers got.
+
+    Attributes:
+        answers: Answers given out.
+        good: Answers whose true rating meets the cascade's least.
+        cost: Cost of all stages and ratings, in millionths.
+        late: Answers after their target.
+        small: Answers of the small model.
+        checked: Requests whose small answer was rated first.
+    """
+
+    answers: int = 0
+    good: int = 0
+    cost: float = 0.0
+    late: int = 0
+    small: int = 0
+    checked: int = 0
+
+
+@dataclass(slots=True)
+class _Run:
+    """State of one run."""
+
+    plan: Plan
+    declared: quality.Declared
+    clock: clock.Clock
+    rater: quality.Rater
+    rng: random.Random
+    states: list[cascade_data.CascadeState]
+    outcomes: list[Outcome] = field(default_factory=list)
+
+
+def replay(plan: Plan, parts: int = 1) -> list[Outcome]:
+    """Run a plan; returns the outcome of each of so many equal parts."""
+    declared = quality.load()
+    run = _Run(
+        plan,
+        declared,
+        clock.Clock(),
+        quality.Rater(random.Random(plan.seed), plan.fault, plan.fault_at),
+        random.Random(plan.seed),
+        [cascade_data.CascadeState() for _ in range(deployments.ENTRIES)],
+        [Outcome() for _ in range(parts)],
+    )
+    for case in quality.cases(declared, PER_S, plan.seconds, plan.seed):
+        run.clock.run(case.at)
+        _serve(run, case, run.rng.choice(run.states))
+    return run.outcomes
+
+
+def _serve(
+    run: _Run, case: quality.Case, state: cascade_data.CascadeState
+) -> None:
+    policy = run.plan.policy
+    question = _question(run, case, 0)
+    begin = cascade.begin(policy, state, question, case.at)
+    if not begin.checked:
+        _give(
+            run,
+            case,
+            state,
+            cascade_data.Given(question, _answer(begin), False),
+        )
+        return
+    _outcome(run, case).checked += 1
+    spent_s = question.offers[begin.stage].whole_s
+    answer = cascade_data.Answer(begin.stage, None, 0)
+    decision: cascade_data.Decision = cascade_data.RateAgain(begin.stage)
+    while isinstance(decision, cascade_data.RateAgain):
+        answer, taken_s = _rate_again(run, case, state, answer)
+        spent_s += taken_s
+        question = _question(run, case, spent_s)
+        decision = cascade.after(policy, state, question, (answer,))
+    cascade.learn(state, question, answer, escalated=False)
+    if isinstance(decision, cascade_data.GiveOut):
+        given = cascade_data.Given(question, answer, escalated=False)
+        _give(run, case, state, given)
+        return
+    _outcome(run, case).cost += question.offers[begin.stage].cost
+    given = cascade_data.Given(question, _answer(decision), escalated=True)
+    _give(run, case, state, given)
+
+
+def _rate_again(
+    run: _Run,
+    case: quality.Case,
+    state: cascade_data.CascadeState,
+    answer: cascade_data.Answer,
+) -> tuple[cascade_data.Answer, float]:
+    rating, taken_s = _rate(run, case, state, answer.stage)
+    if rating is None:
+        ratings = max(answer.ratings, 1)
+        return answer._replace(ratings=ratings), taken_s
+    count = answer.ratings + 1
+    mean = ((answer.rating or 0) * answer.ratings + rating) / count
+    return cascade_data.Answer(answer.stage, mean, count), taken_s
+
+
+def _give(
+    run: _Run,
+    case: quality.Case,
+    state: cascade_data.CascadeState,
+    given: cascade_data.Given,
+) -> None:
+    stage = given.answer.stage
+    offer = given.question.offers[stage]
+    outcome = _outcome(run, case)
+    outcome.answers += 1
+    outcome.good += case.ratings[stage] >= run.declared['min_rating']
+    outcome.cost += offer.cost
+    outcome.small += stage == 0
+    rated = given.answer.rating is not None
+    waits_s = 0 if rated else offer.first_token_s
+    outcome.late += waits_s > given.question.first_token_left_s
+    cascade.given_out(state, given.question, given.answer, given.escalated)
+    drawn = cascade.sample(
+        run.plan.policy, state, given, case.at, run.rng.random()
+    )
+    if drawn is not cascade_data.Sample.NONE:
+        _rate_later(run, case, state, (given, drawn))
+
+
+def _rate(
+    run: _Run,
+    case: quality.Case,
+    state: cascade_data.CascadeState,
+    stage: int,
+) -> tuple[float | None, float]:
+    """Have an answer rated while its caller waits."""
+    longest_s = rating_health.longest_s(state.judge)
+    rating, delay_s = _ask(run, case, stage)
+    if rating is None or delay_s > longest_s:
+        rating_health.missed(state.judge, min(delay_s, longest_s), case.at)
+        return None, longest_s
+    rating_health.rated(state.judge, delay_s)
+    _probe(run, case, state, (stage, rating))
+    return rating, delay_s
+
+
+def _rate_later(
+    run: _Run,
+    case: quality.Case,
+    state: cascade_data.CascadeState,
+    sampled: tuple[cascade_data.Given, cascade_data.Sample],
+) -> None:
+    given, drawn = sampled
+    stage = given.answer.stage
+    rating, delay_s = _ask(run, case, stage)
+    if rating is None:
+        rating_health.missed(state.judge, 0, case.at)
+        return
+    run.clock.after(delay_s, cascade.take_sample, state, given, drawn, rating)
+    run.clock.after(delay_s, rating_health.rated, state.judge, delay_s)
+    _probe(run, case, state, (stage, rating))
+
+
+def _probe(
+    run: _Run,
+    case: quality.Case,
+    state: cascade_data.CascadeState,
+    rated: tuple[int, float],
+) -> None:
+    if not isinstance(run.plan.policy, cascade_data.Learnt):
+        return
+    stage, first = rated
+    match rating_health.probe(run.rng.random()):
+        case rating_health.Probe.REPEAT:
+            second, _ = _ask(run, case, stage)
+            if second is not None:
+                rating_health.repeated(state.judge, first, second)
+        case rating_health.Probe.MISMATCH:
+            wrong = quality.wrong_rating(run.rater)
+            mismatched, _ = _ask(run, case, stage, wrong)
+            model = run.declared['models'][stage].name
+            if mismatched is not None:
+                rating_health.mismatched(state.judge, model, mismatched)
+
+
+def _ask(
+    run: _Run, case: quality.Case, stage: int, wrong: float | None = None
+) -> tuple[float | None, float]:
+    """Ask the rating service, at its price."""
+    strong = _question(run, case, 0).offers[-1]
+    _outcome(run, case).cost += strong.cost * cascade.RATING_COST_PART
+    known = case.ratings[stage] if wrong is None else wrong
+    return quality.rate(run.rater, stage, known, case.at)
+
+
+def _question(
+    run: _Run, case: quality.Case, spent_s: float
+) -> cascade_data.Question:
+    declared = run.declared
+    offers = tuple(
+        cascade_data.Offer(
+            model.name,
+            cost=(TOKENS_IN + case.kind.tokens) * model.cost_micro / THOUSAND,
+            first_token_s=model.first_token_s,
+            whole_s=model.first_token_s + case.kind.tokens * model.token_s,
+        )
+        for model in declared['models']
+    )
+    names = tuple(model.name for model in declared['models'])
+    return cascade_data.Question(
+        workload.account_name(case.account),
+        case.kind.name,
+        config_data.Cascade(
+            'ladder', names, run.plan.target, declared['min_rating']
+        ),
+        offers,
+        case.kind.first_token_ms / MS - spent_s,
+        case.kind.total_ms / MS - spent_s,
+    )
+
+
+def _answer(begin: cascade_data.Begin) -> cascade_data.Answer:
+    return cascade_data.Answer(begin.stage, None)
+
+
+def _outcome(run: _Run, case: quality.Case) -> Outcome:
+    part = int(case.at / run.plan.seconds * len(run.outcomes))
+    return run.outcomes[part]
--- /dev/null
+++ b/beryllug/core/balance_test.py
@@ -0,0 +1,240 @@
+"""Tests of the choice of a backend server."""
+
+import random
+import unittest
+from collections import Counter
+
+from beryllug.core import (
+    balance,
+    balance_data,
+    config_data,
+    ejection,
+    server_load,
+    view_data,
+)
+
+LIVE = view_data.ServerState.LIVE
+LEAVING = view_data.ServerState.LEAVING
+ENGINE = config_data.PoolKind.ENGINE
+POOL = config_data.Pool('engines', ENGINE, 10)
+PICK = balance_data.Pick('engines')
+LEAST_COST = balance_data.LeastCost()
+VERSION = config_data.VersionRef('chat', 'v1')
+
+
+def _server(
+    number: int,
+    state: view_data.ServerState = LIVE,
+    zone: str = 'z1',
+) -> view_data.BackendServer:
+    name = f's{number}'
+    return view_data.BackendServer(name, f'{name}:1', zone, 'engines', state)
+
+
+def _fleet(*servers: view_data.BackendServer) -> balance_data.Fleet:
+    document = config_data.Document(pools=(POOL,))
+    view = view_data.View(1, document, servers=servers)
+    return balance.build_fleet(view, 'entry-1', 'z1')
+
+
+class ChooseTest(unittest.TestCase):
+    """Only live and sound servers, the one that answers soonest first."""
+
+    def setUp(self) -> None:
+        """Start with an empty state and four servers."""
+        self.state = balance_data.BalanceState()
+        self.rng = random.Random(1)
+        self.fleet = _fleet(*(_server(number) for number in range(4)))
+
+    def choose(
+        self,
+        pick: balance_data.Pick = PICK,
+        policy: balance_data.BalancePolicy = LEAST_COST,
+        now: float = 0,
+    ) -> str:
+        """Return the id of the chosen server, or an empty string."""
+        server = balance.choose(
+            self.state, self.fleet, pick, policy, now, self.rng
+        )
+        return server.server_id if server else ''
+
+    def test_leaving(self) -> None:
+        """A server that leaves gets no request from the next view on.
+
+        The host list marks it as leaving, the view arrives, and a request
+        that was still sent there would be cut off by the server's end.
+        """
+        self.fleet = _fleet(_server(0), _server(1, LEAVING), _server(2))
+        policies: tuple[balance_data.BalancePolicy, ...] = (
+            LEAST_COST,
+            balance_data.TwoChoices(),
+            balance_data.RoundRobin(),
+            balance_data.LeastConnections(),
+        )
+        for policy in policies:
+            with self.subTest(policy=policy):
+                chosen = {self.choose(policy=policy) for _ in range(100)}
+                self.assertEqual(chosen, {'s0', 's2'})
+
+    def test_none_left(self) -> None:
+        """Without a usable server there is no choice, and no exception."""
+        self.fleet = _fleet(_server(0, LEAVING))
+        self.assertEqual(self.choose(), '')
+        self.assertEqual(self.choose(PICK._replace(pool='nope')), '')
+
+    def test_excluded(self) -> None:
+        """A retry goes elsewhere."""
+        excluded = frozenset(('s0', 's1', 's2'))
+        self.assertEqual(self.choose(PICK._replace(excluded=excluded)), 's3')
+
+    def test_unseen_dispatches(self) -> None:
+        """One late report does not draw every request to one server.
+
+        Server 3 reported itself idle and the others half full. Until its next
+        report forty requests arrive; without our own counts all forty would
+        go to it and thirty of them would wait.
+        """
+        loads = [
+            view_data.ServerLoad(f's{number}', 0 if number == 3 else 5, 0, 1)
+            for number in range(4)
+        ]
+        server_load.report(self.state, loads, clock_offset=0)
+        chosen = Counter[str]()
+        for _ in range(12):
+            server_id = self.choose(now=1.1)
+            server_load.dispatched(self.state, server_id, 1.1)
+            chosen[server_id] += 1
+        self.assertEqual(chosen.most_common(1)[0][0], 's3')
+        self.assertLess(chosen['s3'], 8)
+
+    def test_prefix(self) -> None:
+        """A session stays where its prompt is cached until that is loaded."""
+        pick = PICK._replace(prefix_key='session')
+        owner = self.choose(pick)
+        self.assertEqual({self.choose(pick) for _ in range(20)}, {owner})
+        for _ in range(10):
+            server_load.dispatched(self.state, owner, 0)
+        self.assertNotEqual(self.choose(pick), owner)
+
+    def test_loaded_version(self) -> None:
+        """A server that has the version loaded goes before the others."""
+        loads = [view_data.ServerLoad('s2', 3, 0, 1, (VERSION,))]
+        server_load.report(self.state, loads, clock_offset=0)
+        pick = PICK._replace(version=VERSION)
+        self.assertEqual(self.choose(pick, now=1), 's2')
+
+    def test_subset(self) -> None:
+        """Entries use bounded subsets that spread evenly, own zone first."""
+        servers = [
+            _server(number, zone=f'z{number % 2}') for number in range(100)
+        ]
+        document = config_data.Document(pools=(POOL,))
+        view = view_data.View(1, document, servers=tuple(servers))
+        used = Counter[str]()
+        for entry in range(200):
+            fleet = balance.build_fleet(view, f'e{entry}', 'z1', subset=8)
+            members = fleet['engines'].members
+            self.assertEqual(len(members), 8)
+            self.assertFalse(any(member.remote for member in members))
+            used.update(member.server.server_id for member in members)
+        self.assertEqual(len(used), 50)
+        self.assertLess(max(used.values()), 2 * 200 * 8 / 50)
+
+
+class EjectionTest(unittest.TestCase):
+    """Failing and slow servers are left alone, and tested with care."""
+
+    def test_failing(self) -> None:
+        """A server that refuses every connection looks idle but gets nothing.
+
+        It fails each request at once, so its count of open requests is the
+        lowest of all and would draw the whole load. Three failures in a row
+        eject it; afterwards one request at a time tests it.
+        """
+        seen = balance_data.Track()
+        for _ in range(ejection.FAILURES_TO_EJECT):
+            ejection.failed(seen, 0)
+        self.assertTrue(ejection.is_out(seen, 0.5))
+        self.assertFalse(ejection.is_out(seen, 1.5))
+        seen.in_flight = 1
+        self.assertTrue(ejection.is_out(seen, 1.5))
+        seen.in_flight = 0
+        ejection.failed(seen, 1.5)
+        self.assertTrue(ejection.is_out(seen, 3))
+        ejection.succeeded(seen, 1)
+        self.assertFalse(ejection.is_out(seen, 4))
+
+    def test_pause(self) -> None:
+        """A pool that was lost as a whole is tested every few seconds."""
+        seen = balance_data.Track()
+        now = 0.0
+        for _ in range(10):
+            ejection.eject(seen, now, ejection.MOST_FAILING_S)
+            pause_s = seen.ejected_until - now
+            self.assertLessEqual(pause_s, ejection.MOST_FAILING_S)
+            now = seen.ejected_until
+
+    def test_slow(self) -> None:
+        """Of a pool the slow servers go, but never more than half of it."""
+        cases = (
+            ((1, 1, 1, 10), {3}),
+            ((1, 1.5, 2, 2.5), set[int]()),
+            ((1, 1, 10, 10), {2, 3}),
+            ((10, 10, 10, 10), set[int]()),
+            ((1, 10), {1}),
+        )
+        for ratios, expected in cases:
+            with self.subTest(ratios=ratios):
+                tracks = [
+                    balance_data.Track(slowness=ratio, samples=9)
+                    for ratio in ratios
+                ]
+                ejection.eject_slow(tracks, 0)
+                out = {
+                    place
+                    for place, seen in enumerate(tracks)
+                    if ejection.is_out(seen, 0.1)
+                }
+                self.assertEqual(out, expected)
+
+
+class LoadTest(unittest.TestCase):
+    """Believed loads: reports, our own counts, and neither too old."""
+
+    def test_pool_load(self) -> None:
+        """Counts of one entry speak for the others where none is reported."""
+        state = balance_data.BalanceState()
+        seen = server_load.track(state, 's0')
+        for _ in range(9):
+            server_load.dispatched(state, 's0', 0)
+        self.assertEqual(server_load.pool_load([seen], 1, 60), 9)
+        self.assertAlmostEqual(server_load.pool_load([seen], 8, 60), 72)
+        loads = [view_data.ServerLoad('s0', 20, 4, 60)]
+        server_load.report(state, loads, clock_offset=0)
+        self.assertEqual(server_load.pool_load([seen], 8, 60.5), 24)
+        server_load.finished(state, 's0', 60.5)
+        self.assertEqual(server_load.pool_load([seen], 8, 60.5), 23)
+
+    def test_old_reports(self) -> None:
+        """A report that is older than a known one is passed over."""
+        state = balance_data.BalanceState()
+        for running, at in ((5, 2), (9, 1)):
+            loads = [view_data.ServerLoad('s0', running, 0, at)]
+            server_load.report(state, loads, clock_offset=0)
+        seen = server_load.track(state, 's0')
+        self.assertEqual(server_load.load_of(seen, 2), 5)
+        self.assertEqual(server_load.load_of(seen, 60), 0)
+
+    def test_keep_only(self) -> None:
+        """A server that left is forgotten when its last request ended."""
+        state = balance_data.BalanceState()
+        server_load.dispatched(state, 's0', 0)
+        server_load.keep_only(state, [])
+        self.assertIn('s0', state.tracks)
+        server_load.finished(state, 's0', 1)
+        server_load.keep_only(state, [])
+        self.assertNotIn('s0', state.tracks)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/core/cascade_data.py
+++ b/beryllug/core/cascade_data.py
@@ -5,12 +5,15 @@
 the true one.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import NamedTuple
 
 from beryllug.core import config_data
 
+BINS = 20
+
 
 class Offer(NamedTuple):
     """What one stage would take.
@@ -55,11 +58,41 @@
 
     Attributes:
         stage: Index into the offers.
-        rating: Its rating, or None when none came in time.
+        rating: Its rating, or None when none came in time; the mean of them
+            when it was rated more than once.
+        ratings: How many ratings that is.
     """
 
     stage: int
     rating: float | None
+    ratings: int = 1
+
+
+class Given(NamedTuple):
+    """An answer that was given out, with what decided it.
+
+    Attributes:
+        question: The question as it stood.
+        answer: The answer.
+        escalated: Whether an earlier stage was passed over for it.
+    """
+
+    question: Question
+    answer: Answer
+    escalated: bool
+
+
+class Sample(StrEnum):
+    """Why an answer that was given out is rated afterwards.
+
+    LEARN is drawn where little is known and says nothing of the whole; AUDIT
+    is drawn from all answers alike, so that their share of good ones shows
+    how the choices turn out and not how they were meant.
+    """
+
+    NONE = 'none'
+    LEARN = 'learn'
+    AUDIT = 'audit'
 
 
 class Begin(NamedTuple):
@@ -75,6 +108,12 @@
     checked: bool
 
 
+class RateAgain(NamedTuple):
+    """Have the answer of a stage rated once more before deciding."""
+
+    stage: int
+
+
 class GiveOut(NamedTuple):
     """Give out the answer of a stage that already ran."""
 
@@ -88,11 +127,20 @@
     Attributes:
         caution: Standard errors by which an unchecked stage's chance of a
             good answer is lowered.
-        sample_part: Part of unchecked answers that are rated afterwards.
+        blind_caution: The same while there are no ratings.
+        most_ratings: Ratings that one answer may be given while its caller
+            waits. In doubt a second one costs less than a second answer.
+        audit_part: Part of the answers given out that are audited.
+        learn_first: Weight of the ratings of a place up to which more of its
+            unchecked answers are rated; without them the last stage would
+            stay what was declared.
     """
 
-    caution: float = 1.5
-    sample_part: float = 0.1
+    caution: float = 0.0
+    blind_caution: float = 1.5
+    most_ratings: int = 1
+    audit_part: float = 0.1
+    learn_first: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +160,7 @@
     """The first stage for everything: a baseline."""
 
 
+Decision = GiveOut | Begin | RateAgain
 CascadePolicy = Learnt | FixedThreshold | AlwaysStrong | AlwaysCheap
 
 
@@ -132,13 +181,37 @@
     account_id: str = ''
 
 
+class Known(NamedTuple):
+    """What was worked out from a cell and the wider one.
+
+    Attributes:
+        counts: Counts of both cells at that time.
+        mass: Part of the answers in each bin.
+        weight: How many ratings that rests on.
+    """
+
+    counts: tuple[int, int]
+    mass: Sequence[float]
+    weight: float
+
+
 @dataclass(slots=True)
 class Cell:
-    """Weighted count, mean and squared deviations of ratings."""
+    """Ratings of one place.
+
+    Attributes:
+        count: How many there were.
+        weight: How many there were, older ones counting less.
+        mass: What they say of each bin of the true rating.
+        known: What was last worked out from it and the wider cell.
+    """
 
+    count: int = 0
     weight: float = 0.0
-    mean: float = 0.0
-    squares: float = 0.0
+    mass: list[float] = field(
+        default_factory=lambda: [0.0 for _ in range(BINS)]
+    )
+    known: Known | None = None
 
 
 @dataclass(slots=True)
@@ -164,18 +237,26 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """How the answers of one account and cascade stand to the target.
+    """How the answers of one cascade stand to the target.
 
     Attributes:
-        price: Logarithm of the cost that a good answer is worth, in costs of
-            the last stage.
+        price: Logarithm of what a good answer is worth, in mean costs of the
+            last stage.
+        unit: That mean cost. One for all kinds of request, since the target
+            counts each answer once: short answers are checked more closely
+            than long ones, whose second try costs more.
         answers: Answers given out.
-        good: Sum of their chances of being good.
+        meant: Smoothed chance of these of being good.
+        audit: True ratings of those that were audited.
+        audit_meant: Sum of the chances of those, older ones counting less.
     """
 
-    price: float = 1.0
+    price: float = 1.2
+    unit: float = 0.0
     answers: int = 0
-    good: float = 0.0
+    meant: float = 0.0
+    audit: Cell = field(default_factory=Cell)
+    audit_meant: float = 0.0
 
 
 @dataclass(slots=True)
@@ -183,7 +264,7 @@
     """All that one process learnt; only its routing service changes it."""
 
     cells: dict[CellKey, Cell] = field(default_factory=dict)
-    ledgers: dict[tuple[str, str], Ledger] = field(default_factory=dict)
+    ledgers: dict[str, Ledger] = field(default_factory=dict)
     judge: Judge = field(default_factory=Judge)
 
 
--- /dev/null
+++ b/beryllug/core/limits_test.py
@@ -0,0 +1,160 @@
+"""Tests of admission, shares and estimates."""
+
+import unittest
+
+from beryllug.core import config_data, estimates, limits, shares
+
+LOOKUP = config_data.Targets('lookup', 1500, 4000)
+DRAFT = config_data.Targets('draft', 4000, 30000)
+REPORT = config_data.Targets('report', 20000, 180000)
+ROOM = limits.Room('engines', 80, 0, 8)
+
+
+def _ask(targets: config_data.Targets, account_id: str = 'a') -> limits.Ask:
+    return limits.Ask(account_id, targets, 0.2, 1)
+
+
+class AdmitTest(unittest.TestCase):
+    """A request is taken now or refused now."""
+
+    def test_room_by_priority(self) -> None:
+        """A desk lookup finds a slot although reports wait for one.
+
+        Reports run for minutes and would fill every slot. They are refused
+        from two thirds of the pool on, drafts a little below its end, and
+        lookups only where their own wait would be too long.
+        """
+        cases = (
+            (LOOKUP, 79, True),
+            (LOOKUP, 200, False),
+            (DRAFT, 70, True),
+            (DRAFT, 79, False),
+            (REPORT, 50, True),
+            (REPORT, 60, False),
+        )
+        for targets, load, taken in cases:
+            with self.subTest(targets=targets, load=load):
+                decision = limits.admit(
+                    limits.LimitState(),
+                    {},
+                    ROOM._replace(load=load),
+                    _ask(targets),
+                    0,
+                )
+                self.assertEqual(isinstance(decision, limits.Ticket), taken)
+                if isinstance(decision, limits.Refused):
+                    self.assertGreater(decision.retry_after_s, 0)
+
+    def test_late(self) -> None:
+        """What can not meet its target is refused before it has waited."""
+        cases = (
+            (_ask(LOOKUP)._replace(elapsed_s=1.4), limits.Why.LATE),
+            (_ask(LOOKUP)._replace(first_token_s=2), limits.Why.LATE),
+            (_ask(LOOKUP)._replace(service_s=5), limits.Why.LATE),
+        )
+        for ask, why in cases:
+            with self.subTest(ask=ask):
+                decision = limits.admit(limits.LimitState(), {}, ROOM, ask, 0)
+                assert isinstance(decision, limits.Refused)
+                self.assertIs(decision.why, why)
+
+    def test_down(self) -> None:
+        """A pool without a sound server refuses at once."""
+        room = ROOM._replace(slots=0)
+        decision = limits.admit(limits.LimitState(), {}, room, _ask(LOOKUP), 0)
+        assert isinstance(decision, limits.Refused)
+        self.assertIs(decision.why, limits.Why.DOWN)
+
+    def test_release(self) -> None:
+        """Tickets given back leave nothing behind."""
+        state = limits.LimitState()
+        tickets = [
+            limits.admit(state, {}, ROOM, _ask(REPORT), 0) for _ in range(5)
+        ]
+        for ticket in tickets:
+            assert isinstance(ticket, limits.Ticket)
+            limits.release(state, ticket, 1)
+        use = state.pools['engines']
+        self.assertEqual((use.total, use.bulk), (0, 0))
+        self.assertEqual(use.accounts['a'].in_flight, 0)
+
+    def test_flood(self) -> None:
+        """An account that floods a full pool does not push out the others.
+
+        One account asks twenty times as often as another of equal weight. On
+        a full pool the flood is thinned to its share and the small account
+        loses nothing.
+        """
+        state = limits.LimitState()
+        room = ROOM._replace(load=78)
+        taken = {'flood': 0, 'small': 0}
+        asked = {'flood': 0, 'small': 0}
+        for step in range(2000):
+            account = 'small' if step % 20 == 0 else 'flood'
+            asked[account] += 1
+            ask = limits.Ask(account, LOOKUP, 0.2, 0.2)
+            decision = limits.admit(state, {}, room, ask, step / 100)
+            if isinstance(decision, limits.Ticket):
+                limits.release(state, decision, step / 100)
+                taken[account] += 1
+        self.assertGreater(taken['small'], 0.98 * asked['small'])
+        self.assertLess(taken['flood'], 0.4 * asked['flood'])
+
+
+class SharesTest(unittest.TestCase):
+    """Max-min fair shares of what is asked."""
+
+    def test_fair_level(self) -> None:
+        """What one account leaves unused raises the level of the others."""
+        cases: tuple[
+            tuple[dict[str, float], dict[str, int], float, float], ...
+        ] = (
+            ({'a': 1, 'b': 1}, {}, 10, float('inf')),
+            ({'a': 8, 'b': 8}, {}, 10, 5),
+            ({'a': 2, 'b': 20}, {}, 10, 8),
+            ({'a': 20, 'b': 20}, {'a': 3}, 10, 2.5),
+        )
+        for asked, weights, slots, level in cases:
+            with self.subTest(asked=asked, weights=weights):
+                use = shares.PoolUse()
+                for name, much in asked.items():
+                    use.accounts[name] = shares.Use(asked=much)
+                found = shares.fair_level(use, weights, slots, 0)
+                self.assertAlmostEqual(found, level)
+
+    def test_one_long_request(self) -> None:
+        """However long it runs, a request asks for one slot."""
+        use = shares.PoolUse()
+        shares.asks(use, 'a', 600, 0)
+        self.assertEqual(shares.asked(use.accounts['a'], 0), 1)
+
+    def test_idle_accounts(self) -> None:
+        """Accounts that ask nothing are forgotten."""
+        use = shares.PoolUse()
+        shares.asks(use, 'old', 1, 0)
+        shares.asks(use, 'new', 1, 100)
+        shares.excess(use, {}, 'new', 1, 100)
+        self.assertEqual(set(use.accounts), {'new'})
+
+
+class EstimatesTest(unittest.TestCase):
+    """Learnt times follow the answers and not the queue."""
+
+    def test_first_token(self) -> None:
+        """Waits for a slot do not count as the time of a first token.
+
+        Did they count, a loaded pool would look too slow for any target, its
+        requests would be refused, and it would stay refused when idle again.
+        """
+        state = estimates.EstimateState()
+        key = estimates.Key('chat:v1', 'lookup')
+        for _ in range(100):
+            estimates.observe(state, key, 0.2, 1, load_share=0.5)
+            estimates.observe(state, key, 5, 1, load_share=1.2)
+        found = estimates.get(state, key)
+        self.assertAlmostEqual(found.first_token_s, 0.2, places=3)
+        self.assertAlmostEqual(found.service_s, 1, places=3)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/core/rating_health.py
+++ b/beryllug/core/rating_health.py
@@ -7,15 +7,43 @@
 tell good from bad, and the service counts as gone.
 """
 
+from enum import StrEnum
+
 from beryllug.core import cascade_data
 
 SMOOTHING = 0.1
+PROBE_SMOOTHING = 0.2
 FAILURES_GONE = 3
-GONE_S = 5.0
+BASE_GONE_S = 4.0
+MOST_GONE_S = 64.0
 DEVIATIONS = 3.0
-FIRST_NOISE = 0.01
-HARMLESS_EXCESS = 0.15
+FIRST_NOISE = 0.006
+HARMLESS_EXCESS = 0.1
+CHANCE_EXCESS = 0.16
 MOST_EXCESS = 0.4
+DOUBT = 1.25
+PROBE_PART = 0.08
+LONGEST_WAIT_S = 5.0
+
+
+class Probe(StrEnum):
+    """A rating that is asked for to learn about the rating service."""
+
+    REPEAT = 'repeat'
+    MISMATCH = 'mismatch'
+
+
+def probe(draw: float) -> Probe | None:
+    """Return the probe that goes with a rated answer, mostly none.
+
+    Args:
+        draw: A random number from 0 to 1.
+    """
+    if draw < PROBE_PART:
+        return Probe.REPEAT
+    if draw < 2 * PROBE_PART:
+        return Probe.MISMATCH
+    return None
 
 
 def rated(judge: cascade_data.Judge, delay_s: float) -> None:
@@ -31,12 +59,19 @@
     judge.failures += 1
     if waited_s > judge.delay_s:
         judge.delay_s += SMOOTHING * (waited_s - judge.delay_s)
-    if judge.failures >= FAILURES_GONE:
-        judge.asked_again_at = now + GONE_S
+    over = judge.failures - FAILURES_GONE
+    if over >= 0:
+        pause_s = min(BASE_GONE_S * 2**over, MOST_GONE_S)
+        judge.asked_again_at = now + pause_s
 
 
 def repeated(judge: cascade_data.Judge, first: float, second: float) -> None:
-    """Take two ratings of one answer."""
+    """Take two ratings of one answer.
+
+    Two that both stand at an end of the scale agree whatever the noise is.
+    """
+    if min(first, second) <= 0 or max(first, second) >= 1:
+        return
     squared = (first - second) ** 2 / 2
     if judge.noise:
         judge.noise += SMOOTHING * (squared - judge.noise)
@@ -46,8 +81,8 @@
 
 def mismatched(judge: cascade_data.Judge, model: str, rating: float) -> None:
     """Take the rating of a model's answer put to another request."""
-    known = judge.excess.get(model, 0)
-    judge.excess[model] = known + SMOOTHING * (rating - known)
+    known = judge.excess.get(model, HARMLESS_EXCESS)
+    judge.excess[model] = known + PROBE_SMOOTHING * (rating - known)
 
 
 def noise(judge: cascade_data.Judge) -> float:
@@ -56,9 +91,15 @@
 
 
 def corrected(judge: cascade_data.Judge, model: str, rating: float) -> float:
-    """Return a rating less what its model's answers are overrated by."""
-    excess = judge.excess.get(model, 0) - HARMLESS_EXCESS
-    return rating - max(excess, 0)
+    """Return a rating less what its model's answers are overrated by.
+
+    Somewhat more is taken off, since the top of the scale is cut: an answer
+    at the end of it may be overrated by less than a wrong one.
+    """
+    excess = judge.excess.get(model, 0)
+    if excess < CHANCE_EXCESS:
+        return rating
+    return rating - DOUBT * (excess - HARMLESS_EXCESS)
 
 
 def longest_s(judge: cascade_data.Judge) -> float:
@@ -66,8 +107,21 @@
     return judge.delay_s + DEVIATIONS * judge.deviation_s
 
 
-def is_usable(judge: cascade_data.Judge, model: str, now: float) -> bool:
+def is_reachable(judge: cascade_data.Judge, now: float) -> bool:
+    """Tell whether the service is asked; while it is gone, now and then."""
+    return judge.failures < FAILURES_GONE or now >= judge.asked_again_at
+
+
+def is_trusted(judge: cascade_data.Judge) -> bool:
+    """Tell whether ratings still tell good answers from wrong ones.
+
+    A service that lost this for one model's answers has lost it: what the
+    models are rated is compared.
+    """
+    return all(excess < MOST_EXCESS for excess in judge.excess.values())
+
+
+def is_usable(judge: cascade_data.Judge, now: float) -> bool:
     """Tell whether a rating can be waited for and believed."""
-    if judge.failures >= FAILURES_GONE and now < judge.asked_again_at:
-        return False
-    return judge.excess.get(model, 0) < MOST_EXCESS
+    in_time = longest_s(judge) <= LONGEST_WAIT_S
+    return in_time and is_reachable(judge, now) and is_trusted(judge)
