--- a/beryllug/control/copies.py
+++ b/beryllug/control/copies.py
@@ -108,21 +108,16 @@
             before: The lease as it was taken.
             ask: The shard and its new owner's token.
         """
-        own = outage.Answer(self._leases.own(), await self.answer(ask))
-        if before is None or not outage.must_gather(before, own):
+        own = self._leases.own()
+        reply = await self.answer(ask)
+        if before is None or not outage.must_gather(before, own, reply):
             return Gathered((), complete=True)
-        others = [
-            candidate
-            for candidate in before.candidates
-            if candidate.name != own.candidate.name
-        ]
-        replies = await asyncio.gather(
-            *(self._ask_for_copies(candidate, ask) for candidate in others),
-            self._ask_holder(before, ask),
-        )
-        answers = (own, *replies[:-1])
-        rows = _rows((*answers, replies[-1]))
-        complete = outage.is_complete(before, answers)
+        names = [candidate.name for candidate in before.candidates]
+        # The earlier owner may live, and hold rows itself.
+        replies = await self._ask_all({*names, before.holder}, ask)
+        replies[own.name] = reply
+        rows = _rows(replies.values())
+        complete = outage.is_complete(before, replies)
         logging.warning(
             'event=copies_gathered shard=%d rows=%d complete=%s',
             ask.shard,
@@ -154,28 +149,25 @@
             kept,
         )
 
-    async def _ask_for_copies(
-        self, candidate: lease_data.Candidate, ask: outage_data.GatherAsk
-    ) -> outage.Answer:
-        reply = await self._calls.call(
-            candidate.name, methods.GATHER, ask, GATHER_S
+    async def _ask_all(
+        self, names: set[str], ask: outage_data.GatherAsk
+    ) -> dict[str, outage_data.GatherReply]:
+        others = sorted(names - {self._leases.own().name})
+        replies = await asyncio.gather(
+            *(self._ask_for_copies(name, ask) for name in others)
         )
-        return outage.Answer(candidate, reply)
-
-    async def _ask_holder(
-        self, before: lease_data.Lease, ask: outage_data.GatherAsk
-    ) -> outage.Answer:
-        """Ask the earlier owner itself: it may live, and hold rows."""
-        candidate = lease_data.Candidate(before.holder, 0)
-        return await self._ask_for_copies(candidate, ask)
-
-
-def _rows(answers: Iterable[outage.Answer]) -> tuple[journal_data.Row, ...]:
-    """Return the rows of all answers, each once."""
-    found = {
-        row.request_id: row
-        for answer in answers
-        if answer.reply is not None
-        for row in answer.reply.rows
-    }
+        pairs = zip(others, replies, strict=True)
+        return {name: reply for name, reply in pairs if reply is not None}
+
+    async def _ask_for_copies(
+        self, name: str, ask: outage_data.GatherAsk
+    ) -> outage_data.GatherReply | None:
+        return await self._calls.call(name, methods.GATHER, ask, GATHER_S)
+
+
+def _rows(
+    replies: Iterable[outage_data.GatherReply],
+) -> tuple[journal_data.Row, ...]:
+    """Return the rows of all replies, each once."""
+    found = {row.request_id: row for reply in replies for row in reply.rows}
     return tuple(found.values())
--- a/beryllug/control/lease_outage.py
+++ b/beryllug/control/lease_outage.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 
 from beryllug.control import lease_balance, lease_task
-from beryllug.core import lease, lease_data
+from beryllug.core import lease, lease_data, outage_data
 
 LATE_RENEWALS = 1.5
 
@@ -96,14 +96,23 @@
             watching.watch_anew()
         return not any(task.state.taking for task in self._tasks.values())
 
-    def held_names(self) -> list[str]:
-        """Return the names of leases that this process holds or held last.
+    def held(self) -> tuple[outage_data.HeldLease, ...]:
+        """Return the leases that this process holds, as far as it knows.
 
-        A lease that lapsed in an outage counts while nobody took it.
+        One that lapsed in an outage counts until it is seen with another.
         """
-        return [
-            name for name, task in self._tasks.items() if task.state.fencing
-        ]
+        return tuple(
+            outage_data.HeldLease(name, task.state.fencing)
+            for name, task in self._tasks.items()
+            if task.state.fencing
+        )
+
+    def known_fencing(self, name: str) -> int:
+        """Return the highest fencing token of a lease that was seen here."""
+        task = self._tasks.get(name)
+        if task is None or task.state.lease is None:
+            return 0
+        return task.state.lease.fencing
 
     def own(self) -> lease_data.Candidate:
         """Return this process as others list it."""
--- a/beryllug/control/nodes_test.py
+++ b/beryllug/control/nodes_test.py
@@ -9,7 +9,7 @@
 import unittest
 from collections import Counter
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from beryllug.control import (
     fake_platform_test,
@@ -35,12 +35,15 @@
 ACCOUNT = 'kesarvan'
 
 
+Got = TypeVar('Got')
+
+
 class Network:
     """Calls between nodes by address.
 
     Attributes:
         handlers: Handlers by address and method name.
-        silent: Addresses that can't be reached.
+        silent: Addresses that neither ask nor answer.
         losing: Addresses whose replies are lost.
         held: Names of methods whose calls wait.
         calls: Calls made by method.
@@ -75,6 +78,27 @@
         return reply
 
 
+class Link:
+    """One node's access to the network; implements `peers.Caller`."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        """Bind to the node's own address."""
+        self._network = network
+        self._address = address
+
+    async def call(
+        self,
+        address: str,
+        method: rpc.Method[rpc.Ask, rpc.Reply],
+        ask: rpc.Ask,
+        timeout_s: float,
+    ) -> rpc.Reply:
+        """Call another node, unless this one is cut off or dead."""
+        if self._address in self._network.silent:
+            raise rpc.RpcError('UNAVAILABLE', 'failed to connect')
+        return await self._network.call(address, method, ask, timeout_s)
+
+
 class Members:
     """The started nodes, all believed live."""
 
@@ -128,20 +152,21 @@
     ) -> None:
         """Make a node; `start` runs it."""
         address = f'127.0.0.1:{name}'
+        boot = f'boot-{name}-{members.started(name)}'
         self.name = name
         self.client = fake_platform_test.Client(store)
         self.leases = leases.Leases(
             self.client,
-            lease_data.Owner(name, f'boot-{name}', address),
+            lease_data.Owner(name, boot, address),
             sizes.lease_s,
             members,
-            network,
+            Link(network, address),
         )
         cfg = settings_data.Control(
             address, (), '', '', shards=sizes.shards, commits_per_s=1000
         )
-        parts = journal.Parts(self.client, self.leases, network)
-        self.journal = journal.Journal(parts, cfg, f'boot-{name}')
+        parts = journal.Parts(self.client, self.leases, Link(network, address))
+        self.journal = journal.Journal(parts, cfg, boot)
         self._served = network, address
         self.journal.serve(self)
         self.leases.serve(self)
@@ -244,6 +269,15 @@
         await until(node.owns)
         return node
 
+    async def restart_node(self, name: str) -> Node:
+        """Start a killed node anew, under its name."""
+        self.members.starts[name] = self.members.started(name) + 1
+        self.network.silent.discard(f'127.0.0.1:{name}')
+        node = Node(self.store, self.network, self.members, name, self.sizes)
+        self.nodes.append(node)
+        await node.start()
+        return node
+
     async def finish_at_last(self, node: Node, row: journal_data.Row) -> None:
         """Send an outcome until it is acknowledged, as an entry does."""
         async with asyncio.timeout(WAIT_S):
--- a/beryllug/control/outage_test.py
+++ b/beryllug/control/outage_test.py
@@ -9,7 +9,8 @@
 import unittest
 
 from beryllug.control import lease_task, nodes_test, shards
-from beryllug.core import journal_data, lease_data, outage
+from beryllug.core import journal_data, lease_data, outage, outage_data
+from beryllug.drivers import methods
 
 Kind = journal_data.GrantKind
 
@@ -257,5 +258,127 @@
         return self.second if self.second.owns() else self.third
 
 
+class OldAuthorityTest(OutageCase):
+    """A process that lost its lease unseen must not go on in an outage."""
+
+    async def test_taker_lives(self) -> None:
+        """The owner was cut off, its lease was taken, then all are cut off.
+
+        The owner has not seen that it lost the lease. The process that took
+        it does not promise to leave it alone.
+        """
+        taker = await self._take_over_unseen()
+        await asyncio.sleep(3 * self.sizes.lease_s)
+        grant = await self.owner.begin(nodes_test.intent('two', 'one'))
+        self.assertEqual(grant.kind, Kind.UNAVAILABLE)
+        self.assertEqual(await self.ask(taker, 'one'), Kind.RUNNING)
+
+    async def test_taker_started_anew(self) -> None:
+        """The process that took the lease is killed and started anew.
+
+        It does not know that it took the lease, and promises in good faith.
+        The owner's lease lists its earlier start, so it does not count.
+        """
+        taker = await self._take_over_unseen()
+        await taker.kill(self.network)
+        await self.restart_node(taker.name)
+        await asyncio.sleep(3 * self.sizes.lease_s)
+        grant = await self.owner.begin(nodes_test.intent('two', 'one'))
+        self.assertEqual(grant.kind, Kind.UNAVAILABLE)
+
+    async def _take_over_unseen(self) -> nodes_test.Node:
+        """Let another take the lease and grant a key, then cut all off."""
+        self.owner.client.cut = True
+        self.third.client.cut = True
+        await nodes_test.until(self.second.owns)
+        await self.second.begin(nodes_test.intent('one'))
+        grant = await self.second.begin(nodes_test.intent('one', 'one'))
+        self.assertEqual(grant.kind, Kind.GRANTED)
+        self.store.down = True
+        self.owner.client.cut = False
+        self.third.client.cut = False
+        return self.second
+
+
+class StrayCopyTest(OutageCase):
+    """Copies of tries that were denied, and turn up late."""
+
+    async def test_key_has_ended(self) -> None:
+        """The copy's key was ended by another try long ago.
+
+        Taken in as an open try it would end as NOT_RUN and free the key; a
+        resend would run a second time.
+        """
+        row = await self.grant('one')
+        await self.finish_at_last(self.owner, nodes_test.outcome(row))
+        successor = await self._gather_stray(row)
+        self.assertEqual(await self.ask(successor, 'one'), Kind.FINISHED)
+
+    async def test_key_is_open(self) -> None:
+        """Another try of the copy's key is open, and its entry lives."""
+        row = await self.grant('one')
+        successor = await self._gather_stray(row)
+        self.assertEqual(await self.ask(successor, 'one'), Kind.RUNNING)
+        await self.finish_at_last(successor, nodes_test.outcome(row))
+        self.assertEqual(await self.ask(successor, 'one'), Kind.FINISHED)
+
+    async def _gather_stray(self, row: journal_data.Row) -> nodes_test.Node:
+        """Let a successor gather a stray copy, whose entry then ends it."""
+        stray = row._replace(request_id='stray')
+        ask = outage_data.CopyAsk(0, 1, (stray,))
+        for name in '23':
+            await self.network.call(f'127.0.0.1:{name}', methods.COPY, ask, 1)
+        await self.outage()
+        await self.owner.kill(self.network)
+        self.store.down = False
+        both = (self.second, self.third)
+        await nodes_test.until(lambda: any(node.owns() for node in both))
+        successor = self.second if self.second.owns() else self.third
+        ended = nodes_test.outcome(stray, journal_data.OutcomeState.NOT_RUN)
+        await self.finish_at_last(successor, ended)
+        return successor
+
+
+class StopTest(OutageCase):
+    """Planned stops while something stands in memory only."""
+
+    async def test_owner_stops(self) -> None:
+        """The owner is stopped, can't flush, and its copy's keeper is lost.
+
+        Its successor asks it while it still waits for the platform.
+        """
+        await self.outage()
+        await self.grant('one')
+        keeper, last = self.second, self.third
+        if self.copies(self.third):
+            keeper, last = self.third, self.second
+        await keeper.kill(self.network)
+        self.owner.client.cut = True
+        self.store.down = False
+        stopping = asyncio.create_task(self.owner.stop())
+        await nodes_test.until(last.owns)
+        self.assertEqual(await self.ask(last, 'one'), Kind.UNKNOWN)
+        await stopping
+
+    async def test_quarantined_owner_stops(self) -> None:
+        """A process that refuses unknown keys is stopped, and hands over.
+
+        The next one does not know the lost keys either and refuses too.
+        """
+        await self.outage()
+        await self.grant('one')
+        keeper, last = self.second, self.third
+        if self.copies(self.third):
+            keeper, last = self.third, self.second
+        await self.owner.kill(self.network)
+        await keeper.kill(self.network)
+        self.store.down = False
+        await nodes_test.until(last.owns)
+        fresh = await self.restart_node(keeper.name)
+        await last.stop()
+        await nodes_test.until(fresh.owns)
+        self.assertEqual(await self.ask(fresh, 'one'), Kind.UNAVAILABLE)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/beryllug/control/promises.py
+++ b/beryllug/control/promises.py
@@ -63,8 +63,8 @@
         """Return for how long each promise still holds, in seconds."""
         now = time.monotonic()
         return {
-            name: round(until - now, 3)
-            for name, until in self._got.until.items()
+            f'{lease_name} by {candidate.name}': round(until - now, 3)
+            for (lease_name, candidate), until in self._got.until.items()
         }
 
     def given_to(self, boot: str) -> bool:
@@ -75,7 +75,7 @@
         """Return for how long surely nobody takes a lease held here."""
         candidates = self._leases.candidates(lease_name)
         end = min(
-            outage.covered_until(self._got, candidates),
+            outage.covered_until(self._got, lease_name, candidates),
             self._leases.limit(lease_name),
         )
         return max(0.0, end - time.monotonic())
@@ -96,12 +96,18 @@
         self, ask: outage_data.PromiseAsk
     ) -> outage_data.PromiseReply:
         """Promise to take no lease, if the platform is down here too."""
-        if await self._reaches_platform():
-            return outage_data.PromiseReply(given=False)
-        free = self._leases.hold_off(time.monotonic() + ask.promise_s)
-        if free:
-            self._given.add(ask.boot)
-        return outage_data.PromiseReply(given=free)
+        started = self._leases.own().started
+        reached = await self._reaches_platform()
+        until = time.monotonic() + ask.promise_s
+        if reached or not self._leases.hold_off(until):
+            return outage_data.PromiseReply(started)
+        self._given.add(ask.boot)
+        names = (
+            held.name
+            for held in ask.leases
+            if self._leases.known_fencing(held.name) <= held.fencing
+        )
+        return outage_data.PromiseReply(started, tuple(names))
 
     async def _keep_asking(self) -> None:
         while True:
@@ -119,18 +125,21 @@
     async def _ask_promises(self) -> None:
         names = {
             candidate.name
-            for lease_name in self._leases.held_names()
-            for candidate in self._leases.candidates(lease_name)
+            for held in self._leases.held()
+            for candidate in self._leases.candidates(held.name)
         }
-        await asyncio.gather(*map(self._ask_promise, names))
+        outage.forget_ended(self._got, time.monotonic())
+        await asyncio.gather(*map(self._ask_promise, sorted(names)))
 
     async def _ask_promise(self, name: str) -> None:
         terms = self._leases.terms
-        ask = outage_data.PromiseAsk(self._boot, terms.promise_s)
+        ask = outage_data.PromiseAsk(
+            self._boot, terms.promise_s, self._leases.held()
+        )
         sent_at = time.monotonic()
         reply = await self._calls.call(name, methods.PROMISE, ask, CALL_S)
-        if reply is not None and reply.given:
-            outage.promised(self._got, name, sent_at, terms)
+        if reply is not None:
+            outage.promised(self._got, name, reply, sent_at, terms)
 
     async def _reaches_platform(self) -> bool:
         try:
--- a/beryllug/control/shard_cover.py
+++ b/beryllug/control/shard_cover.py
@@ -13,14 +13,17 @@
     copy_queue,
     lease_outage,
     promises,
+    readback,
 )
 from beryllug.core import (
+    journal,
     journal_data,
     journal_log,
     outage,
     outage_data,
     shard_state,
 )
+from beryllug.drivers import object_data
 
 
 class OutageParts(NamedTuple):
@@ -87,25 +90,43 @@
         self._parts.leases.mark(self._tenure.lease_name, unflushed=True)
         return await self._queue.put(row)
 
-    async def prepare(self, state: shard_state.ShardState) -> None:
+    async def prepare(
+        self, state: shard_state.ShardState, reader: readback.RowReader
+    ) -> None:
         """Gather copies before the shard is served."""
-        if not await self._gather(state):
+        if not await self._gather(state, reader):
             now = time.monotonic()
             self._refuse_until = now + outage.QUARANTINE_S
 
-    async def tend(self, state: shard_state.ShardState) -> None:
+    async def tend(
+        self, state: shard_state.ShardState, reader: readback.RowReader
+    ) -> None:
         """Gather what is missing, or say that all is durable."""
         now = time.monotonic()
-        if self.refuses_new(now) and await self._gather(state):
+        if self.refuses_new(now) and await self._gather(state, reader):
             self._refuse_until = now
         unsettled = state.unflushed or self.refuses_new(now)
         if not unsettled and not self._settled:
             await self.settle()
 
+    async def end(self, state: shard_state.ShardState) -> bool:
+        """End the ownership; tell whether the lease may be given back.
+
+        Where it may not, the next owner must gather; the copies it will ask
+        for may have been lost with their keepers, so they are sent anew.
+        """
+        if state.unflushed:
+            await self._send(_unflushed(state))
+            return False
+        if self.refuses_new(time.monotonic()):
+            return False
+        await self.settle()
+        return True
+
     async def settle(self) -> None:
         """Tell candidates to drop copies, then let the lease say so."""
         ask = outage_data.FlushedAsk(self._tenure.shard, self._tenure.fencing)
-        for name in list(self._told):
+        for name in sorted(self._told):
             if await self._parts.copies.tell_flushed(name, ask):
                 self._told.discard(name)
         await self._parts.copies.drop(ask)
@@ -115,15 +136,13 @@
 
     def keep_own(self, state: shard_state.ShardState) -> None:
         """Keep what is not durable when the shard is lost."""
-        rows = tuple(
-            state.tries[request_id].row
-            for request_id in state.unflushed
-            if request_id in state.tries
-        )
+        rows = _unflushed(state)
         if rows:
             self._parts.copies.keep_own(self._ask(rows))
 
-    async def _gather(self, state: shard_state.ShardState) -> bool:
+    async def _gather(
+        self, state: shard_state.ShardState, reader: readback.RowReader
+    ) -> bool:
         before = self._parts.leases.before(self._tenure.lease_name)
         ask = outage_data.GatherAsk(
             self._tenure.shard,
@@ -131,7 +150,9 @@
             before.boot if before else '',
         )
         gathered = await self._parts.copies.gather(before, ask)
-        journal_log.gathered(state, gathered.rows, time.monotonic())
+        for row in gathered.rows:
+            if not await _is_ended(state, reader, row):
+                journal_log.gathered(state, row, time.monotonic())
         if before is not None and gathered.rows:
             names = (candidate.name for candidate in before.candidates)
             self._told.update(names)
@@ -149,3 +170,40 @@
         return outage_data.CopyAsk(
             self._tenure.shard, self._tenure.fencing, rows
         )
+
+
+def _unflushed(
+    state: shard_state.ShardState,
+) -> tuple[journal_data.Row, ...]:
+    return tuple(
+        state.tries[request_id].row
+        for request_id in state.unflushed
+        if request_id in state.tries
+    )
+
+
+async def _is_ended(
+    state: shard_state.ShardState,
+    reader: readback.RowReader,
+    row: journal_data.Row,
+) -> bool:
+    """Tell whether another try of a copy's key has ended for good.
+
+    Then the copy is of a try that was denied, or was flushed long ago.
+    As an open try it would hide that outcome from a resend.
+
+    Raises:
+        ObjectApiError: The log can't be read now.
+    """
+    if journal.ends_soon(state, row):
+        return True
+    seq = journal.find_latest(
+        state, journal_data.RowKind.OUTCOME, row.account_id, row.shard_key
+    )
+    if seq is None:
+        return False
+    found = await reader.about_key(seq, row)
+    if found is None:
+        raise object_data.UnavailableError(f'segment {seq}')
+    first = found.row
+    return first is not None and journal.is_final(first)
--- a/beryllug/control/shard_owner.py
+++ b/beryllug/control/shard_owner.py
@@ -43,7 +43,7 @@
         self.fencing = cfg.fencing
         self._lease_s = valid_s
         self._cover = cover
-        self._commits = commit.Committer(api, cfg, cover.prepare)
+        self._commits = commit.Committer(api, cfg, self._complete)
         self.upkeep = upkeep.Upkeep(api, self._commits, cfg.retention_s)
         self._tasks: list[asyncio.Task[None]] = []
         self._reader = readback.RowReader(api, cfg.shard, self._commits.log)
@@ -77,10 +77,13 @@
     async def flush(self, grace_s: float) -> bool:
         """Make all durable; False when something stays in memory only."""
         await self._commits.flush(grace_s)
-        if self.state.unflushed or not self._commits.serving:
+        if not self._commits.serving:
             return False
-        await self._cover.settle()
-        return True
+        return await self._cover.end(self.state)
+
+    def may_end(self) -> bool:
+        """Tell whether the shard can be handed over now."""
+        return not self._cover.refuses_new(time.monotonic())
 
     def dump(self) -> dict[str, Any]:
         """Return the owner's state."""
@@ -107,6 +110,7 @@
             or len(self.state.pending) >= MAX_PENDING
         ):
             return False
+        self._recall(row)
         decision = journal.finish(self.state, row)
         while isinstance(decision, journal.ReadBack):
             found = await self._reader.outcome(decision.seq, row)
@@ -156,12 +160,24 @@
         journal.deny(self.state, row)
         return journal.unavailable(row)
 
+    def _recall(self, row: journal_data.Row) -> None:
+        """Remember a try of which only the outcome is left.
+
+        Where copies may be missing, an outcome can be all that is known of
+        a key; with its intent in the log a resend finds it.
+        """
+        if self._cover.refuses_new(time.monotonic()):
+            journal.recall(self.state, row, time.monotonic())
+
     def _valid_s(self) -> float:
         """Return for how long surely no other process owns the shard."""
         return max(self._lease_s(), self._cover.valid_s())
 
+    async def _complete(self, state: shard_state.ShardState) -> None:
+        await self._cover.prepare(state, self._reader)
+
     async def _tend(self) -> None:
         while True:
             await asyncio.sleep(TEND_S)
             if self._commits.serving:
-                await self._cover.tend(self.state)
+                await self._cover.tend(self.state, self._reader)
--- a/beryllug/control/shards.py
+++ b/beryllug/control/shards.py
@@ -75,7 +75,9 @@
         self._parts = parts
         self._cfg = cfg
         self._boot = boot
+        self._stopping = False
         self._unflushed: set[int] = set()
+        self._ending: dict[int, shard_owner.ShardOwner] = {}
         self.owners: dict[int, shard_owner.ShardOwner] = {}
         calls = candidate_calls.CandidateCalls(parts.leases.outage, parts.peers)
         given = promises.Promises(parts.api, parts.leases.outage, calls, boot)
@@ -97,6 +99,7 @@
 
     async def stop(self, grace_s: float) -> None:
         """Make pending rows durable; the leases are given back after."""
+        self._stopping = True
         await self._outage.promises.stop()
         shards = list(self.owners)
         await asyncio.gather(*(self._end(shard, grace_s) for shard in shards))
@@ -125,14 +128,24 @@
 
     async def before_release(self, name: str) -> bool:
         """Make the rows of a shard durable that is to be handed over."""
-        return await self._end(shard_of_lease(name), self._cfg.drain_s)
+        shard = shard_of_lease(name)
+        owner = self.owners.get(shard)
+        if owner is not None and not owner.may_end():
+            return False
+        if await self._end(shard, self._cfg.drain_s):
+            return True
+        if owner is not None and not self._stopping:
+            # The lease stays here, so the shard goes on being served.
+            self._own(shard, owner.fencing)
+        return False
 
     async def surrender(self, shard: int, fencing: int) -> None:
         """End an owner that is older than a fencing token."""
-        owner = self.owners.get(shard)
-        if owner is not None and owner.fencing < fencing:
-            self.owners.pop(shard)
-            await owner.stop()
+        for table in (self.owners, self._ending):
+            owner = table.get(shard)
+            if owner is not None and owner.fencing < fencing:
+                table.pop(shard)
+                await owner.stop()
 
     async def route(
         self,
@@ -172,8 +185,11 @@
         owner = self.owners.pop(shard, None)
         if owner is None:
             return shard not in self._unflushed
+        # A new owner that gathers meanwhile must find what it holds.
+        self._ending[shard] = owner
         flushed = await owner.flush(grace_s)
         await owner.stop()
+        self._ending.pop(shard, None)
         if not flushed:
             self._unflushed.add(shard)
         return flushed
--- a/beryllug/core/journal.py
+++ b/beryllug/core/journal.py
@@ -15,6 +15,7 @@
 must be read back from the log they say so, and are called again with it.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -79,9 +80,9 @@
     if shard_state.has_outcome(state, row.request_id):
         # Its entry gave this try up before the intent came here.
         return unavailable(row)
-    known = state.keys.get(shard_state.key_of(row))
-    if known is not None:
-        return _begin_again(state, row, state.tries[known], now)
+    tries = shard_state.open_tries(state, shard_state.key_of(row))
+    if tries:
+        return _begin_again(state, row, tries, now)
     seq = digest_index.find(state.index, shard_state.key_digest(row))
     if seq is None:
         return _add_intent(state, row, now)
@@ -143,6 +144,39 @@
     return grant(state, row, valid_s)
 
 
+def is_final(row: journal_data.Row) -> bool:
+    """Tell whether a row ends its key: its request ran, or may have."""
+    return row.state is not None and not shard_state.is_not_run(row)
+
+
+def ends_soon(
+    state: shard_state.ShardState, row: journal_data.Row
+) -> journal_data.Row | None:
+    """Return the outcome that waits to end a row's key for good, if any."""
+    for attempt in shard_state.open_tries(state, shard_state.key_of(row)):
+        outcome = (journal_data.RowKind.OUTCOME, attempt.row.request_id)
+        ending = state.pending.get(outcome)
+        if ending is not None and is_final(ending):
+            return ending
+    return None
+
+
+def recall(
+    state: shard_state.ShardState, row: journal_data.Row, now: float
+) -> None:
+    """Add the intent of an outcome whose try is not known, before it."""
+    known = row.request_id in state.tries
+    if known or shard_state.has_outcome(state, row.request_id):
+        return
+    if row.kind is not journal_data.RowKind.OUTCOME or not is_final(row):
+        return
+    intent = row._replace(
+        kind=journal_data.RowKind.INTENT, state=None, stages=(), answer=None
+    )
+    shard_state.add_try(state, intent, shard_state.Phase.INHERITED, now)
+    state.pending[shard_state.row_id(intent)] = intent
+
+
 def is_new(state: shard_state.ShardState, row: journal_data.Row) -> bool:
     """Tell whether an intent is of a key of which nothing is known."""
     attempt = state.tries.get(row.request_id)
@@ -189,9 +223,8 @@
     state: shard_state.ShardState, ask: rpc_data.LookupAsk
 ) -> journal_data.Row | None:
     """Return the intent of a key's latest try that has no outcome."""
-    found = state.keys.get((ask.account_id, ask.shard_key))
-    first = state.tries.get(found) if found else None
-    return first.row if first else None
+    tries = shard_state.open_tries(state, (ask.account_id, ask.shard_key))
+    return tries[-1].row if tries else None
 
 
 def find_latest(
@@ -234,23 +267,24 @@
 def _begin_again(
     state: shard_state.ShardState,
     row: journal_data.Row,
-    first: shard_state.Try,
+    tries: Sequence[shard_state.Try],
     now: float,
 ) -> Begun:
-    if first.row.body_hash != row.body_hash:
-        return _reply(journal_data.GrantKind.MISMATCH, first.row)
-    if first.row.request_id == row.request_id:
-        return _begin_same(row, first)
-    outcome = (journal_data.RowKind.OUTCOME, first.row.request_id)
-    ended = state.pending.get(outcome)
-    if ended is not None and not shard_state.is_not_run(ended):
-        return _answer(row, ended)
-    name = shard_state.entry_name(first.row.entry)
-    longest_s = first.row.longest_s or journal_log.LONGEST_RUN_S
-    young = now - first.since < longest_s
-    if young and state.boots.get(name) == first.row.entry:
-        return _reply(journal_data.GrantKind.RUNNING, first.row)
-    return _reply(journal_data.GrantKind.UNKNOWN, first.row)
+    same = state.tries.get(row.request_id)
+    if same is not None:
+        return _begin_same(row, same)
+    latest = tries[-1]
+    if latest.row.body_hash != row.body_hash:
+        return _reply(journal_data.GrantKind.MISMATCH, latest.row)
+    ending = ends_soon(state, row)
+    if ending is not None:
+        return _answer(row, ending)
+    name = shard_state.entry_name(latest.row.entry)
+    longest_s = latest.row.longest_s or journal_log.LONGEST_RUN_S
+    young = now - latest.since < longest_s
+    if young and state.boots.get(name) == latest.row.entry:
+        return _reply(journal_data.GrantKind.RUNNING, latest.row)
+    return _reply(journal_data.GrantKind.UNKNOWN, latest.row)
 
 
 def _begin_same(row: journal_data.Row, first: shard_state.Try) -> Begun:
--- a/beryllug/core/journal_log.py
+++ b/beryllug/core/journal_log.py
@@ -49,7 +49,8 @@
 ) -> None:
     """Take in a segment of earlier owners, in the order of the log."""
     for row in rows:
-        if row.kind is journal_data.RowKind.INTENT:
+        ended = shard_state.has_outcome(state, row.request_id)
+        if row.kind is journal_data.RowKind.INTENT and not ended:
             shard_state.add_try(
                 state, row, shard_state.Phase.INHERITED, float('-inf')
             )
@@ -57,33 +58,26 @@
 
 
 def replayed(state: shard_state.ShardState, now: float) -> None:
-    """End the replay: close what earlier owners surely never granted.
-
-    Where a key has two tries without outcome, the earlier one was denied:
-    only then does an owner take a second.
-    """
+    """End the replay; `now` is in monotonic seconds."""
     state.boots = {name: '' for name in state.boots}
-    for attempt in list(state.tries.values()):
+    for attempt in state.tries.values():
         attempt.since = now
-        latest = state.keys.get(shard_state.key_of(attempt.row))
-        if latest != attempt.row.request_id:
-            _end(state, attempt, journal_data.OutcomeState.NOT_RUN)
 
 
 def gathered(
-    state: shard_state.ShardState,
-    rows: Iterable[journal_data.Row],
-    now: float,
+    state: shard_state.ShardState, row: journal_data.Row, now: float
 ) -> None:
-    """Take in copies of intents that an earlier owner granted from memory."""
-    for row in rows:
-        known = row.request_id in state.tries
-        if known or shard_state.has_outcome(state, row.request_id):
-            continue
-        shard_state.add_try(state, row, shard_state.Phase.INHERITED, now)
-        state.boots[shard_state.entry_name(row.entry)] = ''
-        state.pending[shard_state.row_id(row)] = row
-        state.unflushed.add(row.request_id)
+    """Take in the copy of an intent that an earlier owner may have granted.
+
+    Its key must be one that no outcome has ended for good.
+    """
+    known = row.request_id in state.tries
+    if known or shard_state.has_outcome(state, row.request_id):
+        return
+    shard_state.add_try(state, row, shard_state.Phase.INHERITED, now)
+    state.boots[shard_state.entry_name(row.entry)] = ''
+    state.pending[shard_state.row_id(row)] = row
+    state.unflushed.add(row.request_id)
 
 
 def expire(state: shard_state.ShardState, now: float) -> None:
@@ -137,8 +131,8 @@
         return
     if attempt.phase is shard_state.Phase.WAITING:
         attempt.phase = shard_state.Phase.OPEN
-    if state.keys.get(shard_state.key_of(row)) == row.request_id:
-        digest_index.put(state.index, shard_state.key_digest(row), seq, at)
+    attempt.seq = seq
+    digest_index.put(state.index, shard_state.key_digest(row), seq, at)
 
 
 def _committed_outcome(
@@ -146,10 +140,21 @@
 ) -> None:
     digest = shard_state.request_digest(row.request_id)
     digest_index.put(state.index, digest, seq, at)
-    current = state.keys.get(shard_state.key_of(row)) == row.request_id
-    if current or row.answer is not None:
-        digest_index.put(state.index, shard_state.key_digest(row), seq, at)
+    attempt = state.tries.get(row.request_id)
     shard_state.close(state, row)
+    others = shard_state.open_tries(state, shard_state.key_of(row))
+    if shard_state.is_not_run(row):
+        decides = attempt is not None and not others
+    else:
+        decides = attempt is not None or row.answer is not None
+        # One try of a key runs: the others were denied, or are copies that
+        # came late. Left open they would hide this outcome from a resend.
+        for other in others:
+            _end(state, other, journal_data.OutcomeState.NOT_RUN)
+            shard_state.close(state, other.row)
+            state.unflushed.discard(other.row.request_id)
+    if decides:
+        digest_index.put(state.index, shard_state.key_digest(row), seq, at)
 
 
 def _end(
--- a/beryllug/core/outage.py
+++ b/beryllug/core/outage.py
@@ -15,7 +15,6 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from beryllug.core import journal_data, lease_data, outage_data
 
@@ -26,29 +25,64 @@
 
 @dataclass(slots=True)
 class Promises:
-    """Promises that this process got, by candidate, with their ends."""
+    """Promises that this process got, by lease and candidate.
 
-    until: dict[str, float] = field(default_factory=dict)
+    Attributes:
+        until: When each ends, monotonic seconds.
+    """
+
+    until: dict[tuple[str, lease_data.Candidate], float] = field(
+        default_factory=dict
+    )
 
 
 def promised(
-    promises: Promises, name: str, sent_at: float, terms: lease_data.Terms
+    promises: Promises,
+    name: str,
+    reply: outage_data.PromiseReply,
+    sent_at: float,
+    terms: lease_data.Terms,
 ) -> None:
-    """Take in a promise; it counts from before it was asked for."""
-    promises.until[name] = sent_at + terms.promise_s - terms.margin_s
+    """Take in a promise; it counts from before it was asked for.
+
+    Args:
+        promises: The promises so far.
+        name: Name of the candidate.
+        reply: Its reply.
+        sent_at: When it was asked.
+        terms: Durations.
+    """
+    candidate = lease_data.Candidate(name, reply.started)
+    end = sent_at + terms.promise_s - terms.margin_s
+    for lease_name in reply.names:
+        promises.until[lease_name, candidate] = end
 
 
 def covered_until(
-    promises: Promises, candidates: Iterable[lease_data.Candidate]
+    promises: Promises,
+    lease_name: str,
+    candidates: Iterable[lease_data.Candidate],
 ) -> float:
-    """Return until when no candidate takes a lease; -inf when one may."""
+    """Return until when no candidate takes a lease; -inf when one may.
+
+    A candidate counts with the start that the lease lists. One that took
+    the lease, was killed and started anew could else promise in good faith,
+    and two owners would grant the same keys.
+    """
     ends = [
-        promises.until.get(candidate.name, float('-inf'))
+        promises.until.get((lease_name, candidate), float('-inf'))
         for candidate in candidates
     ]
     return min(ends, default=float('-inf'))
 
 
+def forget_ended(promises: Promises, now: float) -> None:
+    """Forget promises that have ended."""
+    promises.until = {
+        key: end for key, end in promises.until.items() if end > now
+    }
+
+
 @dataclass(slots=True)
 class ShardCopies:
     """Copies of one shard's intents.
@@ -117,14 +151,14 @@
             shard.rows.clear()
 
 
-class Answer(NamedTuple):
-    """A candidate's reply to a gathering, None when it gave none."""
+Replies = Mapping[str, outage_data.GatherReply]
 
-    candidate: lease_data.Candidate
-    reply: outage_data.GatherReply | None
 
-
-def must_gather(before: lease_data.Lease | None, own: Answer) -> bool:
+def must_gather(
+    before: lease_data.Lease | None,
+    own: lease_data.Candidate,
+    reply: outage_data.GatherReply,
+) -> bool:
     """Tell whether a new owner has to ask others before it serves.
 
     Granting from memory takes a promise of every candidate that the lease
@@ -133,37 +167,44 @@
 
     Args:
         before: The lease as it was taken.
-        own: This process as a candidate, and what it would answer itself.
+        own: This process, with this start.
+        reply: What it would answer itself.
     """
     if before is None or not before.holder:
         return False
-    return before.unflushed or not _excludes(before, own)
+    return before.unflushed or not _excludes(before, own, reply)
 
 
-def is_complete(before: lease_data.Lease, answers: Iterable[Answer]) -> bool:
+def is_complete(before: lease_data.Lease, replies: Replies) -> bool:
     """Tell whether no copy can be missing.
 
-    Either all candidates answered with the start that is listed, or one of
-    them shows that nothing was granted from memory.
-    """
-    given = list(answers)
-    shown = not before.unflushed and any(
-        _excludes(before, answer) for answer in given
-    )
-    return shown or all(
-        answer.reply is not None
-        and answer.reply.started == answer.candidate.started
-        for answer in given
-    )
-
+    Either every candidate replied with the start that is listed, so that it
+    has lost nothing, or one of them shows that there are no copies.
 
-def _excludes(before: lease_data.Lease, answer: Answer) -> bool:
+    Args:
+        before: The lease as it was taken.
+        replies: Replies by the name of the candidate, this process's too.
+    """
+    given = [
+        (candidate, replies[candidate.name])
+        for candidate in before.candidates
+        if candidate.name in replies
+    ]
+    none_made = any(_excludes(before, *answer) for answer in given)
+    if none_made and not before.unflushed:
+        return True
+    same = [reply.started == listed.started for listed, reply in given]
+    return all(same) and len(given) == len(before.candidates)
+
+
+def _excludes(
+    before: lease_data.Lease,
+    candidate: lease_data.Candidate,
+    reply: outage_data.GatherReply,
+) -> bool:
     """Tell whether a candidate shows that nothing was granted from memory."""
-    reply = answer.reply
-    if reply is None or reply.promised:
-        return False
-    started = lease_data.Candidate(answer.candidate.name, reply.started)
-    return started in before.candidates
+    present = candidate._replace(started=reply.started)
+    return not reply.promised and present in before.candidates
 
 
 def unclaimed(
--- a/beryllug/core/outage_data.py
+++ b/beryllug/core/outage_data.py
@@ -5,22 +5,41 @@
 from beryllug.core import journal_data
 
 
+class HeldLease(NamedTuple):
+    """A lease that a process holds, as far as it knows."""
+
+    name: str
+    fencing: int
+
+
 class PromiseAsk(NamedTuple):
     """Ask a candidate to take no lease for a while.
 
     Attributes:
         boot: Random id of the asking process's start.
         promise_s: For how long.
+        leases: The leases that the asker holds.
     """
 
     boot: str
     promise_s: float
+    leases: tuple[HeldLease, ...]
 
 
 class PromiseReply(NamedTuple):
-    """Whether the platform is down for the candidate too, and it promised."""
+    """What a candidate promised.
 
-    given: bool
+    Attributes:
+        started: Number of its start. A candidate that was started anew does
+            not know what it took before, so only the start counts that the
+            lease lists.
+        names: Leases that it promised to leave alone; none when it reaches
+            the platform. It leaves out those that it took itself, or of
+            which it knows a later holder.
+    """
+
+    started: int
+    names: tuple[str, ...] = ()
 
 
 class CopyAsk(NamedTuple):
--- a/beryllug/core/shard_state.py
+++ b/beryllug/core/shard_state.py
@@ -12,6 +12,7 @@
 
 BOOT_SEPARATOR = '/'
 
+Key = tuple[str, str]
 RowId = tuple[journal_data.RowKind, str]
 
 
@@ -31,11 +32,13 @@
         row: Its intent.
         phase: How far it has come.
         since: When this owner met it, monotonic seconds.
+        seq: Segment of its intent, 0 while it is not durable.
     """
 
     row: journal_data.Row
     phase: Phase
     since: float
+    seq: int = 0
 
 
 @dataclass(slots=True)
@@ -44,7 +47,9 @@
 
     Attributes:
         tries: Tries without durable outcome by request id.
-        keys: Request id of the latest try of each key in `tries`.
+        keys: Request ids of the tries of each key, in order. Only the last
+            can have been granted by this owner; of earlier owners' tries it
+            can be any one.
         pending: Rows that wait to become durable, in order.
         index: Segment of the latest row by digest, for all that is durable.
         unflushed: Request ids of tries that may run although their intent
@@ -54,7 +59,7 @@
     """
 
     tries: dict[str, Try] = field(default_factory=dict)
-    keys: dict[tuple[str, str], str] = field(default_factory=dict)
+    keys: dict[Key, tuple[str, ...]] = field(default_factory=dict)
     pending: dict[RowId, journal_data.Row] = field(default_factory=dict)
     index: digest_index.Index = field(default_factory=digest_index.Index)
     unflushed: set[str] = field(default_factory=set)
@@ -73,7 +78,7 @@
     return row.kind, f'{row.account_id}\0{row.shard_key}'
 
 
-def key_of(row: journal_data.Row) -> tuple[str, str]:
+def key_of(row: journal_data.Row) -> Key:
     """Return account and key of a row."""
     return row.account_id, row.shard_key
 
@@ -101,7 +106,8 @@
 ) -> None:
     """Remember a try without outcome."""
     state.tries[row.request_id] = Try(row, phase, now)
-    state.keys[key_of(row)] = row.request_id
+    earlier = _without(state, row)
+    state.keys[key_of(row)] = (*earlier, row.request_id)
     state.boots[entry_name(row.entry)] = row.entry
 
 
@@ -118,12 +124,20 @@
 def close(state: ShardState, row: journal_data.Row) -> None:
     """Forget a try that ended or was given up."""
     state.tries.pop(row.request_id, None)
-    if state.keys.get(key_of(row)) == row.request_id:
-        state.keys.pop(key_of(row))
+    others = _without(state, row)
+    if others:
+        state.keys[key_of(row)] = others
+    else:
+        state.keys.pop(key_of(row), None)
     if not state.tries:
         state.boots.clear()
 
 
+def open_tries(state: ShardState, key: Key) -> list[Try]:
+    """Return the tries of a key that have no outcome, in order."""
+    return [state.tries[name] for name in state.keys.get(key, ())]
+
+
 def has_outcome(state: ShardState, request_id: str) -> bool:
     """Tell whether a request has ended, durably or soon."""
     if (journal_data.RowKind.OUTCOME, request_id) in state.pending:
@@ -147,3 +161,9 @@
 def entry_name(entry: str) -> str:
     """Return the name of an entry without its process start."""
     return entry.partition(BOOT_SEPARATOR)[0]
+
+
+def _without(state: ShardState, row: journal_data.Row) -> tuple[str, ...]:
+    """Return the tries of a row's key other than its own."""
+    names = state.keys.get(key_of(row), ())
+    return tuple(name for name in names if name != row.request_id)
