Send reports away for longer, so that they come back to a free slot

Cause: Retry-After of a refused report was the time in which one slot comes free; its caller used up eight tries in seconds. Ruled out: a queue in the entry, which would hold requests back. Change: half of a report's slack.

--- a/beryllug/bench/replay.py
+++ b/beryllug/bench/replay.py
@@ -18,7 +18,7 @@
 REPORT_EVERY_S = 0.5
 REPORT_LAG_S = 0.5
 WARM_UP_S = 20.0
-DRAIN_S = 60.0
+DRAIN_S = 40.0
 
 Disturb = Callable[[entry_host.World], None]
 
@@ -62,7 +62,9 @@
     ]
     rate = workload.Rate(
         run.load * deployments.capacity(run.deployment),
-        until,
+        # The load goes on after the window, or what was refused in it would
+        # come back to an idle deployment.
+        until + DRAIN_S,
         run.flood,
         run.warm_up,
     )
--- a/beryllug/core/limits.py
+++ b/beryllug/core/limits.py
@@ -30,6 +30,7 @@
 MOST_RESERVED_PART = 0.5
 SLOT_SMOOTHING = 0.02
 LEAST_RETRY_S = 0.2
+BULK_RETRY_PART = 0.5
 MOST_RETRY_S = 30.0
 MS = 1000
 
@@ -132,8 +133,7 @@
     load = max(room.load, use.total)
     over = load + 1 - _most_load(use, room, ask)
     if over > 0:
-        wait_s = over * _slot_s(use, ask) / room.slots
-        return Refused(Why.FULL, _retry_after(wait_s))
+        return Refused(Why.FULL, _drain_s(use, room, ask, over))
     if _is_over_share(use, weights, room, ask, now):
         return Refused(Why.SHARE, _retry_after(shares.SMOOTHING_S))
     return _take(use, room, ask, now)
@@ -220,6 +220,18 @@
     return ask.first_token_s + ask.service_s
 
 
+def _drain_s(use: shares.PoolUse, room: Room, ask: Ask, over: float) -> float:
+    """Return when asking again can help.
+
+    A pool that is full is so for longer than one slot takes to come free, and
+    bulk requests have time: asked again at once, they are refused again.
+    """
+    drained_s = over * _slot_s(use, ask) / room.slots
+    if request_data.priority(ask.targets) is request_data.Priority.BULK:
+        drained_s = max(drained_s, BULK_RETRY_PART * _slack_s(ask))
+    return _retry_after(drained_s)
+
+
 def _retry_after(seconds: float) -> float:
     return min(max(seconds, LEAST_RETRY_S), MOST_RETRY_S)
 
