Make two proofs of the decisions red under their mutations

Cause: 22 mutations of safeguards were run against the tests; two stayed green: the price without ratings, and the wait for a slow rating service. A third, the correction of a late report, was red in one test only. Change: the small model of the blind cases is nearly as good as the large one, so only the safeguard keeps it out; the report of an idle server is one that others fill too.

--- a/beryllug/core/balance_test.py
+++ b/beryllug/core/balance_test.py
@@ -90,12 +90,12 @@
     def test_unseen_dispatches(self) -> None:
         """One late report does not draw every request to one server.
 
-        Server 3 reported itself idle and the others half full. Until its next
-        report forty requests arrive; without our own counts all forty would
-        go to it and thirty of them would wait.
+        Server 3 reported four requests and the others eight. Until its next
+        report twelve arrive here, and as many at each other entry; without
+        our own counts most of all of these would go to it and wait.
         """
         loads = [
-            view_data.ServerLoad(f's{number}', 0 if number == 3 else 5, 0, 1)
+            view_data.ServerLoad(f's{number}', 4 if number == 3 else 8, 0, 1)
             for number in range(4)
         ]
         server_load.report(self.state, loads, clock_offset=0)
@@ -104,8 +104,7 @@
             server_id = self.choose(now=1.1)
             server_load.dispatched(self.state, server_id, 1.1)
             chosen[server_id] += 1
-        self.assertEqual(chosen.most_common(1)[0][0], 's3')
-        self.assertLess(chosen['s3'], 8)
+        self.assertIn(chosen['s3'], range(3, 6))
 
     def test_prefix(self) -> None:
         """A session stays where its prompt is cached until that is loaded."""
--- a/beryllug/core/cascade_test.py
+++ b/beryllug/core/cascade_test.py
@@ -97,15 +97,16 @@
         """Without ratings quality is held and cost is not.
 
         The rating service fails, is slow, or rates wrong answers high. The
-        small model fails two requests of five, and nobody would notice.
+        small model fails a little more often than the large one, which checks
+        would make up for elsewhere; without them nothing does.
         """
-        gone = _taught(0.6, 0.95)
+        gone = _taught(0.9, 0.95)
         for _ in range(rating_health.FAILURES_GONE):
             rating_health.missed(gone.judge, 1, 0)
-        slow = _taught(0.6, 0.95)
+        slow = _taught(0.9, 0.95)
         for _ in range(50):
             rating_health.rated(slow.judge, 30)
-        misled = _taught(0.6, 0.95)
+        misled = _taught(0.9, 0.95)
         for _ in range(5):
             rating_health.mismatched(misled.judge, 'small', 0.9)
         low = _taught(0.1, 0.1)
