--- a/beryllug/standins/fleet_settings.py
+++ b/beryllug/standins/fleet_settings.py
@@ -14,6 +14,7 @@
 PORTS_BEGIN = 10000
 PORTS_END = 32000
 PORTS_APART = 211
+BYTE = 250
 
 
 class HostPorts(NamedTuple):
@@ -79,14 +80,25 @@
     return '\n'.join(lines)
 
 
-def free_ports() -> HostPorts:
+def free_ports(host: str = HOST) -> HostPorts:
     """Find free ports outside the range that connections take.
 
     A port of that range may be taken by any connection between this look
     and the start of the process that is to listen on it.
     """
     ports = [next(_candidates) for _ in range(FIELDS)]
-    return HostPorts(*(f'{HOST}:{port}' for port in ports))
+    return HostPorts(*(f'{host}:{port}' for port in ports))
+
+
+def own_host() -> str:
+    """Return a loopback address that no other deployment has.
+
+    With one address for all, a deployment took the port of another's process
+    that had just been killed, and answered its callers.
+    """
+    low = os.getpid() % BYTE
+    high = os.getpid() // BYTE % BYTE
+    return f'127.{high + 1}.{low}.{next(_numbers) % BYTE + 1}'
 
 
 def _free() -> Iterator[int]:
@@ -139,3 +151,4 @@
 
 FIELDS = len(HostPorts._fields)
 _candidates = _free()
+_numbers = itertools.count()
--- a/beryllug/standins/harness.py
+++ b/beryllug/standins/harness.py
@@ -94,6 +94,7 @@
     def __init__(self, plan: Plan) -> None:
         """Make a deployment; `start` starts it."""
         self.plan = plan
+        self._host = fleet_settings.own_host()
         self.platform = platform.stand_in(plan.platform_cfg)
         self.host_list = host_list.stand_in()
         self.rating = rating.stand_in()
@@ -109,7 +110,8 @@
         await self.start_parties()
         await self.apply(self.plan.document)
         self.hosts = [
-            fleet_settings.free_ports() for _ in range(self.plan.hosts)
+            fleet_settings.free_ports(self._host)
+            for _ in range(self.plan.hosts)
         ]
         names = [
             name
@@ -130,10 +132,10 @@
             self.rating,
             self.weights,
         ):
-            await shared.start()
+            await shared.start(self._host)
         for server in self.plan.servers:
             made = _stand_in(server)
-            await made.start()
+            await made.start(self._host)
             self.servers[server.server_id] = made
         self.list_hosts()
 
