Look in the log for outcomes that the index has forgotten

Cause: the index keeps 64 tables of digests; an outcome that an entry sends again after that would have been billed twice. Ruled out: dropping such rows (a bill lost); a larger index (the control process has 32 MB). Change: control/late_rows searches the segments of the row's time, a few a call, and goes on when the row is sent again. Before and after: test_forgotten_outcomes; mutations, each red: not searched, found always, search not resumed. It relies on clocks of entries and control processes being within 300 s of each other, as the fleet key does.

--- a/beryllug/control/shard_owner.py
+++ b/beryllug/control/shard_owner.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from beryllug.control import commit, readback, shard_cover, upkeep
+from beryllug.control import (
+    commit,
+    late_rows,
+    readback,
+    shard_cover,
+    upkeep,
+)
 from beryllug.core import journal, journal_data, rpc_data, shard_state
 from beryllug.drivers import object_api
 
@@ -47,6 +53,9 @@
         self.upkeep = upkeep.Upkeep(api, self._commits, cfg.retention_s)
         self._tasks: list[asyncio.Task[None]] = []
         self._reader = readback.RowReader(api, cfg.shard, self._commits.log)
+        self._late = late_rows.LateRows(
+            api, self._commits, self.upkeep, self._reader
+        )
 
     @property
     def state(self) -> shard_state.ShardState:
@@ -110,6 +119,9 @@
             or len(self.state.pending) >= MAX_PENDING
         ):
             return False
+        written = await self._late.is_written(row)
+        if written is not False:
+            return written is True and self._valid_s() > 0
         self._recall(row)
         decision = journal.finish(self.state, row)
         while isinstance(decision, journal.ReadBack):
--- a/beryllug/control/upkeep.py
+++ b/beryllug/control/upkeep.py
@@ -20,7 +20,11 @@
 
 
 class Upkeep:
-    """The upkeep of one shard by its owner."""
+    """The upkeep of one shard by its owner.
+
+    Attributes:
+        first: The oldest segment, as far as it is known here.
+    """
 
     def __init__(
         self,
@@ -36,7 +40,7 @@
         self._image_version: int | None = None
         self._tables: set[str] = set()
         self._saved = 0
-        self._first = 1
+        self.first = 1
         self._first_at = float('-inf')
 
     async def run(self) -> None:
@@ -97,7 +101,7 @@
             )
             table.name = name
             self._tables.add(name)
-        image = shard_image.take(state, upto, fencing, self._first)
+        image = shard_image.take(state, upto, fencing, self.first)
         self._image_version = await images.write_image(
             self._api, self._shard, image, self._image_version
         )
@@ -111,7 +115,7 @@
         if image.fencing > self._commits.cfg.fencing:
             raise object_data.ConflictError(version)
         self._tables = {ref.name for ref in image.tables}
-        self._first = max(self._first, image.first)
+        self.first = max(self.first, image.first)
         return version
 
     async def _drop_tables(self, listed: set[str]) -> None:
@@ -124,17 +128,17 @@
     async def _delete_old(self, upto: int, before: float) -> None:
         """Delete segments that were last written before a second."""
         for _ in range(DELETES_A_ROUND):
-            if self._first > upto or self._first_at >= before:
+            if self.first > upto or self._first_at >= before:
                 return
             await self._delete_first(before)
 
     async def _delete_first(self, before: float) -> None:
-        stored = await segments.read(self._api, self._shard, self._first)
+        stored = await segments.read(self._api, self._shard, self.first)
         if stored is not None:
             self._first_at = stored.segment.at
             if self._first_at >= before:
                 return
-            key = segments.key_of(self._shard, self._first)
+            key = segments.key_of(self._shard, self.first)
             await self._api.delete(key, stored.version)
-        self._first += 1
+        self.first += 1
         self._first_at = float('-inf')
--- a/beryllug/control/upkeep_test.py
+++ b/beryllug/control/upkeep_test.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 import unittest
 
 from beryllug.control import (
@@ -174,6 +175,30 @@
             self.assertTrue(all(acks))
         self.assertEqual(len(self.rows()), before)
 
+    async def test_forgotten_outcomes(self) -> None:
+        """An outcome comes again after the index has forgotten it.
+
+        Its entry was cut off from all control processes for long. One that
+        was written is found in the log and not written twice; one that never
+        was is written.
+        """
+        for name, small in (('MAX_USED', 20), ('MAX_TABLES', 2)):
+            self.addCleanup(
+                setattr, digest_index, name, getattr(digest_index, name)
+            )
+            setattr(digest_index, name, small)
+        owner = await self.start_owner('1')
+        now = time.time()
+        rows = [_billed(number)._replace(at=now) for number in range(200)]
+        await self.finish_at_last(owner, rows[0])
+        for row in rows[2:]:
+            await self.finish_at_last(owner, row)
+        for row in rows[:2]:
+            await self.finish_at_last(owner, row)
+        written = [bill.request_id for bill in self.rows()]
+        self.assertEqual(written.count('r0'), 1)
+        self.assertEqual(written.count('r1'), 1)
+
     async def test_expiry(self) -> None:
         """Old segments are deleted, what was used stays counted."""
         owner = await self.start_owner('1')
