--- /dev/null
+++ b/beryllug/bench/rollout_cases.py
@@ -0,0 +1,80 @@
+"""The cases of the roll-out benchmark, read from ``rollout_cases.json``."""
+
+import pathlib
+from collections.abc import Iterable
+from typing import Any, NamedTuple, TypedDict
+
+import msgspec
+
+from beryllug.bench import rollout_world
+
+PATH = pathlib.Path(__file__).with_name('rollout_cases.json')
+
+
+class Case(NamedTuple):
+    """A way to be bad.
+
+    Attributes:
+        name: Its name in the table.
+        most: Bound: callers reached against fixed steps, or for outages of
+            both versions the share of wrong stops.
+        ticks: Seconds of virtual time that are played.
+        fault: The fault.
+    """
+
+    name: str
+    most: float
+    ticks: int
+    fault: rollout_world.Fault
+
+
+class Good(TypedDict):
+    """Bounds on a good version."""
+
+    wrongly_stopped: float
+    mean_time: float
+    p95_time: float
+
+
+class Cases(NamedTuple):
+    """All cases, and the number of seeds of each kind."""
+
+    bad_seeds: int
+    good_seeds: int
+    shared_seeds: int
+    good: Good
+    bad: tuple[Case, ...]
+    shared: tuple[Case, ...]
+
+
+class _Document(TypedDict):
+    bad_seeds: int
+    good_seeds: int
+    shared_seeds: int
+    good: Good
+    bad: list[dict[str, Any]]
+    shared: list[dict[str, Any]]
+
+
+def read() -> Cases:
+    """Read the cases."""
+    document = msgspec.json.decode(PATH.read_bytes(), type=_Document)
+    return Cases(
+        document['bad_seeds'],
+        document['good_seeds'],
+        document['shared_seeds'],
+        document['good'],
+        tuple(_cases(document['bad'])),
+        tuple(_cases(document['shared'])),
+    )
+
+
+def _cases(lines: Iterable[dict[str, Any]]) -> Iterable[Case]:
+    for line in lines:
+        fields = dict(line)
+        name, most, ticks = (
+            fields.pop(key) for key in ('name', 'most', 'ticks')
+        )
+        quality = rollout_world.Quality(**fields.pop('quality'))
+        fault = rollout_world.Fault(quality, **fields)
+        yield Case(name, most, ticks, fault)
--- a/beryllug/bench/rollout_policies.py
+++ b/beryllug/bench/rollout_policies.py
@@ -8,13 +8,13 @@
     config_data,
     evidence_book,
     rollout,
-    rollout_data,
     view_data,
 )
 
 ALL_PERCENT = 100
 NEW = 'v2'
 OLD = 'v1'
+LATE_RATE = 0.13
 MODEL = 'desk'
 NEW_REF = config_data.VersionRef(MODEL, NEW)
 OLD_REF = config_data.VersionRef(MODEL, OLD)
@@ -35,11 +35,17 @@
 
     def is_bad(self, declared: config_data.Rollout, late_rate: float) -> bool:
         """Tell whether a rate is over what was declared."""
-        if self.answers and self.errors > declared.max_error_rate * self.answers:
+        if (
+            self.answers
+            and self.errors > declared.max_error_rate * self.answers
+        ):
             return True
         if self.answers and self.late > late_rate * self.answers:
             return True
-        return self.rated > 0 and self.rating_sum < declared.min_rating * self.rated
+        return (
+            self.rated > 0
+            and self.rating_sum < declared.min_rating * self.rated
+        )
 
 
 @dataclass(slots=True)
@@ -114,7 +120,7 @@
 
     def _look(self) -> None:
         self.stopped = self.stopped or any(
-            sums.answers >= self.least and sums.is_bad(self.declared, 0.13)
+            sums.answers >= self.least and sums.is_bad(self.declared, LATE_RATE)
             for sums in self.sums.values()
         )
 
@@ -183,14 +189,14 @@
             evidence_book.skip_rating(entry.book, _subject(answer))
 
     def rated(self, answer: Answer, tick: int) -> None:
-        """Count the rating in the entry's book."""
-        if answer.rating is not None:
-            evidence_book.rate(
-                self.entries[answer.session.entry].book,
-                _subject(answer),
-                answer.rating,
-                self.declared.min_rating,
-            )
+        """Count the rating in the entry's book, or that it was given up."""
+        book = self.entries[answer.session.entry].book
+        if answer.rating is None:
+            evidence_book.skip_rating(book, _subject(answer))
+            return
+        evidence_book.rate(
+            book, _subject(answer), answer.rating, self.declared.min_rating
+        )
 
     def end_tick(self, tick: int) -> None:
         """Report, decide and deal."""
--- /dev/null
+++ b/beryllug/bench/rollout_trials.py
@@ -0,0 +1,111 @@
+"""Runs of roll-out policies over many seeds."""
+
+import statistics
+from collections.abc import Callable, Iterable
+from concurrent import futures
+from typing import NamedTuple
+
+from beryllug.bench import rollout_policies, rollout_world
+from beryllug.core import config_data
+
+WORKERS = 3
+DWELL_S = 600
+WATCH_S = 60
+WATCHED_ANSWERS = 30
+ACCOUNT_ANSWERS = 10
+STAGES = (5, 25, 50, 100)
+BUDGET = 150
+MAX_ERRORS = 0.05
+MIN_RATING = 0.7
+FIXED_S = DWELL_S * (len(STAGES) - 1)
+TICKS = 3000
+GOOD_TICKS = 9000
+
+DECLARED = config_data.Rollout(
+    rollout_policies.MODEL,
+    rollout_policies.OLD,
+    rollout_policies.NEW,
+    STAGES,
+    BUDGET,
+    MAX_ERRORS,
+    MIN_RATING,
+)
+LOAD = rollout_world.Load()
+
+Fault = rollout_world.Fault
+Result = rollout_world.Result
+Policy = Callable[
+    [config_data.Rollout, rollout_world.Load], rollout_world.Policy
+]
+
+
+class Job(NamedTuple):
+    """One run: a policy in one seeded world."""
+
+    seed: int
+    policy: Policy
+    fault: Fault | None = None
+    load: rollout_world.Load = LOAD
+    declared: config_data.Rollout = DECLARED
+    ticks: int = TICKS
+
+
+def by_evidence(
+    declared: config_data.Rollout, load: rollout_world.Load
+) -> rollout_world.Policy:
+    """Make our policy."""
+    return rollout_policies.ByEvidence(
+        declared, load.entries, len(rollout_world.ACCOUNTS)
+    )
+
+
+def fixed_steps(
+    declared: config_data.Rollout, load: rollout_world.Load
+) -> rollout_world.Policy:
+    """Make the baseline: ten minutes a stage, looked at when it ends."""
+    return rollout_policies.FixedSteps(declared, DWELL_S, DWELL_S)
+
+
+def watched_steps(
+    declared: config_data.Rollout, load: rollout_world.Load
+) -> rollout_world.Policy:
+    """Make a baseline that is looked at every minute as well."""
+    return rollout_policies.FixedSteps(
+        declared, DWELL_S, WATCH_S, WATCHED_ANSWERS
+    )
+
+
+def steps_by_account(
+    declared: config_data.Rollout, load: rollout_world.Load
+) -> rollout_world.Policy:
+    """Make a baseline that looks at each account as well."""
+    return rollout_policies.FixedSteps(
+        declared, DWELL_S, DWELL_S, ACCOUNT_ANSWERS, by_account=True
+    )
+
+
+def run(job: Job) -> Result:
+    """Run one job."""
+    policy = job.policy(job.declared, job.load)
+    return rollout_world.run(job.seed, job.load, job.fault, policy, job.ticks)
+
+
+def run_all(jobs: Iterable[Job]) -> list[Result]:
+    """Run jobs beside each other; the results are in their order."""
+    with futures.ProcessPoolExecutor(WORKERS) as pool:
+        return list(pool.map(run, jobs))
+
+
+def callers(runs: Iterable[Result]) -> float:
+    """Return the mean number of callers that a bad candidate reached."""
+    return statistics.fmean(one.callers for one in runs)
+
+
+def stopped(runs: Iterable[Result]) -> float:
+    """Return the share of runs in which the candidate was stopped."""
+    return statistics.fmean(one.stopped_at is not None for one in runs)
+
+
+def out_times(runs: Iterable[Result]) -> list[int]:
+    """Return when the candidate had all new sessions, in order."""
+    return sorted(one.out_at for one in runs if one.out_at is not None)
--- a/beryllug/bench/rollout_world.py
+++ b/beryllug/bench/rollout_world.py
@@ -10,6 +10,9 @@
 from typing import NamedTuple, Protocol
 
 ACCOUNT_SHARES = (30, 20, 15, 10, 8, 6, 4, 3, 2, 2)
+GIVEN_UP_S = 300
+PERCENT = 100
+FOREVER = 10**9
 ACCOUNTS = tuple(f'account-{place}' for place in range(len(ACCOUNT_SHARES)))
 
 
@@ -77,7 +80,7 @@
     after_percent: int = 0
     after_tick: int = 0
     everyone: bool = False
-    until_tick: int = 1 << 30
+    until_tick: int = FOREVER
 
 
 @dataclass(slots=True)
@@ -132,7 +135,7 @@
         """Take in an answer."""
 
     def rated(self, answer: Answer, tick: int) -> None:
-        """Take in the rating of an answer."""
+        """Take in the rating of an answer, None when it was given up."""
 
     def end_tick(self, tick: int) -> None:
         """Take in that a second has passed."""
@@ -229,7 +232,7 @@
     rng = world.rng
     account = rng.choices(ACCOUNTS, ACCOUNT_SHARES)[0]
     entry = rng.randrange(world.load.entries)
-    session = Session(account, entry, rng.random() * 100, candidate=False)
+    session = Session(account, entry, rng.random() * PERCENT, candidate=False)
     session.candidate = world.policy.takes(session, world.tick)
     return session
 
@@ -281,8 +284,10 @@
     lag = load.lag_s * world.rng.lognormvariate(0, load.lag_sigma)
     due = world.tick + 1 + int(lag)
     begin, end = load.silent
-    if not begin <= due < end:
-        world.ratings.setdefault(due, []).append(answer)
+    if begin <= due < end:
+        answer = answer._replace(rating=None)
+        due = world.tick + GIVEN_UP_S
+    world.ratings.setdefault(due, []).append(answer)
 
 
 def _poisson(rng: random.Random, mean: float) -> int:
