--- a/beryllug/bench/slopes/fleet_slope.py
+++ b/beryllug/bench/slopes/fleet_slope.py
@@ -74,8 +74,8 @@
         _sweep(shown, name, unit, measured, _crash(figure))
     for title, times in TIMES:
         _sweep(shown, title, 'ms', measured, times)
-    _sweep(shown, 'resident memory of a control', 'MB', measured, _resident)
-    _sweep(shown, 'private memory of a control', 'MB', measured, _private)
+    for title, unit, get in PROCESSES:
+        _sweep(shown, title, unit, measured, get)
 
 
 async def run_all_watch(shown: ledger.Ledger) -> None:
@@ -133,14 +133,28 @@
     return statistics.median(figure(rates) for rates in one.idle)
 
 
-def _resident(one: Measured) -> Sequence[float]:
-    return statistics.quantiles(one.resident)
-
-
-def _private(one: Measured) -> Sequence[float]:
-    return statistics.quantiles(one.private)
+def _quartiles(get: Get) -> Get:
+    """Return quartiles over the processes, as repeats of one figure."""
+    return lambda one: statistics.quantiles(get(one))
 
 
+PROCESSES: tuple[tuple[str, str, Get], ...] = (
+    (
+        'processor time of a control until all are ready',
+        'ms',
+        _quartiles(lambda one: one.started),
+    ),
+    (
+        'resident memory of a control',
+        'MB',
+        _quartiles(lambda one: one.resident),
+    ),
+    (
+        'private memory of a control',
+        'MB',
+        _quartiles(lambda one: one.private),
+    ),
+)
 TIMES: tuple[tuple[str, Get], ...] = (
     (
         'one change: accepted until in force at the last control',
