Copy anew what a lost candidate kept; let no task of control end in silence

Cause: when the keeper of copies was lost and a while later the owner, nobody knew the keys; a keeper that was gone for good left the lease marked as unflushed for ever; a round that failed in an unforeseen way ended its task, and the lease or the shard with it. Ruled out: two keepers for each copy (twice the messages for every hold). Change: shard_cover copies again when no keeper's promise holds, and gives up telling a keeper after 50 rounds; control/lasting repeats the rounds of all lasting tasks and logs what failed; control/takeover is a module of its own.

--- a/beryllug/control/commit.py
+++ b/beryllug/control/commit.py
@@ -7,12 +7,12 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from absl import logging
 
-from beryllug.control import images, segments, waiters
+from beryllug.control import lasting, segments, takeover, waiters
 from beryllug.core import (
     journal_data,
     journal_log,
@@ -28,8 +28,6 @@
 # A quiet shard may use so many seconds of its rate at once.
 BURST_S = 0.5
 
-Prepare = Callable[[shard_state.ShardState], Awaitable[None]]
-
 
 class OwnerCfg(NamedTuple):
     """What an owner is bound to.
@@ -61,7 +59,10 @@
     """
 
     def __init__(
-        self, api: object_api.ObjectApi, cfg: OwnerCfg, prepare: Prepare
+        self,
+        api: object_api.ObjectApi,
+        cfg: OwnerCfg,
+        prepare: takeover.Prepare,
     ) -> None:
         """Make a committer; it takes over after `start`.
 
@@ -145,31 +146,28 @@
         }
 
     async def _run(self) -> None:
-        try:
-            await self._take_over()
-            while True:
-                await self._wake.wait()
-                await self._commit()
-        except segments.LostError:
-            logging.warning('event=shard_lost shard=%d', self.cfg.shard)
+        await lasting.repeat(f'shard {self.cfg.shard}', self._round)
+        logging.warning('event=shard_lost shard=%d', self.cfg.shard)
         self._end()
 
+    async def _round(self) -> None:
+        if not self.serving:
+            await self._take_over()
+        await self._wake.wait()
+        await self._commit()
+
     def _end(self) -> None:
         self.serving = False
         self._served.set()
         self._waiters.give_up()
 
     async def _take_over(self) -> None:
-        while not self.serving:
-            try:
-                await self._read_log()
-            except object_data.ObjectApiError as exc:
-                logging.warning(
-                    'event=takeover_failed shard=%d error=%s',
-                    self.cfg.shard,
-                    exc,
-                )
-                await asyncio.sleep(RETRY_S)
+        restored = await takeover.take_over(
+            self._api, self.cfg.shard, self.log, self._prepare
+        )
+        self.state = restored.state
+        self.totals = restored.totals
+        self.serving = True
         self._served.set()
         self._wake.set()
         logging.info(
@@ -179,19 +177,6 @@
             len(self.state.tries),
         )
 
-    async def _read_log(self) -> None:
-        base = await images.read_base(self._api, self.cfg.shard)
-        last = await self.log.take_over(images.after(base))
-        # An earlier owner can have written a newer image until it was shut
-        # out, and have deleted what an older one needs.
-        base = await images.read_base(self._api, self.cfg.shard)
-        restored = await images.restore(self._api, self.cfg.shard, base, last)
-        self.state = restored.state
-        self.totals = restored.totals
-        journal_log.replayed(self.state, time.monotonic())
-        await self._prepare(self.state)
-        self.serving = True
-
     async def _commit(self) -> None:
         await asyncio.sleep(pace.wait_s(self._pace, time.monotonic()))
         pace.spend(self._pace, time.monotonic())
@@ -205,8 +190,9 @@
         except object_data.ObjectApiError as exc:
             self._fail(exc)
             pause_s = min(RETRY_S * self._failures, LONGEST_RETRY_S)
-        if self.state.pending or self._failures:
-            self._wake.set()
+        finally:
+            if self.state.pending or self._failures:
+                self._wake.set()
         await asyncio.sleep(pause_s)
 
     def _fail(self, exc: Exception) -> None:
--- /dev/null
+++ b/beryllug/control/lasting_test.py
@@ -0,0 +1,35 @@
+"""Tests of lasting tasks, in virtual time."""
+
+import time
+import unittest
+
+from beryllug.control import lasting, virtual_time_test
+
+
+class LastingTest(virtual_time_test.VirtualTimeCase):
+    """Rounds go on after a failure, and end when they are done."""
+
+    async def test_failures(self) -> None:
+        """A lease task meets an answer that it can't read, twice.
+
+        It must go on: a task that ended would let the lease lapse, and its
+        process would never want it again.
+        """
+        rounds: list[float] = []
+
+        async def work() -> None:  # noqa: WPS430
+            rounds.append(time.monotonic())
+            if len(rounds) == 4:
+                raise lasting.DoneError
+            if len(rounds) > 1:
+                raise ValueError('not readable')
+
+        with self.assertLogs(level='ERROR'):
+            await lasting.repeat('work', work)
+        self.assertEqual(len(rounds), 4)
+        paused_s = rounds[-1] - rounds[0]
+        self.assertAlmostEqual(paused_s, 2 * lasting.PAUSE_S, places=3)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/control/lease_task.py
+++ b/beryllug/control/lease_task.py
@@ -8,7 +8,7 @@
 import msgspec
 from absl import logging
 
-from beryllug.control import waiters
+from beryllug.control import lasting, waiters
 from beryllug.core import lease, lease_data
 from beryllug.drivers import object_api, object_data
 
@@ -56,7 +56,8 @@
 
     def start(self) -> None:
         """Begin to tend the lease."""
-        self._task = asyncio.create_task(self._run())
+        name = f'lease {self.state.name}'
+        self._task = asyncio.create_task(lasting.repeat(name, self._round))
 
     async def stop(self) -> None:
         """Stop tending it, whatever its state."""
@@ -112,10 +113,9 @@
         )
         return True
 
-    async def _run(self) -> None:
-        while True:
-            await self._step()
-            await self._tell()
+    async def _round(self) -> None:
+        await self._step()
+        await self._tell()
 
     async def _step(self) -> None:
         now = time.monotonic()
--- a/beryllug/control/leases.py
+++ b/beryllug/control/leases.py
@@ -12,6 +12,7 @@
 
 from beryllug.control import (
     candidate_calls,
+    lasting,
     lease_balance,
     lease_lookup,
     lease_outage,
@@ -93,7 +94,9 @@
 
     async def start(self) -> None:
         """Begin to tend the wanted leases."""
-        self._task = asyncio.create_task(self._keep_balance())
+        self._task = asyncio.create_task(
+            lasting.repeat('balance', self._keep_balance)
+        )
         for task in self._tasks.values():
             task.start()
 
@@ -184,11 +187,10 @@
 
     async def _keep_balance(self) -> None:
         """Hand leases over when this process holds more than its share."""
-        while True:
-            await asyncio.sleep(self._lease_s)
-            name = self._balance.excess(self._held())
-            if name is not None:
-                await self._hand_over(name, self._lease_s)
+        await asyncio.sleep(self._lease_s)
+        name = self._balance.excess(self._held())
+        if name is not None:
+            await self._hand_over(name, self._lease_s)
 
     async def _hand_over(self, name: str, wait_s: float) -> None:
         holder = self._holders.get(name)
--- a/beryllug/control/outage_test.py
+++ b/beryllug/control/outage_test.py
@@ -233,6 +233,24 @@
         await self.finish_at_last(last, nodes_test.outcome(known))
         self.assertEqual(await self.ask(last, 'known'), Kind.FINISHED)
 
+    async def test_keeper_lost_first(self) -> None:
+        """The process with the copy is lost, a while later the owner.
+
+        The owner has had the intent copied anew meanwhile, so the last
+        process knows the key.
+        """
+        await self.outage()
+        await self.grant('one')
+        keeper, last = self.second, self.third
+        if self.copies(self.third):
+            keeper, last = self.third, self.second
+        await keeper.kill(self.network)
+        await nodes_test.until(lambda: self.copies(last))
+        await self.owner.kill(self.network)
+        self.store.down = False
+        await nodes_test.until(last.owns)
+        self.assertEqual(await self.ask(last, 'one'), Kind.UNKNOWN)
+
     async def test_ordinary_takeover_asks_nobody(self) -> None:
         """Without an outage a new owner serves as soon as it has the lease.
 
--- a/beryllug/control/probing.py
+++ b/beryllug/control/probing.py
@@ -12,7 +12,7 @@
 
 from absl import logging
 
-from beryllug.control import peers
+from beryllug.control import lasting, peers
 from beryllug.core import member_data, membership
 from beryllug.drivers import methods, rpc
 
@@ -62,7 +62,9 @@
 
     def start(self) -> None:
         """Begin to probe."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            lasting.repeat('membership', self._run)
+        )
 
     async def stop(self) -> None:
         """Tell the next members on the ring that this process leaves."""
@@ -90,17 +92,14 @@
         return member_data.ProbeReply(reply is not None)
 
     async def _run(self) -> None:
-        while True:
-            started = time.monotonic()
-            if self.rounds % JOIN_ROUNDS == 0 or len(self.table.ring) < 2:
-                await self._join()
-            await self._probe(self.rounds % WHOLE_ROUNDS == 0)
-            membership.expire(
-                self.table, self._cfg.heartbeat_s, time.monotonic()
-            )
-            self.rounds += 1
-            spent_s = time.monotonic() - started
-            await asyncio.sleep(self._cfg.heartbeat_s - spent_s)
+        started = time.monotonic()
+        if self.rounds % JOIN_ROUNDS == 0 or len(self.table.ring) < 2:
+            await self._join()
+        await self._probe(self.rounds % WHOLE_ROUNDS == 0)
+        membership.expire(self.table, self._cfg.heartbeat_s, time.monotonic())
+        self.rounds += 1
+        spent_s = time.monotonic() - started
+        await asyncio.sleep(self._cfg.heartbeat_s - spent_s)
 
     async def _join(self) -> None:
         """Try a seed or a dead member: that is how two halves meet again."""
--- a/beryllug/control/promises.py
+++ b/beryllug/control/promises.py
@@ -6,8 +6,8 @@
 import asyncio
 import time
 
-from beryllug.control import candidate_calls, lease_outage
-from beryllug.core import outage, outage_data
+from beryllug.control import candidate_calls, lasting, lease_outage
+from beryllug.core import lease_data, outage, outage_data
 from beryllug.drivers import methods, object_api, object_data
 
 PROBE_KEY = 'beryllug/leases/probe'
@@ -51,7 +51,9 @@
 
     def start(self) -> None:
         """Begin to ask for promises whenever leases can't be renewed."""
-        self._task = asyncio.create_task(self._keep_asking())
+        self._task = asyncio.create_task(
+            lasting.repeat('promises', self._keep_asking)
+        )
 
     async def stop(self) -> None:
         """Stop asking."""
@@ -71,6 +73,11 @@
         """Tell whether this process ever promised to one process start."""
         return boot in self._given
 
+    def is_held(self, lease_name: str, candidate: lease_data.Candidate) -> bool:
+        """Tell whether a candidate's promise holds now."""
+        until = outage.covered_until(self._got, lease_name, (candidate,))
+        return until > time.monotonic()
+
     def valid_s(self, lease_name: str) -> float:
         """Return for how long surely nobody takes a lease held here."""
         candidates = self._leases.candidates(lease_name)
@@ -110,10 +117,9 @@
         return outage_data.PromiseReply(started, tuple(names))
 
     async def _keep_asking(self) -> None:
-        while True:
-            if self._leases.is_struggling(time.monotonic()):
-                await self._ask_round()
-            await asyncio.sleep(self._pause_s)
+        if self._leases.is_struggling(time.monotonic()):
+            await self._ask_round()
+        await asyncio.sleep(self._pause_s)
 
     async def _ask_round(self) -> None:
         """Ask all candidates, together with whoever asks now."""
--- a/beryllug/control/segments.py
+++ b/beryllug/control/segments.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from beryllug.control import lasting
 from beryllug.core import journal_data, segment_data
 from beryllug.drivers import object_api, object_data
 
@@ -33,7 +34,7 @@
 _decode_row = msgspec.msgpack.Decoder(journal_data.Row).decode
 
 
-class LostError(Exception):
+class LostError(lasting.DoneError):
     """Another process owns the shard now; nothing more can be appended."""
 
 
--- a/beryllug/control/shard_cover.py
+++ b/beryllug/control/shard_cover.py
@@ -26,6 +26,9 @@
 from beryllug.drivers import object_data
 
 
+MOST_TELLINGS = 50
+
+
 class OutageParts(NamedTuple):
     """What the shards of a process share for outages."""
 
@@ -57,6 +60,7 @@
         self._told: set[str] = set()
         self._refuse_until = float('-inf')
         self._settled = False
+        self._tellings = 0
         before = parts.leases.before(tenure.lease_name)
         if before is not None and before.holder:
             parts.leases.mark(tenure.lease_name, unflushed=True)
@@ -105,8 +109,9 @@
         now = time.monotonic()
         if self.refuses_new(now) and await self._gather(state, reader):
             self._refuse_until = now
-        unsettled = state.unflushed or self.refuses_new(now)
-        if not unsettled and not self._settled:
+        if state.unflushed:
+            await self._copy_again(state)
+        elif not self.refuses_new(now) and not self._settled:
             await self.settle()
 
     async def end(self, state: shard_state.ShardState) -> bool:
@@ -129,6 +134,11 @@
         for name in sorted(self._told):
             if await self._parts.copies.tell_flushed(name, ask):
                 self._told.discard(name)
+        self._tellings += 1
+        if self._tellings > MOST_TELLINGS:
+            # A keeper that is gone for good; should it come back, its copies
+            # are of keys that have ended, which who gathers them drops.
+            self._told.clear()
         await self._parts.copies.drop(ask)
         self._settled = not self._told
         if self._settled:
@@ -140,6 +150,25 @@
         if rows:
             self._parts.copies.keep_own(self._ask(rows))
 
+    async def _copy_again(self, state: shard_state.ShardState) -> None:
+        """Copy anew what a lost candidate kept.
+
+        Otherwise the loss of this process too would leave nobody who knows
+        the keys.
+        """
+        lost = {
+            candidate.name
+            for candidate in self._parts.leases.candidates(
+                self._tenure.lease_name
+            )
+            if not self._parts.promises.is_held(
+                self._tenure.lease_name, candidate
+            )
+        }
+        if self._told and self._told <= lost:
+            self._told.clear()
+            await self._send(_unflushed(state))
+
     async def _gather(
         self, state: shard_state.ShardState, reader: readback.RowReader
     ) -> bool:
--- a/beryllug/control/shard_owner.py
+++ b/beryllug/control/shard_owner.py
@@ -7,6 +7,7 @@
 
 from beryllug.control import (
     commit,
+    lasting,
     late_rows,
     readback,
     shard_cover,
@@ -71,8 +72,8 @@
         """Take the shard over, then serve."""
         self._commits.start()
         self._tasks = [
-            asyncio.create_task(self.upkeep.run()),
-            asyncio.create_task(self._tend()),
+            asyncio.create_task(lasting.repeat('upkeep', self.upkeep.run)),
+            asyncio.create_task(lasting.repeat('cover', self._tend)),
         ]
 
     async def stop(self) -> None:
@@ -189,7 +190,6 @@
         await self._cover.prepare(state, self._reader)
 
     async def _tend(self) -> None:
-        while True:
-            await asyncio.sleep(TEND_S)
-            if self._commits.serving:
-                await self._cover.tend(self.state, self._reader)
+        await asyncio.sleep(TEND_S)
+        if self._commits.serving:
+            await self._cover.tend(self.state, self._reader)
--- a/beryllug/control/upkeep.py
+++ b/beryllug/control/upkeep.py
@@ -44,11 +44,10 @@
         self._first_at = float('-inf')
 
     async def run(self) -> None:
-        """Do all rounds, until cancelled."""
-        while True:
-            await asyncio.sleep(ROUND_S)
-            if self._commits.serving:
-                await self._try_round()
+        """Do one round after a while; to be repeated."""
+        await asyncio.sleep(ROUND_S)
+        if self._commits.serving:
+            await self._try_round()
 
     async def round(self, now: float) -> None:
         """Do one round; `now` is in seconds of the wall clock.
