Charge the bench's answers by their own length

Cause: the drawn length of an answer was not used; an unused alias stood in the cascade's records. Change: costs follow the drawn length; decisions still read the expected.

--- a/beryllug/bench/quality_run.py
+++ b/beryllug/bench/quality_run.py
@@ -118,7 +118,7 @@
         given = cascade_data.Given(question, answer, escalated=False)
         _give(run, case, state, given)
         return
-    _outcome(run, case).cost += question.offers[begin.stage].cost
+    _outcome(run, case).cost += _cost(run, case, begin.stage)
     given = cascade_data.Given(question, _answer(decision), escalated=True)
     _give(run, case, state, given)
 
@@ -149,7 +149,7 @@
     outcome = _outcome(run, case)
     outcome.answers += 1
     outcome.good += case.ratings[stage] >= run.declared['min_rating']
-    outcome.cost += offer.cost
+    outcome.cost += _cost(run, case, stage)
     outcome.small += stage == 0
     rated = given.answer.rating is not None
     waits_s = 0 if rated else offer.first_token_s
@@ -228,6 +228,12 @@
     return quality.rate(run.rater, stage, known, case.at)
 
 
+def _cost(run: _Run, case: quality.Case, stage: int) -> float:
+    """Return what an answer cost, by its own tokens."""
+    model = run.declared['models'][stage]
+    return (TOKENS_IN + case.tokens) * model.cost_micro / THOUSAND
+
+
 def _question(
     run: _Run, case: quality.Case, spent_s: float
 ) -> cascade_data.Question:
--- a/beryllug/core/cascade_data.py
+++ b/beryllug/core/cascade_data.py
@@ -5,7 +5,7 @@
 the true one.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -266,6 +266,3 @@
     cells: dict[CellKey, Cell] = field(default_factory=dict)
     ledgers: dict[str, Ledger] = field(default_factory=dict)
     judge: Judge = field(default_factory=Judge)
-
-
-Costs = Mapping[str, float]
