Wait for the session keys before tokens are asked for

Cause: at a load of 100 sessions_test met an entry that had no session key yet; its sessions are known by their record, and its answers carry no token. Ruled out: holding requests back until the keys are there. Change: the test waits for a token from both hosts first; its assertions stay.

--- a/beryllug/proofs/sessions_test.py
+++ b/beryllug/proofs/sessions_test.py
@@ -31,6 +31,7 @@
         await self.fleet.start()
         self.caller = caller.Caller(sample.LARGE_KEY)
         self.hosts = [ports.callers for ports in self.fleet.hosts]
+        await harness.wait_for(self._has_token, harness.READY_S)
 
     async def asyncTearDown(self) -> None:
         """Stop it."""
@@ -74,6 +75,14 @@
         self.assertEqual(refused.error()['code'], 'withdrawn')
         self.assertEqual(refused.error()['run'], 'not_run')
 
+    async def _has_token(self) -> bool:
+        """Tell whether the session keys have reached both hosts.
+
+        Until they have, a session is known by its record alone.
+        """
+        replies = [await self._ask(host, SESSIONS, '') for host in (0, 1)]
+        return all(TOKEN in reply.headers for reply in replies)
+
     async def _has_budget(self) -> bool:
         """Tell whether the first host may give out the candidate."""
         state = await self.fleet.dump(fleet_settings.entry_name(0))
