Measure the bytes of a roll-out's state by entries

Cause: docs/CAPACITY.md needs what a push to all carries; it was an estimate. Change: the message stands among those of the section decisions; names of entries have their usual length.

--- a/beryllug/bench/slopes/decision_slope.py
+++ b/beryllug/bench/slopes/decision_slope.py
@@ -8,7 +8,13 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from beryllug.bench.slopes import documents, fit, ledger, member_tables
+from beryllug.bench.slopes import (
+    documents,
+    fit,
+    ledger,
+    member_tables,
+    reports,
+)
 from beryllug.core import (
     balance_data,
     config_state,
@@ -235,4 +241,5 @@
     ('a heartbeat with the whole table', A_PROCESS, MEMBERS, _whole),
     ('an update with all loads', A_RUNNER, MANY, _loads),
     ('an update with the document', AN_ACCOUNT, MANY, _document),
+    ('the state of a roll-out', 'an entry', MEMBERS, reports.state),
 )
--- a/beryllug/bench/slopes/reports.py
+++ b/beryllug/bench/slopes/reports.py
@@ -28,6 +28,19 @@
     return documents.document()._replace(rollouts=(ROLLOUT,))
 
 
+def entry_name(number: int) -> str:
+    """Return the name of an entry process and of its start."""
+    return f'entry-host-{number:04}/0123456789ab'
+
+
+def state(entries: int) -> rpc_data.RolloutState:
+    """Return the state that is pushed, with the share of each entry."""
+    made = record(entries)
+    shares = made.exposure.shares.items()
+    budgets = {entry: share.dealt for entry, share in shares}
+    return rpc_data.RolloutState(1, rollout.status(made), budgets)
+
+
 def report(entry: str, sequence: int, accounts: int) -> rpc_data.EvidenceReport:
     """Return a report with some answers of both versions."""
     return rpc_data.EvidenceReport(
@@ -51,7 +64,7 @@
     """Return the record of a roll-out that so many entries reported on."""
     made = rollout.begin(ROLLOUT, accounts, None)
     for number in range(entries):
-        told = report(f'entry-{number}/0123456789ab', 1, accounts)
+        told = report(entry_name(number), 1, accounts)
         made = rollout.absorb(made, ROLLOUT, told, number)
         made = rollout.deal(made, ROLLOUT, number)
     return made
