--- a/beryllug/bench/rollout_policies.py
+++ b/beryllug/bench/rollout_policies.py
@@ -15,6 +15,7 @@
 NEW = 'v2'
 OLD = 'v1'
 LATE_RATE = 0.13
+QUIET_S = 5
 MODEL = 'desk'
 NEW_REF = config_data.VersionRef(MODEL, NEW)
 OLD_REF = config_data.VersionRef(MODEL, OLD)
@@ -201,7 +202,8 @@
     def end_tick(self, tick: int) -> None:
         """Report, decide and deal."""
         for entry in self.entries:
-            self._report(entry, tick)
+            if entry.book.counts or tick % QUIET_S == 0:
+                self._report(entry, tick)
         decision = rollout.decide(self.record, self.declared)
         self.record = rollout.carry_out(self.record, self.declared, decision)
         self.record = rollout.deal(self.record, self.declared, tick)
--- a/beryllug/core/evidence.py
+++ b/beryllug/core/evidence.py
@@ -29,8 +29,9 @@
 TOP_RATE: Final = 0.9
 HIGHEST_BOUNDARY: Final = 0.95
 LEAST_RATE: Final = 1e-6
-# Evidence against a rate well over the boundary that clears an account.
-SUITS_AT: Final = 2.5
+# Odds against a rate well over the boundary that clear an account.
+SUITS_ODDS: Final = 20
+SUITS_AT: Final = math.log(SUITS_ODDS)
 # With fewer answers of the incumbent than this share there is nothing to
 # compare with, and its rate is taken from memory.
 COMPARED_SHARE: Final = 0.125
@@ -41,10 +42,10 @@
 # Part of the wealth is there from the start; a part is paid in with the
 # density c / (c + n)^2 over the candidate's answers n, and the last one,
 # halved each time, when a comparison is reopened.
-PAY_IN_ANSWERS: Final = 200
-FIRST_PAY: Final = 0.6
-LATER_PAY: Final = 0.25
-REOPEN_PAY: Final = 0.15
+PAY_IN_ANSWERS: Final = 800
+FIRST_PAY: Final = 0.66
+LATER_PAY: Final = 0.17
+REOPEN_PAY: Final = 0.17
 LEAST_CREDIT: Final = -2.0
 MOST_GROWTH: Final = 16
 MOST_CREDIT: Final = math.log(MOST_GROWTH)
--- a/beryllug/core/rollout.py
+++ b/beryllug/core/rollout.py
@@ -233,11 +233,11 @@
     pair: Pair,
 ) -> Record:
     state = record.exposure
+    rated = evidence_bounds.needs_rating(declared)
     counts = pair.get(record.candidate)
     if counts is not None:
-        rated = evidence_bounds.needs_rating(declared)
         state = exposure.count(state, entry, counts, needs_rating=rated)
-    if any(part.rated for part in pair.values()):
+    if rated and any(part.rated for part in pair.values()):
         state = exposure.release(state, declared)
     return record._replace(exposure=state)
 
--- a/beryllug/core/rollout_checks.py
+++ b/beryllug/core/rollout_checks.py
@@ -22,15 +22,15 @@
 STOP_AT: Final = -math.log(WRONG_STOP)
 # The chance is spread over the measures, the greater part on all accounts
 # together and the rest on the single accounts.
-SPREAD: Final = (0.4, 0.2, 0.08, 0.24, 0.08)
-EVERYONE_PART: Final = 0.6
+SPREAD: Final = (0.5, 0.15, 0.03, 0.28, 0.04)
+EVERYONE_PART: Final = 0.65
 # Odds of twenty against a candidate hold its stage.
 WATCH_ODDS: Final = 20
 WATCH_AT: Final = math.log(WATCH_ODDS)
 BASE_EVIDENCE: Final = 0.5
 # Odds from which on a candidate that serves nearly all is compared again. A
 # wrong alarm costs time only.
-ALARM_ODDS: Final = 10000
+ALARM_ODDS: Final = 1000
 ALARM_AT: Final = math.log(ALARM_ODDS)
 # Before the last stages each account with this share of the answers must
 # have shown that the candidate suits it.
--- a/beryllug/core/rollout_test.py
+++ b/beryllug/core/rollout_test.py
@@ -64,7 +64,7 @@
         self.verdicts.append(self.record.verdict)
         self.stages.append(self.record.stage)
 
-    def good(self, reports: int, *, rated: bool = False) -> None:
+    def good(self, reports: int, rated: int = 0) -> None:
         """Report good answers of both versions, with one failure in 200."""
         for _ in range(reports):
             failed = self.sequence % 20 == 10
@@ -73,7 +73,7 @@
                 for ref in (NEW, OLD)
                 for account in ACCOUNTS
             ]
-            self.report(*(_rate(part, 9 if rated else 0) for part in counts))
+            self.report(*(_rate(part, rated) for part in counts))
 
     def bad(self, reports: int) -> None:
         """Report answers of which all of the candidate's fail."""
@@ -113,7 +113,7 @@
             fleet.decide()
         self.assertEqual(fleet.record.exposure.shares, dealt)
         self.assertEqual(fleet.record.exposure.released, 0)
-        fleet.good(60, rated=True)
+        fleet.good(60, rated=9)
         self.assertIs(fleet.record.verdict, Verdict.PROMOTED)
 
     def test_bad_for_one_account(self) -> None:
@@ -223,6 +223,17 @@
             fleet.report(_counts(NEW, 'kutch', 16, 8))
         self.assertEqual(fleet.record.percent, 5)
 
+    def test_judged_once(self) -> None:
+        """A roll-out without a least rating is rated all the same.
+
+        Its answers are judged when they end. Counted again when they turn
+        out unrated, they would be dealt twice.
+        """
+        fleet = _fleet()
+        fleet.good(5, rated=5)
+        state = fleet.record.exposure
+        self.assertEqual(state.judged + state.released, 100)
+
     def test_many_accounts(self) -> None:
         """Evidence of very many accounts takes a bounded place."""
         fleet = _fleet()
