--- /dev/null
+++ b/beryllug/core/routes/match.py
@@ -0,0 +1,53 @@
+"""The route and the client account of a request, and the service it goes to."""
+
+from beryllug.core.routes import routes_data
+
+
+def find_route(
+    table: routes_data.RouteTable, host: str, target: str
+) -> routes_data.Route | None:
+    """Return the route with the longest prefix that begins the path.
+
+    Args:
+        table: The table in force.
+        host: Host as the caller sent it, perhaps with a port.
+        target: Path and query.
+    """
+    name = host.partition(':')[0].lower()
+    path = target.partition('?')[0]
+    for route in table.routes.get(name, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def find_account(
+    table: routes_data.RouteTable, route: routes_data.Route, key: str
+) -> routes_data.Account | None:
+    """Return the client account of a key; None where it is not valid."""
+    return table.accounts.get(key)
+
+
+def choose_service(route: routes_data.Route, share: float) -> str:
+    """Return the service of a request.
+
+    Args:
+        route: Its route.
+        share: A number from 0 to 1 that is drawn for the request.
+    """
+    total = sum(target.weight for target in route.targets)
+    left = share * total
+    for target in route.targets:
+        left -= target.weight
+        if left < 0:
+            return target.service
+    return route.targets[-1].service
+
+
+def urgency(
+    route: routes_data.Route, account: routes_data.Account | None
+) -> int:
+    """Return the rank of a request, 0 the most urgent."""
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority
--- a/beryllug/core/settings_data.py
+++ b/beryllug/core/settings_data.py
@@ -13,6 +13,7 @@
 
     ENTRY = 'entry'
     CONTROL = 'control'
+    ROUTER = 'router'
 
 
 class Process(NamedTuple):
@@ -123,11 +124,50 @@
     retention_s: float = 86400.0
 
 
+class Router(NamedTuple):
+    """Section ``[router]``: callers, backend servers, the platform's store.
+
+    Durations that a platform states in milliseconds are kept so, since its
+    template can't compute.
+
+    Attributes:
+        listen: Address that callers reach through the balancer.
+        ready: Address at which the balancer asks for readiness.
+        peer_listen: Address for processes of this role.
+        store: Address of the platform's store.
+        seeds: Processes of this role to join by.
+        drain_ms: Within which a backend server that leaves gets no new work.
+        grace_s: From the order to stop until the process is killed.
+        session_s: Within which requests of a session belong together.
+        retry_ratio: Repeats that the fleet may send, by requests.
+        retry_slack: Repeats that the fleet may send beyond that.
+        retry_window_s: The time over which both hold.
+        trial_share: Share of its service's requests that a bad version may
+            get, fleet-wide.
+        trial_slack: Requests that it may get beyond that.
+    """
+
+    listen: str
+    ready: str
+    peer_listen: str
+    store: str
+    seeds: tuple[str, ...]
+    drain_ms: float = 2000
+    grace_s: float = 8.0
+    session_s: float = 5.0
+    retry_ratio: float = 0.5
+    retry_slack: float = 20
+    retry_window_s: float = 10.0
+    trial_share: float = 0.1
+    trial_slack: float = 20
+
+
 class Settings(NamedTuple):
-    """A whole settings file; the section of the other role is None."""
+    """A whole settings file; the sections of other roles are None."""
 
     process: Process
     operators: Operators
     fleet: Fleet
     entry: Entry | None = None
     control: Control | None = None
+    router: Router | None = None
--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -19,17 +19,26 @@
 CONNECT_S = 2.0
 IDLE_S = 30.0
 MAX_KEPT = 64
+HOST = 'host'
+KEEP_ALIVE = 'keep-alive'
+KEEP_ALIVE_TIMEOUT = 'timeout='
+# Seconds that a kept connection is dropped before its server would close it.
+# The server counts whole seconds from a moment that we see a round trip
+# later; one second more covers both.
+CLOSE_AHEAD_S = 1.0
+BODYLESS = ('GET', 'HEAD')
 
 
 class _Connection:
     """A link, the state of its protocol and when it was last used."""
 
-    __slots__ = ('link', 'parser', 'used_at')
+    __slots__ = ('idle_s', 'link', 'parser', 'used_at')
 
     def __init__(self, link: http_link.Link) -> None:
         self.link = link
         self.parser = h11.Connection(h11.CLIENT)
         self.used_at = 0.0
+        self.idle_s = IDLE_S
 
 
 class Incoming:
@@ -228,11 +237,11 @@
 
     def _take(self, address: str) -> _Connection | None:
         kept = self._kept.get(address)
-        oldest = asyncio.get_running_loop().time() - IDLE_S
+        now = asyncio.get_running_loop().time()
         while kept:
             link, conn = kept.popitem()
             link.on_idle_end = None
-            if conn.used_at > oldest and link.is_quiet():
+            if now - conn.used_at < conn.idle_s and link.is_quiet():
                 return conn
             link.abort()
         return None
@@ -272,8 +281,9 @@
     async def _send(self, conn: _Connection, payload: bytes) -> Incoming:
         link = conn.link
         parser = conn.parser
+        # A server may answer before it has read a long body: waiting for the
+        # body to go out first would wait for ever.
         link.write(payload)
-        await link.drain()
         event = parser.next_event()
         while not isinstance(event, h11.Response):
             if event is h11.NEED_DATA:
@@ -281,7 +291,9 @@
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError('closed before an answer')
             event = parser.next_event()
-        return Incoming(self, conn, event)
+        incoming = Incoming(self, conn, event)
+        conn.idle_s = _idle_s(incoming.headers)
+        return incoming
 
 
 def _deadline(timeout_s: float | None) -> float | None:
@@ -296,11 +308,11 @@
     Raises:
         NotSentError: It can't be written as HTTP; nothing was sent.
     """
-    fields = [
-        ('host', conn.link.address),
-        *outgoing.headers.items(),
-        (http_headers.LENGTH, str(len(outgoing.body))),
-    ]
+    fields = list(outgoing.headers.items())
+    if HOST not in outgoing.headers:
+        fields.insert(0, (HOST, conn.link.address))
+    if outgoing.body or outgoing.method not in BODYLESS:
+        fields.append((http_headers.LENGTH, str(len(outgoing.body))))
     parser = conn.parser
     try:
         head = h11.Request(
@@ -325,4 +337,18 @@
     parser = conn.parser
     done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
     unread = parser.trailing_data[0] or conn.link.has_unread()
-    return done and not unread
+    # An answer that came before the whole request went out: the rest of the
+    # body would stand where the next request is due.
+    unsent = conn.link.transport.get_write_buffer_size()
+    return done and not unread and not unsent
+
+
+def _idle_s(headers: http_data.Headers) -> float:
+    """Return for how long a connection may be kept unused."""
+    for part in headers.get(KEEP_ALIVE, '').split(','):
+        text = part.strip()
+        if text.startswith(KEEP_ALIVE_TIMEOUT):
+            seconds = text[len(KEEP_ALIVE_TIMEOUT) :]
+            if seconds.isdigit():
+                return int(seconds) - CLOSE_AHEAD_S
+    return IDLE_S
--- a/beryllug/drivers/http_data.py
+++ b/beryllug/drivers/http_data.py
@@ -52,7 +52,8 @@
     Attributes:
         method: Method in upper case.
         target: Path and query.
-        headers: Header values by lower-case name, without host and framing.
+        headers: Header values by lower-case name, without framing. Where
+            it has no host, the address of the server is sent.
         body: The whole body.
         fresh: Take a new connection, never a kept one. A kept connection
             may be closed by the server just as the request is written, after
--- a/beryllug/drivers/http_link.py
+++ b/beryllug/drivers/http_link.py
@@ -15,6 +15,8 @@
 import struct
 from collections.abc import Callable
 
+from beryllug.drivers import socket_guard
+
 # What may wait to be read before the other side is made to wait.
 READ_HIGH = 131072
 NEVER = math.inf
@@ -30,6 +32,8 @@
         deadline: Loop time after which the owner calls `expire`.
         is_blocked: Whether a write must wait for the other side to read.
         on_idle_end: Called when an idle connection ends or speaks unasked.
+        ended: Whether the other side has closed or the link is broken.
+        on_end: Called once when the other side closes or the link breaks.
     """
 
     def __init__(self, address: str = '') -> None:
@@ -37,10 +41,11 @@
         self.address = address
         self.deadline = NEVER
         self.on_idle_end: Callable[[Link], None] | None = None
+        self.on_end: Callable[[], None] | None = None
         self.transport: asyncio.Transport
         self._received: list[bytes] = []
         self._waiting = 0
-        self._ended = False
+        self.ended = False
         self._exc: Exception | None = None
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
@@ -50,6 +55,9 @@
         """Take the transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        sock = transport.get_extra_info('socket')
+        if sock is not None:
+            socket_guard.guard(sock)
 
     def data_received(self, data: bytes) -> None:
         """Keep what arrived until it is read."""
@@ -64,20 +72,22 @@
 
     def eof_received(self) -> bool:
         """Note that the other side writes no more; it may still read."""
-        self._ended = True
+        self.ended = True
         if self.on_idle_end is not None:
             self._end_idle()
         _wake(self._reader)
+        _tell_end(self)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Note the end; reads and writes that wait fail."""
-        self._ended = True
+        self.ended = True
         self._exc = exc or self._exc
         if self.on_idle_end is not None:
             self._end_idle()
         _wake(self._reader)
         _wake(self._writer)
+        _tell_end(self)
 
     def pause_writing(self) -> None:
         """Note that the other side reads too slowly."""
@@ -98,7 +108,7 @@
             OSError: The connection broke.
             TimeoutError: The deadline has passed.
         """
-        if not self._received and not self._ended:
+        if not self._received and not self.ended:
             self._reader = asyncio.get_running_loop().create_future()
             try:
                 await self._reader
@@ -150,7 +160,7 @@
 
     def has_unread(self) -> bool:
         """Tell whether bytes or the end have come that nobody has read."""
-        return self._ended or bool(self._received)
+        return self.ended or bool(self._received)
 
     def is_quiet(self) -> bool:
         """Tell whether nothing at all has come, not even into the kernel.
@@ -196,3 +206,10 @@
 def _wake(fut: 'asyncio.Future[None] | None') -> None:
     if fut is not None and not fut.done():
         fut.set_result(None)
+
+
+def _tell_end(link: Link) -> None:
+    on_end = link.on_end
+    link.on_end = None
+    if on_end is not None:
+        on_end()
--- a/beryllug/drivers/http_server.py
+++ b/beryllug/drivers/http_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -65,17 +66,32 @@
 
 
 class HttpServer:
-    """Serves one address until it is stopped."""
+    """Serves one address until it is stopped.
+
+    Attributes:
+        mode: Whether it drains, and its limits. Other limits hold from the
+            next connection on: a client may count on the idle time that it
+            was promised when it connected.
+    """
 
     def __init__(
         self,
         handler: Handler,
         limits: http_data.Limits | None = None,
+        *,
+        end_with_client: bool = False,
     ) -> None:
-        """Make a server; `start` opens its socket."""
+        """Make a server; `start` opens its socket.
+
+        Args:
+            handler: Answers one request.
+            limits: Bounds on each connection.
+            end_with_client: Cancel the handler as soon as its client closes
+                the connection, so that work for nobody ends.
+        """
         self._handler = handler
-        self._limits = limits or http_data.Limits()
-        self._mode = http_exchange.Mode(self._limits)
+        self._end_with_client = end_with_client
+        self.mode = http_exchange.Mode(limits or http_data.Limits())
         self._server: asyncio.Server | None = None
         self._clients: dict[http_link.Link, _Client] = {}
         self._sweeper: asyncio.TimerHandle | None = None
@@ -98,7 +114,7 @@
         that `stop` closes may just carry a request, whose sender then can't
         know whether it ran.
         """
-        self._mode.draining = True
+        self.mode.draining = True
 
     async def stop(self, grace_s: float = 0) -> None:
         """Stop accepting, let requests in flight end, close the rest."""
@@ -133,7 +149,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _begin(self, link: http_link.Link) -> None:
-        if len(self._clients) >= self._limits.connections:
+        if len(self._clients) >= self.mode.limits.connections:
             link.abort()
             return
         client = _Client(link)
@@ -150,7 +166,7 @@
         """
         loop = asyncio.get_running_loop()
         self._expire(loop.time())
-        limits = self._limits
+        limits = self.mode.limits
         shortest = min(limits.read_s, limits.idle_s, limits.write_s)
         period = min(shortest / SWEEPS_PER_LIMIT, MAX_SWEEP_S)
         self._sweeper = loop.call_later(period, self._sweep)
@@ -178,29 +194,33 @@
         A client that doesn't read it must not hold the connection for ever.
         """
         client.busy = False
-        client.link.deadline = _now() + self._limits.write_s
+        client.link.deadline = _now() + self.mode.limits.write_s
         client.link.transport.close()
 
     async def _serve_requests(self, client: _Client) -> None:
         link = client.link
+        limits = self.mode.limits
         parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
-        )
-        reader = http_reader.RequestReader(
-            link, parser, self._limits, client.peer
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        reader = http_reader.RequestReader(link, parser, limits, client.peer)
         while True:
-            exchange = Exchange(parser, link, self._mode)
-            link.deadline = _now() + self._limits.idle_s
+            exchange = Exchange(parser, link, self.mode)
+            link.deadline = _now() + limits.idle_s
             client.busy = await reader.wait_first_byte()
             if not client.busy:
                 return
-            link.deadline = _now() + self._limits.read_s
+            link.deadline = _now() + limits.read_s
             req = await self._read(reader, exchange)
             if req is None:
                 return
             link.deadline = http_link.NEVER
+            if self._end_with_client and client.task is not None:
+                if link.ended:
+                    return
+                link.on_end = functools.partial(_cancel, client.task)
             await self._handle(req, exchange)
+            link.on_end = None
             client.busy = False
             client.served = True
             if parser.our_state is not h11.DONE:
@@ -251,3 +271,7 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/beryllug/parsing/settings.py
+++ b/beryllug/parsing/settings.py
@@ -16,7 +16,7 @@
 
 Findings = list[finding.Finding]
 MAX_BYTES = 65536
-ROLE_SECTIONS = ('entry', 'control')
+ROLE_SECTIONS = ('entry', 'control', 'router')
 
 
 class _Outcome(NamedTuple):
--- a/beryllug/parsing/settings_page.py
+++ b/beryllug/parsing/settings_page.py
@@ -11,11 +11,11 @@
 # Settings
 
 A process reads one INI file, `beryllugd SETTINGS.ini`. Its role decides which
-sections it has: `process`, `operators` and `fleet` always, then `entry` or
-`control`. Unknown sections and keys are refused. Every broken key is reported
+sections it has: `process`, `operators` and `fleet` always, then `entry`,
+`control` or `router`. Unknown sections and keys are refused. Every broken key is reported
 at once with file, section and key, and the process ends with exit code 2.
 
-Durations are in seconds. Addresses are `ip:port`; names are never resolved.
+Durations are in seconds, but for keys that end in `_ms`. Addresses are `ip:port`; names are never resolved.
 Lists are separated by commas or line ends. Comments start a line with `#` or
 `;`. Keys rotate by listing two: `fleet.keys` signs with the first and accepts
 both, `operators.keys` accepts both.
@@ -24,7 +24,8 @@
 {settings_rules.LEASE_BEATS} times and `control.cut_off_s` more than
 {settings_rules.CUT_OFF_BEATS} times `control.heartbeat_s`.
 
-Samples: `examples/entry.ini`, `examples/control.ini`.
+Samples: `examples/entry.ini`, `examples/control.ini`; `deploy/router.ini` is
+the template that the platform fills in for a `router`.
 
 This page is made by `python -m beryllug.scripts.reference`.
 """
--- a/beryllug/parsing/settings_rules.py
+++ b/beryllug/parsing/settings_rules.py
@@ -20,6 +20,7 @@
         'fleet': settings_data.Fleet,
         'entry': settings_data.Entry,
         'control': settings_data.Control,
+        'router': settings_data.Router,
     }
 )
 
@@ -27,7 +28,10 @@
 MIN_KEY_LENGTH = 16
 NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
 MINUTE_S = 60
+MINUTE_MS = 60000
 HOUR_S = 3600
+MOST_RATIO = 10
+MOST_SLACK = 100000
 YEAR_S = 31622400
 SHORTEST_S = 0.02
 MIB = 1048576
@@ -94,7 +98,9 @@
 RULES: Mapping[str, Rule] = MappingProxyType(
     {
         'process.name': Name(),
-        'process.role': Choice(('entry', 'control'), settings_data.Role),
+        'process.role': Choice(
+            ('entry', 'control', 'router'), settings_data.Role
+        ),
         'process.host': Name(),
         'process.zone': Name(),
         'process.log_level': Choice(('debug', 'info', 'warning', 'error')),
@@ -125,6 +131,19 @@
         'control.cut_off_s': Number(0.1, HOUR_S),
         'control.drain_s': Number(0, HOUR_S),
         'control.retention_s': Number(MINUTE_S, YEAR_S),
+        'router.listen': Address(listening=True),
+        'router.ready': Address(listening=True),
+        'router.peer_listen': Address(listening=True),
+        'router.store': Address(),
+        'router.seeds': Addresses(least=0),
+        'router.drain_ms': Number(0, MINUTE_MS),
+        'router.grace_s': Number(0, HOUR_S),
+        'router.session_s': Number(0, HOUR_S),
+        'router.retry_ratio': Number(0, MOST_RATIO),
+        'router.retry_slack': Number(0, MOST_SLACK),
+        'router.retry_window_s': Number(0.1, HOUR_S),
+        'router.trial_share': Number(0, 1),
+        'router.trial_slack': Number(0, MOST_SLACK),
     }
 )
 
--- /dev/null
+++ b/beryllug/platform/store.py
@@ -0,0 +1,248 @@
+"""Calls of the platform's store of objects.
+
+The errors are those of our object API: after `UncertainError` a write may
+have taken effect, or may do so seconds later.
+"""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any, NamedTuple
+from urllib import parse as url_parse
+
+import msgspec
+
+from beryllug.drivers import http_client, http_data, object_data
+from beryllug.platform import names
+
+# Seconds over its wait after which a watch is taken for lost.
+WATCH_SLACK_S = 1.5
+MS = 1000
+JSON = MappingProxyType({'content-type': 'application/json'})
+TABLES = 'config'
+TABLE = 'main'
+SERVERS = 'servers'
+ROLLOUTS = 'rollouts'
+DONE = (HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT)
+
+
+class Stored(NamedTuple):
+    """An object of the store.
+
+    Attributes:
+        name: Its name within its kind.
+        revision: Revision of the store at its last change.
+        spec: What it says.
+        status: What was written about it since, or None.
+        is_leaving: Whether it is being deleted.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any
+    is_leaving: bool
+
+
+class Listing(NamedTuple):
+    """All objects of a kind, and the revision to watch from."""
+
+    found: tuple[Stored, ...]
+    revision: int
+
+
+class Change(NamedTuple):
+    """A change of one object; `is_gone` when it was deleted."""
+
+    stored: Stored
+    is_gone: bool
+
+
+class Changes(NamedTuple):
+    """Changes in order, perhaps none, and the revision to watch from."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+    finalizers: Any = ()
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+    status: Any = None
+
+
+class _Page(msgspec.Struct):
+    items: tuple[_Object, ...] = ()
+    has_more: bool = False
+    at: int = 0
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    tombstone: bool = False
+
+
+class _Events(msgspec.Struct):
+    at: int
+    events: tuple[_Event, ...] = ()
+
+
+class Store:
+    """The store at one address; counts its calls by what they do."""
+
+    def __init__(
+        self, client: http_client.HttpClient, address: str, timeout_s: float
+    ) -> None:
+        """Bind to the store; each call is bounded by `timeout_s` seconds."""
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+        self.calls: dict[str, int] = {}
+
+    async def list_all(self, kind: str) -> Listing:
+        """List the objects of a kind.
+
+        Raises:
+            ObjectApiError: The store did not give all of them.
+        """
+        found: list[Stored] = []
+        path = _path(kind)
+        while True:
+            page = _decode(await self._call('list', 'GET', path), _Page)
+            found.extend(_stored(each) for each in page.items)
+            if not page.has_more or not found:
+                return Listing(tuple(found), page.at)
+            after = url_parse.quote(found[-1].name, safe='')
+            path = f'{_path(kind)}?after={after}'
+
+    async def watch(self, kind: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, waiting for the first.
+
+        Raises:
+            CompactedError: The store no longer has all of them.
+            ObjectApiError: The store did not answer.
+        """
+        query = f'watch={after}&wait_ms={int(wait_s * MS)}'
+        body = await self._call(
+            'watch',
+            'GET',
+            f'{_path(kind)}?{query}',
+            timeout_s=wait_s + WATCH_SLACK_S,
+        )
+        events = _decode(body, _Events)
+        changes = tuple(
+            Change(_stored(event.object), event.tombstone)
+            for event in events.events
+        )
+        return Changes(changes, events.at)
+
+    async def set_status(
+        self, kind: str, name: str, revision: int, status: Any
+    ) -> None:
+        """Replace the status of an object that has not changed since.
+
+        Raises:
+            ConflictError: It has another revision.
+            UncertainError: It may have taken effect, or may do so later.
+            ObjectApiError: The store refused.
+        """
+        body = http_data.to_json(
+            {
+                'metadata': {'name': name, 'revision': revision},
+                'status': status,
+            }
+        )
+        path = f'{_path(kind, name)}/status'
+        await self._call('status', 'PUT', path, body)
+
+    async def create(self, kind: str, name: str, spec: Any) -> None:
+        """Create an object.
+
+        Raises:
+            ConflictError: There is one of that name.
+            UncertainError: It may have taken effect, or may do so later.
+            ObjectApiError: The store refused.
+        """
+        body = http_data.to_json({'metadata': {'name': name}, 'spec': spec})
+        await self._call('create', 'POST', _path(kind), body)
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object, if there is one.
+
+        Raises:
+            ObjectApiError: The store refused or did not answer.
+        """
+        await self._call('delete', 'DELETE', _path(kind, name))
+
+    async def _call(
+        self,
+        what: str,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        timeout_s: float | None = None,
+    ) -> bytes:
+        self.calls[what] = self.calls.get(what, 0) + 1
+        headers: Mapping[str, str] = JSON if body else {}
+        outgoing = http_data.Outgoing(method, target, dict(headers), body)
+        try:
+            incoming, answer = await self._client.call(
+                self._address, outgoing, timeout_s or self._timeout_s
+            )
+        except http_data.NotSentError as exc:
+            raise object_data.UnavailableError(str(exc)) from exc
+        except http_data.BrokenError as exc:
+            raise object_data.UncertainError(str(exc)) from exc
+        _raise_failure(incoming.status, incoming.headers)
+        return answer
+
+
+def _raise_failure(status: int, headers: Mapping[str, str]) -> None:
+    if status not in DONE:
+        raise _failure(status, headers)
+
+
+def _failure(
+    status: int, headers: Mapping[str, str]
+) -> object_data.ObjectApiError:
+    match status:
+        case HTTPStatus.CONFLICT:
+            return object_data.ConflictError(0)
+        case HTTPStatus.GONE:
+            return object_data.CompactedError('history is gone')
+        case HTTPStatus.TOO_MANY_REQUESTS:
+            after_s = http_data.retry_after(dict(headers))
+            return object_data.RateLimitedError(after_s)
+        case HTTPStatus.SERVICE_UNAVAILABLE:
+            return object_data.UnavailableError('the store is unavailable')
+    return object_data.ObjectApiError(f'status {status}')
+
+
+def _path(kind: str, name: str = '') -> str:
+    path = f'{names.OBJECTS_PATH}/{kind}'
+    return f'{path}/{url_parse.quote(name, safe="")}' if name else path
+
+
+def _decode(body: bytes, shape: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except msgspec.MsgspecError as exc:
+        raise object_data.ObjectApiError(f'unreadable answer: {exc}') from exc
+
+
+def _stored(found: _Object) -> Stored:
+    metadata = found.metadata
+    return Stored(
+        metadata.name,
+        metadata.revision,
+        found.spec,
+        found.status,
+        metadata.deleting,
+    )
--- /dev/null
+++ b/beryllug/router/attempts.py
@@ -0,0 +1,122 @@
+"""What stands behind the next attempt of a request, and when there is none.
+
+Shared by the flows. An attempt that failed is followed by another only where
+the request may run twice or surely has not run, where its route permits one
+more server, and where the fleet's bound on repeats leaves room.
+"""
+
+import time
+from dataclasses import dataclass, field
+
+from beryllug.core.placement import servers_data
+from beryllug.router import call as call_data, dispatch, pool, trials
+
+# Servers that can't be reached count as no attempt; a request goes round no
+# more than so many of them.
+MOST_UNREACHED = 6
+# Seconds below which no further attempt can bring an answer.
+LEAST_LEFT_S = 0.01
+# Parts of what is left of a caller's time after which it may come back; it
+# keeps to at most a third.
+RETRY_PART = 0.3
+# Most seconds for which a caller is sent away: by then a server that was
+# replaced or restarted takes work again.
+MOST_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """How a request has fared so far.
+
+    Attributes:
+        drawn: The versions that it may run on.
+        excluded: Instances that have failed it.
+        arrivals: Servers that it has reached.
+        unreached: Servers that it could not reach.
+        may_have_run: Whether "not run" can't be said of it any more.
+        reason: Why the last attempt failed.
+        is_late: Whether the last attempt failed by its time.
+    """
+
+    drawn: trials.Drawn
+    excluded: set[str] = field(default_factory=set)
+    arrivals: int = 0
+    unreached: int = 0
+    may_have_run: bool = False
+    reason: str = 'no backend server is listed'
+    is_late: bool = False
+
+
+def wish(
+    call: call_data.Call, progress: Progress, prefix: str = ''
+) -> servers_data.Wish:
+    """Return what the next attempt asks of the choice of a server."""
+    drawn = progress.drawn
+    versions = drawn.others if progress.excluded else drawn.versions
+    return servers_data.Wish(
+        call.service, prefix, versions, frozenset(progress.excluded)
+    )
+
+
+def note(
+    progress: Progress, choice: pool.Choice, failed: dispatch.Outcome
+) -> None:
+    """Take in how an attempt failed."""
+    progress.excluded.add(choice.server.instance)
+    match failed:
+        case dispatch.NotRun(reason, is_gone):
+            progress.reason = reason
+            progress.arrivals += not is_gone
+            progress.unreached += is_gone
+        case dispatch.Unknown(reason):
+            progress.reason = reason
+            progress.arrivals += 1
+            progress.may_have_run = True
+        case dispatch.TimedOut(reason):
+            progress.reason = reason
+            progress.arrivals += 1
+            progress.may_have_run = True
+            progress.is_late = True
+
+
+def may_go_on(
+    call: call_data.Call, progress: Progress, servers: pool.Pool, now: float
+) -> bool:
+    """Tell whether a request that failed is tried once more."""
+    if progress.may_have_run and not call.route.is_repeatable:
+        return False
+    if call.deadline - now < LEAST_LEFT_S:
+        return False
+    if progress.unreached > MOST_UNREACHED:
+        return False
+    if not progress.arrivals:
+        return True
+    if progress.arrivals >= call.route.max_attempts:
+        return False
+    return servers.may_repeat(call.service)
+
+
+def given_up(
+    call: call_data.Call, progress: Progress, now: float
+) -> call_data.RefusedError:
+    """Return the answer to a request that no server has answered."""
+    if not progress.may_have_run:
+        return call_data.RefusedError(
+            call_data.UNAVAILABLE,
+            progress.reason,
+            retry_after_s(call.deadline - now),
+        )
+    status = call_data.BAD_GATEWAY
+    if progress.is_late:
+        status = call_data.GATEWAY_TIMEOUT
+    return call_data.RefusedError(status, progress.reason)
+
+
+def retry_after_s(left_s: float) -> float:
+    """Return when a caller that is refused should come back."""
+    return min(max(left_s, 0) * RETRY_PART, MOST_RETRY_S)
+
+
+def left_s(call: call_data.Call) -> float:
+    """Return the seconds that are left for a request."""
+    return call.deadline - time.monotonic()
--- /dev/null
+++ b/beryllug/router/directory.py
@@ -0,0 +1,189 @@
+"""Service 'directory': what this process knows from the platform's store.
+
+The route table, the listed backend servers and the ordered roll-outs. A table
+is replaced only by one of a higher version, whoever brings it.
+"""
+
+import functools
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from beryllug.core.canary import canary_data
+from beryllug.core.placement import listing, servers_data
+from beryllug.core.routes import routes_data
+from beryllug.kernel import log_lines
+from beryllug.platform import documents, store
+from beryllug.router import store_watch
+
+OrderListener = Callable[[canary_data.Order, canary_data.Phase, float], None]
+TableListener = Callable[[routes_data.RouteTable], None]
+
+
+class Directory:
+    """Follows the store and answers from memory."""
+
+    def __init__(
+        self,
+        api: store.Store,
+        doubt_s: float,
+        lines: log_lines.LineWriter,
+    ) -> None:
+        """Bind to the store.
+
+        Args:
+            api: The store.
+            doubt_s: Seconds for which a dropped server is doubted.
+            lines: Takes log lines.
+        """
+        self.table: routes_data.RouteTable | None = None
+        self.table_spec: Any = None
+        self.has_servers = False
+        self._lines = lines
+        self._book = listing.Book(doubt_s)
+        self._table_listeners: list[TableListener] = []
+        self._order_listeners: list[OrderListener] = []
+        self._watches = (
+            self._watch(api, store.TABLES, self._take_table),
+            self._watch(api, store.SERVERS, self._take_server),
+            self._watch(api, store.ROLLOUTS, self._take_order),
+        )
+
+    def on_table(self, listener: TableListener) -> None:
+        """Tell of each table that comes in force."""
+        self._table_listeners.append(listener)
+
+    def on_order(self, listener: OrderListener) -> None:
+        """Tell of each roll-out order and each change of its status."""
+        self._order_listeners.append(listener)
+
+    async def start(self) -> None:
+        """Start to follow the store."""
+        for watch in self._watches:
+            watch.start()
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop to follow the store."""
+        for watch in self._watches:
+            await watch.stop()
+
+    def is_ready(self) -> bool:
+        """Tell whether requests can be placed at all."""
+        return self.table is not None and self.has_servers
+
+    def servers(
+        self, now: float
+    ) -> tuple[list[servers_data.Server], list[servers_data.Server]]:
+        """Return the listed servers that take work, and the doubted ones."""
+        return listing.usable(self._book, now)
+
+    def dump(self) -> dict[str, Any]:
+        """Return versions and the listed servers."""
+        table = self.table
+        return {
+            'table_version': table.version if table else 0,
+            'servers': sorted(self._book.servers),
+            'doubted': sorted(self._book.doubted),
+        }
+
+    def take_table_spec(self, spec: Any, source: str) -> None:
+        """Take a route table, if it is newer than the one in force."""
+        try:
+            table = documents.table(spec)
+        except (msgspec.ValidationError, ValueError) as exc:
+            self._lines.write('table_refused', source=source, error=str(exc))
+            return
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        self.table_spec = spec
+        self._lines.write('table_taken', version=table.version, source=source)
+        for listener in self._table_listeners:
+            listener(table)
+
+    def _watch(
+        self,
+        api: store.Store,
+        kind: str,
+        take: Callable[[store.Change, float], None],
+    ) -> store_watch.StoreWatch:
+        listed: store_watch.Listed = functools.partial(_take_each, take)
+        reached: store_watch.Reached = _ignore
+        if kind == store.SERVERS:
+            listed = self._take_servers
+            reached = self._note_reached
+        follower = store_watch.Follower(listed, take, reached)
+        return store_watch.StoreWatch(api, kind, follower, self._lines)
+
+    def _note_reached(self, is_reached: bool, now: float) -> None:
+        if is_reached:
+            listing.store_answered(self._book, now)
+        else:
+            listing.store_failed(self._book)
+
+    def _take_table(self, change: store.Change, now: float) -> None:
+        if change.stored.name == store.TABLE and not change.is_gone:
+            self.take_table_spec(change.stored.spec, 'store')
+
+    def _take_servers(self, stored: Iterable[store.Stored], now: float) -> None:
+        found = (self._server(each) for each in stored)
+        servers = [server for server in found if server is not None]
+        listing.replace(self._book, servers, now)
+        self.has_servers = True
+        self._lines.write('servers_listed', servers=len(servers))
+
+    def _take_server(self, change: store.Change, now: float) -> None:
+        instance = change.stored.name
+        if change.is_gone:
+            listing.drop(self._book, instance, now)
+            self._lines.write('server_dropped', instance=instance)
+            return
+        server = self._server(change.stored)
+        if server is None:
+            return
+        listing.put(self._book, server)
+        self._lines.write(
+            'server_listed',
+            instance=instance,
+            service=server.service,
+            version=server.version,
+            state=server.state.value,
+        )
+
+    def _server(self, stored: store.Stored) -> servers_data.Server | None:
+        try:
+            return documents.server(stored.name, stored.spec)
+        except (msgspec.ValidationError, ValueError) as exc:
+            self._lines.write(
+                'server_refused', instance=stored.name, error=str(exc)
+            )
+        return None
+
+    def _take_order(self, change: store.Change, now: float) -> None:
+        if change.is_gone:
+            return
+        stored = change.stored
+        try:
+            order, phase = documents.order(
+                stored.revision, stored.spec, stored.status
+            )
+        except (msgspec.ValidationError, ValueError) as exc:
+            self._lines.write('order_refused', name=stored.name, error=str(exc))
+            return
+        for listener in self._order_listeners:
+            listener(order, phase, time.monotonic())
+
+
+def _take_each(
+    take: Callable[[store.Change, float], None],
+    stored: Iterable[store.Stored],
+    now: float,
+) -> None:
+    for each in stored:
+        take(store.Change(each, is_gone=False), now)
+
+
+def _ignore(is_reached: bool, now: float) -> None:
+    """Pass over whether the store answered: only servers lapse with it."""
--- /dev/null
+++ b/beryllug/router/dispatch.py
@@ -0,0 +1,127 @@
+"""One attempt of a request at one backend server.
+
+What came of it is a value, so the flows decide on it by `match`. Whether the
+request can have run follows from how far its bytes got and from what the
+server says; nothing else may promise "not run".
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from beryllug.drivers import http_client, http_data
+from beryllug.platform import requests
+from beryllug.router import call as call_data
+
+CLIENT_ERROR = 400
+SERVER_ERROR = 500
+OK = 200
+REDIRECT = 300
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The head of an answer is here; its body is still to be read."""
+
+    incoming: http_client.Incoming
+    head: requests.Head
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """It surely did not run there.
+
+    Attributes:
+        reason: Why.
+        is_gone: Whether the server could not be reached, or another
+            instance has its address.
+    """
+
+    reason: str
+    is_gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """It may have run: the connection broke, or the answer is not one."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimedOut:
+    """Nothing came in time; it may have run."""
+
+    reason: str
+
+
+Outcome = Answered | NotRun | Unknown | TimedOut
+
+
+class Dispatcher:
+    """Sends requests to backend servers."""
+
+    def __init__(self, client: http_client.HttpClient) -> None:
+        """Bind to the client that keeps the connections."""
+        self._client = client
+
+    async def send(
+        self,
+        call: call_data.Call,
+        sending: requests.Sending,
+        wait_s: float,
+    ) -> Outcome:
+        """Send a request and wait for the head of its answer.
+
+        Args:
+            call: The request.
+            sending: Where to, and what is set anew.
+            wait_s: Seconds until the head must have come.
+
+        Returns:
+            What came of it. The incoming answer of `Answered` must be
+            closed.
+        """
+        fresh = not call.route.is_repeatable
+        outgoing = requests.outgoing(call.req, sending, fresh=fresh)
+        try:
+            async with asyncio.timeout(wait_s):
+                incoming = await self._client.request(
+                    sending.server.address, outgoing
+                )
+        except TimeoutError:
+            return TimedOut('no answer in time')
+        except http_data.NotSentError as exc:
+            return NotRun(str(exc), is_gone=True)
+        except http_data.BrokenError as exc:
+            return Unknown(str(exc))
+        head = requests.head_of(incoming.status, incoming.headers)
+        outcome = _judge(call, head)
+        if outcome is None:
+            return Answered(incoming, head)
+        await _discard(incoming, outcome)
+        return outcome
+
+
+async def _discard(incoming: http_client.Incoming, outcome: Outcome) -> None:
+    """Read a refusal's short body, so that the connection can be kept."""
+    try:
+        if isinstance(outcome, NotRun):
+            async with asyncio.timeout(1):
+                await incoming.read()
+    except (TimeoutError, http_data.BrokenError):
+        return
+    finally:
+        incoming.close()
+
+
+def _judge(call: call_data.Call, head: requests.Head) -> Outcome | None:
+    """Return why an answer is not one; None where it is."""
+    if head.attempt_id and head.attempt_id != call.asked.attempt_id:
+        # A late second answer to an earlier request of this connection.
+        return Unknown('the answer is to another request')
+    if head.is_not_run:
+        return NotRun(f'the server refused with {head.status}', False)
+    is_success = OK <= head.status < REDIRECT
+    if is_success and (not head.is_sealed or head.is_encoded):
+        return Unknown("the answer is not the server's own")
+    return None
--- /dev/null
+++ b/beryllug/router/front.py
@@ -0,0 +1,220 @@
+"""Service 'front': callers' requests, readiness, and a stop that cuts nothing.
+
+On a stop readiness fails first; requests are still taken until the balancer
+has surely noticed, then refused as "not run", and those in flight end.
+"""
+
+import asyncio
+import time
+import zlib
+from typing import Any, NamedTuple
+
+from beryllug.core import settings_data
+from beryllug.core.routes import match, routes_data
+from beryllug.drivers import http_data, http_server
+from beryllug.platform import requests
+from beryllug.router import (
+    attempt_log,
+    directory,
+    plain_flow,
+    stream_flow,
+)
+from beryllug.router import call as call_data
+
+OK = 200
+# Seconds between two questions of the balancer, which takes a process out
+# after two that were not answered well.
+ASKED_EVERY_S = 1.0
+# Seconds for which requests are still taken after a stop was asked for: two
+# questions, and one more for a connection that was made just before.
+TAKEN_S = 3 * ASKED_EVERY_S
+# Seconds before the platform kills the process by which it has ended itself.
+KILL_MARGIN_S = 0.5
+# Seconds after which a caller of a process without a table may come back.
+NO_TABLE_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.1
+# A caller that does not say how long it waits is taken to wait this long.
+DEFAULT_PATIENCE_S = 60.0
+IDLE_POLL_S = 0.05
+HASH_RANGE = 0x100000000
+# Seconds for which a write to a caller may be blocked.
+WRITE_S = 10.0
+
+
+class Flows(NamedTuple):
+    """What serves a request, by its kind."""
+
+    plain: plain_flow.PlainFlow
+    streams: stream_flow.StreamFlow
+
+
+class Front:
+    """Takes callers' requests and gives them to the flow of their kind."""
+
+    def __init__(
+        self,
+        cfg: settings_data.Router,
+        known: directory.Directory,
+        flows: Flows,
+        told: attempt_log.AttemptLog,
+    ) -> None:
+        """Make the service; `start` opens its sockets."""
+        self._cfg = cfg
+        self._known = known
+        self._flows = flows
+        self._log = told
+        self._server = http_server.HttpServer(
+            self._serve, _limits(None), end_with_client=True
+        )
+        self._readiness = http_server.HttpServer(self._tell_ready)
+        self._stopping_at: float | None = None
+        known.on_table(self._take_table)
+
+    async def start(self) -> None:
+        """Listen for callers and for the balancer's questions."""
+        await self._readiness.start(*_split(self._cfg.ready))
+        await self._server.start(*_split(self._cfg.listen))
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop without cutting a request off."""
+        begun = time.monotonic()
+        self._stopping_at = begun
+        self._server.drain()
+        last = begun + max(grace_s - KILL_MARGIN_S, 0)
+        await asyncio.sleep(min(TAKEN_S, grace_s / 2))
+        while self._server.in_flight and time.monotonic() < last:
+            await asyncio.sleep(IDLE_POLL_S)
+        await self._server.stop(max(last - time.monotonic(), 0))
+        await self._readiness.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return requests in flight and counts by what they got."""
+        return {
+            'in_flight': self._server.in_flight,
+            'stopping': self._stopping_at is not None,
+            'answers': dict(self._log.statuses),
+        }
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send requests here."""
+        return self._stopping_at is None and self._known.is_ready()
+
+    def _take_table(self, table: routes_data.RouteTable) -> None:
+        self._server.mode.limits = _limits(table)
+
+    async def _tell_ready(
+        self, req: http_data.Request, exchange: http_server.Exchange
+    ) -> None:
+        if not requests.is_ready_path(req.target):
+            await exchange.respond(call_data.NOT_FOUND)
+            return
+        ready = self.is_ready()
+        await exchange.respond(OK if ready else call_data.UNAVAILABLE)
+
+    async def _serve(
+        self, req: http_data.Request, exchange: http_server.Exchange
+    ) -> None:
+        now = time.monotonic()
+        asked = requests.read(req)
+        try:
+            call = self._route(req, asked, now)
+        except call_data.RefusedError as exc:
+            self._log.unrouted(asked.attempt_id, exc.status, exc.reason)
+            await _refuse(asked.attempt_id, exc, exchange)
+            return
+        try:
+            await self._flow(call).serve(call, exchange)
+        except call_data.RefusedError as exc:
+            self._log.refused(call, exc.status, exc.reason)
+            await _refuse(asked.attempt_id, exc, exchange)
+        except asyncio.CancelledError:
+            self._log.left(call)
+            raise
+
+    def _flow(
+        self, call: call_data.Call
+    ) -> plain_flow.PlainFlow | stream_flow.StreamFlow:
+        if call.route.kind is routes_data.RequestKind.STREAMING:
+            return self._flows.streams
+        return self._flows.plain
+
+    def _route(
+        self, req: http_data.Request, asked: requests.Asked, now: float
+    ) -> call_data.Call:
+        table = self._open_table(now)
+        route = match.find_route(table, req.headers.get('host', ''), req.target)
+        if route is None:
+            raise call_data.RefusedError(call_data.NOT_FOUND, 'no such route')
+        account = None
+        if table.needs_keys:
+            account = table.accounts.get(asked.key)
+        if account is None and table.needs_keys and not route.is_anonymous:
+            raise call_data.RefusedError(
+                call_data.UNAUTHORIZED, 'the key is not valid'
+            )
+        patience_s = asked.patience_s
+        if patience_s is None:
+            patience_s = DEFAULT_PATIENCE_S
+        drawn = zlib.crc32(asked.attempt_id.encode()) / HASH_RANGE
+        return call_data.Call(
+            req=req,
+            asked=asked,
+            route=route,
+            account=account,
+            service=match.choose_service(route, drawn),
+            arrived_at=now,
+            deadline=now + min(patience_s, route.timeout_s),
+        )
+
+    def _open_table(self, now: float) -> routes_data.RouteTable:
+        """Return the table in force, if new work is taken at all."""
+        if self._is_closed(now):
+            raise call_data.RefusedError(
+                call_data.UNAVAILABLE,
+                'this process is stopping',
+                STOPPING_RETRY_S,
+            )
+        table = self._known.table
+        if table is None or not self._known.has_servers:
+            raise call_data.RefusedError(
+                call_data.UNAVAILABLE,
+                'no route table is known yet',
+                NO_TABLE_RETRY_S,
+            )
+        return table
+
+    def _is_closed(self, now: float) -> bool:
+        stopping_at = self._stopping_at
+        return stopping_at is not None and now > stopping_at + TAKEN_S
+
+
+async def _refuse(
+    attempt_id: str,
+    refused: call_data.RefusedError,
+    exchange: http_server.Exchange,
+) -> None:
+    if exchange.started:
+        exchange.abort()
+        return
+    await exchange.respond_json(
+        refused.status,
+        {'error': refused.reason},
+        requests.refusal_headers(attempt_id, refused.retry_after_s),
+    )
+
+
+def _limits(table: routes_data.RouteTable | None) -> http_data.Limits:
+    if table is None:
+        return http_data.Limits(write_s=WRITE_S)
+    return http_data.Limits(
+        header_bytes=table.limits.header_bytes,
+        body_bytes=table.limits.body_bytes,
+        read_s=table.limits.read_s,
+        idle_s=table.limits.idle_s,
+        write_s=WRITE_S,
+    )
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/beryllug/router/pool.py
@@ -0,0 +1,115 @@
+"""Service 'pool': the choice of a backend server for each attempt.
+
+It owns what this process saw of the servers: its own requests on each, their
+failures, and the repeats that it has caused.
+"""
+
+import time
+from typing import Any, NamedTuple
+
+from beryllug.core import balance_data, ejection, retry_window, server_load
+from beryllug.core.placement import choose, servers_data
+from beryllug.router import directory
+
+
+class Choice(NamedTuple):
+    """A server that was chosen, and when it was counted."""
+
+    server: servers_data.Server
+    begun_at: float
+
+
+class Pool:
+    """Chooses servers and keeps count of what was sent to them."""
+
+    def __init__(
+        self,
+        known: directory.Directory,
+        zone: str,
+        bound: retry_window.Bound,
+    ) -> None:
+        """Bind to the directory."""
+        self.processes = 1
+        self._known = known
+        self._zone = zone
+        self._bound = bound
+        self._state = balance_data.BalanceState()
+        self._windows: dict[str, retry_window.Window] = {}
+
+    async def start(self) -> None:
+        """Do nothing: it is driven by requests."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return what was seen of each server."""
+        return {
+            instance: {
+                'in_flight': seen.in_flight,
+                'failures': seen.failures,
+                'ejections': seen.ejections,
+            }
+            for instance, seen in self._state.tracks.items()
+        }
+
+    def asked(self, service: str) -> None:
+        """Count a request for a service."""
+        retry_window.asked(self._window(service), time.monotonic())
+
+    def may_repeat(self, service: str) -> bool:
+        """Tell whether a request may be sent to one more server."""
+        return retry_window.may_repeat(
+            self._window(service),
+            self._bound,
+            self.processes,
+            time.monotonic(),
+        )
+
+    def repeated(self, service: str) -> None:
+        """Count a request that is sent to one more server."""
+        retry_window.repeated(self._window(service), time.monotonic())
+
+    def versions(self, service: str) -> frozenset[str]:
+        """Return the versions that a service's servers run."""
+        listed, _ = self._known.servers(time.monotonic())
+        return frozenset(
+            server.version for server in listed if server.service == service
+        )
+
+    def choose(self, wish: servers_data.Wish) -> Choice | None:
+        """Choose a server and count the request on it; None without one."""
+        now = time.monotonic()
+        listed, doubted = self._known.servers(now)
+        for servers in (listed, doubted):
+            server = choose.choose(self._state, servers, wish, self._zone, now)
+            if server is not None:
+                server_load.dispatched(self._state, server.instance, now)
+                return Choice(server, now)
+        return None
+
+    def ended(self, choice: Choice) -> None:
+        """Count the end of a request on a server, however it ended."""
+        now = time.monotonic()
+        server_load.finished(self._state, choice.server.instance, now)
+
+    def failed(self, choice: Choice, *, is_gone: bool = False) -> None:
+        """Take a failure that the server is to blame for.
+
+        A server that can't be reached is out at once: each further try would
+        cost a request one of its few attempts.
+        """
+        now = time.monotonic()
+        seen = server_load.track(self._state, choice.server.instance)
+        if not is_gone:
+            ejection.failed(seen, now)
+        elif not ejection.is_out(seen, now):
+            ejection.eject(seen, now, ejection.MOST_FAILING_S)
+
+    def succeeded(self, choice: Choice) -> None:
+        """Take a sound answer."""
+        seen = server_load.track(self._state, choice.server.instance)
+        ejection.succeeded(seen, 1)
+
+    def _window(self, service: str) -> retry_window.Window:
+        return self._windows.setdefault(service, retry_window.Window())
--- /dev/null
+++ b/beryllug/router/store_watch.py
@@ -0,0 +1,120 @@
+"""Follows one kind of objects in the platform's store.
+
+It lists the kind once and watches from there. A watch that fails is taken up
+where it stood; only when the store has dropped that history is the kind
+listed again. What is lost and regained is logged once each, with the count of
+tries between.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from beryllug.drivers import object_data
+from beryllug.kernel import log_lines
+from beryllug.platform import store
+
+# A waiting watch costs one call; the store lets one wait for 30 s. Ten bound
+# the time in which a watch that the network lost is not noticed.
+WAIT_S = 10.0
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+GROWTH = 2.0
+
+Listed = Callable[[Iterable[store.Stored], float], None]
+Changed = Callable[[store.Change, float], None]
+Reached = Callable[[bool, float], None]
+
+
+class Follower(NamedTuple):
+    """Who is told of a kind.
+
+    Attributes:
+        listed: Takes a whole listing.
+        changed: Takes one change.
+        reached: Told after each call, before what it brought, whether the
+            store answered.
+    """
+
+    listed: Listed
+    changed: Changed
+    reached: Reached
+
+
+class StoreWatch:
+    """Follows one kind until it is stopped."""
+
+    def __init__(
+        self,
+        api: store.Store,
+        kind: str,
+        follower: Follower,
+        lines: log_lines.LineWriter,
+    ) -> None:
+        """Bind to the store; `start` makes the first call."""
+        self._api = api
+        self._kind = kind
+        self._follower = follower
+        self._lines = lines
+        self._task: asyncio.Task[None] | None = None
+        self._failures = 0
+        self._lost_at = 0.0
+        self.revision = 0
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop to follow."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                await self._step()
+            except object_data.CompactedError:
+                self._lines.write('watch_compacted', kind=self._kind)
+                self.revision = 0
+            except object_data.ObjectApiError as exc:
+                self._note_failure(exc)
+                await asyncio.sleep(pause_s * (0.5 + random.random()))
+                pause_s = min(pause_s * GROWTH, LONGEST_PAUSE_S)
+            else:
+                pause_s = FIRST_PAUSE_S
+
+    async def _step(self) -> None:
+        if not self.revision:
+            listing = await self._api.list_all(self._kind)
+            self._note_answer()
+            self._follower.listed(listing.found, time.monotonic())
+            self.revision = listing.revision
+            return
+        changes = await self._api.watch(self._kind, self.revision, WAIT_S)
+        self._note_answer()
+        for change in changes.changes:
+            self._follower.changed(change, time.monotonic())
+        self.revision = max(changes.revision, self.revision)
+
+    def _note_failure(self, exc: Exception) -> None:
+        self._failures += 1
+        self._follower.reached(False, time.monotonic())
+        if self._failures == 1:
+            self._lost_at = time.monotonic()
+            self._lines.write('store_lost', kind=self._kind, error=str(exc))
+
+    def _note_answer(self) -> None:
+        self._follower.reached(True, time.monotonic())
+        if self._failures:
+            self._lines.write(
+                'store_regained',
+                kind=self._kind,
+                failures=self._failures,
+                away_s=round(time.monotonic() - self._lost_at, 3),
+            )
+        self._failures = 0
--- /dev/null
+++ b/beryllug/router/trials.py
@@ -0,0 +1,244 @@
+"""Service 'trials': which version each request runs on during a roll-out.
+
+It draws the requests that try a new version, keeps sessions on theirs, counts
+what the answers say, and holds the new version back at once when this process
+sees it fail. The verdict for the fleet is the judge's.
+"""
+
+import math
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from beryllug.core.canary import canary_data, plan, sessions, verdict
+from beryllug.kernel import log_lines
+from beryllug.router import call as call_data, pool
+
+# Seconds below which two times are not told apart.
+LEAST_S = 0.0001
+
+
+class Drawn(NamedTuple):
+    """The versions that a request may run on.
+
+    Attributes:
+        versions: The versions; None for any.
+        others: Those to try after a failure on one of them; None for any.
+        is_trial: Whether it tries a version that is not yet proved.
+    """
+
+    versions: frozenset[str] | None = None
+    others: frozenset[str] | None = None
+    is_trial: bool = False
+
+
+@dataclass(slots=True)
+class Rollout:
+    """A roll-out as this process knows it.
+
+    Attributes:
+        order: What was ordered.
+        phase: How far it has come.
+        begun_at: Monotonic second of its order, as far as is known.
+        tally: What this process has seen.
+        others: What other processes have told, by their names.
+    """
+
+    order: canary_data.Order
+    phase: canary_data.Phase
+    begun_at: float
+    tally: canary_data.Tally = field(default_factory=canary_data.Tally)
+    others: dict[str, canary_data.Tally] = field(default_factory=dict)
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether it still goes on."""
+        return not plan.is_over(self.phase)
+
+
+class Trials:
+    """Draws versions for requests and counts their answers."""
+
+    def __init__(
+        self,
+        servers: pool.Pool,
+        bounds: canary_data.Bounds,
+        lines: log_lines.LineWriter,
+    ) -> None:
+        """Bind to the pool, which knows the versions of the servers."""
+        self._pool = servers
+        self._bounds = bounds
+        self._lines = lines
+        self._rollouts: dict[str, Rollout] = {}
+        self._sessions = sessions.Sessions()
+
+    async def start(self) -> None:
+        """Do nothing: it is driven by orders and requests."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return each roll-out with what was seen of it."""
+        return {
+            service: {
+                'target': each.order.target,
+                'phase': each.phase.value,
+                'age_s': time.monotonic() - each.begun_at,
+                'tried': each.tally.tried,
+                'requests': each.tally.requests,
+            }
+            for service, each in self._rollouts.items()
+        }
+
+    def rollouts(self) -> Iterable[Rollout]:
+        """Return the known roll-outs."""
+        return self._rollouts.values()
+
+    def take_order(
+        self,
+        order: canary_data.Order,
+        phase: canary_data.Phase,
+        now: float,
+    ) -> None:
+        """Take an order, or a change of its status, from the store."""
+        known = self._rollouts.get(order.service)
+        if known is None or known.order.target != order.target:
+            self._rollouts[order.service] = Rollout(order, phase, now)
+            self._log(order, phase, 'ordered')
+            return
+        known.order = order
+        if plan.is_over(phase):
+            self.set_phase(known, phase, 'store')
+
+    def set_phase(
+        self, rollout: Rollout, phase: canary_data.Phase, source: str
+    ) -> None:
+        """Take how far a roll-out has come; one that is over stays so."""
+        if rollout.phase is phase or not rollout.is_open:
+            return
+        rollout.phase = phase
+        self._log(rollout.order, phase, source)
+
+    def draw(self, call: call_data.Call) -> Drawn:
+        """Return the versions that a request may run on."""
+        rollout = self._rollouts.get(call.service)
+        if rollout is None:
+            return Drawn()
+        target = frozenset((rollout.order.target,))
+        old = self._pool.versions(call.service) - target
+        if not old:
+            return Drawn(target)
+        if rollout.is_open:
+            rollout.tally.requests += 1
+        match rollout.phase:
+            case canary_data.Phase.ROLLED_BACK:
+                return Drawn(old, old)
+            case canary_data.Phase.COMPLETE:
+                return Drawn(target)
+            case canary_data.Phase.FULL:
+                rollout.tally.tried += 1
+                return Drawn(target, old, is_trial=True)
+        return self._draw_trial(call, rollout, target, old)
+
+    def ran(self, call: call_data.Call, version: str) -> None:
+        """Note the version on which a request of a session runs."""
+        if call.asked.session:
+            sessions.ran(
+                self._sessions,
+                call.service,
+                call.asked.session,
+                version,
+                time.monotonic(),
+            )
+
+    def judged(
+        self,
+        call: call_data.Call,
+        choice: pool.Choice,
+        *,
+        is_good: bool,
+        pace: tuple[str, float] | None = None,
+    ) -> None:
+        """Count an answer.
+
+        Args:
+            call: The request.
+            choice: The server that answered.
+            is_good: Whether the answer was a success.
+            pace: What was asked, and how many seconds it took.
+        """
+        rollout = self._rollouts.get(call.service)
+        if rollout is None or not rollout.is_open:
+            return
+        tally = rollout.tally
+        more = canary_data.Answers(int(is_good), int(not is_good))
+        is_new = choice.server.version == rollout.order.target
+        if is_new:
+            instance = choice.server.instance
+            known = tally.answers.get(instance, canary_data.Answers())
+            tally.answers[instance] = _plus(known, more)
+        else:
+            tally.old = _plus(tally.old, more)
+        if pace is not None:
+            _add_pace(tally.new_pace if is_new else tally.old_pace, pace)
+
+    def _draw_trial(
+        self,
+        call: call_data.Call,
+        rollout: Rollout,
+        target: frozenset[str],
+        old: frozenset[str],
+    ) -> Drawn:
+        now = time.monotonic()
+        session = call.asked.session
+        pin = session and sessions.pinned(
+            self._sessions,
+            call.service,
+            session,
+            self._bounds.session_s,
+            now,
+        )
+        if pin:
+            is_trial = pin in target
+        else:
+            subject = session or call.asked.attempt_id
+            is_trial = plan.is_drawn(subject, self._bounds)
+        tally = rollout.tally
+        if not is_trial or verdict.is_bad(self._seen(rollout)):
+            return Drawn(old, old)
+        if not plan.may_try(tally, self._bounds, self._pool.processes):
+            return Drawn(old, old)
+        tally.tried += 1
+        return Drawn(target, old, is_trial=True)
+
+    def _seen(self, rollout: Rollout) -> canary_data.Tally:
+        return verdict.merge((rollout.tally, *rollout.others.values()))
+
+    def _log(
+        self, order: canary_data.Order, phase: canary_data.Phase, source: str
+    ) -> None:
+        self._lines.write(
+            'rollout',
+            service=order.service,
+            target=order.target,
+            phase=phase.value,
+            source=source,
+        )
+
+
+def _plus(
+    one: canary_data.Answers, more: canary_data.Answers
+) -> canary_data.Answers:
+    return canary_data.Answers(one.good + more.good, one.bad + more.bad)
+
+
+def _add_pace(
+    paces: dict[str, canary_data.Pace], pace: tuple[str, float]
+) -> None:
+    key, seconds = pace
+    known = paces.get(key, canary_data.Pace())
+    paces[key] = canary_data.Pace(
+        known.answers + 1, known.log_sum + math.log2(max(seconds, LEAST_S))
+    )
--- a/beryllug/scripts/beryllugd.py
+++ b/beryllug/scripts/beryllugd.py
@@ -7,32 +7,52 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 from absl import logging
 
 from beryllug.core import finding, settings_data
 from beryllug.kernel import registry
 from beryllug.parsing import settings
-from beryllug.scripts import compose
+
+if TYPE_CHECKING:
+    from beryllug.scripts import compose
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
-USAGE = 'usage: beryllugd SETTINGS.ini'
+FROM_VARIABLE = '--settings-from'
+USAGE = f'usage: beryllugd SETTINGS.ini | {FROM_VARIABLE} VARIABLE'
 GRACE_S = 130.0
 
 
 def main() -> None:
     """Take the command line."""
-    if len(sys.argv) != 2:
-        _fail([USAGE])
-    cfg, findings = settings.load(sys.argv[1])
+    path = _settings_path(sys.argv[1:])
+    cfg, findings = settings.load(path)
     if cfg is None:
         _fail([finding.describe(item) for item in findings])
         return
+    if cfg.router is not None:
+        # Imported here alone: a role must not pay for the modules of another.
+        from beryllug.scripts import router_daemon  # noqa: WPS433
+
+        asyncio.run(router_daemon.run(cfg, cfg.router, path))
+        return
     _set_up_logs(cfg.process)
-    asyncio.run(_run(cfg, sys.argv[1]))
+    asyncio.run(_run(cfg, path))
+
+
+def _settings_path(args: list[str]) -> str:
+    match args:
+        case [flag, name] if flag == FROM_VARIABLE:
+            return os.environ.get(name, '')
+        case [path]:
+            return path
+    _fail([USAGE])
+    return ''
 
 
 def _fail(lines: list[str]) -> None:
@@ -47,6 +67,8 @@
 
 
 async def _run(cfg: settings_data.Settings, path: str) -> None:
+    from beryllug.scripts import compose  # noqa: WPS433
+
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -67,7 +89,7 @@
     logging.info('event=stopped process=%s', cfg.process.name)
 
 
-def _replace_keys(composed: compose.Composed, path: str) -> None:
+def _replace_keys(composed: 'compose.Composed', path: str) -> None:
     """Take rotated keys; broken settings change nothing."""
     cfg, findings = settings.load(path)
     for item in findings:
--- /dev/null
+++ b/beryllug/scripts/compose_router.py
@@ -0,0 +1,67 @@
+"""The composition root of the role `router`.
+
+It stands beside `scripts.compose` so that a process of this role imports
+nothing of the others, whose modules would add to its memory and its start.
+"""
+
+from beryllug.core import retry_window, settings_data
+from beryllug.core.canary import canary_data
+from beryllug.drivers import http_client
+from beryllug.kernel import log_lines, registry
+from beryllug.platform import store
+from beryllug.router import (
+    attempt_log,
+    directory,
+    dispatch,
+    front,
+    plain_flow,
+    pool,
+    stream_flow,
+    trials,
+)
+
+# Seconds for a call of the store. It answers in a few milliseconds.
+STORE_S = 1.0
+# Seconds for a connection to a backend server. A round trip between zones
+# takes 3 ms; a packet that was lost is sent again after a second, by when
+# another server has answered.
+CONNECT_S = 0.3
+MS = 1000
+# Part of the time in which a server that leaves gets no new work that may
+# pass before this process acts on it.
+DOUBT_PART = 0.75
+
+
+def compose(
+    settings: settings_data.Settings,
+    cfg: settings_data.Router,
+    lines: log_lines.LineWriter,
+) -> registry.Registry:
+    """Return the services of a process of this role, not started."""
+    services = registry.Registry()
+    api = store.Store(http_client.HttpClient(), cfg.store, STORE_S)
+    doubt_s = cfg.drain_ms / MS * DOUBT_PART
+    known = directory.Directory(api, doubt_s, lines)
+    zone = settings.process.zone
+    bound = retry_window.Bound(
+        cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
+    )
+    servers = pool.Pool(known, zone, bound)
+    canaries = trials.Trials(
+        servers,
+        canary_data.Bounds(cfg.trial_share, cfg.trial_slack, cfg.session_s),
+        lines,
+    )
+    known.on_order(canaries.take_order)
+    told = attempt_log.AttemptLog(lines, known)
+    sender = dispatch.Dispatcher(http_client.HttpClient(CONNECT_S))
+    flows = front.Flows(
+        plain_flow.PlainFlow(servers, sender, canaries, told),
+        stream_flow.StreamFlow(servers, sender, canaries, told),
+    )
+    edge = front.Front(cfg, known, flows, told)
+    services.register('directory', known)
+    services.register('pool', servers)
+    services.register('trials', canaries)
+    services.register('front', edge)
+    return services
