Move the pool of RPC clients to the drivers, where both sides may use it

Cause: the router role calls its peers too, and must not import control. Change: control/peers.py is drivers/rpc_peers.py; only imports change. Checked by: mypy, flake8.

--- a/beryllug/bench/config_bench.py
+++ b/beryllug/bench/config_bench.py
@@ -13,8 +13,9 @@
 from hdrh import histogram
 
 from beryllug.bench import config_fleet, recorder, report
-from beryllug.control import config_holder, peers, view_push
+from beryllug.control import config_holder, view_push
 from beryllug.core import config_data, config_state, document_parts
+from beryllug.drivers import rpc_peers
 
 
 class _Nobody:
@@ -193,7 +194,7 @@
 def _push_bytes(old: dict[str, bytes], new: dict[str, bytes]) -> int:
     """Return the size of the message that brings the change to a peer."""
     holder = config_holder.ConfigHolder()
-    calls = peers.Peers(config_fleet.KEYS)
+    calls = rpc_peers.Peers(config_fleet.KEYS)
     push = view_push.ViewPush(holder, calls, _Nobody(), '127.0.0.1:1')
     before = config_state.hold(1, old, holder.held)
     holder.take(config_state.hold(2, new, before), 'platform')
--- a/beryllug/bench/config_fleet.py
+++ b/beryllug/bench/config_fleet.py
@@ -11,9 +11,10 @@
 import time
 from typing import NamedTuple
 
-from beryllug.control import config, peers
+from beryllug.control import config
 from beryllug.core import config_data, settings_data
 from beryllug.drivers import (
+    rpc_peers,
     config_store,
     fleet_key,
     http_client,
@@ -57,7 +58,7 @@
     view: config.Config
     api: object_api.HttpObjectApi
     client: http_client.HttpClient
-    calls: peers.Peers
+    calls: rpc_peers.Peers
     server: rpc.RpcServer
 
 
@@ -173,7 +174,7 @@
         )
         client = http_client.HttpClient()
         api = object_api.HttpObjectApi(client, cfg.platform, PLATFORM_S)
-        calls = peers.Peers(KEYS)
+        calls = rpc_peers.Peers(KEYS)
         view = config.Config(process, cfg, api, calls, self._members)
         server = rpc.RpcServer(KEYS)
         view.serve(server)
--- a/beryllug/bench/journal_world.py
+++ b/beryllug/bench/journal_world.py
@@ -9,14 +9,14 @@
 from collections import Counter
 
 from beryllug.bench import recorder
-from beryllug.control import journal, leases, membership, peers, shards
+from beryllug.control import journal, leases, membership, shards
 from beryllug.core import (
     journal_data,
     lease_data,
     rpc_data,
     settings_data,
 )
-from beryllug.drivers import fleet_key, object_data
+from beryllug.drivers import fleet_key, object_data, rpc_peers
 from beryllug.standins import object_store
 
 DELAY_S = 0.003
@@ -95,7 +95,7 @@
         self.api = MemoryApi()
         members = membership.Membership(NAME, ADDRESS)
         owner = lease_data.Owner(NAME, BOOT, ADDRESS)
-        calls = peers.Peers(fleet_key.KeyRing(('key',)))
+        calls = rpc_peers.Peers(fleet_key.KeyRing(('key',)))
         self._leases = leases.Leases(self.api, owner, cfg.lease_s, members)
         parts = shards.Parts(self.api, self._leases, calls)
         self.journal = journal.Journal(parts, cfg, BOOT)
--- a/beryllug/control/candidate_calls.py
+++ b/beryllug/control/candidate_calls.py
@@ -2,8 +2,8 @@
 
 from typing import Any, Protocol
 
-from beryllug.control import lease_outage, peers
-from beryllug.drivers import rpc
+from beryllug.control import lease_outage
+from beryllug.drivers import rpc, rpc_peers
 
 
 class Server(Protocol):
@@ -17,7 +17,7 @@
     """Calls of members by name; a failure is no answer."""
 
     def __init__(
-        self, leases: lease_outage.LeaseOutage, calls: peers.Caller
+        self, leases: lease_outage.LeaseOutage, calls: rpc_peers.Caller
     ) -> None:
         """Bind to the members, as the leases know them."""
         self._leases = leases
--- a/beryllug/control/config.py
+++ b/beryllug/control/config.py
@@ -16,7 +16,6 @@
     config_tidy,
     config_watch,
     neighbours,
-    peers,
     view_feed,
     view_push,
 )
@@ -30,6 +29,7 @@
     view_parts,
 )
 from beryllug.drivers import (
+    rpc_peers,
     methods,
     object_api,
     object_data,
@@ -61,7 +61,7 @@
         process: settings_data.Process,
         cfg: settings_data.Control,
         api: object_api.ObjectApi,
-        calls: peers.Caller,
+        calls: rpc_peers.Caller,
         members: neighbours.Members | None = None,
     ) -> None:
         """Wire the parts; `start` begins to follow."""
--- a/beryllug/control/fleet_status.py
+++ b/beryllug/control/fleet_status.py
@@ -7,9 +7,9 @@
 import asyncio
 from typing import Any
 
-from beryllug.control import config, peers
+from beryllug.control import config
 from beryllug.core import rpc_data, settings_data
-from beryllug.drivers import methods, rpc
+from beryllug.drivers import methods, rpc, rpc_peers
 
 CALL_S = 1.0
 AT_ONCE = 32
@@ -20,7 +20,7 @@
 class FleetStatus:
     """Tells the state of this process, and gathers that of all others."""
 
-    def __init__(self, view: config.Config, calls: peers.Caller) -> None:
+    def __init__(self, view: config.Config, calls: rpc_peers.Caller) -> None:
         """Bind to the configuration service and the calls of peers."""
         self._view = view
         self._calls = calls
--- a/beryllug/control/leases.py
+++ b/beryllug/control/leases.py
@@ -17,14 +17,13 @@
     lease_lookup,
     lease_outage,
     lease_task,
-    peers,
 )
 from beryllug.core import (
     lease,
     lease_data,
     rpc_data,
 )
-from beryllug.drivers import methods, object_api, rpc
+from beryllug.drivers import methods, object_api, rpc, rpc_peers
 
 HINT_S = 0.5
 
@@ -57,7 +56,7 @@
         owner: lease_data.Owner,
         lease_s: float,
         members: lease_lookup.Members,
-        calls: peers.Caller | None = None,
+        calls: rpc_peers.Caller | None = None,
     ) -> None:
         """Make the service; it tends no lease before `start`.
 
--- a/beryllug/control/membership.py
+++ b/beryllug/control/membership.py
@@ -3,12 +3,12 @@
 import time
 from typing import Any, Protocol
 
-from beryllug.control import peers, probing
+from beryllug.control import probing
 from beryllug.core import member_data, membership
-from beryllug.drivers import fleet_key, methods, rpc
+from beryllug.drivers import fleet_key, methods, rpc, rpc_peers
 
 MILLISECONDS = 1000
-ALONE = probing.Join('', (), 1.0, peers.Peers(fleet_key.KeyRing(())))
+ALONE = probing.Join('', (), 1.0, rpc_peers.Peers(fleet_key.KeyRing(())))
 
 
 class Server(Protocol):
--- a/beryllug/control/operators.py
+++ b/beryllug/control/operators.py
@@ -9,11 +9,10 @@
     config_desk,
     console,
     fleet_status,
-    peers,
 )
 from beryllug.control import operator_replies as replies
 from beryllug.core import config_data, diff, document_plain, edits, plain
-from beryllug.drivers import rpc
+from beryllug.drivers import rpc, rpc_peers
 from beryllug.kernel import ops
 
 GET = 'GET'
@@ -56,7 +55,7 @@
 
 def for_control(
     view: config.Config,
-    calls: peers.Caller,
+    calls: rpc_peers.Caller,
     server: rpc.RpcServer,
     usage: Usage | None = None,
 ) -> ops.Routes:
--- a/beryllug/control/part_fetch.py
+++ b/beryllug/control/part_fetch.py
@@ -2,16 +2,17 @@
 
 from collections.abc import Iterable
 
-from beryllug.control import peers
 from beryllug.core import config_state, document_parts, part_delta, rpc_data
-from beryllug.drivers import methods
+from beryllug.drivers import methods, rpc_peers
 
 CALL_S = 2.0
 MAX_ROUNDS = 16
 
 
 async def obtain(
-    calls: peers.Caller, offer: rpc_data.ConfigOffer, held: config_state.Held
+    calls: rpc_peers.Caller,
+    offer: rpc_data.ConfigOffer,
+    held: config_state.Held,
 ) -> config_state.Held:
     """Return the configuration that a peer offers.
 
@@ -34,7 +35,7 @@
 
 
 async def _digests(
-    calls: peers.Caller,
+    calls: rpc_peers.Caller,
     offer: rpc_data.ConfigOffer,
     held: config_state.Held,
     known: dict[str, bytes],
@@ -53,7 +54,7 @@
 
 
 async def _complete(
-    calls: peers.Caller,
+    calls: rpc_peers.Caller,
     address: str,
     digests: Iterable[str],
     known: dict[str, bytes],
--- a/beryllug/control/probing.py
+++ b/beryllug/control/probing.py
@@ -12,9 +12,9 @@
 
 from absl import logging
 
-from beryllug.control import lasting, peers
+from beryllug.control import lasting
 from beryllug.core import member_data, membership
-from beryllug.drivers import methods, rpc
+from beryllug.drivers import methods, rpc, rpc_peers
 
 HELPERS = 2
 JOIN_ROUNDS = 10
@@ -37,7 +37,7 @@
     zone: str
     seeds: tuple[str, ...]
     heartbeat_s: float
-    calls: peers.Caller
+    calls: rpc_peers.Caller
 
 
 class Prober:
--- a/beryllug/control/rollout_states.py
+++ b/beryllug/control/rollout_states.py
@@ -11,9 +11,9 @@
 
 from absl import logging
 
-from beryllug.control import config, peers
+from beryllug.control import config
 from beryllug.core import config_data, rpc_data, view_data
-from beryllug.drivers import methods, rpc
+from beryllug.drivers import methods, rpc, rpc_peers
 
 PUSH_S = 1.0
 
@@ -34,7 +34,7 @@
     def __init__(
         self,
         address: str,
-        calls: peers.Caller,
+        calls: rpc_peers.Caller,
         members: Members,
         view: config.Config,
     ) -> None:
--- a/beryllug/control/rollouts.py
+++ b/beryllug/control/rollouts.py
@@ -14,7 +14,6 @@
 from beryllug.control import (
     config,
     leases,
-    peers,
     rollout_judge,
     rollout_states,
 )
@@ -24,7 +23,7 @@
     rpc_data,
     view_data,
 )
-from beryllug.drivers import methods, object_api, rpc
+from beryllug.drivers import methods, object_api, rpc, rpc_peers
 
 LEASE_PREFIX = 'rollouts/'
 FOLLOW_S = 2.0
@@ -39,7 +38,7 @@
         address: str,
         api: object_api.ObjectApi,
         held: leases.Leases,
-        calls: peers.Caller,
+        calls: rpc_peers.Caller,
         members: rollout_states.Members,
         view: config.Config,
     ) -> None:
--- a/beryllug/control/shards.py
+++ b/beryllug/control/shards.py
@@ -13,13 +13,12 @@
     commit,
     copies,
     leases,
-    peers,
     promises,
     shard_cover,
     shard_owner,
 )
 from beryllug.core import settings_data
-from beryllug.drivers import object_api, rpc
+from beryllug.drivers import object_api, rpc, rpc_peers
 
 LEASE_PREFIX = 'journal/'
 MAX_HOPS = 2
@@ -39,7 +38,7 @@
 
     api: object_api.ObjectApi
     leases: leases.Leases
-    peers: peers.Caller
+    peers: rpc_peers.Caller
 
 
 class Routed(NamedTuple, Generic[Ask, Reply]):
--- a/beryllug/control/suspects_spread.py
+++ b/beryllug/control/suspects_spread.py
@@ -11,9 +11,8 @@
 
 from absl import logging
 
-from beryllug.control import peers
 from beryllug.core import rendezvous, suspects_data
-from beryllug.drivers import methods, rpc
+from beryllug.drivers import methods, rpc, rpc_peers
 
 TRIALS = 'trials of suspected requests'
 SPREAD_S = 0.5
@@ -49,7 +48,7 @@
         name: str,
         others: Others,
         members: Members,
-        calls: peers.Caller,
+        calls: rpc_peers.Caller,
     ) -> None:
         """Bind the neighbours and the connections to them."""
         self._name = name
--- a/beryllug/control/view_push.py
+++ b/beryllug/control/view_push.py
@@ -14,14 +14,14 @@
 
 from absl import logging
 
-from beryllug.control import config_holder, part_fetch, peers
+from beryllug.control import config_holder, part_fetch
 from beryllug.core import (
     config_state,
     document_parts,
     part_delta,
     rpc_data,
 )
-from beryllug.drivers import methods, rpc
+from beryllug.drivers import methods, rpc, rpc_peers
 
 CALL_S = 2.0
 ASKED_AT_START = 16
@@ -48,7 +48,7 @@
     def __init__(
         self,
         holder: config_holder.ConfigHolder,
-        calls: peers.Caller,
+        calls: rpc_peers.Caller,
         others: Others,
         address: str,
     ) -> None:
--- a/beryllug/control/peers.py
+++ b/beryllug/drivers/rpc_peers.py
@@ -1,4 +1,4 @@
-"""Service 'peers': connections to the control processes of other hosts."""
+"""Service 'peers': connections to processes of other hosts."""
 
 from typing import Any, Protocol
 
@@ -27,7 +27,7 @@
 class Peers:
     """Clients by address; the least recently used is closed beyond a bound.
 
-    A control process of a large fleet calls a few peers a second, never the
+    A process of a large fleet calls a few peers a second, never the
     same ones for long: connections to all would cost it its memory.
     """
 
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -17,7 +17,6 @@
     membership,
     operators,
     orders,
-    peers,
     probing,
     rollouts,
     rpc_endpoint,
@@ -29,6 +28,7 @@
 )
 from beryllug.core import cascade_data, lease_data, rpc_data, settings_data
 from beryllug.drivers import (
+    rpc_peers,
     engine,
     fleet_key,
     host_list,
@@ -164,7 +164,7 @@
     api = object_api.HttpObjectApi(client, cfg.platform, PLATFORM_S)
     engines = engine.HttpEngine(client, ENGINE_S)
     listed = host_list.HttpHostList(client, cfg.host_list, HOST_LIST_S)
-    calls = peers.Peers(keys)
+    calls = rpc_peers.Peers(keys)
     join = probing.Join(process.zone, cfg.peers, cfg.heartbeat_s, calls)
     members = membership.Membership(process.name, cfg.listen, join)
     boot = _boot()
