Judge roll-outs by the evidence of all processes; tell peers what is known

Change: processes compare knowledge by one gRPC call, two peers a second, and tell what they saw of a roll-out to its two judges (rendezvous over living processes); a judge writes the end on the order's revision. A process that the store turns away takes table and servers from peers. Ruled out: a lease for the judge: the order's revision already lets one verdict win, and a lease costs calls while nothing is ordered.

--- a/beryllug/core/canary/plan.py
+++ b/beryllug/core/canary/plan.py
@@ -7,6 +7,7 @@
 """
 
 import zlib
+from typing import NamedTuple
 
 from beryllug.core.canary import canary_data, verdict
 
@@ -14,21 +15,36 @@
 # one may get: the rest is kept for the time between its first failure and the
 # last process's knowing.
 TRIAL_PART = 0.6
-# Parts of the ordered time after which all requests go to a version that has
-# proved itself, and after which the old servers have surely ended their work.
+# Parts of the ordered time. In its first half sessions stay where they are.
+HALF = 0.5
 FULL_AT = 0.55
+LATE_FULL_AT = 0.7
 COMPLETE_AT = 0.8
+# Part of the ordered time, and most seconds, for which all requests go to a
+# version before the roll-out is complete: the old servers end their work, and
+# a version that fails only under load shows it.
+FULL_PART = 0.15
+MOST_FULL_S = 4.0
 # Answers without which nothing is known of a version. A version that fails
-# three in ten gives twelve good ones once in seventy times.
+# three in ten gives twelve good ones once in seventy times; six are taken
+# where so little was asked of it that more did not come.
 LEAST_ANSWERS = 12
+LEAST_LATE_ANSWERS = 6
 HASH_RANGE = 0x100000000
 
 
+class Ages(NamedTuple):
+    """Seconds since a roll-out was ordered and since its phase began."""
+
+    order_s: float
+    phase_s: float
+
+
 def next_phase(
     order: canary_data.Order,
     phase: canary_data.Phase,
     tally: canary_data.Tally,
-    age_s: float,
+    ages: Ages,
 ) -> canary_data.Phase:
     """Return how far a roll-out has come.
 
@@ -36,19 +52,19 @@
         order: The order.
         phase: How far it had come.
         tally: What the fleet has seen.
-        age_s: Seconds since it was ordered.
+        ages: How long it goes on.
     """
     if is_over(phase):
         return phase
     if verdict.is_bad(tally):
         return canary_data.Phase.ROLLED_BACK
-    part = age_s / max(order.duration_s, 1)
+    part = ages.order_s / max(order.duration_s, 1)
     if phase is canary_data.Phase.TRIAL:
-        proved = verdict.judged(tally) >= LEAST_ANSWERS
-        if part >= FULL_AT and proved:
+        if _has_proved_itself(tally, part):
             return canary_data.Phase.FULL
         return phase
-    if part >= COMPLETE_AT:
+    full_s = min(order.duration_s * FULL_PART, MOST_FULL_S)
+    if part >= COMPLETE_AT and ages.phase_s >= full_s:
         return canary_data.Phase.COMPLETE
     return phase
 
@@ -61,6 +77,11 @@
     }
 
 
+def binds_sessions(order: canary_data.Order, age_s: float) -> bool:
+    """Tell whether sessions on the old version must stay there."""
+    return age_s < order.duration_s * HALF
+
+
 def may_try(
     tally: canary_data.Tally, bounds: canary_data.Bounds, processes: int
 ) -> bool:
@@ -81,4 +102,11 @@
     process stays on its version.
     """
     drawn = zlib.crc32(subject.encode()) / HASH_RANGE
-    return drawn < bounds.share * TRIAL_PART
+    return drawn < bounds.share
+
+
+def _has_proved_itself(tally: canary_data.Tally, part: float) -> bool:
+    count = verdict.judged(tally)
+    if part >= LATE_FULL_AT:
+        return count >= LEAST_LATE_ANSWERS
+    return part >= FULL_AT and count >= LEAST_ANSWERS
--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -46,7 +46,7 @@
 
 def is_bad(tally: canary_data.Tally) -> bool:
     """Tell whether the new version is to be taken back."""
-    return _fails(tally) or _is_slow(tally)
+    return _fails(tally) or slowdown(tally) > SLOW_RATIO
 
 
 def judged(tally: canary_data.Tally) -> int:
@@ -76,8 +76,11 @@
     return answers.bad / count if count else 0
 
 
-def _is_slow(tally: canary_data.Tally) -> bool:
-    """Compare the means of the logarithms, work by work."""
+def slowdown(tally: canary_data.Tally) -> float:
+    """Return how many times as long the new version takes; 1 if unknown.
+
+    The means of the logarithms are compared, work by work.
+    """
     count = 0
     excess = 0.0
     for key, new in tally.new_pace.items():
@@ -87,8 +90,9 @@
         count += new.answers
         excess += new.log_sum - new.answers * old.log_sum / old.answers
     if count < SLOW_ANSWERS:
-        return False
-    return excess / count > math.log2(SLOW_RATIO)
+        return 1
+    slowed: float = 2 ** (excess / count)
+    return slowed
 
 
 def _plus(
--- a/beryllug/drivers/rpc_peers.py
+++ b/beryllug/drivers/rpc_peers.py
@@ -69,6 +69,12 @@
         await self._trim()
         return await client.call(method, ask, timeout_s)
 
+    async def drop(self, address: str) -> None:
+        """Close the connection to a peer; the next call makes a new one."""
+        client = self._clients.pop(address, None)
+        if client is not None:
+            await client.close()
+
     async def _trim(self) -> None:
         while len(self._clients) > MAX_CLIENTS:
             oldest = next(iter(self._clients))
--- a/beryllug/parsing/settings_page.py
+++ b/beryllug/parsing/settings_page.py
@@ -12,10 +12,12 @@
 
 A process reads one INI file, `beryllugd SETTINGS.ini`. Its role decides which
 sections it has: `process`, `operators` and `fleet` always, then `entry`,
-`control` or `router`. Unknown sections and keys are refused. Every broken key is reported
-at once with file, section and key, and the process ends with exit code 2.
+`control` or `router`. Unknown sections and keys are refused. Every broken key
+is reported at once with file, section and key, and the process ends with exit
+code 2.
 
-Durations are in seconds, but for keys that end in `_ms`. Addresses are `ip:port`; names are never resolved.
+Durations are in seconds, but for keys that end in `_ms`. Addresses are
+`ip:port`; names are never resolved.
 Lists are separated by commas or line ends. Comments start a line with `#` or
 `;`. Keys rotate by listing two: `fleet.keys` signs with the first and accepts
 both, `operators.keys` accepts both.
--- a/beryllug/router/directory.py
+++ b/beryllug/router/directory.py
@@ -6,7 +6,7 @@
 
 import functools
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -41,6 +41,9 @@
         self.table: routes_data.RouteTable | None = None
         self.table_spec: Any = None
         self.has_servers = False
+        self.server_specs: dict[str, Any] = {}
+        self.servers_revision = 0
+        self.is_cut_off = False
         self._lines = lines
         self._book = listing.Book(doubt_s)
         self._table_listeners: list[TableListener] = []
@@ -117,7 +120,22 @@
         follower = store_watch.Follower(listed, take, reached)
         return store_watch.StoreWatch(api, kind, follower, self._lines)
 
+    def take_server_specs(
+        self, specs: Mapping[str, Any], revision: int, source: str
+    ) -> None:
+        """Take a peer's list of backend servers while the store is away."""
+        if not self.is_cut_off or revision <= self.servers_revision:
+            return
+        self._replace_servers(specs, revision, time.monotonic())
+        self._lines.write(
+            'servers_taken',
+            source=source,
+            revision=revision,
+            servers=len(specs),
+        )
+
     def _note_reached(self, is_reached: bool, now: float) -> None:
+        self.is_cut_off = not is_reached
         if is_reached:
             listing.store_answered(self._book, now)
         else:
@@ -127,20 +145,33 @@
         if change.stored.name == store.TABLE and not change.is_gone:
             self.take_table_spec(change.stored.spec, 'store')
 
-    def _take_servers(self, stored: Iterable[store.Stored], now: float) -> None:
-        found = (self._server(each) for each in stored)
+    def _take_servers(self, listed: store.Listing, now: float) -> None:
+        specs = {each.name: each.spec for each in listed.found}
+        self._replace_servers(specs, listed.revision, now)
+        self._lines.write('servers_listed', servers=len(specs))
+
+    def _replace_servers(
+        self, specs: Mapping[str, Any], revision: int, now: float
+    ) -> None:
+        found = (self._server(name, spec) for name, spec in specs.items())
         servers = [server for server in found if server is not None]
         listing.replace(self._book, servers, now)
+        self.server_specs = dict(specs)
+        self.servers_revision = revision
         self.has_servers = True
-        self._lines.write('servers_listed', servers=len(servers))
 
     def _take_server(self, change: store.Change, now: float) -> None:
         instance = change.stored.name
+        self.servers_revision = max(
+            self.servers_revision, change.stored.revision
+        )
         if change.is_gone:
+            self.server_specs.pop(instance, None)
             listing.drop(self._book, instance, now)
             self._lines.write('server_dropped', instance=instance)
             return
-        server = self._server(change.stored)
+        self.server_specs[instance] = change.stored.spec
+        server = self._server(instance, change.stored.spec)
         if server is None:
             return
         listing.put(self._book, server)
@@ -152,12 +183,12 @@
             state=server.state.value,
         )
 
-    def _server(self, stored: store.Stored) -> servers_data.Server | None:
+    def _server(self, instance: str, spec: Any) -> servers_data.Server | None:
         try:
-            return documents.server(stored.name, stored.spec)
+            return documents.server(instance, spec)
         except (msgspec.ValidationError, ValueError) as exc:
             self._lines.write(
-                'server_refused', instance=stored.name, error=str(exc)
+                'server_refused', instance=instance, error=str(exc)
             )
         return None
 
@@ -178,10 +209,10 @@
 
 def _take_each(
     take: Callable[[store.Change, float], None],
-    stored: Iterable[store.Stored],
+    listed: store.Listing,
     now: float,
 ) -> None:
-    for each in stored:
+    for each in listed.found:
         take(store.Change(each, is_gone=False), now)
 
 
--- /dev/null
+++ b/beryllug/router/judge.py
@@ -0,0 +1,137 @@
+"""Service 'judge': brings roll-outs to their end.
+
+Every process judges what it has been told; the judges of a roll-out, chosen
+by a hash over the living processes, are told everything and write the
+verdict to the store. The write holds only if the order has not changed since,
+so of two that write the second is refused and takes what stands there.
+"""
+
+import asyncio
+import time
+from typing import Any
+
+from beryllug.core.canary import canary_data, plan, verdict
+from beryllug.drivers import object_data
+from beryllug.kernel import log_lines
+from beryllug.platform import documents, store
+from beryllug.router import peering, trials
+
+# Seconds between two looks at each open roll-out. A verdict is due in all
+# processes seconds after the evidence for it.
+PERIOD_S = 0.25
+# Seconds that the second judge waits for the first one's word.
+STAND_IN_S = 1.5
+
+
+class Judge:
+    """Writes how roll-outs end."""
+
+    def __init__(
+        self,
+        canaries: trials.Trials,
+        peers: peering.Peering,
+        api: store.Store,
+        lines: log_lines.LineWriter,
+    ) -> None:
+        """Bind to the evidence and the store."""
+        self._trials = canaries
+        self._peers = peers
+        self._api = api
+        self._lines = lines
+        self._due: dict[str, float] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to judge."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop to judge; a peer stands in."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self) -> dict[str, Any]:
+        """Return since when verdicts are due that are not yet stored."""
+        return dict(self._due)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            for rollout in list(self._trials.rollouts()):
+                if not rollout.is_stored:
+                    await self._look(rollout)
+
+    async def _look(self, rollout: trials.Rollout) -> None:
+        now = time.monotonic()
+        seen = rollout.seen()
+        phase = plan.next_phase(
+            rollout.order,
+            rollout.phase,
+            seen,
+            plan.Ages(now - rollout.begun_at, now - rollout.phase_at),
+        )
+        if phase is not rollout.phase:
+            self._log(rollout, phase, seen)
+        if phase in {canary_data.Phase.FULL, canary_data.Phase.ROLLED_BACK}:
+            self._trials.set_phase(rollout, phase, 'judged', now)
+        if plan.is_over(phase):
+            await self._write_when_due(rollout, phase, now)
+
+    async def _write_when_due(
+        self,
+        rollout: trials.Rollout,
+        phase: canary_data.Phase,
+        now: float,
+    ) -> None:
+        service = rollout.order.service
+        due = self._due.setdefault(service, now)
+        rank = peering.JUDGES - 1
+        if self._peers.is_judge(service, 0):
+            rank = 0
+        elif not self._peers.is_judge(service, rank):
+            # Neither judge may be left; any process then stands in.
+            rank = peering.JUDGES
+        if now - due < rank * STAND_IN_S:
+            return
+        if await self._write(rollout, phase):
+            self._due.pop(service, None)
+
+    async def _write(
+        self, rollout: trials.Rollout, phase: canary_data.Phase
+    ) -> bool:
+        order = rollout.order
+        try:
+            await self._api.set_status(
+                store.ROLLOUTS,
+                order.service,
+                order.revision,
+                documents.order_status(order.target, phase),
+            )
+        except object_data.ObjectApiError as exc:
+            # A conflict is settled by the watch, which brings what stands.
+            self._lines.write(
+                'verdict_not_stored', service=order.service, error=str(exc)
+            )
+            return False
+        self._trials.settle(rollout, phase, 'stored')
+        return True
+
+    def _log(
+        self,
+        rollout: trials.Rollout,
+        phase: canary_data.Phase,
+        seen: canary_data.Tally,
+    ) -> None:
+        self._lines.write(
+            'verdict',
+            service=rollout.order.service,
+            target=rollout.order.target,
+            phase=phase.value,
+            age_s=round(time.monotonic() - rollout.begun_at, 2),
+            judged=verdict.judged(seen),
+            requests=seen.requests,
+            answers={name: list(each) for name, each in seen.answers.items()},
+            old=list(seen.old),
+            slowdown=round(verdict.slowdown(seen), 2),
+        )
--- /dev/null
+++ b/beryllug/router/peering.py
@@ -0,0 +1,188 @@
+"""Service 'peering': tells peers what this process knows, and learns theirs.
+
+A process that the store turns away, or that starts while it is down, learns
+the route table and the backend servers from its peers.
+"""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+import msgspec
+
+from beryllug.core import settings_data
+from beryllug.core.peering import members, peering_data
+from beryllug.drivers import methods, rpc, rpc_peers
+from beryllug.kernel import log_lines
+from beryllug.router import directory, pool, trials
+
+# Seconds between two rounds of calls, and the peers that are called in one.
+# Two calls a second of about 500 bytes carry news through a fleet of 900 in
+# some ten rounds, for 2 KB/s a process.
+PERIOD_S = 1.0
+FAN_OUT = 2
+# Seconds between two rounds while a roll-out is judged or the store does not
+# answer: the judges must know of a bad version within a second.
+BUSY_PERIOD_S = 0.4
+CALL_S = 0.8
+# Processes that judge one roll-out; the second stands in for the first.
+JUDGES = 2
+
+
+class Peering:
+    """Compares knowledge with a few peers at a time."""
+
+    def __init__(
+        self,
+        name: str,
+        cfg: settings_data.Router,
+        calls: rpc_peers.Peers,
+        known: directory.Directory,
+        canaries: trials.Trials,
+        servers: pool.Pool,
+        lines: log_lines.LineWriter,
+    ) -> None:
+        """Bind to what is told and learnt."""
+        self.members = members.Members(name)
+        self._cfg = cfg
+        self._calls = calls
+        self._known = known
+        self._trials = canaries
+        self._pool = servers
+        self._lines = lines
+        self._rng = random.Random(name)
+        self._leaving = False
+        self._task: asyncio.Task[None] | None = None
+        self._calling: set[asyncio.Task[None]] = set()
+
+    def serve(self, server: rpc.RpcServer) -> None:
+        """Answer calls of peers."""
+        server.unary(methods.COMPARE, self._answer)
+
+    async def start(self) -> None:
+        """Start to call peers, the seeds first."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self, grace_s: float) -> None:
+        """Tell the peers that this process leaves."""
+        if self._task is not None:
+            self._task.cancel()
+        self._leaving = True
+        for address in self._addresses():
+            self._call_later(address)
+        if self._calling:
+            await asyncio.wait(self._calling, timeout=CALL_S)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the known processes and when they were last heard of."""
+        now = time.monotonic()
+        return {
+            name: {'address': each.address, 'ago_s': now - each.heard_at}
+            for name, each in self.members.known.items()
+        }
+
+    def is_judge(self, service: str, rank: int) -> bool:
+        """Tell whether this process is the judge of that rank."""
+        order = members.ranked(self.members, service)
+        return order.index(self.members.name) == rank
+
+    async def _run(self) -> None:
+        while True:
+            now = time.monotonic()
+            for name in members.forget(self.members, now):
+                self._lines.write('peer_lost', peer=name)
+            self._pool.processes = len(self.members.known) + 1
+            for address in self._addresses():
+                self._call_later(address)
+            period_s = BUSY_PERIOD_S if self._is_busy() else PERIOD_S
+            await asyncio.sleep(period_s * (0.8 + 0.4 * self._rng.random()))
+
+    def _is_busy(self) -> bool:
+        is_judged = any(each.is_open for each in self._trials.rollouts())
+        return is_judged or self._known.is_cut_off
+
+    def _addresses(self) -> set[str]:
+        """Return whom to call now: the judges, some others, or the seeds."""
+        names = sorted(self.members.known)
+        chosen = self._rng.sample(names, min(FAN_OUT, len(names)))
+        for rollout in self._trials.rollouts():
+            if rollout.is_open:
+                order = members.ranked(self.members, rollout.order.service)
+                chosen.extend(order[:JUDGES])
+        called = set(members.addresses(self.members, chosen))
+        if len(called) < FAN_OUT:
+            called.update(self._cfg.seeds)
+        called.discard(self._cfg.peer_listen)
+        return called
+
+    def _call_later(self, address: str) -> None:
+        task = asyncio.create_task(self._call(address))
+        self._calling.add(task)
+        task.add_done_callback(self._calling.discard)
+
+    async def _call(self, address: str) -> None:
+        try:
+            reply = await self._calls.call(
+                address, methods.COMPARE, self._digest(), CALL_S
+            )
+        except rpc.RpcError:
+            # A connection that fell silent is not used again. Whether the
+            # peer is gone shows by no one hearing of it.
+            await self._calls.drop(address)
+            return
+        self._take(reply)
+
+    async def _answer(self, digest: peering_data.Digest) -> peering_data.Digest:
+        self._take(digest)
+        reply = self._digest()
+        known = self._known
+        if digest.table_version < reply.table_version:
+            reply = reply._replace(table=msgspec.json.encode(known.table_spec))
+        if (
+            digest.is_cut_off
+            and digest.servers_revision < reply.servers_revision
+        ):
+            reply = reply._replace(
+                servers=msgspec.json.encode(known.server_specs)
+            )
+        return reply
+
+    def _digest(self) -> peering_data.Digest:
+        now = time.monotonic()
+        known = self._known
+        table = known.table
+        return peering_data.Digest(
+            name=self.members.name,
+            address=self._cfg.peer_listen,
+            is_leaving=self._leaving,
+            table_version=table.version if table else 0,
+            servers_revision=known.servers_revision,
+            is_cut_off=known.is_cut_off,
+            peers=members.told(self.members, now, self._rng),
+            rollouts=self._trials.news(now),
+            tallies=self._trials.tallies(),
+        )
+
+    def _take(self, digest: peering_data.Digest) -> None:
+        now = time.monotonic()
+        if digest.is_leaving:
+            members.left(self.members, digest.name)
+        else:
+            self._heard(digest.name, digest.address, now)
+        for peer in digest.peers:
+            if peer.heard_ago_s < members.ALIVE_S:
+                self._heard(peer.name, peer.address, now - peer.heard_ago_s)
+        self._trials.take_news(digest, now)
+        if digest.table:
+            spec = msgspec.json.decode(digest.table)
+            self._known.take_table_spec(spec, digest.name)
+        if digest.servers:
+            specs = msgspec.json.decode(digest.servers)
+            self._known.take_server_specs(
+                specs, digest.servers_revision, digest.name
+            )
+
+    def _heard(self, name: str, address: str, at: float) -> None:
+        if members.heard(self.members, name, address, at):
+            self._lines.write('peer_found', peer=name, address=address)
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from beryllug.drivers import object_data
@@ -23,7 +23,7 @@
 LONGEST_PAUSE_S = 1.0
 GROWTH = 2.0
 
-Listed = Callable[[Iterable[store.Stored], float], None]
+Listed = Callable[[store.Listing, float], None]
 Changed = Callable[[store.Change, float], None]
 Reached = Callable[[bool, float], None]
 
@@ -92,7 +92,7 @@
         if not self.revision:
             listing = await self._api.list_all(self._kind)
             self._note_answer()
-            self._follower.listed(listing.found, time.monotonic())
+            self._follower.listed(listing, time.monotonic())
             self.revision = listing.revision
             return
         changes = await self._api.watch(self._kind, self.revision, WAIT_S)
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -12,12 +12,17 @@
 from typing import Any, NamedTuple
 
 from beryllug.core.canary import canary_data, plan, sessions, verdict
+from beryllug.core.peering import peering_data
 from beryllug.kernel import log_lines
 from beryllug.router import call as call_data, pool
 
 # Seconds below which two times are not told apart.
 LEAST_S = 0.0001
 
+# Phases that a peer's word is enough for. That a roll-out is complete is
+# taken from the store alone: its old servers are stopped then.
+FROM_PEERS = (canary_data.Phase.FULL, canary_data.Phase.ROLLED_BACK)
+
 
 class Drawn(NamedTuple):
     """The versions that a request may run on.
@@ -41,6 +46,8 @@
         order: What was ordered.
         phase: How far it has come.
         begun_at: Monotonic second of its order, as far as is known.
+        phase_at: Monotonic second at which the phase began here.
+        is_stored: Whether its end stands in the store.
         tally: What this process has seen.
         others: What other processes have told, by their names.
     """
@@ -48,6 +55,8 @@
     order: canary_data.Order
     phase: canary_data.Phase
     begun_at: float
+    phase_at: float
+    is_stored: bool = False
     tally: canary_data.Tally = field(default_factory=canary_data.Tally)
     others: dict[str, canary_data.Tally] = field(default_factory=dict)
 
@@ -56,6 +65,10 @@
         """Tell whether it still goes on."""
         return not plan.is_over(self.phase)
 
+    def seen(self) -> canary_data.Tally:
+        """Return what this process saw and was told, together."""
+        return verdict.merge((self.tally, *self.others.values()))
+
 
 class Trials:
     """Draws versions for requests and counts their answers."""
@@ -105,22 +118,79 @@
         """Take an order, or a change of its status, from the store."""
         known = self._rollouts.get(order.service)
         if known is None or known.order.target != order.target:
-            self._rollouts[order.service] = Rollout(order, phase, now)
+            known = Rollout(order, canary_data.Phase.TRIAL, now, now)
+            self._rollouts[order.service] = known
             self._log(order, phase, 'ordered')
-            return
         known.order = order
         if plan.is_over(phase):
-            self.set_phase(known, phase, 'store')
+            self.settle(known, phase, 'store')
 
     def set_phase(
-        self, rollout: Rollout, phase: canary_data.Phase, source: str
+        self,
+        rollout: Rollout,
+        phase: canary_data.Phase,
+        source: str,
+        now: float,
     ) -> None:
         """Take how far a roll-out has come; one that is over stays so."""
         if rollout.phase is phase or not rollout.is_open:
             return
         rollout.phase = phase
+        rollout.phase_at = now
         self._log(rollout.order, phase, source)
 
+    def settle(
+        self, rollout: Rollout, phase: canary_data.Phase, source: str
+    ) -> None:
+        """Take how a roll-out has ended by the store, whatever was thought."""
+        if rollout.phase is not phase:
+            self._log(rollout.order, phase, source)
+        rollout.phase = phase
+        rollout.is_stored = True
+
+    def news(self, now: float) -> tuple[peering_data.RolloutNews, ...]:
+        """Return how far each roll-out has come, to tell peers."""
+        return tuple(
+            peering_data.RolloutNews(
+                service,
+                each.order.target,
+                each.phase,
+                round(now - each.begun_at, 2),
+            )
+            for service, each in self._rollouts.items()
+        )
+
+    def tallies(self) -> tuple[peering_data.TallyNews, ...]:
+        """Return what this process saw of open roll-outs."""
+        return tuple(
+            peering_data.TallyNews(
+                service,
+                each.order.target,
+                each.tally.requests,
+                each.tally.tried,
+                each.tally.answers,
+                each.tally.old,
+                each.tally.new_pace,
+                each.tally.old_pace,
+            )
+            for service, each in self._rollouts.items()
+            if each.is_open
+        )
+
+    def take_news(self, digest: peering_data.Digest, now: float) -> None:
+        """Take what a peer knows and has seen of roll-outs."""
+        for news in digest.rollouts:
+            known = self._known(news.service, news.target)
+            if known is None:
+                continue
+            known.begun_at = min(known.begun_at, now - news.age_s)
+            if news.phase in FROM_PEERS:
+                self.set_phase(known, news.phase, digest.name, now)
+        for told in digest.tallies:
+            known = self._known(told.service, told.target)
+            if known is not None:
+                known.others[digest.name] = _tally(told)
+
     def draw(self, call: call_data.Call) -> Drawn:
         """Return the versions that a request may run on."""
         rollout = self._rollouts.get(call.service)
@@ -184,6 +254,12 @@
         if pace is not None:
             _add_pace(tally.new_pace if is_new else tally.old_pace, pace)
 
+    def _known(self, service: str, target: str) -> Rollout | None:
+        known = self._rollouts.get(service)
+        if known is None or known.order.target != target:
+            return None
+        return known
+
     def _draw_trial(
         self,
         call: call_data.Call,
@@ -200,22 +276,21 @@
             self._bounds.session_s,
             now,
         )
-        if pin:
-            is_trial = pin in target
+        if pin and pin in target:
+            is_trial = True
+        elif pin and plan.binds_sessions(rollout.order, now - rollout.begun_at):
+            is_trial = False
         else:
             subject = session or call.asked.attempt_id
             is_trial = plan.is_drawn(subject, self._bounds)
         tally = rollout.tally
-        if not is_trial or verdict.is_bad(self._seen(rollout)):
+        if not is_trial or verdict.is_bad(rollout.seen()):
             return Drawn(old, old)
         if not plan.may_try(tally, self._bounds, self._pool.processes):
             return Drawn(old, old)
         tally.tried += 1
         return Drawn(target, old, is_trial=True)
 
-    def _seen(self, rollout: Rollout) -> canary_data.Tally:
-        return verdict.merge((rollout.tally, *rollout.others.values()))
-
     def _log(
         self, order: canary_data.Order, phase: canary_data.Phase, source: str
     ) -> None:
@@ -242,3 +317,14 @@
     paces[key] = canary_data.Pace(
         known.answers + 1, known.log_sum + math.log2(max(seconds, LEAST_S))
     )
+
+
+def _tally(told: peering_data.TallyNews) -> canary_data.Tally:
+    return canary_data.Tally(
+        told.requests,
+        told.tried,
+        told.answers,
+        told.old,
+        told.new_pace,
+        told.old_pace,
+    )
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -19,7 +19,6 @@
     orders,
     probing,
     rollouts,
-    rpc_endpoint,
     servers,
     shards,
     suspects,
@@ -37,6 +36,7 @@
     plain_service,
     rating,
     rpc,
+    rpc_endpoint,
     weight_store,
 )
 from beryllug.entry import (
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -6,7 +6,13 @@
 
 from beryllug.core import retry_window, settings_data
 from beryllug.core.canary import canary_data
-from beryllug.drivers import http_client
+from beryllug.drivers import (
+    fleet_key,
+    http_client,
+    rpc,
+    rpc_endpoint,
+    rpc_peers,
+)
 from beryllug.kernel import log_lines, registry
 from beryllug.platform import store
 from beryllug.router import (
@@ -14,6 +20,8 @@
     directory,
     dispatch,
     front,
+    judge,
+    peering,
     plain_flow,
     pool,
     stream_flow,
@@ -60,7 +68,19 @@
         stream_flow.StreamFlow(servers, sender, canaries, told),
     )
     edge = front.Front(cfg, known, flows, told)
+    keys = fleet_key.KeyRing(settings.fleet.keys)
+    calls = rpc_peers.Peers(keys)
+    name = settings.process.name
+    peers = peering.Peering(name, cfg, calls, known, canaries, servers, lines)
+    rpc_server = rpc.RpcServer(keys)
+    peers.serve(rpc_server)
     services.register('directory', known)
+    services.register('calls', calls)
+    services.register(
+        'rpc', rpc_endpoint.RpcEndpoint(rpc_server, cfg.peer_listen)
+    )
+    services.register('peering', peers)
+    services.register('judge', judge.Judge(canaries, peers, api, lines))
     services.register('pool', servers)
     services.register('trials', canaries)
     services.register('front', edge)
