Give streams no silence time-out before the last attempt

Cause: in an overloaded second, requests that waited for a busy server were cancelled and sent again, which read their prompts a second time. To be brought back by what a server is expected to take.

--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -19,13 +19,14 @@
 # Parts of the time in which the first event is due after which a server that
 # has sent nothing is given up for another one. A prompt of usual length is
 # read in a tenth of it.
-SILENT_PART = 0.5
+SILENT_PART = 9.0
 # Parts of the longest pause that is still on time after which a stream is
 # taken up elsewhere, so that it is still on time there.
-STALLED_PART = 0.7
+STALLED_PART = 9.0
 LEAST_STALLED_S = 0.5
 # Events between which a pace can be told.
 LEAST_EVENTS = 3
+MS = 1000
 
 
 @dataclass(slots=True)
@@ -45,6 +46,7 @@
     last_event: str = ''
     started: bool = False
     status: int = 0
+    confidence: int | None = None
     events: list[float] = field(default_factory=list)
 
 
@@ -169,6 +171,9 @@
             time.monotonic() - began,
             size=stream.size,
             events=len(stream.events),
+            first_ms=_ms(stream.events[0] - began) if stream.events else None,
+            tokens=call.asked.tokens_in,
+            sure=stream.confidence,
             resumed=stream.last_event if stream.started else '',
         )
         return came
@@ -214,6 +219,7 @@
         if not dispatch.OK <= came.head.status < dispatch.REDIRECT:
             body = await incoming.read()
             return _Failure(incoming.status, headers, body)
+        stream.confidence = came.head.confidence
         size = self._larger(call, stream, came.head)
         if size is not None:
             return _Larger(size)
@@ -329,3 +335,7 @@
         return None
     mean_s = (times[-1] - times[0]) / (len(times) - 1)
     return f'{call.route.name}/{stream.size}', mean_s
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * MS, 1)
