Place prompts by what runners have still to read, told among processes

Ruled out: the runner's reports (priced, lagged), time-outs (read twice). Change: core/placement/backlog.py counts seconds of reading, own and told by peers four times a second; a prompt goes where its answer begins first.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -52,6 +52,17 @@
     old_pace: dict[str, canary_data.Pace]
 
 
+class Loads(NamedTuple):
+    """Seconds of reading that the sender has sent to each model runner."""
+
+    name: str
+    seconds: dict[str, float]
+
+
+class Nothing(NamedTuple):
+    """A reply that says no more than that the message came."""
+
+
 class Digest(NamedTuple):
     """What a process tells when it calls a peer, and what it is answered.
 
--- /dev/null
+++ b/beryllug/core/placement/backlog.py
@@ -0,0 +1,210 @@
+"""How long a prompt would wait at each model runner before it is read.
+
+A runner reads prompts one after the other, between the tokens of what it
+runs; a long one takes seconds on a large model. Its own reports are priced
+and come late, so each process counts what it has sent and what has not begun
+to answer, in seconds of reading, and the processes tell one another. Without
+this, one runner of five was 10 s behind while others were idle.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+# Seconds for which a peer's word counts; it is told several times a second.
+TOLD_S = 1.5
+# Seconds a token takes before anything was measured; it is learnt within a
+# few answers.
+FIRST_PACE_S = 0.00003
+# The pace is that of an idle runner, so a faster answer counts for more than
+# a slower one, which has waited.
+FASTER = 0.3
+SLOWER = 0.02
+LEAST_TOKENS = 500
+# Seconds for which a runner is taken to keep a prompt that it has read.
+KEPT_S = 30.0
+# Part of a shared prompt that a runner, which all processes prefer for it, is
+# taken to have still to read although this one has not sent it there.
+HOME_PART = 0.4
+MOST_READ = 4000
+
+
+class Prompt(NamedTuple):
+    """What one attempt asks a model runner to read.
+
+    Attributes:
+        model: The model.
+        shared: Name of the parts that other requests share.
+        shared_tokens: Tokens in these.
+        own_tokens: Tokens that are the request's own.
+    """
+
+    model: str
+    shared: str
+    shared_tokens: int
+    own_tokens: int
+
+    @property
+    def key(self) -> str:
+        """Return what a runner keeps it under: caches are by model."""
+        return f'{self.model},{self.shared}'
+
+
+class Item(NamedTuple):
+    """A prompt that was sent and has not begun to answer."""
+
+    prompt: Prompt
+    tokens: float
+    work_s: float
+    sent_at: float
+
+
+class Told(NamedTuple):
+    """Seconds of reading that a peer has sent to each runner, and when."""
+
+    seconds: Mapping[str, float]
+    at: float
+
+
+@dataclass(slots=True)
+class Backlog:
+    """What is known of the reading that runners still have to do.
+
+    Attributes:
+        items: Prompts of this process that have not begun to answer, by
+            runner and a number of their own.
+        peers: What peers have told last.
+        read_at: When a runner last read a prompt, as far as known.
+        paces: Seconds a token, by model.
+        number: Number of the last item.
+    """
+
+    items: dict[str, dict[int, Item]] = field(default_factory=dict)
+    peers: dict[str, Told] = field(default_factory=dict)
+    read_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    paces: dict[str, float] = field(default_factory=dict)
+    number: int = 0
+
+
+def begin(
+    backlog: Backlog,
+    instance: str,
+    prompt: Prompt,
+    now: float,
+    *,
+    is_home: bool,
+) -> int:
+    """Count a prompt that is sent to a runner; returns its number."""
+    tokens = _tokens(backlog, instance, prompt, now, is_home=is_home)
+    work_s = tokens * pace(backlog, prompt.model)
+    backlog.number += 1
+    items = backlog.items.setdefault(instance, {})
+    items[backlog.number] = Item(prompt, tokens, work_s, now)
+    return backlog.number
+
+
+def answers(backlog: Backlog, instance: str, number: int, now: float) -> None:
+    """Take that a runner has begun to answer: it has read the prompt."""
+    item = backlog.items.get(instance, {}).get(number)
+    if item is None:
+        return
+    _learn(backlog, item, now)
+    key = (instance, item.prompt.key)
+    backlog.read_at.pop(key, None)
+    backlog.read_at[key] = now
+    while len(backlog.read_at) > MOST_READ:
+        backlog.read_at.pop(next(iter(backlog.read_at)))
+    end(backlog, instance, number)
+
+
+def end(backlog: Backlog, instance: str, number: int) -> None:
+    """Take that a runner has nothing to read for an item any more."""
+    items = backlog.items.get(instance)
+    if items is None:
+        return
+    items.pop(number, None)
+    if not items:
+        backlog.items.pop(instance)
+
+
+def first_s(
+    backlog: Backlog,
+    instance: str,
+    prompt: Prompt,
+    now: float,
+    *,
+    is_home: bool,
+) -> float:
+    """Return the seconds until a runner is expected to answer a prompt."""
+    tokens = _tokens(backlog, instance, prompt, now, is_home=is_home)
+    own_s = tokens * pace(backlog, prompt.model)
+    return wait_s(backlog, instance, now) + own_s
+
+
+def wait_s(backlog: Backlog, instance: str, now: float) -> float:
+    """Return the seconds of reading that a runner has before it."""
+    waiting = own_s(backlog, instance, now)
+    for told in backlog.peers.values():
+        if now - told.at < TOLD_S:
+            waiting += told.seconds.get(instance, 0)
+    return waiting
+
+
+def own_s(backlog: Backlog, instance: str, now: float) -> float:
+    """Return the seconds of reading that this process has sent to a runner.
+
+    A prompt that is overdue shows a backlog that nobody has told of, or a
+    runner that is slow: what it waits beyond its time is taken to go on.
+    """
+    work_s = 0.0
+    overdue_s = 0.0
+    for item in backlog.items.get(instance, {}).values():
+        age_s = now - item.sent_at
+        work_s += max(item.work_s - age_s, 0)
+        overdue_s = max(overdue_s, age_s - item.work_s)
+    return work_s + overdue_s
+
+
+def told(backlog: Backlog, now: float) -> dict[str, float]:
+    """Return this process's part of the backlog, to tell peers."""
+    return {
+        instance: round(own_s(backlog, instance, now), 2)
+        for instance in backlog.items
+    }
+
+
+def take(
+    backlog: Backlog, peer: str, seconds: Mapping[str, float], now: float
+) -> None:
+    """Take a peer's part of the backlog."""
+    backlog.peers[peer] = Told(seconds, now)
+
+
+def pace(backlog: Backlog, model: str) -> float:
+    """Return the seconds that a token takes to be read by a model."""
+    return backlog.paces.get(model, FIRST_PACE_S)
+
+
+def _tokens(
+    backlog: Backlog,
+    instance: str,
+    prompt: Prompt,
+    now: float,
+    *,
+    is_home: bool,
+) -> float:
+    """Return the tokens that a runner has to read of a prompt."""
+    read_at = backlog.read_at.get((instance, prompt.key))
+    if read_at is not None and now - read_at < KEPT_S:
+        return prompt.own_tokens
+    part = HOME_PART if is_home else 1
+    return prompt.own_tokens + part * prompt.shared_tokens
+
+
+def _learn(backlog: Backlog, item: Item, now: float) -> None:
+    if item.tokens < LEAST_TOKENS:
+        return
+    seen = (now - item.sent_at) / item.tokens
+    known = backlog.paces.get(item.prompt.model, seen)
+    weight = FASTER if seen < known else SLOWER
+    backlog.paces[item.prompt.model] = known + weight * (seen - known)
--- a/beryllug/core/placement/choose.py
+++ b/beryllug/core/placement/choose.py
@@ -1,28 +1,32 @@
 """Choice of the backend server for one attempt.
 
-A prompt goes where its shared part was probably read before: reading 13,000
-tokens again takes 200 ms and more. All processes find that server by the same
-rendezvous hash and none has to be told. A server with too many of our requests
-is passed over, so a popular prompt spreads. A plain call goes to the least
-busy server, the own availability zone first.
+A prompt goes to the model runner where its answer is expected to begin first:
+after what is waiting there, and the sooner if its shared part was read there
+before. The runner that all processes prefer for a shared part, by rendezvous
+hash, is taken to have read it. A plain call goes to the least busy server, the
+own availability zone first.
 """
 
 from collections.abc import Iterable, Sequence
 
 from beryllug.core import balance_data, ejection, rendezvous, server_load
-from beryllug.core.placement import servers_data
+from beryllug.core.placement import backlog, servers_data
 
-# Requests of ours by which a server may be above the mean of its service and
-# still get a prompt that it has read: under it a queue is not to be feared.
-LEAST_BOUND = 4.0
-BOUND_RATIO = 1.5
 # Requests that another availability zone counts like: its round trip of about
 # 3 ms is a fifth of a short call's work.
 REMOTE_LOAD = 1.5
+# Seconds that another availability zone counts like for a prompt: a few
+# thousand bytes more over the dearer link.
+REMOTE_S = 0.01
+# Seconds that each token, which some runner keeps and another would have to
+# read again, counts like beyond the reading itself: it takes the room of
+# another prompt in that runner's memory.
+AGAIN_S = 0.00001
 
 
 def choose(
     state: balance_data.BalanceState,
+    reading: backlog.Backlog,
     servers: Iterable[servers_data.Server],
     wish: servers_data.Wish,
     zone: str,
@@ -32,6 +36,7 @@
 
     Args:
         state: What this process saw of each server.
+        reading: What model runners have still to read.
         servers: All listed servers.
         wish: What is asked.
         zone: Availability zone of this process.
@@ -52,8 +57,8 @@
     usable = _sound(state, allowed or fitting, now)
     if not usable:
         return None
-    if wish.prefix:
-        return _with_prefix(state, usable, wish.prefix, now)
+    if wish.prompt is not None:
+        return _for_prompt(reading, usable, wish.prompt, zone, now)
     return min(usable, key=lambda server: _load(state, server, zone, now))
 
 
@@ -75,29 +80,33 @@
     return sound or servers
 
 
-def _with_prefix(
-    state: balance_data.BalanceState,
+def home(servers: Sequence[servers_data.Server], key: str) -> str:
+    """Return the instance that all processes prefer for a shared prompt."""
+    return max(
+        (server.instance for server in servers),
+        key=lambda instance: rendezvous.score(key, instance),
+    )
+
+
+def _for_prompt(
+    reading: backlog.Backlog,
     usable: Sequence[servers_data.Server],
-    prefix: str,
+    prompt: backlog.Prompt,
+    zone: str,
     now: float,
 ) -> servers_data.Server:
-    loads = {
-        server.instance: server_load.load_of(
-            server_load.track(state, server.instance), now
+    preferred = home(usable, prompt.key)
+
+    def cost_s(server: servers_data.Server) -> float:  # noqa: WPS430
+        is_home = server.instance == preferred
+        first_s = backlog.first_s(
+            reading, server.instance, prompt, now, is_home=is_home
         )
-        for server in usable
-    }
-    mean = sum(loads.values()) / len(loads)
-    bound = max(LEAST_BOUND, mean * BOUND_RATIO + 1)
-    ranked = sorted(
-        usable,
-        key=lambda each: rendezvous.score(prefix, each.instance),
-        reverse=True,
-    )
-    for server in ranked:
-        if loads[server.instance] < bound:
-            return server
-    return min(usable, key=lambda each: loads[each.instance])
+        again_s = 0 if is_home else prompt.shared_tokens * AGAIN_S
+        remote_s = 0 if server.zone == zone else REMOTE_S
+        return first_s + again_s + remote_s
+
+    return min(usable, key=cost_s)
 
 
 def _load(
--- a/beryllug/core/placement/servers_data.py
+++ b/beryllug/core/placement/servers_data.py
@@ -5,6 +5,8 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from beryllug.core.placement import backlog
+
 
 class State(StrEnum):
     """Whether a backend server takes new work."""
@@ -43,13 +45,12 @@
 
     Attributes:
         service: Its service.
-        prefix: What its prompt shares with others and the model that reads
-            it; empty for plain calls.
+        prompt: What a model has to read; None for plain calls.
         versions: Versions that it may run on; None for any.
         excluded: Instances that have failed it.
     """
 
     service: str
-    prefix: str
+    prompt: backlog.Prompt | None
     versions: frozenset[str] | None
     excluded: frozenset[str]
--- a/beryllug/platform/requests.py
+++ b/beryllug/platform/requests.py
@@ -20,9 +20,11 @@
         patience_s: Seconds that the caller will wait; None if not said.
         model: Model that it names, or empty.
         is_any_model: Whether the choice of the model is left to us.
-        prompt_parts: Ids of the parts of the prompt, in order. The last one
-            belongs to the request or to its session alone.
-        tokens_in: Tokens of the prompt, or 0.
+        shared: Ids of the parts of the prompt that other requests share, in
+            order, as one text.
+        shared_tokens: Tokens in these.
+        own_tokens: Tokens of the prompt that are the request's own.
+        tokens_out: Most tokens of the answer, or 0 if not said.
         session: Id of the session, or empty.
         last_event: Id of the last event that the caller has, or empty.
     """
@@ -32,8 +34,10 @@
     patience_s: float | None
     model: str
     is_any_model: bool
-    prompt_parts: tuple[str, ...]
-    tokens_in: int
+    shared: str
+    shared_tokens: int
+    own_tokens: int
+    tokens_out: int
     session: str
     last_event: str
 
@@ -82,14 +86,20 @@
     """Read a caller's headers; what can't be read counts as not said."""
     headers = req.headers
     model = headers.get(names.MODEL, '')
+    parts = _prompt_parts(headers.get(names.PROMPT, ''))
+    tokens_in, tokens_out = _token_counts(headers.get(names.TOKENS, ''))
+    # The last part belongs to the request or to its session alone.
+    shared_tokens = sum(tokens for _, tokens in parts[:-1])
     return Asked(
         attempt_id=headers.get(names.ATTEMPT, ''),
         key=_key(headers.get(names.AUTHORIZATION, '')),
         patience_s=_seconds(headers.get(names.DEADLINE, '')),
         model=model,
         is_any_model=model == names.ANY_MODEL,
-        prompt_parts=_prompt_parts(headers.get(names.PROMPT, '')),
-        tokens_in=_first_number(headers.get(names.TOKENS, '')),
+        shared=','.join(part for part, _ in parts[:-1]),
+        shared_tokens=shared_tokens,
+        own_tokens=max(tokens_in - shared_tokens, 0),
+        tokens_out=tokens_out,
         session=headers.get(names.SESSION, ''),
         last_event=headers.get(names.LAST_EVENT, ''),
     )
@@ -170,14 +180,25 @@
     return int(text) / MS if text.isascii() and text.isdigit() else None
 
 
-def _prompt_parts(text: str) -> tuple[str, ...]:
-    parts = (part.partition(':')[0].strip() for part in text.split(','))
-    return tuple(part for part in parts if part)
+def _prompt_parts(text: str) -> list[tuple[str, int]]:
+    """Return ids and token counts of ``ID:TOKENS,ID:TOKENS``."""
+    parts = []
+    for entry in text.split(','):
+        part, _, tokens = entry.strip().partition(':')
+        if part:
+            parts.append((part, _whole(tokens)))
+    return parts
 
 
-def _first_number(text: str) -> int:
-    first = text.partition(',')[0].strip()
-    return int(first) if first.isascii() and first.isdigit() else 0
+def _token_counts(text: str) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most tokens of the answer."""
+    tokens_in, _, tokens_out = text.partition(',')
+    return _whole(tokens_in), _whole(tokens_out)
+
+
+def _whole(text: str) -> int:
+    digits = text.strip()
+    return int(digits) if digits.isascii() and digits.isdigit() else 0
 
 
 def _listed(text: str) -> frozenset[str]:
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass, field
 
-from beryllug.core.placement import servers_data
+from beryllug.core.placement import backlog, servers_data
 from beryllug.router import call as call_data, dispatch, pool, trials
 
 # Servers that can't be reached count as no attempt; a request goes round no
@@ -48,13 +48,15 @@
 
 
 def wish(
-    call: call_data.Call, progress: Progress, prefix: str = ''
+    call: call_data.Call,
+    progress: Progress,
+    prompt: backlog.Prompt | None = None,
 ) -> servers_data.Wish:
     """Return what the next attempt asks of the choice of a server."""
     drawn = progress.drawn
     versions = drawn.others if progress.excluded else drawn.versions
     return servers_data.Wish(
-        call.service, prefix, versions, frozenset(progress.excluded)
+        call.service, prompt, versions, frozenset(progress.excluded)
     )
 
 
--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -8,15 +8,24 @@
 from typing import Any, NamedTuple
 
 from beryllug.core import balance_data, ejection, retry_window, server_load
-from beryllug.core.placement import choose, servers_data
+from beryllug.core.placement import backlog, choose, servers_data
 from beryllug.router import directory
 
 
 class Choice(NamedTuple):
-    """A server that was chosen, and when it was counted."""
+    """A server that was chosen.
+
+    Attributes:
+        server: The server.
+        begun_at: Monotonic second at which the request was counted on it.
+        number: Number of the prompt in the backlog, or 0.
+        first_s: Seconds until it is expected to begin to answer.
+    """
 
     server: servers_data.Server
     begun_at: float
+    number: int = 0
+    first_s: float = 0.0
 
 
 class Pool:
@@ -34,6 +43,7 @@
         self._zone = zone
         self._bound = bound
         self._state = balance_data.BalanceState()
+        self.reading = backlog.Backlog()
         self._windows: dict[str, retry_window.Window] = {}
 
     async def start(self) -> None:
@@ -82,16 +92,24 @@
         now = time.monotonic()
         listed, doubted = self._known.servers(now)
         for servers in (listed, doubted):
-            server = choose.choose(self._state, servers, wish, self._zone, now)
+            server = choose.choose(
+                self._state, self.reading, servers, wish, self._zone, now
+            )
             if server is not None:
-                server_load.dispatched(self._state, server.instance, now)
-                return Choice(server, now)
+                return self._counted(server, wish, servers, now)
         return None
 
+    def answers(self, choice: Choice) -> None:
+        """Take that a server has begun to answer a prompt."""
+        instance = choice.server.instance
+        backlog.answers(self.reading, instance, choice.number, time.monotonic())
+
     def ended(self, choice: Choice) -> None:
         """Count the end of a request on a server, however it ended."""
         now = time.monotonic()
-        server_load.finished(self._state, choice.server.instance, now)
+        instance = choice.server.instance
+        server_load.finished(self._state, instance, now)
+        backlog.end(self.reading, instance, choice.number)
 
     def failed(self, choice: Choice, *, is_gone: bool = False) -> None:
         """Take a failure that the server is to blame for.
@@ -111,5 +129,27 @@
         seen = server_load.track(self._state, choice.server.instance)
         ejection.succeeded(seen, 1)
 
+    def _counted(
+        self,
+        server: servers_data.Server,
+        wish: servers_data.Wish,
+        servers: list[servers_data.Server],
+        now: float,
+    ) -> Choice:
+        instance = server.instance
+        server_load.dispatched(self._state, instance, now)
+        prompt = wish.prompt
+        if prompt is None:
+            return Choice(server, now)
+        same = [each for each in servers if each.service == wish.service]
+        is_home = choose.home(same, prompt.key) == instance
+        first_s = backlog.first_s(
+            self.reading, instance, prompt, now, is_home=is_home
+        )
+        number = backlog.begin(
+            self.reading, instance, prompt, now, is_home=is_home
+        )
+        return Choice(server, now, number, first_s)
+
     def _window(self, service: str) -> retry_window.Window:
         return self._windows.setdefault(service, retry_window.Window())
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -10,7 +10,7 @@
 import time
 from dataclasses import dataclass, field
 
-from beryllug.core.placement import sizes
+from beryllug.core.placement import backlog, sizes
 from beryllug.drivers import event_split, http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import attempt_log, attempts, dispatch, pool, trials
@@ -39,6 +39,11 @@
         last_event: Id of the last event that went out, or empty.
         started: Whether the caller has the head of the answer.
         status: Status of the answer, once started.
+        confidence: What the last answer said of itself, if anything.
+        first_at: When the first event went out.
+        last_at: When the last event went out.
+        longest_gap_s: Longest pause between two events that went out.
+        events: When the events of the present attempt went out.
     """
 
     progress: attempts.Progress
@@ -47,6 +52,9 @@
     started: bool = False
     status: int = 0
     confidence: int | None = None
+    first_at: float = 0.0
+    last_at: float = 0.0
+    longest_gap_s: float = 0.0
     events: list[float] = field(default_factory=list)
 
 
@@ -105,16 +113,21 @@
         )
         failure: _Failure | None = None
         while True:
-            prefix = _prefix(call, stream)
             choice = self._pool.choose(
-                attempts.wish(call, stream.progress, prefix)
+                attempts.wish(call, stream.progress, _prompt(call, stream))
             )
             if choice is None:
                 break
             came = await self._attempt(call, choice, stream, exchange)
             match came:
                 case _Done():
-                    self._log.answered(call, stream.status, size=stream.size)
+                    self._log.answered(
+                        call,
+                        stream.status,
+                        size=stream.size,
+                        first_ms=_ms(stream.first_at - call.arrived_at),
+                        gap_ms=_ms(stream.longest_gap_s),
+                    )
                     return
                 case _Larger(size):
                     stream.size = size
@@ -172,7 +185,8 @@
             size=stream.size,
             events=len(stream.events),
             first_ms=_ms(stream.events[0] - began) if stream.events else None,
-            tokens=call.asked.tokens_in,
+            tokens=call.asked.shared_tokens + call.asked.own_tokens,
+            expected_ms=_ms(choice.first_s),
             sure=stream.confidence,
             resumed=stream.last_event if stream.started else '',
         )
@@ -198,6 +212,7 @@
         came = await self._sender.send(call, sending, wait_s)
         if not isinstance(came, dispatch.Answered):
             return came
+        self._pool.answers(choice)
         try:
             async with asyncio.timeout_at(call.deadline):
                 return await self._take(call, stream, came, exchange)
@@ -250,7 +265,7 @@
             stream.started = True
             stream.status = came.head.status
             await exchange.start(stream.status, headers)
-        stream.events.append(time.monotonic())
+        _note_event(stream, time.monotonic())
         stream.last_event = events[-1].event_id or stream.last_event
         try:
             await exchange.send(b''.join(event.raw for event in events))
@@ -322,11 +337,12 @@
     return call.route.models[stream.size] if _may_choose(call) else ''
 
 
-def _prefix(call: call_data.Call, stream: _Stream) -> str:
-    """Return what a server may have read already: shared parts and model."""
-    model = _model(call, stream) or call.asked.model
-    shared = call.asked.prompt_parts[:-1]
-    return ','.join((model, *shared))
+def _prompt(call: call_data.Call, stream: _Stream) -> backlog.Prompt:
+    asked = call.asked
+    model = _model(call, stream) or asked.model
+    return backlog.Prompt(
+        model, asked.shared, asked.shared_tokens, asked.own_tokens
+    )
 
 
 def _pace(call: call_data.Call, stream: _Stream) -> tuple[str, float] | None:
@@ -338,5 +354,15 @@
     return f'{call.route.name}/{stream.size}', mean_s
 
 
+def _note_event(stream: _Stream, now: float) -> None:
+    if stream.last_at:
+        gap_s = now - stream.last_at
+        stream.longest_gap_s = max(stream.longest_gap_s, gap_s)
+    else:
+        stream.first_at = now
+    stream.last_at = now
+    stream.events.append(now)
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * MS, 1)
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -21,6 +21,7 @@
     dispatch,
     front,
     judge,
+    load_spread,
     peering,
     plain_flow,
     pool,
@@ -74,12 +75,15 @@
     peers = peering.Peering(name, cfg, calls, known, canaries, servers, lines)
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
+    spread = load_spread.LoadSpread(peers.members, servers.reading, calls)
+    spread.serve(rpc_server)
     services.register('directory', known)
     services.register('calls', calls)
     services.register(
         'rpc', rpc_endpoint.RpcEndpoint(rpc_server, cfg.peer_listen)
     )
     services.register('peering', peers)
+    services.register('load_spread', spread)
     services.register('judge', judge.Judge(canaries, peers, api, lines))
     services.register('pool', servers)
     services.register('trials', canaries)
