Keep a small model's answer where the larger one's would come too late

Cause: on a loaded minute larger models were asked although their first event was expected after the target; their prompts then delayed all others. Change: the confidence that is asked for falls to 0.4 of itself there; tokens far into a prompt weigh more, since attention looks back at all before them.

--- a/beryllug/core/placement/backlog.py
+++ b/beryllug/core/placement/backlog.py
@@ -21,6 +21,9 @@
 FASTER = 0.3
 SLOWER = 0.02
 LEAST_TOKENS = 500
+# Tokens before a token by which its reading takes twice as long: attention
+# looks back at all of them.
+DOUBLE_AT_TOKENS = 24000
 # Seconds for which a runner is taken to keep a prompt that it has read.
 KEPT_S = 30.0
 # Part of a shared prompt that a runner, which all processes prefer for it, is
@@ -193,12 +196,20 @@
     *,
     is_home: bool,
 ) -> float:
-    """Return the tokens that a runner has to read of a prompt."""
+    """Return the tokens that a runner has to read of a prompt.
+
+    Those far into a long prompt count for more, by what they look back at.
+    """
     read_at = backlog.read_at.get((instance, prompt.key))
+    part: float = 1
     if read_at is not None and now - read_at < KEPT_S:
-        return prompt.own_tokens
-    part = HOME_PART if is_home else 1
-    return prompt.own_tokens + part * prompt.shared_tokens
+        part = 0
+    elif is_home:
+        part = HOME_PART
+    unread = prompt.own_tokens + part * prompt.shared_tokens
+    whole = prompt.own_tokens + prompt.shared_tokens
+    before = whole - unread / 2
+    return unread * (1 + before / DOUBLE_AT_TOKENS)
 
 
 def _learn(backlog: Backlog, item: Item, now: float) -> None:
--- a/beryllug/core/placement/sizes.py
+++ b/beryllug/core/placement/sizes.py
@@ -16,6 +16,10 @@
 # wrong than the larger model costs to run.
 LEAST_CONFIDENCE: Mapping[int, int] = MappingProxyType({0: 70, 1: 60})
 LEAST_CONFIDENCE_ELSE = 50
+# The same where the larger model's answer is expected too late for its full
+# value: a late answer is worth about a third, so one that is as likely to be
+# right is kept, and the larger model's queue grows no longer.
+LATE_PART = 0.4
 
 
 def first_size(models: Sequence[str]) -> int:
@@ -24,7 +28,11 @@
 
 
 def next_size(
-    models: Sequence[str], size: int, rank: int, confidence: int | None
+    models: Sequence[str],
+    size: int,
+    rank: int,
+    confidence: int | None,
+    spare_s: float,
 ) -> int | None:
     """Return the index of the model to ask instead; None to keep the answer.
 
@@ -33,9 +41,13 @@
         size: Index of the model that has answered.
         rank: Rank of the request, 0 the most urgent.
         confidence: What the answer says of itself, from 0 to 100.
+        spare_s: Seconds by which the larger model's answer is expected to
+            begin before its target; negative if it is expected late.
     """
     largest = len(models) - 1
     if confidence is None or size >= largest:
         return None
-    least = LEAST_CONFIDENCE.get(rank, LEAST_CONFIDENCE_ELSE)
+    least: float = LEAST_CONFIDENCE.get(rank, LEAST_CONFIDENCE_ELSE)
+    if spare_s < 0:
+        least *= LATE_PART
     return largest if confidence < least else None
--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -4,6 +4,7 @@
 failures, and the repeats that it has caused.
 """
 
+import math
 import time
 from typing import Any, NamedTuple
 
@@ -99,6 +100,26 @@
                 return self._counted(server, wish, servers, now)
         return None
 
+    def expected_s(self, wish: servers_data.Wish) -> float:
+        """Return the seconds until a prompt's answer would begin, at best."""
+        prompt = wish.prompt
+        now = time.monotonic()
+        listed, _ = self._known.servers(now)
+        same = [each for each in listed if each.service == wish.service]
+        if prompt is None or not same:
+            return math.inf
+        preferred = choose.home(same, prompt.key)
+        return min(
+            backlog.first_s(
+                self.reading,
+                server.instance,
+                prompt,
+                now,
+                is_home=server.instance == preferred,
+            )
+            for server in same
+        )
+
     def answers(self, choice: Choice) -> None:
         """Take that a server has begun to answer a prompt."""
         instance = choice.server.instance
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -114,7 +114,7 @@
         failure: _Failure | None = None
         while True:
             choice = self._pool.choose(
-                attempts.wish(call, stream.progress, _prompt(call, stream))
+                attempts.wish(call, stream.progress, _prompt(call, stream.size))
             )
             if choice is None:
                 break
@@ -204,7 +204,7 @@
             choice.server,
             left_s,
             call.account_name,
-            model=_model(call, stream),
+            model=_model(call, stream.size),
             urgency=min(9, call.route.priority + 3 * stream.size),
             last_event=stream.last_event,
         )
@@ -283,12 +283,24 @@
         if stream.progress.arrivals + 1 >= route.max_attempts:
             return None
         size = sizes.next_size(
-            route.models, stream.size, route.priority, head.confidence
+            route.models,
+            stream.size,
+            route.priority,
+            head.confidence,
+            self._spare_s(call, stream),
         )
         if size is None or not self._pool.may_repeat(call.service):
             return None
         return size
 
+    def _spare_s(self, call: call_data.Call, stream: _Stream) -> float:
+        """Return the spare time of the largest model's first event."""
+        largest = len(call.route.models) - 1
+        wish = attempts.wish(call, stream.progress, _prompt(call, largest))
+        expected_s = self._pool.expected_s(wish)
+        due = call.arrived_at + call.route.target_s
+        return due - time.monotonic() - expected_s
+
     def _first_wait_s(
         self, call: call_data.Call, stream: _Stream, left_s: float
     ) -> float:
@@ -333,13 +345,13 @@
     return bool(call.route.models) and call.asked.is_any_model
 
 
-def _model(call: call_data.Call, stream: _Stream) -> str:
-    return call.route.models[stream.size] if _may_choose(call) else ''
+def _model(call: call_data.Call, size: int) -> str:
+    return call.route.models[size] if _may_choose(call) else ''
 
 
-def _prompt(call: call_data.Call, stream: _Stream) -> backlog.Prompt:
+def _prompt(call: call_data.Call, size: int) -> backlog.Prompt:
     asked = call.asked
-    model = _model(call, stream) or asked.model
+    model = _model(call, size) or asked.model
     return backlog.Prompt(
         model, asked.shared, asked.shared_tokens, asked.own_tokens
     )
