--- a/beryllug/router/front.py
+++ b/beryllug/router/front.py
@@ -175,7 +175,7 @@
                 STOPPING_RETRY_S,
             )
         table = self._known.table
-        if table is None or not self._known.has_servers:
+        if table is None or not self._known.servers.is_known:
             raise call_data.RefusedError(
                 call_data.UNAVAILABLE,
                 'no route table is known yet',
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -14,7 +14,7 @@
 from beryllug.drivers import object_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
-from beryllug.router import peering, trials
+from beryllug.router import peering, rollout_state, trials
 
 # Seconds between two looks at each open roll-out. A verdict is due in all
 # processes seconds after the evidence for it.
@@ -62,7 +62,7 @@
                 if not rollout.is_stored:
                     await self._look(rollout)
 
-    async def _look(self, rollout: trials.Rollout) -> None:
+    async def _look(self, rollout: rollout_state.Rollout) -> None:
         now = time.monotonic()
         seen = rollout.seen()
         phase = plan.next_phase(
@@ -80,7 +80,7 @@
 
     async def _write_when_due(
         self,
-        rollout: trials.Rollout,
+        rollout: rollout_state.Rollout,
         phase: canary_data.Phase,
         now: float,
     ) -> None:
@@ -98,7 +98,7 @@
             self._due.pop(service, None)
 
     async def _write(
-        self, rollout: trials.Rollout, phase: canary_data.Phase
+        self, rollout: rollout_state.Rollout, phase: canary_data.Phase
     ) -> bool:
         order = rollout.order
         try:
@@ -119,7 +119,7 @@
 
     def _log(
         self,
-        rollout: trials.Rollout,
+        rollout: rollout_state.Rollout,
         phase: canary_data.Phase,
         seen: canary_data.Tally,
     ) -> None:
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -26,10 +26,21 @@
 # answer: the judges must know of a bad version within a second.
 BUSY_PERIOD_S = 0.4
 CALL_S = 0.8
+# Parts of a period between which each round's is drawn, so that processes
+# that started together do not call together.
+JITTER = (0.8, 1.2)
 # Processes that judge one roll-out; the second stands in for the first.
 JUDGES = 2
 
 
+class Knowledge(NamedTuple):
+    """The services that know what peers are told, and take what they tell."""
+
+    directory: directory.Directory
+    trials: trials.Trials
+    pool: pool.Pool
+
+
 class Peering:
     """Compares knowledge with a few peers at a time."""
 
@@ -38,18 +49,16 @@
         name: str,
         cfg: settings_data.Router,
         calls: rpc_peers.Peers,
-        known: directory.Directory,
-        canaries: trials.Trials,
-        servers: pool.Pool,
+        knowledge: Knowledge,
         lines: log_lines.LineWriter,
     ) -> None:
         """Bind to what is told and learnt."""
         self.members = members.Members(name)
         self._cfg = cfg
         self._calls = calls
-        self._known = known
-        self._trials = canaries
-        self._pool = servers
+        self._known = knowledge.directory
+        self._trials = knowledge.trials
+        self._pool = knowledge.pool
         self._lines = lines
         self._rng = random.Random(name)
         self._leaving = False
@@ -96,11 +105,11 @@
             for address in self._addresses():
                 self._call_later(address)
             period_s = BUSY_PERIOD_S if self._is_busy() else PERIOD_S
-            await asyncio.sleep(period_s * (0.8 + 0.4 * self._rng.random()))
+            await asyncio.sleep(period_s * self._rng.uniform(*JITTER))
 
     def _is_busy(self) -> bool:
         is_judged = any(each.is_open for each in self._trials.rollouts())
-        return is_judged or self._known.is_cut_off
+        return is_judged or self._known.servers.is_cut_off
 
     def _addresses(self) -> set[str]:
         """Return whom to call now: the judges, some others, or the seeds."""
@@ -144,7 +153,7 @@
             and digest.servers_revision < reply.servers_revision
         ):
             reply = reply._replace(
-                servers=msgspec.json.encode(known.server_specs)
+                servers=msgspec.json.encode(known.servers.specs)
             )
         return reply
 
@@ -157,8 +166,8 @@
             address=self._cfg.peer_listen,
             is_leaving=self._leaving,
             table_version=table.version if table else 0,
-            servers_revision=known.servers_revision,
-            is_cut_off=known.is_cut_off,
+            servers_revision=known.servers.revision,
+            is_cut_off=known.servers.is_cut_off,
             peers=members.told(self.members, now, self._rng),
             rollouts=self._trials.news(now),
             tallies=self._trials.tallies(),
@@ -179,7 +188,7 @@
             self._known.take_table_spec(spec, digest.name)
         if digest.servers:
             specs = msgspec.json.decode(digest.servers)
-            self._known.take_server_specs(
+            self._known.servers.take_specs(
                 specs, digest.servers_revision, digest.name
             )
 
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -10,7 +10,14 @@
 
 from beryllug.drivers import http_data, http_server
 from beryllug.platform import requests
-from beryllug.router import attempt_log, attempts, dispatch, pool, trials
+from beryllug.router import (
+    attempt_log,
+    attempts,
+    dispatch,
+    pool,
+    rollout_state,
+    trials,
+)
 from beryllug.router import call as call_data
 
 # A server that has not answered a request, which may run twice, after so many
@@ -139,8 +146,13 @@
                     self._pool.succeeded(choice)
                 else:
                     self._pool.failed(choice)
-                pace = (call.route.name, took_s) if is_good else None
-                self._trials.judged(call, choice, is_good=is_good, pace=pace)
+                took = rollout_state.Took(call.route.name, took_s)
+                self._trials.judged(
+                    call,
+                    choice,
+                    is_good=is_good,
+                    took=took if is_good else None,
+                )
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
                     self._pool.failed(choice, is_gone=True)
--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -10,7 +10,7 @@
 
 from beryllug.core import balance_data, ejection, retry_window, server_load
 from beryllug.core.placement import backlog, choose, servers_data
-from beryllug.router import directory
+from beryllug.router import server_list
 
 
 class Choice(NamedTuple):
@@ -34,11 +34,11 @@
 
     def __init__(
         self,
-        known: directory.Directory,
+        known: server_list.ServerList,
         zone: str,
         bound: retry_window.Bound,
     ) -> None:
-        """Bind to the directory."""
+        """Bind to the list of servers."""
         self.processes = 1
         self._known = known
         self._zone = zone
@@ -83,7 +83,7 @@
 
     def versions(self, service: str) -> frozenset[str]:
         """Return the versions that a service's servers run."""
-        listed, _ = self._known.servers(time.monotonic())
+        listed, _ = self._known.usable(time.monotonic())
         return frozenset(
             server.version for server in listed if server.service == service
         )
@@ -91,7 +91,7 @@
     def choose(self, wish: servers_data.Wish) -> Choice | None:
         """Choose a server and count the request on it; None without one."""
         now = time.monotonic()
-        listed, doubted = self._known.servers(now)
+        listed, doubted = self._known.usable(now)
         for servers in (listed, doubted):
             server = choose.choose(
                 self._state, self.reading, servers, wish, self._zone, now
@@ -104,7 +104,7 @@
         """Return the seconds until a prompt's answer would begin, at best."""
         prompt = wish.prompt
         now = time.monotonic()
-        listed, _ = self._known.servers(now)
+        listed, _ = self._known.usable(now)
         same = [each for each in listed if each.service == wish.service]
         if prompt is None or not same:
             return math.inf
--- /dev/null
+++ b/beryllug/router/rollout_state.py
@@ -0,0 +1,111 @@
+"""A roll-out as one process knows it: its own count and what it was told."""
+
+import math
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from beryllug.core.canary import canary_data, plan, verdict
+from beryllug.core.peering import peering_data
+
+# Seconds below which two times are not told apart.
+LEAST_S = 0.0001
+
+
+class Took(NamedTuple):
+    """What was asked, and how many seconds it took."""
+
+    work: str
+    seconds: float
+
+
+@dataclass(slots=True)
+class Rollout:
+    """A roll-out as this process knows it.
+
+    Attributes:
+        order: What was ordered.
+        phase: How far it has come.
+        begun_at: Monotonic second of its order, as far as is known.
+        phase_at: Monotonic second at which the phase began here.
+        is_stored: Whether its end stands in the store.
+        tally: What this process has seen.
+        others: What other processes have told, by their names.
+    """
+
+    order: canary_data.Order
+    phase: canary_data.Phase
+    begun_at: float
+    phase_at: float
+    is_stored: bool = False
+    tally: canary_data.Tally = field(default_factory=canary_data.Tally)
+    others: dict[str, canary_data.Tally] = field(default_factory=dict)
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether it still goes on."""
+        return not plan.is_over(self.phase)
+
+    def seen(self) -> canary_data.Tally:
+        """Return what this process saw and was told, together."""
+        return verdict.merge((self.tally, *self.others.values()))
+
+
+def count(
+    rollout: Rollout,
+    instance: str,
+    version: str,
+    *,
+    is_good: bool,
+    took: Took | None,
+) -> None:
+    """Count an answer of a server of the service that is rolled out."""
+    tally = rollout.tally
+    is_new = version == rollout.order.target
+    if is_new:
+        known = tally.answers.get(instance, canary_data.Answers())
+        tally.answers[instance] = _plus(known, is_good)
+    else:
+        tally.old = _plus(tally.old, is_good)
+    if took is not None:
+        _add_pace(tally.new_pace if is_new else tally.old_pace, took)
+
+
+def told(service: str, rollout: Rollout) -> peering_data.TallyNews:
+    """Return what this process has seen, to tell peers."""
+    tally = rollout.tally
+    return peering_data.TallyNews(
+        service,
+        rollout.order.target,
+        tally.requests,
+        tally.tried,
+        tally.answers,
+        tally.old,
+        tally.new_pace,
+        tally.old_pace,
+    )
+
+
+def take(rollout: Rollout, peer: str, news: peering_data.TallyNews) -> None:
+    """Take what a peer has seen."""
+    rollout.others[peer] = canary_data.Tally(
+        news.requests,
+        news.tried,
+        news.answers,
+        news.old,
+        news.new_pace,
+        news.old_pace,
+    )
+
+
+def _plus(known: canary_data.Answers, is_good: bool) -> canary_data.Answers:
+    return canary_data.Answers(
+        known.good + int(is_good), known.bad + int(not is_good)
+    )
+
+
+def _add_pace(paces: dict[str, canary_data.Pace], took: Took) -> None:
+    known = paces.get(took.work, canary_data.Pace())
+    paces[took.work] = canary_data.Pace(
+        known.answers + 1,
+        known.log_sum + math.log2(max(took.seconds, LEAST_S)),
+    )
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -13,7 +13,14 @@
 from beryllug.core.placement import backlog, sizes
 from beryllug.drivers import event_split, http_data, http_server
 from beryllug.platform import requests
-from beryllug.router import attempt_log, attempts, dispatch, pool, trials
+from beryllug.router import (
+    attempt_log,
+    attempts,
+    dispatch,
+    pool,
+    rollout_state,
+    trials,
+)
 from beryllug.router import call as call_data
 
 # Parts of the time in which the first event is due after which a server that
@@ -327,8 +334,8 @@
         match came:
             case _Done() | _Larger():
                 self._pool.succeeded(choice)
-                pace = _pace(call, stream)
-                self._trials.judged(call, choice, is_good=True, pace=pace)
+                took = _pace(call, stream)
+                self._trials.judged(call, choice, is_good=True, took=took)
             case _Failure(status):
                 is_good = status < dispatch.SERVER_ERROR
                 if not is_good:
@@ -357,13 +364,13 @@
     )
 
 
-def _pace(call: call_data.Call, stream: _Stream) -> tuple[str, float] | None:
+def _pace(call: call_data.Call, stream: _Stream) -> rollout_state.Took | None:
     """Return the mean pause between events, by route and size."""
     times = stream.events
     if len(times) < LEAST_EVENTS:
         return None
     mean_s = (times[-1] - times[0]) / (len(times) - 1)
-    return f'{call.route.name}/{stream.size}', mean_s
+    return rollout_state.Took(f'{call.route.name}/{stream.size}', mean_s)
 
 
 def _note_event(stream: _Stream, now: float) -> None:
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -5,19 +5,16 @@
 sees it fail. The verdict for the fleet is the judge's.
 """
 
-import math
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from beryllug.core.canary import canary_data, plan, sessions, verdict
 from beryllug.core.peering import peering_data
 from beryllug.kernel import log_lines
-from beryllug.router import call as call_data, pool
+from beryllug.router import call as call_data
+from beryllug.router import pool, rollout_state
 
-# Seconds below which two times are not told apart.
-LEAST_S = 0.0001
 
 # Phases that a peer's word is enough for. That a roll-out is complete is
 # taken from the store alone: its old servers are stopped then.
@@ -38,38 +35,6 @@
     is_trial: bool = False
 
 
-@dataclass(slots=True)
-class Rollout:
-    """A roll-out as this process knows it.
-
-    Attributes:
-        order: What was ordered.
-        phase: How far it has come.
-        begun_at: Monotonic second of its order, as far as is known.
-        phase_at: Monotonic second at which the phase began here.
-        is_stored: Whether its end stands in the store.
-        tally: What this process has seen.
-        others: What other processes have told, by their names.
-    """
-
-    order: canary_data.Order
-    phase: canary_data.Phase
-    begun_at: float
-    phase_at: float
-    is_stored: bool = False
-    tally: canary_data.Tally = field(default_factory=canary_data.Tally)
-    others: dict[str, canary_data.Tally] = field(default_factory=dict)
-
-    @property
-    def is_open(self) -> bool:
-        """Tell whether it still goes on."""
-        return not plan.is_over(self.phase)
-
-    def seen(self) -> canary_data.Tally:
-        """Return what this process saw and was told, together."""
-        return verdict.merge((self.tally, *self.others.values()))
-
-
 class Trials:
     """Draws versions for requests and counts their answers."""
 
@@ -83,7 +48,7 @@
         self._pool = servers
         self._bounds = bounds
         self._lines = lines
-        self._rollouts: dict[str, Rollout] = {}
+        self._rollouts: dict[str, rollout_state.Rollout] = {}
         self._sessions = sessions.Sessions()
 
     async def start(self) -> None:
@@ -105,7 +70,7 @@
             for service, each in self._rollouts.items()
         }
 
-    def rollouts(self) -> Iterable[Rollout]:
+    def rollouts(self) -> Iterable[rollout_state.Rollout]:
         """Return the known roll-outs."""
         return self._rollouts.values()
 
@@ -118,16 +83,18 @@
         """Take an order, or a change of its status, from the store."""
         known = self._rollouts.get(order.service)
         if known is None or known.order.target != order.target:
-            known = Rollout(order, canary_data.Phase.TRIAL, now, now)
+            known = rollout_state.Rollout(
+                order, canary_data.Phase.TRIAL, now, now
+            )
             self._rollouts[order.service] = known
-            self._log(order, phase, 'ordered')
+            _log(self._lines, order, phase, 'ordered')
         known.order = order
         if plan.is_over(phase):
             self.settle(known, phase, 'store')
 
     def set_phase(
         self,
-        rollout: Rollout,
+        rollout: rollout_state.Rollout,
         phase: canary_data.Phase,
         source: str,
         now: float,
@@ -137,14 +104,17 @@
             return
         rollout.phase = phase
         rollout.phase_at = now
-        self._log(rollout.order, phase, source)
+        _log(self._lines, rollout.order, phase, source)
 
     def settle(
-        self, rollout: Rollout, phase: canary_data.Phase, source: str
+        self,
+        rollout: rollout_state.Rollout,
+        phase: canary_data.Phase,
+        source: str,
     ) -> None:
         """Take how a roll-out has ended by the store, whatever was thought."""
         if rollout.phase is not phase:
-            self._log(rollout.order, phase, source)
+            _log(self._lines, rollout.order, phase, source)
         rollout.phase = phase
         rollout.is_stored = True
 
@@ -163,16 +133,7 @@
     def tallies(self) -> tuple[peering_data.TallyNews, ...]:
         """Return what this process saw of open roll-outs."""
         return tuple(
-            peering_data.TallyNews(
-                service,
-                each.order.target,
-                each.tally.requests,
-                each.tally.tried,
-                each.tally.answers,
-                each.tally.old,
-                each.tally.new_pace,
-                each.tally.old_pace,
-            )
+            rollout_state.told(service, each)
             for service, each in self._rollouts.items()
             if each.is_open
         )
@@ -189,7 +150,7 @@
         for told in digest.tallies:
             known = self._known(told.service, told.target)
             if known is not None:
-                known.others[digest.name] = _tally(told)
+                rollout_state.take(known, digest.name, told)
 
     def draw(self, call: call_data.Call) -> Drawn:
         """Return the versions that a request may run on."""
@@ -229,7 +190,7 @@
         choice: pool.Choice,
         *,
         is_good: bool,
-        pace: tuple[str, float] | None = None,
+        took: rollout_state.Took | None = None,
     ) -> None:
         """Count an answer.
 
@@ -237,24 +198,17 @@
             call: The request.
             choice: The server that answered.
             is_good: Whether the answer was a success.
-            pace: What was asked, and how many seconds it took.
+            took: What was asked and how long it took, where that tells.
         """
         rollout = self._rollouts.get(call.service)
         if rollout is None or not rollout.is_open:
             return
-        tally = rollout.tally
-        more = canary_data.Answers(int(is_good), int(not is_good))
-        is_new = choice.server.version == rollout.order.target
-        if is_new:
-            instance = choice.server.instance
-            known = tally.answers.get(instance, canary_data.Answers())
-            tally.answers[instance] = _plus(known, more)
-        else:
-            tally.old = _plus(tally.old, more)
-        if pace is not None:
-            _add_pace(tally.new_pace if is_new else tally.old_pace, pace)
+        server = choice.server
+        rollout_state.count(
+            rollout, server.instance, server.version, is_good=is_good, took=took
+        )
 
-    def _known(self, service: str, target: str) -> Rollout | None:
+    def _known(self, service: str, target: str) -> rollout_state.Rollout | None:
         known = self._rollouts.get(service)
         if known is None or known.order.target != target:
             return None
@@ -263,7 +217,7 @@
     def _draw_trial(
         self,
         call: call_data.Call,
-        rollout: Rollout,
+        rollout: rollout_state.Rollout,
         target: frozenset[str],
         old: frozenset[str],
     ) -> Drawn:
@@ -291,40 +245,17 @@
         tally.tried += 1
         return Drawn(target, old, is_trial=True)
 
-    def _log(
-        self, order: canary_data.Order, phase: canary_data.Phase, source: str
-    ) -> None:
-        self._lines.write(
-            'rollout',
-            service=order.service,
-            target=order.target,
-            phase=phase.value,
-            source=source,
-        )
 
-
-def _plus(
-    one: canary_data.Answers, more: canary_data.Answers
-) -> canary_data.Answers:
-    return canary_data.Answers(one.good + more.good, one.bad + more.bad)
-
-
-def _add_pace(
-    paces: dict[str, canary_data.Pace], pace: tuple[str, float]
+def _log(
+    lines: log_lines.LineWriter,
+    order: canary_data.Order,
+    phase: canary_data.Phase,
+    source: str,
 ) -> None:
-    key, seconds = pace
-    known = paces.get(key, canary_data.Pace())
-    paces[key] = canary_data.Pace(
-        known.answers + 1, known.log_sum + math.log2(max(seconds, LEAST_S))
-    )
-
-
-def _tally(told: peering_data.TallyNews) -> canary_data.Tally:
-    return canary_data.Tally(
-        told.requests,
-        told.tried,
-        told.answers,
-        told.old,
-        told.new_pace,
-        told.old_pace,
+    lines.write(
+        'rollout',
+        service=order.service,
+        target=order.target,
+        phase=phase.value,
+        source=source,
     )
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -25,6 +25,7 @@
     peering,
     plain_flow,
     pool,
+    server_list,
     stream_flow,
     trials,
 )
@@ -50,12 +51,13 @@
     services = registry.Registry()
     api = store.Store(http_client.HttpClient(), cfg.store, STORE_S)
     doubt_s = cfg.drain_ms / MS * DOUBT_PART
-    known = directory.Directory(api, doubt_s, lines)
+    listed = server_list.ServerList(doubt_s, lines)
+    known = directory.Directory(api, listed, lines)
     zone = settings.process.zone
     bound = retry_window.Bound(
         cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
     )
-    servers = pool.Pool(known, zone, bound)
+    servers = pool.Pool(listed, zone, bound)
     canaries = trials.Trials(
         servers,
         canary_data.Bounds(cfg.trial_share, cfg.trial_slack, cfg.session_s),
@@ -72,7 +74,8 @@
     keys = fleet_key.KeyRing(settings.fleet.keys)
     calls = rpc_peers.Peers(keys)
     name = settings.process.name
-    peers = peering.Peering(name, cfg, calls, known, canaries, servers, lines)
+    knowledge = peering.Knowledge(known, canaries, servers)
+    peers = peering.Peering(name, cfg, calls, knowledge, lines)
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
     spread = load_spread.LoadSpread(peers.members, servers.reading, calls)
