Serve metrics with histograms, loaded when first read; tell loads by datagram

Change: loads go as signed UDP notes; what reaches a process of a large fleet stands for the whole in ratio. Metrics stand on /metrics without a key, their library is imported at the first read (memory of a process that nobody asks stays as it was).

--- a/beryllug/control/config.py
+++ b/beryllug/control/config.py
@@ -36,7 +36,7 @@
     part_collector,
     rpc,
 )
-from beryllug.kernel import metrics
+from beryllug.kernel import metrics_data
 
 START_S = 2.0
 KEYS_TICK_S = 10.0
@@ -189,25 +189,25 @@
             'suspects': len(self.feed.parts.suspects),
         }
 
-    def measure(self) -> Iterable[metrics.Sample]:
+    def measure(self) -> Iterable[metrics_data.Sample]:
         """Return revision, contact and the streams as numbers."""
-        yield metrics.Sample(
+        yield metrics_data.Sample(
             'config_revision', self.revision, 'Revision in force here.'
         )
-        yield metrics.Sample(
+        yield metrics_data.Sample(
             'config_accepts', self.accepts(), 'Whether new work is taken.'
         )
-        yield metrics.Sample(
+        yield metrics_data.Sample(
             'config_entries',
             len(self.feed.followers()),
             'Entry processes that follow this one.',
         )
         for source, taken in self._holder.counts.items():
-            yield metrics.Sample(
+            yield metrics_data.Sample(
                 'config_offers',
                 taken,
                 'Revisions that were brought here.',
-                metrics.Kind.COUNTER,
+                metrics_data.Kind.COUNTER,
                 {'outcome': source},
             )
 
--- a/beryllug/core/peering/members.py
+++ b/beryllug/core/peering/members.py
@@ -22,9 +22,16 @@
 
 
 class Known(NamedTuple):
-    """A process and the second at which it was last heard of."""
+    """A process that was heard of.
+
+    Attributes:
+        address: Where it is called.
+        notes: Where it takes datagrams.
+        heard_at: Second of the last sign of life of it.
+    """
 
     address: str
+    notes: str
     heard_at: float
 
 
@@ -36,13 +43,13 @@
     known: dict[str, Known] = field(default_factory=dict)
 
 
-def heard(members: Members, name: str, address: str, at: float) -> bool:
+def heard(members: Members, name: str, seen: Known) -> bool:
     """Take a sign of life; returns whether the process was unknown."""
     if name == members.name:
         return False
     before = members.known.get(name)
-    if before is None or before.heard_at < at or before.address != address:
-        members.known[name] = Known(address, at)
+    if before is None or before.heard_at < seen.heard_at:
+        members.known[name] = seen
     return before is None
 
 
@@ -72,6 +79,7 @@
         peering_data.Peer(
             name,
             members.known[name].address,
+            members.known[name].notes,
             round(now - members.known[name].heard_at, 2),
         )
         for name in chosen
--- a/beryllug/core/peering/members_test.py
+++ b/beryllug/core/peering/members_test.py
@@ -6,32 +6,36 @@
 from beryllug.core.peering import members
 
 
+def _known(name: str, at: float) -> members.Known:
+    return members.Known(f'{name}:1', f'{name}:2', at)
+
+
 class MembersTest(unittest.TestCase):
     """Signs of life, and their end."""
 
     def setUp(self) -> None:
         self.members = members.Members('one')
-        members.heard(self.members, 'two', '10.0.0.2:1', 10)
+        members.heard(self.members, 'two', _known('two', 10))
 
     def test_heard(self) -> None:
         """A process is new once; an older word of it changes nothing."""
-        self.assertFalse(members.heard(self.members, 'one', '10.0.0.1:1', 10))
-        self.assertTrue(members.heard(self.members, 'six', '10.0.0.6:1', 10))
-        members.heard(self.members, 'two', '10.0.0.2:1', 4)
+        self.assertFalse(members.heard(self.members, 'one', _known('one', 10)))
+        self.assertTrue(members.heard(self.members, 'six', _known('six', 10)))
+        members.heard(self.members, 'two', _known('two', 4))
         self.assertEqual(self.members.known['two'].heard_at, 10)
 
     def test_gone(self) -> None:
         """Who is silent or says that it leaves is forgotten."""
         self.assertEqual(members.forget(self.members, 15.9), [])
         self.assertEqual(members.forget(self.members, 16.1), ['two'])
-        members.heard(self.members, 'two', '10.0.0.2:1', 20)
+        members.heard(self.members, 'two', _known('two', 20))
         members.left(self.members, 'two')
         self.assertEqual(self.members.known, {})
 
     def test_ranked(self) -> None:
         """All processes agree on who judges, whatever their own name."""
         other = members.Members('two')
-        members.heard(other, 'one', '10.0.0.1:1', 10)
+        members.heard(other, 'one', _known('one', 10))
         for subject in ('pool', 'desk', 'chat'):
             with self.subTest(subject):
                 self.assertEqual(
@@ -50,7 +54,7 @@
             f'p{number}': members.Members(f'p{number}') for number in range(60)
         }
         for known in fleet.values():
-            members.heard(known, 'p0', 'p0', 0)
+            members.heard(known, 'p0', _known('p0', 0))
         for now in range(1, 16):
             for name, known in fleet.items():
                 called = rng.sample(
@@ -72,14 +76,10 @@
         for sender, receiver in ((one, other), (other, one)):
             if sender == receiver:
                 continue
-            members.heard(fleet[receiver], sender, sender, now)
+            members.heard(fleet[receiver], sender, _known(sender, now))
             for peer in members.told(fleet[sender], now, rng):
-                members.heard(
-                    fleet[receiver],
-                    peer.name,
-                    peer.address,
-                    now - peer.heard_ago_s,
-                )
+                seen = _known(peer.name, now - peer.heard_ago_s)
+                members.heard(fleet[receiver], peer.name, seen)
 
 
 if __name__ == '__main__':
--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -15,11 +15,13 @@
     Attributes:
         name: Its name; unique in the fleet.
         address: Where it is called.
+        notes: Where it takes datagrams.
         heard_ago_s: Seconds since a sign of life of it.
     """
 
     name: str
     address: str
+    notes: str
     heard_ago_s: float
 
 
@@ -59,16 +61,13 @@
     seconds: dict[str, float]
 
 
-class Nothing(NamedTuple):
-    """A reply that says no more than that the message came."""
-
-
 class Digest(NamedTuple):
     """What a process tells when it calls a peer, and what it is answered.
 
     Attributes:
         name: Name of the sender.
         address: Where it is called.
+        notes: Where it takes datagrams.
         is_leaving: Whether it stops.
         table_version: Version of its route table, 0 for none.
         servers_revision: Revision of the store up to which it knows the
@@ -84,6 +83,7 @@
 
     name: str
     address: str
+    notes: str
     is_leaving: bool = False
     table_version: int = 0
     servers_revision: int = 0
--- a/beryllug/core/placement/backlog.py
+++ b/beryllug/core/placement/backlog.py
@@ -80,6 +80,8 @@
         read_at: When a runner last read a prompt, as far as known.
         paces: Seconds a token, by model.
         number: Number of the last item.
+        heard_part: Part of the peers' notes that reaches this process; what
+            the others have sent is taken to be like it.
     """
 
     items: dict[str, dict[int, Item]] = field(default_factory=dict)
@@ -87,6 +89,7 @@
     read_at: dict[tuple[str, str], float] = field(default_factory=dict)
     paces: dict[str, float] = field(default_factory=dict)
     number: int = 0
+    heard_part: float = 1.0
 
 
 def begin(
@@ -146,11 +149,12 @@
 
 def wait_s(backlog: Backlog, instance: str, now: float) -> float:
     """Return the seconds of reading that a runner has before it."""
-    waiting = own_s(backlog, instance, now)
-    for told in backlog.peers.values():
-        if now - told.at < TOLD_S:
-            waiting += told.seconds.get(instance, 0)
-    return waiting
+    told_s = sum(
+        told.seconds.get(instance, 0)
+        for told in backlog.peers.values()
+        if now - told.at < TOLD_S
+    )
+    return own_s(backlog, instance, now) + told_s / backlog.heard_part
 
 
 def own_s(backlog: Backlog, instance: str, now: float) -> float:
@@ -168,6 +172,21 @@
     return work_s + overdue_s
 
 
+def heard_part(peers: int, told_at_once: int, period_s: float) -> float:
+    """Return the part of the peers whose last notes count here.
+
+    Args:
+        peers: Peers that there are.
+        told_at_once: Peers that each process tells in a period, drawn anew.
+        period_s: Seconds between two notes of a process.
+    """
+    if peers <= told_at_once:
+        return 1
+    missed = 1 - told_at_once / peers
+    part: float = 1 - missed ** (TOLD_S / period_s)
+    return part
+
+
 def told(backlog: Backlog, now: float) -> dict[str, float]:
     """Return this process's part of the backlog, to tell peers."""
     return {
--- a/beryllug/core/placement/backlog_test.py
+++ b/beryllug/core/placement/backlog_test.py
@@ -78,6 +78,16 @@
         self.assertEqual(backlog.wait_s(reading, 'i-0', 1), 2)
         self.assertEqual(backlog.wait_s(reading, 'i-0', 2), 0)
 
+    def test_heard_part(self) -> None:
+        """What reaches this process of a large fleet stands for the whole."""
+        for peers, part in ((7, 1.0), (8, 1.0), (74, 0.5), (889, 0.053)):
+            with self.subTest(peers):
+                found = backlog.heard_part(peers, 8, 0.25)
+                self.assertAlmostEqual(found, part, delta=0.01)
+        reading = backlog.Backlog(heard_part=0.5)
+        backlog.take(reading, 'other', {'i-0': 2.0}, 0)
+        self.assertEqual(backlog.wait_s(reading, 'i-0', 1), 4)
+
     def test_kept(self) -> None:
         """A shared part that was read is not read again for a while."""
         reading = backlog.Backlog()
--- a/beryllug/core/settings_data.py
+++ b/beryllug/core/settings_data.py
@@ -134,6 +134,7 @@
         listen: Address that callers reach through the balancer.
         ready: Address at which the balancer asks for readiness.
         peer_listen: Address for processes of this role.
+        notes_listen: Address of their datagrams, over UDP.
         store: Address of the platform's store.
         seeds: Processes of this role to join by.
         drain_ms: Within which a backend server that leaves gets no new work.
@@ -150,6 +151,7 @@
     listen: str
     ready: str
     peer_listen: str
+    notes_listen: str
     store: str
     seeds: tuple[str, ...]
     drain_ms: float = 2000
--- a/beryllug/drivers/methods.py
+++ b/beryllug/drivers/methods.py
@@ -57,5 +57,4 @@
 )
 
 # Between processes of the role `router`.
-LOADS = rpc.Method('Loads', peering_data.Loads, peering_data.Nothing)
 COMPARE = rpc.Method('Compare', peering_data.Digest, peering_data.Digest)
--- a/beryllug/kernel/metrics.py
+++ b/beryllug/kernel/metrics.py
@@ -6,57 +6,55 @@
 """
 
 import functools
+import itertools
 import resource
 import time
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
-from enum import StrEnum
-from types import MappingProxyType
-from typing import NamedTuple, Protocol, runtime_checkable
+from collections.abc import Iterable
 
-import prometheus_client
 from opentelemetry import metrics
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
+from prometheus_client import exposition, metrics_core
+from prometheus_client import registry as collectors
 
-from beryllug.kernel import registry
+from beryllug.kernel import metrics_data, registry
 
 PREFIX = 'beryllug'
-CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
-NO_LABELS: Mapping[str, str] = MappingProxyType({})
 
 
-class Kind(StrEnum):
-    """How a number moves."""
+class _TimesCollector(collectors.Collector):
+    """Shows the histograms of all services, as they are when read."""
 
-    GAUGE = 'gauge'
-    COUNTER = 'counter'
-
-
-class Sample(NamedTuple):
-    """One number at the moment it was read.
-
-    Attributes:
-        name: Its name without prefix, as ``config_revision``.
-        number: Its value, in the unit that the name states.
-        about: What it means.
-        kind: A gauge moves both ways, a counter only up.
-        labels: What tells it from others of its name; few and bounded.
-    """
-
-    name: str
-    number: float
-    about: str
-    kind: Kind = Kind.GAUGE
-    labels: Mapping[str, str] = NO_LABELS
-
-
-@runtime_checkable
-class Measured(Protocol):
-    """A service that has numbers to show."""
+    def __init__(self, services: registry.Registry) -> None:
+        self._services = services
 
-    def measure(self) -> Iterable[Sample]:
-        """Return the present numbers."""
+    def collect(self) -> Iterable[metrics_core.HistogramMetricFamily]:
+        families: dict[str, metrics_core.HistogramMetricFamily] = {}
+        for service in self._services.services():
+            if isinstance(service, metrics_data.Timed):
+                for times in service.times():
+                    _add(families, times)
+        return families.values()
+
+
+def _add(
+    families: dict[str, metrics_core.HistogramMetricFamily],
+    times: metrics_data.Times,
+) -> None:
+    family = families.get(times.name)
+    if family is None:
+        family = metrics_core.HistogramMetricFamily(
+            f'{PREFIX}_{times.name}', times.about, labels=list(times.labels)
+        )
+        families[times.name] = family
+    bounds = [*map(str, metrics_data.BOUNDS), '+Inf']
+    up_to = itertools.accumulate(times.histogram.counts)
+    family.add_metric(
+        list(times.labels.values()),
+        list(zip(bounds, up_to)),
+        times.histogram.total_s,
+    )
 
 
 class Metrics:
@@ -67,14 +65,15 @@
         self._services = services
         self._started_at = time.monotonic()
         self._known: set[str] = set()
-        self._latest: dict[str, list[Sample]] = {}
-        self._registry = prometheus_client.CollectorRegistry()
+        self._latest: dict[str, list[metrics_data.Sample]] = {}
+        self._registry = collectors.CollectorRegistry()
         reader = prometheus.PrometheusMetricReader(
             disable_target_info=True,
             prefix=PREFIX,
             scope_info_enabled=False,
             registry=self._registry,
         )
+        self._registry.register(_TimesCollector(services))
         self._provider = sdk_metrics.MeterProvider(
             [reader], shutdown_on_exit=False
         )
@@ -82,7 +81,7 @@
 
     def render(self) -> bytes:
         """Return all numbers as Prometheus reads them."""
-        grouped: dict[str, list[Sample]] = defaultdict(list)
+        grouped: dict[str, list[metrics_data.Sample]] = defaultdict(list)
         for sample in self._samples():
             grouped[sample.name].append(sample)
         self._latest = grouped
@@ -90,46 +89,46 @@
             if name not in self._known:
                 self._known.add(name)
                 self._instrument(samples[0])
-        rendered: bytes = prometheus_client.generate_latest(self._registry)
+        rendered: bytes = exposition.generate_latest(self._registry)
         return rendered
 
     def stop(self) -> None:
         """Give the instruments back."""
         self._provider.shutdown()
 
-    def _samples(self) -> Iterable[Sample]:
+    def _samples(self) -> Iterable[metrics_data.Sample]:
         yield from self._process()
         for service in self._services.services():
-            if isinstance(service, Measured):
+            if isinstance(service, metrics_data.Measured):
                 yield from service.measure()
 
-    def _process(self) -> Iterable[Sample]:
+    def _process(self) -> Iterable[metrics_data.Sample]:
         usage = resource.getrusage(resource.RUSAGE_SELF)
-        yield Sample(
+        yield metrics_data.Sample(
             'process_cpu_seconds',
             usage.ru_utime + usage.ru_stime,
             'Processor time used so far.',
-            Kind.COUNTER,
+            metrics_data.Kind.COUNTER,
         )
-        yield Sample(
+        yield metrics_data.Sample(
             'process_peak_memory_kibibytes',
             usage.ru_maxrss,
             'Most resident memory so far.',
         )
-        yield Sample(
+        yield metrics_data.Sample(
             'process_uptime_seconds',
             time.monotonic() - self._started_at,
             'Time since the start.',
         )
 
-    def _instrument(self, sample: Sample) -> None:
+    def _instrument(self, sample: metrics_data.Sample) -> None:
         observe = functools.partial(self._observe, sample.name)
         match sample.kind:
-            case Kind.GAUGE:
+            case metrics_data.Kind.GAUGE:
                 self._meter.create_observable_gauge(
                     sample.name, [observe], description=sample.about
                 )
-            case Kind.COUNTER:
+            case metrics_data.Kind.COUNTER:
                 self._meter.create_observable_counter(
                     sample.name, [observe], description=sample.about
                 )
--- a/beryllug/kernel/ops.py
+++ b/beryllug/kernel/ops.py
@@ -9,11 +9,14 @@
 import json
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from beryllug.core import settings_data
 from beryllug.drivers import http_data, http_server
-from beryllug.kernel import metrics, registry
+from beryllug.kernel import registry
+
+if TYPE_CHECKING:
+    from beryllug.kernel import metrics
 
 OK = 200
 UNAUTHORIZED = 401
@@ -21,7 +24,8 @@
 UNAVAILABLE = 503
 JSON = MappingProxyType({'content-type': http_server.JSON_TYPE})
 ASK_KEY = MappingProxyType({'www-authenticate': 'Basic realm="beryllug"'})
-PROMETHEUS = MappingProxyType({'content-type': metrics.CONTENT_TYPE})
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+PROMETHEUS = MappingProxyType({'content-type': CONTENT_TYPE})
 HEALTH = '/healthz'
 READINESS = '/readyz'
 DUMP = '/dump'
@@ -56,6 +60,8 @@
         services: registry.Registry,
         is_ready: Ready,
         routes: Routes,
+        *,
+        are_metrics_open: bool = False,
     ) -> None:
         """Make the service; `start` opens its socket.
 
@@ -64,12 +70,15 @@
             services: The services whose state is dumped.
             is_ready: Tells whether the process should get new work.
             routes: Further routes; each needs an operator's key.
+            are_metrics_open: Whether metrics are shown without a key, to a
+                platform that reads them by itself.
         """
         self._cfg = cfg
         self._services = services
         self._is_ready = is_ready
         self._routes = dict(routes)
-        self._metrics = metrics.Metrics(services)
+        self._metrics: metrics.Metrics | None = None
+        self._are_metrics_open = are_metrics_open
         self._server = http_server.HttpServer(self._serve)
         self.port = 0
 
@@ -81,7 +90,8 @@
     async def stop(self, grace_s: float) -> None:
         """Close the address."""
         await self._server.stop()
-        self._metrics.stop()
+        if self._metrics is not None:
+            self._metrics.stop()
 
     def replace_keys(self, keys: tuple[str, ...]) -> None:
         """Take new operators' keys, as when settings are read anew."""
@@ -100,6 +110,8 @@
         elif path == READINESS:
             ready = self._is_ready()
             await exchange.respond(OK if ready else UNAVAILABLE)
+        elif path == METRICS and self._are_metrics_open:
+            await exchange.respond(OK, self._render(), PROMETHEUS)
         elif self._is_operator(req):
             await self._serve_operator(req, path, exchange)
         else:
@@ -117,10 +129,18 @@
             text = json.dumps(self._services.dump(), default=str)
             await exchange.respond(OK, text.encode(), JSON)
         elif path == METRICS:
-            await exchange.respond(OK, self._metrics.render(), PROMETHEUS)
+            await exchange.respond(OK, self._render(), PROMETHEUS)
         else:
             await self._dispatch(req, path, exchange)
 
+    def _render(self) -> bytes:
+        """Return all numbers; the first call loads the library."""
+        if self._metrics is None:
+            from beryllug.kernel import metrics  # noqa: WPS433
+
+            self._metrics = metrics.Metrics(self._services)
+        return self._metrics.render()
+
     async def _dispatch(
         self,
         req: http_data.Request,
--- a/beryllug/kernel/ops_test.py
+++ b/beryllug/kernel/ops_test.py
@@ -8,7 +8,7 @@
 
 from beryllug.core import settings_data
 from beryllug.drivers import http_client, http_data, http_server
-from beryllug.kernel import metrics, ops, registry
+from beryllug.kernel import metrics_data, ops, registry
 
 KEY = 'operator-key-number-one'
 NEXT_KEY = 'operator-key-number-two'
@@ -58,17 +58,29 @@
     def dump(self) -> dict[str, Any]:
         return {'calls': self.calls}
 
-    def measure(self) -> Iterable[metrics.Sample]:
-        yield metrics.Sample('level', self.calls / 2, 'A level.')
-        yield metrics.Sample(
+    def measure(self) -> Iterable[metrics_data.Sample]:
+        yield metrics_data.Sample('level', self.calls / 2, 'A level.')
+        yield metrics_data.Sample(
             'calls',
             self.calls,
             'Calls so far.',
-            metrics.Kind.COUNTER,
+            metrics_data.Kind.COUNTER,
             {'kind': 'read'},
         )
 
 
+class _Clocked(_Counted):
+    """A service with a histogram."""
+
+    def times(self) -> Iterable[metrics_data.Times]:
+        histogram = metrics_data.Histogram()
+        for seconds in (0.003, 0.04, 99):
+            histogram.observe(seconds)
+        yield metrics_data.Times(
+            'answer_seconds', 'Times.', histogram, {'kind': 'safe'}
+        )
+
+
 class OperatorsTest(unittest.IsolatedAsyncioTestCase):
     """Access by key, and what is shown."""
 
@@ -116,6 +128,27 @@
             self.assertIn(total, lines)
         self.assertIn('# HELP beryllug_level A level.', lines)
 
+    async def test_open_metrics(self) -> None:
+        """A platform may read metrics without a key, and nothing else."""
+        services = registry.Registry()
+        services.register('clocked', _Clocked())
+        await self.operators.stop(0)
+        self.operators = ops.Operators(
+            CFG, services, bool, {}, are_metrics_open=True
+        )
+        await self.operators.start()
+        self.assertEqual((await self._get('/dump', ''))[0], 401)
+        status, body = await self._get('/metrics', '')
+        self.assertEqual(status, 200)
+        name = 'beryllug_answer_seconds'
+        for line in (
+            f'{name}_bucket{{kind="safe",le="0.005"}} 1.0',
+            f'{name}_bucket{{kind="safe",le="0.05"}} 2.0',
+            f'{name}_bucket{{kind="safe",le="+Inf"}} 3.0',
+            f'{name}_count{{kind="safe"}} 3.0',
+        ):
+            self.assertIn(line, body.decode().splitlines())
+
     async def _get(self, path: str, authorization: str) -> tuple[int, bytes]:
         headers = {'authorization': authorization} if authorization else {}
         incoming, body = await self.client.call(
--- a/beryllug/parsing/settings_rules.py
+++ b/beryllug/parsing/settings_rules.py
@@ -134,6 +134,7 @@
         'router.listen': Address(listening=True),
         'router.ready': Address(listening=True),
         'router.peer_listen': Address(listening=True),
+        'router.notes_listen': Address(listening=True),
         'router.store': Address(),
         'router.seeds': Addresses(least=0),
         'router.drain_ms': Number(0, MINUTE_MS),
--- a/beryllug/router/attempt_log.py
+++ b/beryllug/router/attempt_log.py
@@ -5,14 +5,19 @@
 """
 
 import time
+from collections.abc import Iterable
+from typing import Any
 
 from beryllug.core.placement import servers_data
-from beryllug.kernel import log_lines
+from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import call as call_data, directory, dispatch
 
 
+MS = 1000
+
+
 class AttemptLog:
-    """Writes what became of requests, and counts it."""
+    """Service 'requests': writes what became of requests, and counts it."""
 
     def __init__(
         self, lines: log_lines.LineWriter, known: directory.Directory
@@ -20,7 +25,48 @@
         """Bind to the writer, and to the directory for its version."""
         self._lines = lines
         self._known = known
-        self.statuses: dict[str, int] = {}
+        self.statuses: dict[tuple[str, int], int] = {}
+        self._times: dict[str, metrics_data.Histogram] = {}
+
+    async def start(self) -> None:
+        """Do nothing: it is driven by requests."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return how many requests ended how."""
+        return {
+            f'{event} {status}': count
+            for (event, status), count in self.statuses.items()
+        }
+
+    def measure(self) -> Iterable[metrics_data.Sample]:
+        """Return how many requests ended how, and lines that were dropped."""
+        for (event, status), count in self.statuses.items():
+            yield metrics_data.Sample(
+                'requests_ended',
+                count,
+                'Requests by how they ended and the status sent.',
+                metrics_data.Kind.COUNTER,
+                {'end': event, 'status': str(status)},
+            )
+        yield metrics_data.Sample(
+            'log_lines_dropped',
+            self._lines.dropped,
+            'Log lines dropped since nobody read, or beyond the bound.',
+            metrics_data.Kind.COUNTER,
+        )
+
+    def times(self) -> Iterable[metrics_data.Times]:
+        """Return how long requests took, by the kind of their route."""
+        for kind, histogram in self._times.items():
+            yield metrics_data.Times(
+                'request_seconds',
+                'Time from a request to its end.',
+                histogram,
+                {'kind': kind},
+            )
 
     def attempt(
         self,
@@ -37,7 +83,7 @@
             server=server.instance,
             software=server.version,
             came=_told(came),
-            took_ms=round(took_s * 1000, 1),
+            took_ms=round(took_s * MS, 1),
             **fields,
         )
 
@@ -79,6 +125,10 @@
         fields: dict[str, object],
     ) -> None:
         self._count(event, status)
+        took_s = time.monotonic() - call.arrived_at
+        kind = call.route.kind.value
+        histogram = self._times.setdefault(kind, metrics_data.Histogram())
+        histogram.observe(took_s)
         table = self._known.table
         self._lines.write(
             event,
@@ -87,12 +137,12 @@
             route=call.route.name,
             account=call.account_name,
             table=table.version if table else 0,
-            took_ms=round((time.monotonic() - call.arrived_at) * 1000, 1),
+            took_ms=round(took_s * MS, 1),
             **fields,
         )
 
     def _count(self, event: str, status: int) -> None:
-        key = f'{event}_{status}'
+        key = (event, status)
         self.statuses[key] = self.statuses.get(key, 0) + 1
 
 
--- a/beryllug/router/front.py
+++ b/beryllug/router/front.py
@@ -90,7 +90,6 @@
         return {
             'in_flight': self._server.in_flight,
             'stopping': self._stopping_at is not None,
-            'answers': dict(self._log.statuses),
         }
 
     def is_ready(self) -> bool:
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -164,6 +164,7 @@
         return peering_data.Digest(
             name=self.members.name,
             address=self._cfg.peer_listen,
+            notes=self._cfg.notes_listen,
             is_leaving=self._leaving,
             table_version=table.version if table else 0,
             servers_revision=known.servers.revision,
@@ -178,10 +179,13 @@
         if digest.is_leaving:
             members.left(self.members, digest.name)
         else:
-            self._heard(digest.name, digest.address, now)
+            seen = members.Known(digest.address, digest.notes, now)
+            self._heard(digest.name, seen)
         for peer in digest.peers:
             if peer.heard_ago_s < members.ALIVE_S:
-                self._heard(peer.name, peer.address, now - peer.heard_ago_s)
+                at = now - peer.heard_ago_s
+                seen = members.Known(peer.address, peer.notes, at)
+                self._heard(peer.name, seen)
         self._trials.take_news(digest, now)
         if digest.table:
             spec = msgspec.json.decode(digest.table)
@@ -192,6 +196,6 @@
                 specs, digest.servers_revision, digest.name
             )
 
-    def _heard(self, name: str, address: str, at: float) -> None:
-        if members.heard(self.members, name, address, at):
-            self._lines.write('peer_found', peer=name, address=address)
+    def _heard(self, name: str, seen: members.Known) -> None:
+        if members.heard(self.members, name, seen):
+            self._lines.write('peer_found', peer=name, address=seen.address)
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -13,7 +13,7 @@
     rpc_endpoint,
     rpc_peers,
 )
-from beryllug.kernel import log_lines, registry
+from beryllug.kernel import log_lines, ops, registry
 from beryllug.platform import store
 from beryllug.router import (
     attempt_log,
@@ -78,8 +78,18 @@
     peers = peering.Peering(name, cfg, calls, knowledge, lines)
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
-    spread = load_spread.LoadSpread(peers.members, servers.reading, calls)
-    spread.serve(rpc_server)
+    spread = load_spread.LoadSpread(
+        peers.members, servers.reading, keys, cfg.notes_listen
+    )
+    operators_api = ops.Operators(
+        settings.operators,
+        services,
+        lambda: services.started and edge.is_ready(),
+        {},
+        are_metrics_open=True,
+    )
+    services.register('operators', operators_api)
+    services.register('requests', told)
     services.register('directory', known)
     services.register('calls', calls)
     services.register(
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -138,6 +138,7 @@
             listen=_free_address(),
             ready=_free_address(),
             peer_listen=_free_address(),
+            notes_listen=_free_address(),
             store=self.store_stand_in.address,
             seeds=tuple(each.cfg.peer_listen for each in self.routers),
             **settings,
