Let three processes follow the store and tell the rest

Change: the first three by hash over the living processes watch; they say so twice a second by datagram and tell changes of the server list in it; who is behind compares with the teller. A process that hears of no one for 1.2 s watches itself, the next in rank first. Ruled out: a lease for the watchers (calls while nothing happens).

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -54,11 +54,44 @@
     old_pace: dict[str, canary_data.Pace]
 
 
-class Loads(NamedTuple):
-    """Seconds of reading that the sender has sent to each model runner."""
+class Versions(NamedTuple):
+    """How new a process's knowledge is.
+
+    Attributes:
+        table: Version of its route table, 0 for none.
+        servers: Revision of the store that its list of backend servers is of.
+        orders: Revision of the newest change of a roll-out order.
+    """
+
+    table: int = 0
+    servers: int = 0
+    orders: int = 0
+
+
+class Note(NamedTuple):
+    """What a process tells by datagram, some times a second.
+
+    Attributes:
+        name: Name of the sender.
+        address: Where it is called.
+        seconds: Seconds of reading that it has sent to each model runner;
+            None where the note is not about that.
+        is_watching: Whether it follows the store, and the store answers it.
+        versions: How new its knowledge is.
+        returned_ago_s: Seconds since the store came back from an outage.
+        since: Revision of the store that `entries` follow on.
+        entries: Changes of the list of backend servers up to its revision,
+            as JSON, or empty.
+    """
 
     name: str
-    seconds: dict[str, float]
+    address: str
+    seconds: dict[str, float] | None = None
+    is_watching: bool = False
+    versions: Versions = Versions()
+    returned_ago_s: float = 0.0
+    since: int = 0
+    entries: bytes = b''
 
 
 class Digest(NamedTuple):
@@ -69,27 +102,25 @@
         address: Where it is called.
         notes: Where it takes datagrams.
         is_leaving: Whether it stops.
-        table_version: Version of its route table, 0 for none.
-        servers_revision: Revision of the store up to which it knows the
-            backend servers; 0 where it does not know them.
-        is_cut_off: Whether the store does not answer it at present.
+        versions: How new its knowledge is.
         peers: Some of the processes that it knows.
         rollouts: The roll-outs that it knows.
         tallies: What it has seen of open ones.
         table: The stored route table as JSON, for a peer with an older one.
-        servers: The stored entries of backend servers as JSON, by instance,
-            for a peer that the store does not answer.
+        servers: The stored entries of backend servers by instance, as
+            compressed JSON, for a peer with an older list.
+        orders: The stored roll-out orders by name, as JSON, for a peer with
+            older ones.
     """
 
     name: str
     address: str
     notes: str
     is_leaving: bool = False
-    table_version: int = 0
-    servers_revision: int = 0
-    is_cut_off: bool = False
+    versions: Versions = Versions()
     peers: tuple[Peer, ...] = ()
     rollouts: tuple[RolloutNews, ...] = ()
     tallies: tuple[TallyNews, ...] = ()
     table: bytes = b''
     servers: bytes = b''
+    orders: bytes = b''
--- /dev/null
+++ b/beryllug/core/peering/standing.py
@@ -0,0 +1,74 @@
+"""Who follows the platform's store for the others.
+
+Each watch of each process is a call that wakes it at every change, so that
+all processes together would pay for a change as many times as they are. A few
+watch instead, chosen by a hash over the living processes, and tell the rest.
+A process that hears of no one who watches follows the store itself.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from beryllug.core.peering import members
+
+# Processes that watch. With three, two may be cut off or die at a time and
+# the third still tells what changes.
+WATCHERS = 3
+# Seconds without a word of a process that watches, after which one watches
+# itself. They speak twice a second; a change is to be in force within two.
+SILENT_S = 1.2
+SUBJECT = 'store'
+# Seconds that each chosen one is waited for that does not watch. The word of
+# one that begins to watch comes within half a second; three dead ones are
+# passed over in less.
+PASS_OVER_S = 0.1
+
+
+class Heard(NamedTuple):
+    """When a process last said that it watches, and the store answers it."""
+
+    at: float
+
+
+@dataclass(slots=True)
+class Standing:
+    """What this process knows of those who watch.
+
+    Attributes:
+        watching: When each was last heard of, by name.
+        few_since: Second since which too few are heard of; None if enough.
+    """
+
+    watching: dict[str, Heard] = field(default_factory=dict)
+    few_since: float | None = None
+
+
+def heard(standing: Standing, name: str, now: float) -> None:
+    """Take that a process watches and that the store answers it."""
+    standing.watching[name] = Heard(now)
+
+
+def must_watch(standing: Standing, known: members.Members, now: float) -> bool:
+    """Tell whether this process is to follow the store itself."""
+    watching = {
+        name
+        for name, each in standing.watching.items()
+        if now - each.at <= SILENT_S
+    }
+    others = watching - {known.name}
+    if len(others) >= WATCHERS:
+        standing.few_since = None
+    elif standing.few_since is None:
+        standing.few_since = now
+    ranked = members.ranked(known, SUBJECT)
+    ahead = ranked[: ranked.index(known.name)]
+    watching_ahead = sum(name in watching for name in ahead)
+    if watching_ahead >= WATCHERS:
+        return False
+    if known.name in watching:
+        return True
+    # Who was chosen and does not watch, since the store turns it away or it
+    # is gone, is passed over after a moment. Without the moment all others
+    # would list the whole store at once.
+    few_s = 0 if standing.few_since is None else now - standing.few_since
+    return few_s >= PASS_OVER_S * (len(ahead) - watching_ahead)
--- /dev/null
+++ b/beryllug/core/peering/standing_test.py
@@ -0,0 +1,109 @@
+"""Tests of who follows the platform's store."""
+
+import unittest
+
+from beryllug.core.peering import members, standing
+
+NAMES = tuple(f'p{number}' for number in range(20))
+
+
+def _fleet(names: tuple[str, ...]) -> dict[str, members.Members]:
+    fleet = {name: members.Members(name) for name in names}
+    for known in fleet.values():
+        for name in names:
+            members.heard(known, name, members.Known(name, name, 0))
+    return fleet
+
+
+def _watching(
+    fleet: dict[str, members.Members],
+    states: dict[str, standing.Standing],
+    now: float,
+) -> set[str]:
+    """Return who watches now, and tell all of it."""
+    watching = {
+        name
+        for name, known in fleet.items()
+        if standing.must_watch(states[name], known, now)
+    }
+    for state in states.values():
+        for name in watching:
+            standing.heard(state, name, now)
+    return watching
+
+
+class StandingTest(unittest.TestCase):
+    """Processes that start, die and are cut off."""
+
+    def setUp(self) -> None:
+        self.fleet = _fleet(NAMES)
+        self.states = {name: standing.Standing() for name in NAMES}
+
+    def test_start(self) -> None:
+        """All watch at first, a few once they hear of one another."""
+        for name in NAMES:
+            alone = members.Members(name)
+            self.assertTrue(standing.must_watch(self.states[name], alone, 0))
+        for state in self.states.values():
+            for name in NAMES:
+                standing.heard(state, name, 0)
+        self.assertEqual(len(_watching(self.fleet, self.states, 0.5)), 3)
+        self.assertEqual(len(_watching(self.fleet, self.states, 1)), 3)
+
+    def test_all_die(self) -> None:
+        """The few who watch die at once; others watch before a change is due.
+
+        The survivors still take them for living: their membership is slower.
+        A few more than needed watch for a moment, never all.
+        """
+        first = self._settle(0)
+        for name in first:
+            self.fleet.pop(name)
+        begun = 0.0
+        for step in range(1, 40):
+            now = step * 0.1
+            watching = _watching(self.fleet, self.states, now)
+            self.assertLess(len(watching), 10)
+            if watching and not begun:
+                begun = now
+        self.assertLess(begun, 1.9)
+        self.assertEqual(len(watching), 3)
+
+    def test_cut_off(self) -> None:
+        """One whom the store turns away is replaced while it is."""
+        cut_off = min(self._settle(0))
+        watching: set[str] = set()
+        for step in range(1, 40):
+            now = step * 0.1
+            watching = {
+                name
+                for name, known in self.fleet.items()
+                if standing.must_watch(self.states[name], known, now)
+            }
+            for state in self.states.values():
+                for name in watching - {cut_off}:
+                    standing.heard(state, name, now)
+        self.assertEqual(len(watching - {cut_off}), 3)
+
+    def test_alone(self) -> None:
+        """A process that knows no other watches."""
+        alone = members.Members('one')
+        self.assertTrue(standing.must_watch(standing.Standing(), alone, 0))
+
+    def _settle(self, now: float) -> set[str]:
+        """Let the chosen few watch, and return them."""
+        for state in self.states.values():
+            for name in NAMES:
+                standing.heard(state, name, now - 1)
+        _watching(self.fleet, self.states, now)
+        for state in self.states.values():
+            state.watching.clear()
+        chosen = members.ranked(self.fleet['p0'], standing.SUBJECT)[:3]
+        for state in self.states.values():
+            for name in chosen:
+                standing.heard(state, name, now)
+        return set(chosen)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/router/directory.py
+++ b/beryllug/router/directory.py
@@ -1,48 +1,57 @@
 """Service 'directory': what this process knows from the platform's store.
 
-The route table, the backend servers and the ordered roll-outs. A table is
-replaced only by one of a higher version, whoever brings it.
+The route table, the backend servers and the ordered roll-outs. It follows the
+store itself while told to; else peers tell it. A table is replaced only by
+one of a higher version, whoever brings it.
 """
 
-import functools
-import time
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
-from beryllug.core.canary import canary_data
 from beryllug.core.routes import routes_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
-from beryllug.router import server_list, store_watch
+from beryllug.router import order_list, server_list, store_watch
 
-OrderListener = Callable[[canary_data.Order, canary_data.Phase, float], None]
 TableListener = Callable[[routes_data.RouteTable], None]
 
 
 class Directory:
-    """Follows the store and answers from memory."""
+    """Answers from memory what the store says.
+
+    Attributes:
+        table: The route table in force, or None.
+        table_spec: The same as it is stored, for peers.
+        servers: The list of backend servers.
+        orders: The roll-out orders.
+    """
 
     def __init__(
         self,
         api: store.Store,
         servers: server_list.ServerList,
+        orders: order_list.OrderList,
         lines: log_lines.LineWriter,
     ) -> None:
-        """Bind to the store, and to the list that is kept of the servers."""
+        """Bind to the store, and to the lists that are kept of it."""
         self.table: routes_data.RouteTable | None = None
         self.table_spec: Any = None
         self.servers = servers
+        self.orders = orders
         self._lines = lines
         self._table_listeners: list[TableListener] = []
-        self._order_listeners: list[OrderListener] = []
         followers = {
-            store.TABLES: _one_by_one(self._take_table),
+            store.TABLES: store_watch.Follower(
+                self._list_tables, self._change_tables, _ignore
+            ),
             store.SERVERS: store_watch.Follower(
                 servers.listed, servers.changed, servers.reached
             ),
-            store.ROLLOUTS: _one_by_one(self._take_order),
+            store.ROLLOUTS: store_watch.Follower(
+                orders.listed, orders.changed, _ignore
+            ),
         }
         self._watches = [
             store_watch.StoreWatch(api, kind, follower, lines)
@@ -53,20 +62,28 @@
         """Tell of each table that comes in force."""
         self._table_listeners.append(listener)
 
-    def on_order(self, listener: OrderListener) -> None:
-        """Tell of each roll-out order and each change of its status."""
-        self._order_listeners.append(listener)
-
     async def start(self) -> None:
-        """Start to follow the store."""
-        for watch in self._watches:
-            watch.start()
+        """Start to follow the store, until peers are known who do."""
+        self.follow()
 
     async def stop(self, grace_s: float) -> None:
         """Stop to follow the store."""
+        await self.unfollow()
+
+    def follow(self) -> None:
+        """Follow the store."""
+        for watch in self._watches:
+            watch.start()
+
+    async def unfollow(self) -> None:
+        """Follow the store no more; what is known stays."""
         for watch in self._watches:
             await watch.stop()
 
+    def is_current(self) -> bool:
+        """Tell whether the store answered the last calls of all kinds."""
+        return all(watch.is_current for watch in self._watches)
+
     def is_ready(self) -> bool:
         """Tell whether requests can be placed at all."""
         return self.table is not None and self.servers.is_known
@@ -76,6 +93,8 @@
         return {
             'table_version': self.table.version if self.table else 0,
             'servers': self.servers.dump(),
+            'orders': sorted(self.orders.orders),
+            'is_current': self.is_current(),
         }
 
     def take_table_spec(self, spec: Any, source: str) -> None:
@@ -93,40 +112,18 @@
         for listener in self._table_listeners:
             listener(table)
 
-    def _take_table(self, change: store.Change, now: float) -> None:
-        if change.stored.name == store.TABLE and not change.is_gone:
-            self.take_table_spec(change.stored.spec, 'store')
-
-    def _take_order(self, change: store.Change, now: float) -> None:
-        if change.is_gone:
-            return
-        stored = change.stored
-        try:
-            order, phase = documents.order(
-                stored.revision, stored.spec, stored.status
-            )
-        except (msgspec.ValidationError, ValueError) as exc:
-            self._lines.write('order_refused', name=stored.name, error=str(exc))
-            return
-        for listener in self._order_listeners:
-            listener(order, phase, time.monotonic())
-
-
-def _one_by_one(
-    take: Callable[[store.Change, float], None],
-) -> store_watch.Follower:
-    """Return a follower to whom a listing is so many changes."""
-    listed = functools.partial(_take_each, take)
-    return store_watch.Follower(listed, take, _ignore)
+    def _list_tables(self, listed: store.Listing, now: float) -> None:
+        for stored in listed.found:
+            self._take_table(stored)
 
+    def _change_tables(self, changes: store.Changes, now: float) -> None:
+        for change in changes.changes:
+            if not change.is_gone:
+                self._take_table(change.stored)
 
-def _take_each(
-    take: Callable[[store.Change, float], None],
-    listed: store.Listing,
-    now: float,
-) -> None:
-    for each in listed.found:
-        take(store.Change(each, is_gone=False), now)
+    def _take_table(self, stored: store.Stored) -> None:
+        if stored.name == store.TABLE:
+            self.take_table_spec(stored.spec, 'store')
 
 
 def _ignore(is_reached: bool, now: float) -> None:
--- /dev/null
+++ b/beryllug/router/knowledge.py
@@ -0,0 +1,77 @@
+"""What peers hand one another of the platform's store, and how new it is."""
+
+import zlib
+from typing import Any
+
+import msgspec
+
+from beryllug.core.peering import peering_data
+from beryllug.router import directory, order_list
+
+# Level of compression: a list of backend servers is much the same line again
+# and again, and more than the least effort gains little.
+LEVEL = 1
+
+
+class Knowledge:
+    """Gives and takes what a directory knows."""
+
+    def __init__(self, known: directory.Directory) -> None:
+        """Bind to the directory."""
+        self._known = known
+
+    def versions(self) -> peering_data.Versions:
+        """Return how new this process's knowledge is."""
+        known = self._known
+        return peering_data.Versions(
+            table=known.table.version if known.table else 0,
+            servers=known.servers.revision,
+            orders=known.orders.revision(),
+        )
+
+    def is_behind(self, versions: peering_data.Versions) -> bool:
+        """Tell whether a peer with these versions knows more."""
+        own = self.versions()
+        return any(mine < theirs for mine, theirs in zip(own, versions))
+
+    def complete(
+        self, digest: peering_data.Digest, asked: peering_data.Versions
+    ) -> peering_data.Digest:
+        """Add to a digest what a peer with older versions lacks."""
+        own = digest.versions
+        known = self._known
+        if asked.table < own.table:
+            digest = digest._replace(table=_encode(known.table_spec))
+        if asked.servers < own.servers:
+            packed = zlib.compress(_encode(known.servers.specs), LEVEL)
+            digest = digest._replace(servers=packed)
+        if asked.orders < own.orders:
+            digest = digest._replace(orders=_encode(known.orders.orders))
+        return digest
+
+    def take(self, digest: peering_data.Digest, now: float) -> None:
+        """Take what a peer has added to its digest."""
+        known = self._known
+        if digest.table:
+            known.take_table_spec(_decode(digest.table), digest.name)
+        if digest.servers:
+            known.servers.take_specs(
+                _decode(zlib.decompress(digest.servers)),
+                digest.versions.servers,
+                digest.name,
+                now,
+            )
+        if digest.orders:
+            orders = msgspec.json.decode(
+                digest.orders, type=dict[str, order_list.StoredOrder]
+            )
+            for name, stored in orders.items():
+                known.orders.take(name, stored, now)
+
+
+def _encode(plain: Any) -> bytes:
+    return msgspec.json.encode(plain)
+
+
+def _decode(raw: bytes) -> Any:
+    return msgspec.json.decode(raw)
--- /dev/null
+++ b/beryllug/router/order_list.py
@@ -0,0 +1,69 @@
+"""The roll-out orders that this process knows, as they stand in the store."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from beryllug.core.canary import canary_data
+from beryllug.kernel import log_lines
+from beryllug.platform import documents, store
+
+Listener = Callable[[canary_data.Order, canary_data.Phase, float], None]
+
+
+class StoredOrder(NamedTuple):
+    """An order as it stands in the store, to be told to peers."""
+
+    revision: int
+    spec: Any
+    status: Any
+
+
+class OrderList:
+    """Follows the store's orders, or what peers tell of them.
+
+    Attributes:
+        orders: The orders by name.
+    """
+
+    def __init__(self, lines: log_lines.LineWriter) -> None:
+        """Begin without orders."""
+        self.orders: dict[str, StoredOrder] = {}
+        self._lines = lines
+        self._listeners: list[Listener] = []
+
+    def on_order(self, listener: Listener) -> None:
+        """Tell of each order and each change of its status."""
+        self._listeners.append(listener)
+
+    def revision(self) -> int:
+        """Return the revision of the newest change."""
+        return max((each.revision for each in self.orders.values()), default=0)
+
+    def take(self, name: str, stored: StoredOrder, now: float) -> None:
+        """Take an order or its status, if it is newer than what is known."""
+        known = self.orders.get(name)
+        if known is not None and stored.revision <= known.revision:
+            return
+        self.orders[name] = stored
+        try:
+            order, phase = documents.order(
+                stored.revision, stored.spec, stored.status
+            )
+        except (msgspec.ValidationError, ValueError) as exc:
+            self._lines.write('order_refused', name=name, error=str(exc))
+            return
+        for listener in self._listeners:
+            listener(order, phase, now)
+
+    def listed(self, listed: store.Listing, now: float) -> None:
+        """Take a whole list of the store."""
+        for each in listed.found:
+            order = StoredOrder(each.revision, each.spec, each.status)
+            self.take(each.name, order, now)
+
+    def changed(self, changes: store.Changes, now: float) -> None:
+        """Take changes that the store reports."""
+        present = [each.stored for each in changes.changes if not each.is_gone]
+        self.listed(store.Listing(tuple(present), changes.revision), now)
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -7,23 +7,21 @@
 import asyncio
 import random
 import time
-from typing import Any, NamedTuple
-
-import msgspec
+from typing import Any
 
 from beryllug.core import settings_data
 from beryllug.core.peering import members, peering_data
 from beryllug.drivers import methods, rpc, rpc_peers
 from beryllug.kernel import log_lines
-from beryllug.router import directory, pool, rollout_state, trials
+from beryllug.router import knowledge, rollout_state, trials
 
 # Seconds between two rounds of calls, and the peers that are called in one.
 # Two calls a second of about 500 bytes carry news through a fleet of 900 in
 # some ten rounds, for 2 KB/s a process.
 PERIOD_S = 1.0
 FAN_OUT = 2
-# Seconds between two rounds while a roll-out is judged or the store does not
-# answer: the judges must know of a bad version within a second.
+# Seconds between two rounds while a roll-out is judged: the judges must know
+# of a bad version within a second.
 BUSY_PERIOD_S = 0.4
 CALL_S = 0.8
 # Parts of a period between which each round's is drawn, so that processes
@@ -33,14 +31,6 @@
 JUDGES = 2
 
 
-class Knowledge(NamedTuple):
-    """The services that know what peers are told, and take what they tell."""
-
-    directory: directory.Directory
-    trials: trials.Trials
-    pool: pool.Pool
-
-
 class Peering:
     """Compares knowledge with a few peers at a time."""
 
@@ -49,16 +39,16 @@
         name: str,
         cfg: settings_data.Router,
         calls: rpc_peers.Peers,
-        knowledge: Knowledge,
+        known: knowledge.Knowledge,
+        canaries: trials.Trials,
         lines: log_lines.LineWriter,
     ) -> None:
         """Bind to what is told and learnt."""
         self.members = members.Members(name)
         self._cfg = cfg
         self._calls = calls
-        self._known = knowledge.directory
-        self._trials = knowledge.trials
-        self._pool = knowledge.pool
+        self._knowledge = known
+        self._trials = canaries
         self._lines = lines
         self._rng = random.Random(name)
         self._leaving = False
@@ -96,20 +86,31 @@
         order = members.ranked(self.members, service)
         return order.index(self.members.name) == rank
 
+    async def compare(self, address: str) -> None:
+        """Compare with one peer now."""
+        try:
+            reply = await self._calls.call(
+                address, methods.COMPARE, self._digest(), CALL_S
+            )
+        except rpc.RpcError:
+            # A connection that fell silent is not used again. Whether the
+            # peer is gone shows by no one hearing of it.
+            await self._calls.drop(address)
+            return
+        self._take(reply)
+
     async def _run(self) -> None:
         while True:
             now = time.monotonic()
             for name in members.forget(self.members, now):
                 self._lines.write('peer_lost', peer=name)
-            self._pool.processes = len(self.members.known) + 1
             for address in self._addresses():
                 self._call_later(address)
             period_s = BUSY_PERIOD_S if self._is_busy() else PERIOD_S
             await asyncio.sleep(period_s * self._rng.uniform(*JITTER))
 
     def _is_busy(self) -> bool:
-        is_judged = any(each.is_open for each in self._trials.rollouts())
-        return is_judged or self._known.servers.is_cut_off
+        return any(each.is_open for each in self._trials.rollouts())
 
     def _addresses(self) -> set[str]:
         """Return whom to call now: the judges, some others, or the seeds."""
@@ -126,52 +127,26 @@
         return called
 
     def _call_later(self, address: str) -> None:
-        task = asyncio.create_task(self._call(address))
+        task = asyncio.create_task(self.compare(address))
         self._calling.add(task)
         task.add_done_callback(self._calling.discard)
 
-    async def _call(self, address: str) -> None:
-        try:
-            reply = await self._calls.call(
-                address, methods.COMPARE, self._digest(), CALL_S
-            )
-        except rpc.RpcError:
-            # A connection that fell silent is not used again. Whether the
-            # peer is gone shows by no one hearing of it.
-            await self._calls.drop(address)
-            return
-        self._take(reply)
-
     async def _answer(self, digest: peering_data.Digest) -> peering_data.Digest:
         self._take(digest)
-        reply = self._digest()
-        known = self._known
-        if digest.table_version < reply.table_version:
-            reply = reply._replace(table=msgspec.json.encode(known.table_spec))
-        if (
-            digest.is_cut_off
-            and digest.servers_revision < reply.servers_revision
-        ):
-            reply = reply._replace(
-                servers=msgspec.json.encode(known.servers.specs)
-            )
-        return reply
+        return self._knowledge.complete(self._digest(), digest.versions)
 
     def _digest(self) -> peering_data.Digest:
         now = time.monotonic()
-        known = self._known
-        table = known.table
+        rollouts = self._trials.rollouts()
         return peering_data.Digest(
             name=self.members.name,
             address=self._cfg.peer_listen,
             notes=self._cfg.notes_listen,
             is_leaving=self._leaving,
-            table_version=table.version if table else 0,
-            servers_revision=known.servers.revision,
-            is_cut_off=known.servers.is_cut_off,
+            versions=self._knowledge.versions(),
             peers=members.told(self.members, now, self._rng),
-            rollouts=rollout_state.news(self._trials.rollouts(), now),
-            tallies=rollout_state.tallies(self._trials.rollouts()),
+            rollouts=rollout_state.news(rollouts, now),
+            tallies=rollout_state.tallies(rollouts),
         )
 
     def _take(self, digest: peering_data.Digest) -> None:
@@ -187,14 +162,7 @@
                 seen = members.Known(peer.address, peer.notes, at)
                 self._heard(peer.name, seen)
         self._trials.take_news(digest, now)
-        if digest.table:
-            spec = msgspec.json.decode(digest.table)
-            self._known.take_table_spec(spec, digest.name)
-        if digest.servers:
-            specs = msgspec.json.decode(digest.servers)
-            self._known.servers.take_specs(
-                specs, digest.servers_revision, digest.name
-            )
+        self._knowledge.take(digest, now)
 
     def _heard(self, name: str, seen: members.Known) -> None:
         if members.heard(self.members, name, seen):
--- a/beryllug/router/server_list.py
+++ b/beryllug/router/server_list.py
@@ -1,8 +1,7 @@
 """The backend servers that this process believes to be there."""
 
-import time
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -11,8 +10,22 @@
 from beryllug.platform import documents, store
 
 
+class Delta(NamedTuple):
+    """Changes of the list between two revisions of the store.
+
+    Attributes:
+        since: Revision that the changes follow on.
+        revision: Revision that the list is of with them.
+        entries: Instances in order, each with its entry; None where it went.
+    """
+
+    since: int
+    revision: int
+    entries: tuple[tuple[str, Any], ...]
+
+
 class ServerList:
-    """Follows the store's list of servers, or a peer's while it is away.
+    """Follows the store's list of servers, or what peers tell of it.
 
     Attributes:
         is_known: Whether there is a list at all.
@@ -34,6 +47,11 @@
         self.revision = 0
         self._book = listing.Book(doubt_s)
         self._lines = lines
+        self._listeners: list[Callable[[Delta], None]] = []
+
+    def on_changes(self, listener: Callable[[Delta], None]) -> None:
+        """Tell of changes that the store has brought."""
+        self._listeners.append(listener)
 
     def usable(
         self, now: float
@@ -41,6 +59,10 @@
         """Return the listed servers that take work, and the doubted ones."""
         return listing.usable(self._book, now)
 
+    def returned_ago_s(self, now: float) -> float:
+        """Return the seconds since the store came back from an outage."""
+        return now - self._book.returned_at
+
     def dump(self) -> dict[str, Any]:
         """Return the listed and the doubted servers."""
         return {
@@ -58,6 +80,10 @@
         else:
             listing.store_failed(self._book)
 
+    def peer_returned(self, at: float) -> None:
+        """Take when a peer saw the store come back from an outage."""
+        self._book.returned_at = max(self._book.returned_at, at)
+
     def listed(self, found: store.Listing, now: float) -> None:
         """Take a whole list of the store."""
         specs = {each.name: each.spec for each in found.found}
@@ -66,13 +92,24 @@
             'servers_listed', servers=len(specs), revision=found.revision
         )
 
+    def changed(self, changes: store.Changes, now: float) -> None:
+        """Take changes that the store reports."""
+        entries = tuple(
+            (change.stored.name, None if change.is_gone else change.stored.spec)
+            for change in changes.changes
+        )
+        delta = Delta(self.revision, changes.revision, entries)
+        self._apply(delta, 'store', now)
+        for listener in self._listeners:
+            listener(delta)
+
     def take_specs(
-        self, specs: Mapping[str, Any], revision: int, source: str
+        self, specs: Mapping[str, Any], revision: int, source: str, now: float
     ) -> None:
-        """Take a peer's list while the store does not answer."""
-        if not self.is_cut_off or revision <= self.revision:
+        """Take a peer's list, if it is newer."""
+        if revision <= self.revision:
             return
-        self._replace(specs, revision, time.monotonic())
+        self._replace(specs, revision, now)
         self._lines.write(
             'servers_taken',
             source=source,
@@ -80,31 +117,44 @@
             servers=len(specs),
         )
 
-    def changed(self, change: store.Change, now: float) -> None:
-        """Take a change of one entry."""
-        stored = change.stored
-        self.revision = max(self.revision, stored.revision)
-        if change.is_gone:
-            self.specs.pop(stored.name, None)
-            listing.drop(self._book, stored.name, now)
-            self._lines.write(
-                'server_dropped',
-                instance=stored.name,
-                revision=stored.revision,
-            )
-            return
-        self.specs[stored.name] = stored.spec
-        server = self._read(stored.name, stored.spec)
+    def take_delta(self, delta: Delta, source: str, now: float) -> bool:
+        """Take a peer's changes; returns whether they follow on the list.
+
+        Changes that are known already may come again: in their order, they
+        end with the same list.
+        """
+        if not self.is_known or delta.since > self.revision:
+            return False
+        if delta.revision > self.revision:
+            self._apply(delta, source, now)
+        return True
+
+    def _apply(self, delta: Delta, source: str, now: float) -> None:
+        for instance, spec in delta.entries:
+            if spec is None:
+                self._drop(instance, source, now)
+            else:
+                self._put(instance, spec, source)
+        self.revision = max(self.revision, delta.revision)
+
+    def _drop(self, instance: str, source: str, now: float) -> None:
+        self.specs.pop(instance, None)
+        listing.drop(self._book, instance, now)
+        self._lines.write('server_dropped', instance=instance, source=source)
+
+    def _put(self, instance: str, spec: Any, source: str) -> None:
+        self.specs[instance] = spec
+        server = self._read(instance, spec)
         if server is None:
             return
         listing.put(self._book, server)
         self._lines.write(
             'server_listed',
-            instance=stored.name,
+            instance=instance,
             service=server.service,
             software=server.version,
             state=server.state.value,
-            revision=stored.revision,
+            source=source,
         )
 
     def _replace(
--- /dev/null
+++ b/beryllug/router/sharing.py
@@ -0,0 +1,187 @@
+"""Service 'sharing': short notes between the processes of the fleet.
+
+Those who follow the platform's store say so twice a second, and tell its
+changes as they come; the others follow it no more. All tell what they have
+sent to model runners, while there is something to tell.
+"""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+import msgspec
+
+from beryllug.core import settings_data
+from beryllug.core.peering import members, peering_data, standing
+from beryllug.core.placement import backlog
+from beryllug.drivers import datagrams, fleet_key
+from beryllug.router import directory, knowledge, peering, pool, server_list
+
+# Seconds between two rounds: a runner's backlog of a second must be known
+# before the next prompt goes there too.
+PERIOD_S = 0.25
+# Rounds between two words of a process that follows the store.
+ROUNDS_A_WORD = 2
+# Peers that are told of loads at a time: all of a small fleet. In a large one
+# each process hears of a part, which stands for the whole in ratio.
+MOST_TOLD = 8
+# Seconds between two calls to a peer that knows more, and part of a second
+# over which the calls of a fleet to the few who watch are spread.
+CATCH_UP_S = 0.3
+SPREAD_S = 0.15
+# Bytes of changes that fit a note beside the rest of it.
+MOST_ENTRIES = 1000
+
+
+class Sharing:
+    """Sends notes, and acts on those that come."""
+
+    def __init__(
+        self,
+        cfg: settings_data.Router,
+        peers: peering.Peering,
+        known: directory.Directory,
+        shared: knowledge.Knowledge,
+        servers: pool.Pool,
+        keys: fleet_key.KeyRing,
+    ) -> None:
+        """Bind to what is told and to who takes it."""
+        self._cfg = cfg
+        self._peers = peers
+        self._known = known
+        self._shared = shared
+        self._pool = servers
+        self._notes = datagrams.Datagrams(keys, peering_data.Note, self._take)
+        self._rng = random.Random(peers.members.name)
+        self._standing = standing.Standing()
+        self._had_load = False
+        self._round = 0
+        self._caught_up_at = 0.0
+        self._task: asyncio.Task[None] | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+        known.servers.on_changes(self._tell_changes)
+        known.on_table(lambda _: self._tell_word())
+        known.orders.on_order(lambda *_: self._tell_word())
+
+    async def start(self) -> None:
+        """Start to tell and to take."""
+        await self._notes.start(self._cfg.notes_listen)
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop to tell."""
+        for task in (self._task, *self._calls):
+            if task is not None:
+                task.cancel()
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._notes.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the backlog by runner, and counts of notes."""
+        now = time.monotonic()
+        return {
+            'own_s': backlog.told(self._pool.reading, now),
+            'paces_s': dict(self._pool.reading.paces),
+            'watching': sorted(self._standing.watching),
+            'notes_sent': self._notes.sent,
+            'notes_dropped': self._notes.dropped,
+        }
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            self._round += 1
+            self._pool.processes = len(self._peers.members.known) + 1
+            await self._follow_or_not(time.monotonic())
+            if self._round % ROUNDS_A_WORD == 0:
+                self._tell_word()
+            self._tell_loads()
+
+    async def _follow_or_not(self, now: float) -> None:
+        members_known = self._peers.members
+        if self._known.is_current():
+            standing.heard(self._standing, members_known.name, now)
+        must = standing.must_watch(self._standing, members_known, now)
+        if must:
+            self._known.follow()
+        elif self._known.is_ready():
+            await self._known.unfollow()
+
+    def _tell_word(self) -> None:
+        """Say that this process follows the store, if it does."""
+        if self._known.is_current():
+            self._tell_all(self._word())
+
+    def _tell_changes(self, delta: server_list.Delta) -> None:
+        entries = msgspec.json.encode(delta.entries)
+        note = self._word()
+        if len(entries) <= MOST_ENTRIES:
+            note = note._replace(since=delta.since, entries=entries)
+        self._tell_all(note)
+
+    def _word(self) -> peering_data.Note:
+        returned_ago_s = self._known.servers.returned_ago_s(time.monotonic())
+        return peering_data.Note(
+            name=self._peers.members.name,
+            address=self._cfg.peer_listen,
+            is_watching=True,
+            versions=self._shared.versions(),
+            returned_ago_s=min(returned_ago_s, backlog.KEPT_S),
+        )
+
+    def _tell_all(self, note: peering_data.Note) -> None:
+        for known in self._peers.members.known.values():
+            self._notes.send(known.notes, note)
+
+    def _tell_loads(self) -> None:
+        reading = self._pool.reading
+        seconds = backlog.told(reading, time.monotonic())
+        known = self._peers.members.known
+        reading.heard_part = backlog.heard_part(len(known), MOST_TOLD, PERIOD_S)
+        if seconds or self._had_load:
+            note = peering_data.Note(
+                self._peers.members.name, self._cfg.peer_listen, seconds
+            )
+            names = sorted(known)
+            for name in self._rng.sample(names, min(MOST_TOLD, len(names))):
+                self._notes.send(known[name].notes, note)
+        self._had_load = bool(seconds)
+
+    def _take(self, note: peering_data.Note) -> None:
+        now = time.monotonic()
+        if note.seconds is not None:
+            backlog.take(self._pool.reading, note.name, note.seconds, now)
+        if note.is_watching:
+            self._take_word(note, now)
+
+    def _take_word(self, note: peering_data.Note, now: float) -> None:
+        standing.heard(self._standing, note.name, now)
+        servers = self._known.servers
+        servers.peer_returned(now - note.returned_ago_s)
+        if note.entries:
+            delta = server_list.Delta(
+                note.since,
+                note.versions.servers,
+                msgspec.json.decode(
+                    note.entries, type=tuple[tuple[str, Any], ...]
+                ),
+            )
+            servers.take_delta(delta, note.name, now)
+        if self._shared.is_behind(note.versions):
+            self._catch_up(note.address, now)
+
+    def _catch_up(self, address: str, now: float) -> None:
+        if now - self._caught_up_at < CATCH_UP_S:
+            return
+        self._caught_up_at = now
+        task = asyncio.create_task(self._compare(address))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _compare(self, address: str) -> None:
+        count = len(self._peers.members.known)
+        if count > members.TOLD:
+            await asyncio.sleep(SPREAD_S * self._rng.random())
+        await self._peers.compare(address)
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -1,4 +1,4 @@
-"""Follows one kind of objects in the platform's store.
+"""Follows one kind of objects in the platform's store, while told to.
 
 It lists the kind once and watches from there. A watch that fails is taken up
 where it stood; only when the store has dropped that history is the kind
@@ -25,9 +25,12 @@
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
 GROWTH = 2.0
+# Parts of a pause between which each one is drawn, so that processes that
+# lost the store together do not all return in the same moment.
+JITTER = (0.5, 1.5)
 
 Listed = Callable[[store.Listing, float], None]
-Changed = Callable[[store.Change, float], None]
+Changed = Callable[[store.Changes, float], None]
 Reached = Callable[[bool, float], None]
 
 
@@ -36,7 +39,7 @@
 
     Attributes:
         listed: Takes a whole listing.
-        changed: Takes one change.
+        changed: Takes changes, in order.
         reached: Told after each call, before what it brought, whether the
             store answered.
     """
@@ -47,7 +50,11 @@
 
 
 class StoreWatch:
-    """Follows one kind until it is stopped."""
+    """Follows one kind from `start` to `stop`, as often as wanted.
+
+    Attributes:
+        is_current: Whether the last call was answered.
+    """
 
     def __init__(
         self,
@@ -57,6 +64,7 @@
         lines: log_lines.LineWriter,
     ) -> None:
         """Bind to the store; `start` makes the first call."""
+        self.is_current = False
         self._api = api
         self._kind = kind
         self._follower = follower
@@ -64,17 +72,22 @@
         self._task: asyncio.Task[None] | None = None
         self._failures = 0
         self._lost_at = 0.0
-        self.revision = 0
+        self._revision = 0
 
     def start(self) -> None:
-        """Start to follow."""
-        self._task = asyncio.create_task(self._run())
+        """Start to follow, from a whole listing on."""
+        if self._task is None:
+            self._revision = 0
+            self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
         """Stop to follow."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        task = self._task
+        self._task = None
+        self.is_current = False
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
 
     async def _run(self) -> None:
         pause_s = FIRST_PAUSE_S
@@ -83,36 +96,38 @@
                 await self._step()
             except object_data.CompactedError:
                 self._lines.write('watch_compacted', kind=self._kind)
-                self.revision = 0
+                self._revision = 0
             except object_data.ObjectApiError as exc:
                 self._note_failure(exc)
-                await asyncio.sleep(pause_s * (0.5 + random.random()))
+                await asyncio.sleep(pause_s * random.uniform(*JITTER))
                 pause_s = min(pause_s * GROWTH, LONGEST_PAUSE_S)
             else:
                 pause_s = FIRST_PAUSE_S
 
     async def _step(self) -> None:
-        if not self.revision:
+        if not self._revision:
             listing = await self._api.list_all(self._kind)
             self._note_answer()
             self._follower.listed(listing, time.monotonic())
-            self.revision = listing.revision
+            self._revision = listing.revision
             return
         wait_s = RETURN_WAIT_S if self._failures else WAIT_S
-        changes = await self._api.watch(self._kind, self.revision, wait_s)
+        changes = await self._api.watch(self._kind, self._revision, wait_s)
         self._note_answer()
-        for change in changes.changes:
-            self._follower.changed(change, time.monotonic())
-        self.revision = max(changes.revision, self.revision)
+        if changes.changes:
+            self._follower.changed(changes, time.monotonic())
+        self._revision = max(changes.revision, self._revision)
 
     def _note_failure(self, exc: Exception) -> None:
         self._failures += 1
+        self.is_current = False
         self._follower.reached(False, time.monotonic())
         if self._failures == 1:
             self._lost_at = time.monotonic()
             self._lines.write('store_lost', kind=self._kind, error=str(exc))
 
     def _note_answer(self) -> None:
+        self.is_current = True
         self._follower.reached(True, time.monotonic())
         if self._failures:
             self._lines.write(
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -21,11 +21,13 @@
     dispatch,
     front,
     judge,
-    load_spread,
+    knowledge,
+    order_list,
     peering,
     plain_flow,
     pool,
     server_list,
+    sharing,
     stream_flow,
     trials,
 )
@@ -52,7 +54,8 @@
     api = store.Store(http_client.HttpClient(), cfg.store, STORE_S)
     doubt_s = cfg.drain_ms / MS * DOUBT_PART
     listed = server_list.ServerList(doubt_s, lines)
-    known = directory.Directory(api, listed, lines)
+    orders = order_list.OrderList(lines)
+    known = directory.Directory(api, listed, orders, lines)
     zone = settings.process.zone
     bound = retry_window.Bound(
         cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
@@ -63,7 +66,7 @@
         canary_data.Bounds(cfg.trial_share, cfg.trial_slack, cfg.session_s),
         lines,
     )
-    known.on_order(canaries.take_order)
+    orders.on_order(canaries.take_order)
     told = attempt_log.AttemptLog(lines, known)
     sender = dispatch.Dispatcher(http_client.HttpClient(CONNECT_S))
     flows = front.Flows(
@@ -74,13 +77,11 @@
     keys = fleet_key.KeyRing(settings.fleet.keys)
     calls = rpc_peers.Peers(keys)
     name = settings.process.name
-    knowledge = peering.Knowledge(known, canaries, servers)
-    peers = peering.Peering(name, cfg, calls, knowledge, lines)
+    shared = knowledge.Knowledge(known)
+    peers = peering.Peering(name, cfg, calls, shared, canaries, lines)
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
-    spread = load_spread.LoadSpread(
-        peers.members, servers.reading, keys, cfg.notes_listen
-    )
+    spread = sharing.Sharing(cfg, peers, known, shared, servers, keys)
     operators_api = ops.Operators(
         settings.operators,
         services,
@@ -96,7 +97,7 @@
         'rpc', rpc_endpoint.RpcEndpoint(rpc_server, cfg.peer_listen)
     )
     services.register('peering', peers)
-    services.register('load_spread', spread)
+    services.register('sharing', spread)
     services.register('judge', judge.Judge(canaries, peers, api, lines))
     services.register('pool', servers)
     services.register('trials', canaries)
