--- a/beryllug/core/peering/standing.py
+++ b/beryllug/core/peering/standing.py
@@ -22,6 +22,11 @@
 # one that begins to watch comes within half a second; three dead ones are
 # passed over in less.
 PASS_OVER_S = 0.1
+# Of a large fleet, so many try soon and the others a second each later: while
+# the store is down for all, no one's try succeeds, and a thousand processes
+# would press it as it comes back.
+SOON = 10
+LATE_S = 1.0
 
 
 class Heard(NamedTuple):
@@ -71,4 +76,6 @@
     # is gone, is passed over after a moment. Without the moment all others
     # would list the whole store at once.
     few_s = 0 if standing.few_since is None else now - standing.few_since
-    return few_s >= PASS_OVER_S * (len(ahead) - watching_ahead)
+    passed_over = len(ahead) - watching_ahead
+    late = max(passed_over - SOON, 0)
+    return few_s >= PASS_OVER_S * passed_over + LATE_S * late
--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -17,6 +17,9 @@
 
 # Seconds over its wait after which a watch is taken for lost.
 WATCH_SLACK_S = 1.5
+# Seconds for one page of a list, which an idle store answers in 4 ms. A call
+# that was lost is made again, soon after the store's return.
+LIST_S = 0.5
 MS = 1000
 JSON = MappingProxyType({'content-type': 'application/json'})
 TABLES = 'config'
@@ -115,7 +118,8 @@
         found: list[Stored] = []
         path = _path(kind)
         while True:
-            page = _decode(await self._call('list', 'GET', path), _Page)
+            body = await self._call('list', 'GET', path, timeout_s=LIST_S)
+            page = _decode(body, _Page)
             found.extend(_stored(each) for each in page.items)
             if not page.has_more or not found:
                 return Listing(tuple(found), page.at)
--- a/beryllug/router/attempt_log.py
+++ b/beryllug/router/attempt_log.py
@@ -14,6 +14,8 @@
 
 
 MS = 1000
+# What came of an attempt: a status, an outcome, or words for the log.
+Came = int | str | dispatch.Outcome
 
 
 class AttemptLog:
@@ -72,7 +74,7 @@
         self,
         call: call_data.Call,
         server: servers_data.Server,
-        came: int | dispatch.Outcome,
+        came: Came,
         took_s: float,
         **fields: object,
     ) -> None:
@@ -82,6 +84,8 @@
             id=call.asked.attempt_id,
             server=server.instance,
             software=server.version,
+            servers=self._known.servers.revision,
+            left_ms=round((call.deadline - time.monotonic()) * MS),
             came=_told(came),
             took_ms=round(took_s * MS, 1),
             **fields,
@@ -146,9 +150,9 @@
         self.statuses[key] = self.statuses.get(key, 0) + 1
 
 
-def _told(came: int | dispatch.Outcome) -> str:
+def _told(came: Came) -> str:
     match came:
-        case int():
+        case int() | str():
             return str(came)
         case dispatch.Answered(_, head):
             return str(head.status)
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -24,7 +24,9 @@
 RETURN_WAIT_S = 0.05
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
-GROWTH = 2.0
+# A process that starts in an outage serves no one until the store is back:
+# the first tries come often, later ones once a second.
+GROWTH = 1.3
 # Parts of a pause between which each one is drawn, so that processes that
 # lost the store together do not all return in the same moment.
 JITTER = (0.5, 1.5)
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -184,7 +184,7 @@
             self._pool.ended(choice)
         self._learn(call, choice, stream, came)
         self._trials.ran(call, choice.server.version)
-        told = came if isinstance(came, dispatch.Outcome) else stream.status
+        told = _told(came, stream)
         self._log.attempt(
             call,
             choice.server,
@@ -375,6 +375,18 @@
     return rollout_state.Took(f'{call.route.name}/{stream.size}', mean_s)
 
 
+def _told(came: _Came, stream: _Stream) -> attempt_log.Came:
+    """Return what the log says of an attempt."""
+    match came:
+        case _Larger(size):
+            return f'unsure, size {size} is asked instead'
+        case _Failure(status):
+            return status
+        case _Done():
+            return stream.status
+    return came
+
+
 def _note_event(stream: _Stream, now: float) -> None:
     if stream.last_at:
         gap_s = now - stream.last_at
