Count what is overdue at a runner once, and ask how long an answer will be

Cause: each process that waits for one slow runner told its whole wait as reading sent there, and the waits were added up: on 75 processes a runner three seconds behind seemed to be a minute behind. The state of a stream stands in a module of its own.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from beryllug.core.canary import canary_data
+from beryllug.core.placement import backlog
 
 
 class Peer(NamedTuple):
@@ -74,8 +75,8 @@
     Attributes:
         name: Name of the sender.
         address: Where it is called.
-        seconds: Seconds of reading that it has sent to each model runner;
-            None where the note is not about that.
+        parts: What it knows of the backlog of each model runner; None where
+            the note is not about that.
         is_watching: Whether it follows the store, and the store answers it.
         versions: How new its knowledge is.
         returned_ago_s: Seconds since the store came back from an outage.
@@ -86,7 +87,7 @@
 
     name: str
     address: str
-    seconds: dict[str, float] | None = None
+    parts: dict[str, backlog.Part] | None = None
     is_watching: bool = False
     versions: Versions = Versions()
     returned_ago_s: float = 0.0
--- a/beryllug/core/placement/backlog.py
+++ b/beryllug/core/placement/backlog.py
@@ -21,6 +21,9 @@
 FASTER = 0.3
 SLOWER = 0.02
 LEAST_TOKENS = 500
+# Weight of one answer in the mean pace of writing; single answers are far
+# from what their callers expected.
+WRITE_WEIGHT = 0.1
 # Tokens before a token by which its reading takes twice as long: attention
 # looks back at all of them.
 DOUBLE_AT_TOKENS = 24000
@@ -62,10 +65,27 @@
     sent_at: float
 
 
+class Part(NamedTuple):
+    """What one process knows of a runner's backlog.
+
+    Attributes:
+        work_s: Seconds of reading that it has sent and that are not over.
+        overdue_s: Seconds by which its latest prompt is overdue: a backlog
+            that nobody told of, or a runner that is slow. All processes see
+            the same one, so it does not add up.
+    """
+
+    work_s: float
+    overdue_s: float
+
+
+NOTHING = Part(0, 0)
+
+
 class Told(NamedTuple):
-    """Seconds of reading that a peer has sent to each runner, and when."""
+    """What a peer knows of runners' backlogs, and when it told."""
 
-    seconds: Mapping[str, float]
+    parts: Mapping[str, Part]
     at: float
 
 
@@ -78,7 +98,8 @@
             runner and a number of their own.
         peers: What peers have told last.
         read_at: When a runner last read a prompt, as far as known.
-        paces: Seconds a token, by model.
+        paces: Seconds to read a token, by model.
+        write_paces: Seconds to write a token that was expected, by model.
         number: Number of the last item.
         heard_part: Part of the peers' notes that reaches this process; what
             the others have sent is taken to be like it.
@@ -88,6 +109,7 @@
     peers: dict[str, Told] = field(default_factory=dict)
     read_at: dict[tuple[str, str], float] = field(default_factory=dict)
     paces: dict[str, float] = field(default_factory=dict)
+    write_paces: dict[str, float] = field(default_factory=dict)
     number: int = 0
     heard_part: float = 1.0
 
@@ -149,27 +171,26 @@
 
 def wait_s(backlog: Backlog, instance: str, now: float) -> float:
     """Return the seconds of reading that a runner has before it."""
-    told_s = sum(
-        told.seconds.get(instance, 0)
-        for told in backlog.peers.values()
-        if now - told.at < TOLD_S
-    )
-    return own_s(backlog, instance, now) + told_s / backlog.heard_part
-
-
-def own_s(backlog: Backlog, instance: str, now: float) -> float:
-    """Return the seconds of reading that this process has sent to a runner.
-
-    A prompt that is overdue shows a backlog that nobody has told of, or a
-    runner that is slow: what it waits beyond its time is taken to go on.
-    """
+    own = own_part(backlog, instance, now)
+    told_s = 0.0
+    overdue_s = own.overdue_s
+    for told in backlog.peers.values():
+        if now - told.at < TOLD_S:
+            part = told.parts.get(instance, NOTHING)
+            told_s += part.work_s
+            overdue_s = max(overdue_s, part.overdue_s)
+    return own.work_s + told_s / backlog.heard_part + overdue_s
+
+
+def own_part(backlog: Backlog, instance: str, now: float) -> Part:
+    """Return what this process knows of a runner's backlog."""
     work_s = 0.0
     overdue_s = 0.0
     for item in backlog.items.get(instance, {}).values():
         age_s = now - item.sent_at
         work_s += max(item.work_s - age_s, 0)
         overdue_s = max(overdue_s, age_s - item.work_s)
-    return work_s + overdue_s
+    return Part(round(work_s, 2), round(overdue_s, 2))
 
 
 def heard_part(peers: int, told_at_once: int, period_s: float) -> float:
@@ -187,19 +208,34 @@
     return part
 
 
-def told(backlog: Backlog, now: float) -> dict[str, float]:
+def told(backlog: Backlog, now: float) -> dict[str, Part]:
     """Return this process's part of the backlog, to tell peers."""
     return {
-        instance: round(own_s(backlog, instance, now), 2)
-        for instance in backlog.items
+        instance: own_part(backlog, instance, now) for instance in backlog.items
     }
 
 
 def take(
-    backlog: Backlog, peer: str, seconds: Mapping[str, float], now: float
+    backlog: Backlog, peer: str, parts: Mapping[str, Part], now: float
 ) -> None:
     """Take a peer's part of the backlog."""
-    backlog.peers[peer] = Told(seconds, now)
+    backlog.peers[peer] = Told(parts, now)
+
+
+def wrote(
+    backlog: Backlog, model: str, tokens_out: int, seconds: float
+) -> None:
+    """Take how long an answer took from its first to its last event."""
+    if not tokens_out:
+        return
+    seen = seconds / tokens_out
+    known = backlog.write_paces.get(model, seen)
+    backlog.write_paces[model] = known + WRITE_WEIGHT * (seen - known)
+
+
+def write_s(backlog: Backlog, model: str, tokens_out: int) -> float:
+    """Return the seconds that an answer is expected to take once begun."""
+    return tokens_out * backlog.write_paces.get(model, 0)
 
 
 def pace(backlog: Backlog, model: str) -> float:
--- a/beryllug/core/placement/backlog_test.py
+++ b/beryllug/core/placement/backlog_test.py
@@ -74,10 +74,22 @@
     def test_peers(self) -> None:
         """A peer's word counts for a while."""
         reading = backlog.Backlog()
-        backlog.take(reading, 'other', {'i-0': 2.0}, 0)
+        backlog.take(reading, 'other', {'i-0': backlog.Part(2, 0)}, 0)
         self.assertEqual(backlog.wait_s(reading, 'i-0', 1), 2)
         self.assertEqual(backlog.wait_s(reading, 'i-0', 2), 0)
 
+    def test_overdue_once(self) -> None:
+        """Ten processes wait for one runner that is three seconds behind.
+
+        Each tells how long it waits. Added up, the runner would seem to be
+        half a minute behind and get nothing for as long.
+        """
+        reading = backlog.Backlog()
+        for number in range(10):
+            part = backlog.Part(0.1, 3.0)
+            backlog.take(reading, f'p{number}', {'i-0': part}, 0)
+        self.assertAlmostEqual(backlog.wait_s(reading, 'i-0', 0), 4)
+
     def test_heard_part(self) -> None:
         """What reaches this process of a large fleet stands for the whole."""
         for peers, part in ((7, 1.0), (8, 1.0), (74, 0.5), (889, 0.053)):
@@ -85,9 +97,18 @@
                 found = backlog.heard_part(peers, 8, 0.25)
                 self.assertAlmostEqual(found, part, delta=0.01)
         reading = backlog.Backlog(heard_part=0.5)
-        backlog.take(reading, 'other', {'i-0': 2.0}, 0)
+        backlog.take(reading, 'other', {'i-0': backlog.Part(2, 0)}, 0)
         self.assertEqual(backlog.wait_s(reading, 'i-0', 1), 4)
 
+    def test_write(self) -> None:
+        """The time of an answer is learnt by model and expected length."""
+        reading = backlog.Backlog()
+        self.assertEqual(backlog.write_s(reading, 'large', 100), 0)
+        for _ in range(30):
+            backlog.wrote(reading, 'large', 100, 2.0)
+        backlog.wrote(reading, 'large', 0, 9.0)
+        self.assertAlmostEqual(backlog.write_s(reading, 'large', 200), 4)
+
     def test_kept(self) -> None:
         """A shared part that was read is not read again for a while."""
         reading = backlog.Backlog()
--- a/beryllug/platform/requests.py
+++ b/beryllug/platform/requests.py
@@ -24,7 +24,8 @@
             order, as one text.
         shared_tokens: Tokens in these.
         own_tokens: Tokens of the prompt that are the request's own.
-        tokens_out: Most tokens of the answer, or 0 if not said.
+        tokens_out: Tokens that the answer is expected to have, or 0 if not
+            said: the caller's estimate, else the most that it allows.
         session: Id of the session, or empty.
         last_event: Id of the last event that the caller has, or empty.
     """
@@ -99,7 +100,7 @@
         shared=','.join(part for part, _ in parts[:-1]),
         shared_tokens=shared_tokens,
         own_tokens=max(tokens_in - shared_tokens, 0),
-        tokens_out=tokens_out,
+        tokens_out=_whole(headers.get(names.LENGTH_HINT, '')) or tokens_out,
         session=headers.get(names.SESSION, ''),
         last_event=headers.get(names.LAST_EVENT, ''),
     )
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -82,7 +82,7 @@
         """Return the backlog by runner, and counts of notes."""
         now = time.monotonic()
         return {
-            'own_s': backlog.told(self._pool.reading, now),
+            'own': backlog.told(self._pool.reading, now),
             'paces_s': dict(self._pool.reading.paces),
             'watching': sorted(self._standing.watching),
             'notes_sent': self._notes.sent,
@@ -137,22 +137,22 @@
 
     def _tell_loads(self) -> None:
         reading = self._pool.reading
-        seconds = backlog.told(reading, time.monotonic())
+        parts = backlog.told(reading, time.monotonic())
         known = self._peers.members.known
         reading.heard_part = backlog.heard_part(len(known), MOST_TOLD, PERIOD_S)
-        if seconds or self._had_load:
+        if parts or self._had_load:
             note = peering_data.Note(
-                self._peers.members.name, self._cfg.peer_listen, seconds
+                self._peers.members.name, self._cfg.peer_listen, parts
             )
             names = sorted(known)
             for name in self._rng.sample(names, min(MOST_TOLD, len(names))):
                 self._notes.send(known[name].notes, note)
-        self._had_load = bool(seconds)
+        self._had_load = bool(parts)
 
     def _take(self, note: peering_data.Note) -> None:
         now = time.monotonic()
-        if note.seconds is not None:
-            backlog.take(self._pool.reading, note.name, note.seconds, now)
+        if note.parts is not None:
+            backlog.take(self._pool.reading, note.name, note.parts, now)
         if note.is_watching:
             self._take_word(note, now)
 
--- /dev/null
+++ b/beryllug/router/stream_state.py
@@ -0,0 +1,154 @@
+"""The state of one stream to a caller, and what follows from it."""
+
+from dataclasses import dataclass, field
+
+from beryllug.core.placement import backlog
+from beryllug.router import attempt_log, attempts, dispatch, rollout_state
+from beryllug.router import call as call_data
+
+# Seconds, and times the expected ones, after which a server that has sent no
+# event is given up for another one. A server that hangs sends nothing for
+# ever; a busy one is late by what it was expected to be, and cancelled there
+# its prompt would be read a second time.
+SILENT_S = 2.0
+SILENT_TIMES = 4.0
+# Times the longest pause that is still on time after which a stream is taken
+# up elsewhere. Prompts that are read between its events cost up to one.
+STALLED_TIMES = 2.0
+LEAST_STALLED_S = 1.0
+# Events between which a pace can be told.
+LEAST_EVENTS = 3
+MS = 1000
+
+
+@dataclass(slots=True)
+class Stream:
+    """A stream to a caller.
+
+    Attributes:
+        progress: How its attempts have fared.
+        size: Index of the model that answers, where there is a choice.
+        last_event: Id of the last event that went out, or empty.
+        started: Whether the caller has the head of the answer.
+        status: Status of the answer, once started.
+        confidence: What the last answer said of itself, if anything.
+        first_at: When the first event went out.
+        last_at: When the last event went out.
+        longest_gap_s: Longest pause between two events that went out.
+        events: When the events of the present attempt went out.
+    """
+
+    progress: attempts.Progress
+    size: int = 0
+    last_event: str = ''
+    started: bool = False
+    status: int = 0
+    confidence: int | None = None
+    first_at: float = 0.0
+    last_at: float = 0.0
+    longest_gap_s: float = 0.0
+    events: list[float] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The stream went out to its end."""
+
+
+@dataclass(frozen=True, slots=True)
+class Larger:
+    """The answer was not sure enough; a larger model is to be asked."""
+
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """The server answered with a failure of its own, read whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+Came = Done | Larger | Failure | dispatch.Outcome
+
+
+def first_wait_s(
+    call: call_data.Call, stream: Stream, expected_s: float
+) -> float:
+    """Return the seconds for which a server's first event is waited for."""
+    left_s = attempts.left_s(call)
+    if not _has_another(call, stream):
+        return left_s
+    return min(left_s, SILENT_S + SILENT_TIMES * expected_s)
+
+
+def stalled_s(call: call_data.Call, stream: Stream) -> float | None:
+    """Return the longest pause before a stream is taken up elsewhere."""
+    if not _has_another(call, stream):
+        return None
+    return max(STALLED_TIMES * call.route.gap_s, LEAST_STALLED_S)
+
+
+def _has_another(call: call_data.Call, stream: Stream) -> bool:
+    is_last = stream.progress.arrivals + 1 >= call.route.max_attempts
+    return call.route.is_repeatable and not is_last
+
+
+def may_choose(call: call_data.Call) -> bool:
+    """Tell whether the choice of the model is left to us."""
+    return bool(call.route.models) and call.asked.is_any_model
+
+
+def model_of(call: call_data.Call, size: int) -> str:
+    """Return the model of a size, or nothing where the caller names it."""
+    return call.route.models[size] if may_choose(call) else ''
+
+
+def prompt(call: call_data.Call, size: int) -> backlog.Prompt:
+    """Return what a server has to read for a size of model."""
+    asked = call.asked
+    return backlog.Prompt(
+        model_of(call, size) or asked.model,
+        asked.shared,
+        asked.shared_tokens,
+        asked.own_tokens,
+    )
+
+
+def pace(call: call_data.Call, stream: Stream) -> rollout_state.Took | None:
+    """Return the mean pause between events, by route and size."""
+    times = stream.events
+    if len(times) < LEAST_EVENTS:
+        return None
+    mean_s = (times[-1] - times[0]) / (len(times) - 1)
+    return rollout_state.Took(f'{call.route.name}/{stream.size}', mean_s)
+
+
+def told(came: Came, stream: Stream) -> attempt_log.Came:
+    """Return what the log says of an attempt."""
+    match came:
+        case Larger(size):
+            return f'unsure, size {size} is asked instead'
+        case Failure(status):
+            return status
+        case Done():
+            return stream.status
+    return came
+
+
+def note_event(stream: Stream, now: float) -> None:
+    """Take that events went out."""
+    if stream.last_at:
+        gap_s = now - stream.last_at
+        stream.longest_gap_s = max(stream.longest_gap_s, gap_s)
+    else:
+        stream.first_at = now
+    stream.last_at = now
+    stream.events.append(now)
+
+
+def milliseconds(seconds: float) -> float:
+    """Return milliseconds, as the log has them."""
+    return round(seconds * MS, 1)
