--- a/beryllug/proofs/pages_test.py
+++ b/beryllug/proofs/pages_test.py
@@ -4,6 +4,7 @@
 stands on no page is found only by reading the code.
 """
 
+import os
 import pathlib
 import re
 import unittest
@@ -24,9 +25,15 @@
 )
 from beryllug.drivers import fleet_key
 from beryllug.entry import answers, callers, fetches, intake
-from beryllug.kernel import ops
+from beryllug.kernel import log_lines, ops
 from beryllug.parsing import settings, settings_rules
-from beryllug.scripts import beryllug, beryllugd, cli_data, compose
+from beryllug.scripts import (
+    beryllug,
+    beryllugd,
+    cli_data,
+    compose,
+    compose_router,
+)
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 DOCS = ROOT / 'docs'
@@ -56,9 +63,11 @@
 OUR_HEADER = re.compile('x-beryllug-[a-z-]+')
 HTTP_PATH = re.compile(r'(?:/v1|/console)(?:/[A-Za-z/]*)?|/(?:healthz|readyz)')
 EVENT = re.compile(r'event=([a-z_]+(?:%s)?)')
-METRIC = re.compile('beryllug_(?:process|config)_[a-z_]+')
+METRIC = re.compile(
+    'beryllug_(?:process|config|requests_ended|log_lines)_[a-z_]+'
+)
 SAMPLE = re.compile(
-    r"^( +)yield (?:metrics\.)?Sample\(\s*'([a-z_]+)'(.*?)^\1\)",
+    r"^( +)yield (?:metrics_data\.)?Sample\(\s*'([a-z_]+)'(.*?)^\1\)",
     re.MULTILINE | re.DOTALL,
 )
 COMMAND = re.compile(r'^\s*beryllug ([a-z]+)(?: ([a-z]+))?', re.MULTILINE)
@@ -225,7 +234,8 @@
     async def test_services(self) -> None:
         """The dump's services by role, both ways; none runs as missing."""
         table = re.findall(
-            r'^\| `([a-z_]+)` \| ((?:entry|control)(?:, control)?) \|',
+            r'^\| `([a-z_]+)` \| ((?:entry|control|router)'
+            r'(?:, (?:control|router))*) \|',
             text_of(OPERATIONS),
             re.MULTILINE,
         )
@@ -361,6 +371,10 @@
     """Return the names of the services of a role, as the dump shows them."""
     cfg, findings = settings.load(str(ROOT / f'examples/{role.value}.ini'))
     assert cfg is not None, findings
+    if cfg.router is not None:
+        sink = os.open(os.devnull, os.O_WRONLY)
+        lines = log_lines.LineWriter(sink)
+        return set(compose_router.compose(cfg, cfg.router, lines).dump())
     return set(compose.compose(cfg).services.dump())
 
 
--- /dev/null
+++ b/beryllug/proofs/platform/process_test.py
@@ -0,0 +1,108 @@
+"""Routers as processes: stopped, killed, frozen and given new settings."""
+
+import asyncio
+import signal
+import unittest
+from http import HTTPStatus
+
+from beryllug.drivers import http_client, http_data
+from beryllug.platform import names
+from beryllug.standins import platform_site, processes
+
+DRAFT = '/draft/roster'
+LOOKUP = '/lookup/slot'
+EVENTS = 20
+EVENT_S = 0.05
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Two processes over one store."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = platform_site.Site()
+        self.running = processes.Processes()
+        await self.site.open()
+        for instance in ('p1', 'p2'):
+            await self.site.add_runner(
+                platform_site.POOL, instance, events=EVENTS, event_s=EVENT_S
+            )
+        await self.site.add_runner(platform_site.DESK, 'd1')
+        for _ in range(2):
+            await self.site.spawn_router(self.running)
+        self.first = self.site.routers[0]
+        self.other = self.site.routers[1]
+
+    async def asyncTearDown(self) -> None:
+        await self.running.stop()
+        await self.site.close()
+
+    async def test_stop(self) -> None:
+        """A planned stop cuts no stream off, and readiness fails first.
+
+        A stream of a second runs when the process is told to stop. Its
+        caller gets it to the end; the balancer learns at once; requests that
+        still come are answered; then the process ends by itself.
+        """
+        stream = asyncio.create_task(self._draft())
+        await asyncio.sleep(EVENT_S * 3)
+        stopped = asyncio.create_task(self.running.terminate(self.first.name))
+        await asyncio.sleep(EVENT_S * 3)
+        self.assertEqual(await self._readiness(), 503)
+        reply = await self.site.ask(self.first, LOOKUP)
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(reply.headers['connection'], 'close')
+        whole = await stream
+        self.assertEqual(whole.body.count(b'id: '), EVENTS)
+        self.assertEqual(await stopped, 0)
+
+    async def test_kill(self) -> None:
+        """The other one serves on; one that starts again is soon ready."""
+        await self.running.kill(self.first.name)
+        for _ in range(5):
+            reply = await self.site.ask(self.other, LOOKUP)
+            self.assertEqual(reply.status, 200)
+        again = await self.site.spawn_router(self.running)
+        self.assertEqual((await self.site.ask(again, LOOKUP)).status, 200)
+
+    async def test_frozen(self) -> None:
+        """A process that stood still is in force again, with what changed.
+
+        A key is taken away while it stands. Its first answers after that may
+        follow the old table; within two seconds none does.
+        """
+        self.running.freeze(self.first.name)
+        self.site.put_table(platform_site.table(2, tenants=[]))
+        await asyncio.sleep(1)
+        self.running.thaw(self.first.name)
+        await asyncio.sleep(2)
+        reply = await self.site.ask(self.first, LOOKUP)
+        self.assertEqual(reply.status, HTTPStatus.UNAUTHORIZED)
+
+    async def test_reload(self) -> None:
+        """Broken settings end nothing; a good file is taken with a line."""
+        self.running.rewrite(self.first.name, 'zone = a', 'zone = /')
+        self.running.signal(self.first.name, signal.SIGHUP)
+        await self._until_logged('settings_refused')
+        self.running.rewrite(self.first.name, 'zone = /', 'zone = a')
+        self.running.signal(self.first.name, signal.SIGHUP)
+        await self._until_logged('"reload"')
+        self.assertEqual((await self.site.ask(self.first, LOOKUP)).status, 200)
+
+    async def _draft(self) -> platform_site.Reply:
+        return await self.site.ask(self.first, DRAFT, 'POST')
+
+    async def _readiness(self) -> int:
+        client = http_client.HttpClient()
+        asked = http_data.Outgoing('GET', names.READY_PATH, {})
+        incoming, _ = await client.call(self.first.cfg.ready, asked, 1)
+        await client.close()
+        return incoming.status
+
+    async def _until_logged(self, text: str) -> None:
+        async with asyncio.timeout(platform_site.TIMEOUT_S):
+            while text not in self.running.log(self.first.name):
+                await asyncio.sleep(platform_site.POLL_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -23,6 +23,7 @@
     party,
     platform_runner,
     platform_store,
+    processes,
 )
 
 HOST = 'shop.example'
@@ -31,6 +32,7 @@
 POOL = 'pool'
 DESK = 'desk'
 FLEET_KEYS = ('fleet-key-of-a-test',)
+OPERATOR_KEYS = ('operator-key-of-a-test',)
 TIMEOUT_S = 10.0
 POLL_S = 0.01
 
@@ -44,8 +46,9 @@
 
 
 class Router(NamedTuple):
-    """A router in this process."""
+    """A router; one that runs as a process has no services here."""
 
+    name: str
     cfg: settings_data.Router
     services: registry.Registry
 
@@ -134,27 +137,26 @@
 
     async def add_router(self, **settings: Any) -> Router:
         """Start a router; returns when it is ready."""
-        cfg = settings_data.Router(
-            listen=_free_address(),
-            ready=_free_address(),
-            peer_listen=_free_address(),
-            notes_listen=_free_address(),
-            store=self.store_stand_in.address,
-            seeds=tuple(each.cfg.peer_listen for each in self.routers),
-            **settings,
-        )
-        name = f'router-{len(self.routers) + 1}'
-        process = settings_data.Process(
-            name, settings_data.Role.ROUTER, name, 'a'
-        )
-        operators = settings_data.Operators(_free_address(), ('operator-key',))
-        whole = settings_data.Settings(
-            process, operators, settings_data.Fleet(FLEET_KEYS), router=cfg
-        )
+        whole = self._settings(**settings)
+        cfg = whole.router
+        assert cfg is not None
         services = compose_router.compose(whole, cfg, _Lines(self.lines))
         await services.start()
-        router = Router(cfg, services)
+        router = Router(whole.process.name, cfg, services)
+        self.routers.append(router)
+        return router
+
+    async def spawn_router(
+        self, running: processes.Processes, **settings: Any
+    ) -> Router:
+        """Start a router as a process; returns when it is ready."""
+        whole = self._settings(**settings)
+        cfg = whole.router
+        assert cfg is not None
+        await running.spawn(whole.process.name, _ini(whole))
+        router = Router(whole.process.name, cfg, registry.Registry())
         self.routers.append(router)
+        await self.until_ready(router)
         return router
 
     async def until_ready(self, router: Router) -> None:
@@ -162,7 +164,12 @@
 
         async def is_ready() -> bool:  # noqa: WPS430
             asked = http_data.Outgoing('GET', names.READY_PATH, {})
-            incoming, _ = await self._client.call(router.cfg.ready, asked, 1)
+            try:
+                incoming, _ = await self._client.call(
+                    router.cfg.ready, asked, 1
+                )
+            except (http_data.NotSentError, http_data.BrokenError):
+                return False
             return incoming.status == HTTPStatus.OK
 
         async with asyncio.timeout(TIMEOUT_S):
@@ -211,6 +218,24 @@
         """Return the log lines of an event."""
         return [line for line in self.lines if line['event'] == event]
 
+    def _settings(self, **settings: Any) -> settings_data.Settings:
+        cfg = settings_data.Router(
+            listen=_free_address(),
+            ready=_free_address(),
+            peer_listen=_free_address(),
+            notes_listen=_free_address(),
+            store=self.store_stand_in.address,
+            seeds=tuple(each.cfg.peer_listen for each in self.routers),
+            **settings,
+        )
+        name = f'router-{next(self._numbers)}'
+        process = settings_data.Process(
+            name, settings_data.Role.ROUTER, name, 'a'
+        )
+        operators = settings_data.Operators(_free_address(), OPERATOR_KEYS)
+        fleet = settings_data.Fleet(FLEET_KEYS)
+        return settings_data.Settings(process, operators, fleet, router=cfg)
+
 
 class _Lines(log_lines.LineWriter):
     """Keeps log lines for a test to read."""
@@ -241,3 +266,18 @@
     with socket.socket() as sock:
         sock.bind((party.HOST, 0))
         return f'{party.HOST}:{sock.getsockname()[1]}'
+
+
+def _ini(whole: settings_data.Settings) -> str:
+    """Return settings as the text of their file."""
+    lines = []
+    for section, record in whole._asdict().items():
+        if record is None:
+            continue
+        lines.append(f'[{section}]')
+        for key, setting in record._asdict().items():
+            shown = setting
+            if isinstance(setting, tuple):
+                shown = ','.join(setting)
+            lines.append(f'{key} = {shown}')
+    return '\n'.join(lines)
