Tell failures among processes; judge a slow version by its slow answers

Change: points of suspicion that fade with four seconds, told to all; they weigh on the choice. Change: answers are slow or not against 2.8 times the others' median for the same work, also the time to the first event against what was expected, and the same sequential test judges them.

--- a/beryllug/core/canary/canary_data.py
+++ b/beryllug/core/canary/canary_data.py
@@ -46,11 +46,9 @@
     session_s: float
 
 
-class Pace(NamedTuple):
-    """How long answers took: their count and the sum of log2 of seconds."""
-
-    answers: int = 0
-    log_sum: float = 0.0
+# Counts of answers by how long they took: the key is twice the logarithm of
+# the seconds to base two, so each holds times that differ by less than half.
+Times = dict[int, int]
 
 
 class Answers(NamedTuple):
@@ -60,6 +58,18 @@
     bad: int = 0
 
 
+class Slowness(NamedTuple):
+    """Answers in time, as good, and slow ones, as bad.
+
+    Attributes:
+        by_instance: Of the new version.
+        old: Of the others together.
+    """
+
+    by_instance: dict[str, Answers]
+    old: Answers
+
+
 @dataclass(slots=True)
 class Tally:
     """What one process has seen of a service during a roll-out.
@@ -69,24 +79,13 @@
         tried: Those of them that went to the new version.
         answers: By instance, of the new version.
         old: Answers of the other versions together.
-        new_pace: By what was asked, of the new version.
-        old_pace: By what was asked, of the others.
+        new_times: By instance and by what was asked, of the new version.
+        old_times: By what was asked, of the others.
     """
 
     requests: int = 0
     tried: int = 0
     answers: dict[str, Answers] = field(default_factory=dict)
     old: Answers = Answers()
-    new_pace: dict[str, Pace] = field(default_factory=dict)
-    old_pace: dict[str, Pace] = field(default_factory=dict)
-
-
-class Tallied(NamedTuple):
-    """A tally as it travels between processes."""
-
-    requests: int
-    tried: int
-    answers: dict[str, Answers]
-    old: Answers
-    new_pace: dict[str, Pace]
-    old_pace: dict[str, Pace]
+    new_times: dict[str, dict[str, Times]] = field(default_factory=dict)
+    old_times: dict[str, Times] = field(default_factory=dict)
--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -1,11 +1,13 @@
 """Whether a new version is bad, judged on the answers of the whole fleet.
 
-A version that fails is told from a backend server that fails by where the
-failures are: a bad version fails on each of its servers. A version that is
-slow is told by the ratio of its times to the others' for the same work.
+A version that fails, or is slow, is told from a backend server that is by
+where that happens: a bad version is bad on each of its servers. An answer is
+slow if it took three times what the others' answers take for the same work; a
+version may be slow for part of its requests only, which a mean would hide.
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from beryllug.core.canary import canary_data
@@ -17,15 +19,19 @@
 FAILURE_SCORE = math.log(BAD_RATE / SOUND_RATE)
 SUCCESS_SCORE = math.log((1 - BAD_RATE) / (1 - SOUND_RATE))
 BAD_SCORE = 4.5
-# A server that fails while another of the same version has answered this many
-# without a failure is at fault itself.
+# A server that is bad while another of the same version has given this many
+# answers without one that is, is at fault itself.
 SOUND_ANSWERS = 5
-# A slow version takes several times as long. Its servers begin with cold
-# caches and other loads, which pace between events hardly shows.
-SLOW_RATIO = 3.0
-SLOW_ANSWERS = 6
-# A version whose failures are fewer than so many times the others' fails for
-# a reason that is not its own.
+# Bad answers of one server alone, while nothing is known of the others, that
+# are taken for the version's: two may be the server's own.
+ALONE_FAILURES = 3
+# Steps of time above the others' median from which an answer is slow: three
+# halves of a doubling, which is 2.8 times as long.
+SLOW_STEPS = 3
+# Times of the others without which nothing can be compared.
+LEAST_TIMES = 10
+# A version whose bad answers are fewer than so many times the others' is bad
+# for a reason that is not its own.
 SAME_RATIO = 2.0
 
 
@@ -39,14 +45,18 @@
         for instance, answers in tally.answers.items():
             before = total.answers.get(instance, canary_data.Answers())
             total.answers[instance] = _plus(before, answers)
-        _add_paces(total.new_pace, tally.new_pace)
-        _add_paces(total.old_pace, tally.old_pace)
+        for instance, works in tally.new_times.items():
+            _add_times(total.new_times.setdefault(instance, {}), works)
+        _add_times(total.old_times, tally.old_times)
     return total
 
 
 def is_bad(tally: canary_data.Tally) -> bool:
     """Tell whether the new version is to be taken back."""
-    return _fails(tally) or slowdown(tally) > SLOW_RATIO
+    if _is_version_bad(tally.answers, tally.old):
+        return True
+    paced = slowness(tally)
+    return _is_version_bad(paced.by_instance, paced.old)
 
 
 def judged(tally: canary_data.Tally) -> int:
@@ -54,21 +64,62 @@
     return sum(each.good + each.bad for each in tally.answers.values())
 
 
-def _fails(tally: canary_data.Tally) -> bool:
-    good = sum(each.good for each in tally.answers.values())
-    bad = sum(each.bad for each in tally.answers.values())
+def slowness(tally: canary_data.Tally) -> canary_data.Slowness:
+    """Return the answers in time and the slow ones, as good and bad."""
+    limits = {
+        work: _median(times) + SLOW_STEPS
+        for work, times in tally.old_times.items()
+        if sum(times.values()) >= LEAST_TIMES
+    }
+    by_instance = {
+        instance: _split(works, limits)
+        for instance, works in tally.new_times.items()
+    }
+    return canary_data.Slowness(by_instance, _split(tally.old_times, limits))
+
+
+def _split(
+    works: dict[str, canary_data.Times], limits: dict[str, int]
+) -> canary_data.Answers:
+    good = 0
+    bad = 0
+    for work, times in works.items():
+        limit = limits.get(work)
+        if limit is None:
+            continue
+        slow = sum(count for step, count in times.items() if step >= limit)
+        bad += slow
+        good += sum(times.values()) - slow
+    return canary_data.Answers(good, bad)
+
+
+def _median(times: canary_data.Times) -> int:
+    half = sum(times.values()) / 2
+    passed = 0
+    for step in sorted(times):
+        passed += times[step]
+        if passed >= half:
+            return step
+    return 0
+
+
+def _is_version_bad(
+    by_instance: dict[str, canary_data.Answers], old: canary_data.Answers
+) -> bool:
+    good = sum(each.good for each in by_instance.values())
+    bad = sum(each.bad for each in by_instance.values())
     score = bad * FAILURE_SCORE + good * SUCCESS_SCORE
     if score < BAD_SCORE:
         return False
-    failing = [each for each in tally.answers.values() if each.bad]
+    failing = [each for each in by_instance.values() if each.bad]
     sound = [
         each
-        for each in tally.answers.values()
+        for each in by_instance.values()
         if not each.bad and each.good >= SOUND_ANSWERS
     ]
-    if len(failing) == 1 and sound:
+    if len(failing) == 1 and (sound or bad < ALONE_FAILURES):
         return False
-    return bad / (good + bad) > SAME_RATIO * _rate(tally.old)
+    return bad / (good + bad) > SAME_RATIO * _rate(old)
 
 
 def _rate(answers: canary_data.Answers) -> float:
@@ -76,36 +127,15 @@
     return answers.bad / count if count else 0
 
 
-def slowdown(tally: canary_data.Tally) -> float:
-    """Return how many times as long the new version takes; 1 if unknown.
-
-    The means of the logarithms are compared, work by work.
-    """
-    count = 0
-    excess = 0.0
-    for key, new in tally.new_pace.items():
-        old = tally.old_pace.get(key)
-        if old is None or not old.answers:
-            continue
-        count += new.answers
-        excess += new.log_sum - new.answers * old.log_sum / old.answers
-    if count < SLOW_ANSWERS:
-        return 1
-    slowed: float = 2 ** (excess / count)
-    return slowed
-
-
 def _plus(
     one: canary_data.Answers, other: canary_data.Answers
 ) -> canary_data.Answers:
     return canary_data.Answers(one.good + other.good, one.bad + other.bad)
 
 
-def _add_paces(
-    total: dict[str, canary_data.Pace], more: dict[str, canary_data.Pace]
+def _add_times(
+    total: dict[str, canary_data.Times],
+    more: dict[str, canary_data.Times],
 ) -> None:
-    for key, pace in more.items():
-        before = total.get(key, canary_data.Pace())
-        total[key] = canary_data.Pace(
-            before.answers + pace.answers, before.log_sum + pace.log_sum
-        )
+    for work, times in more.items():
+        total[work] = dict(Counter(total.get(work, {})) + Counter(times))
--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -51,8 +51,8 @@
     tried: int
     answers: dict[str, canary_data.Answers]
     old: canary_data.Answers
-    new_pace: dict[str, canary_data.Pace]
-    old_pace: dict[str, canary_data.Pace]
+    new_times: dict[str, dict[str, canary_data.Times]]
+    old_times: dict[str, canary_data.Times]
 
 
 class Versions(NamedTuple):
@@ -77,6 +77,7 @@
         address: Where it is called.
         parts: What it knows of the backlog of each model runner; None where
             the note is not about that.
+        failures: Points of suspicion of backend servers since its last note.
         is_watching: Whether it follows the store, and the store answers it.
         versions: How new its knowledge is.
         returned_ago_s: Seconds since the store came back from an outage.
@@ -88,6 +89,7 @@
     name: str
     address: str
     parts: dict[str, backlog.Part] | None = None
+    failures: dict[str, float] | None = None
     is_watching: bool = False
     versions: Versions = Versions()
     returned_ago_s: float = 0.0
--- a/beryllug/core/placement/choose.py
+++ b/beryllug/core/placement/choose.py
@@ -8,9 +8,10 @@
 """
 
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from beryllug.core import balance_data, ejection, rendezvous, server_load
-from beryllug.core.placement import backlog, servers_data
+from beryllug.core.placement import backlog, servers_data, suspicion
 
 # Requests that another availability zone counts like: its round trip of about
 # 3 ms is a fifth of a short call's work.
@@ -22,11 +23,27 @@
 # read again, counts like beyond the reading itself: it takes the room of
 # another prompt in that runner's memory.
 AGAIN_S = 0.00001
+# What a point of suspicion counts like: two broken connections outweigh the
+# own zone, and a stream that breaks costs its prompt's reading once more.
+POINT_LOAD = 1.0
+POINT_S = 0.25
+
+
+class Known(NamedTuple):
+    """What this process and its peers know of the servers.
+
+    Attributes:
+        reading: What model runners have still to read.
+        failures: What servers did to requests.
+    """
+
+    reading: backlog.Backlog
+    failures: suspicion.Suspicion
 
 
 def choose(
     state: balance_data.BalanceState,
-    reading: backlog.Backlog,
+    known: Known,
     servers: Iterable[servers_data.Server],
     wish: servers_data.Wish,
     zone: str,
@@ -36,7 +53,7 @@
 
     Args:
         state: What this process saw of each server.
-        reading: What model runners have still to read.
+        known: What this process and its peers know of the servers.
         servers: All listed servers.
         wish: What is asked.
         zone: Availability zone of this process.
@@ -58,8 +75,10 @@
     if not usable:
         return None
     if wish.prompt is not None:
-        return _for_prompt(reading, usable, wish.prompt, zone, now)
-    return min(usable, key=lambda server: _load(state, server, zone, now))
+        return _for_prompt(known, usable, wish.prompt, zone, now)
+    return min(
+        usable, key=lambda server: _load(state, known, server, zone, now)
+    )
 
 
 def _sound(
@@ -89,7 +108,7 @@
 
 
 def _for_prompt(
-    reading: backlog.Backlog,
+    known: Known,
     usable: Sequence[servers_data.Server],
     prompt: backlog.Prompt,
     zone: str,
@@ -100,17 +119,19 @@
     def cost_s(server: servers_data.Server) -> float:  # noqa: WPS430
         is_home = server.instance == preferred
         first_s = backlog.first_s(
-            reading, server.instance, prompt, now, is_home=is_home
+            known.reading, server.instance, prompt, now, is_home=is_home
         )
         again_s = 0 if is_home else prompt.shared_tokens * AGAIN_S
         remote_s = 0 if server.zone == zone else REMOTE_S
-        return first_s + again_s + remote_s
+        points = suspicion.points_of(known.failures, server.instance, now)
+        return first_s + again_s + remote_s + points * POINT_S
 
     return min(usable, key=cost_s)
 
 
 def _load(
     state: balance_data.BalanceState,
+    known: Known,
     server: servers_data.Server,
     zone: str,
     now: float,
@@ -118,4 +139,6 @@
     seen = server_load.track(state, server.instance)
     remote = 0 if server.zone == zone else REMOTE_LOAD
     tie = rendezvous.score(zone, server.instance)
-    return (server_load.load_of(seen, now) + remote, tie)
+    points = suspicion.points_of(known.failures, server.instance, now)
+    load = server_load.load_of(seen, now) + remote + points * POINT_LOAD
+    return (load, tie)
--- /dev/null
+++ b/beryllug/core/placement/suspicion_test.py
@@ -0,0 +1,80 @@
+"""Tests of avoiding servers that fail part of their requests."""
+
+import random
+import unittest
+
+from beryllug.core import balance_data
+from beryllug.core.placement import backlog, choose, servers_data, suspicion
+
+GREY = 'grey'
+SERVERS = tuple(
+    servers_data.Server(
+        instance, 'desk', '10.0.0.1:1', zone, 'v1', 6, servers_data.State.READY
+    )
+    for instance, zone in ((GREY, 'a'), ('sound-1', 'b'), ('sound-2', 'c'))
+)
+WISH = servers_data.Wish('desk', None, None, frozenset())
+FAIL_RATE = 0.4
+PROCESSES = 8
+
+
+class SuspicionTest(unittest.TestCase):
+    """Points come, fade and are told once."""
+
+    def test_fades(self) -> None:
+        """Half of the points are left after the half-life."""
+        state = suspicion.Suspicion()
+        suspicion.failed(state, GREY, 2, 0)
+        for now, points in ((0, 2), (4, 1), (8, 0.5), (40, 0)):
+            with self.subTest(now):
+                found = suspicion.points_of(state, GREY, now)
+                self.assertAlmostEqual(found, points)
+
+    def test_told_once(self) -> None:
+        """A peer hears of each failure once, and adds it to its own."""
+        state = suspicion.Suspicion()
+        peer = suspicion.Suspicion()
+        suspicion.failed(state, GREY, 1, 0)
+        suspicion.failed(state, GREY, 1, 0)
+        suspicion.take(peer, suspicion.tell(state), 0)
+        suspicion.take(peer, suspicion.tell(state), 0)
+        self.assertEqual(suspicion.points_of(peer, GREY, 0), 2)
+
+    def test_grey_server(self) -> None:
+        """A server of three resets two requests in five, for 20 seconds.
+
+        A hold that meets it is lost: it may have run. Alone, the eight
+        processes of its zone go on sending to it, each having seen few
+        failures; telling one another, they send a tenth of that.
+        """
+        told = self._lost(tells=True)
+        alone = self._lost(tells=False)
+        self.assertLess(told * 3, alone)
+
+    def _lost(self, *, tells: bool) -> int:
+        rng = random.Random(5)
+        states = [suspicion.Suspicion() for _ in range(PROCESSES)]
+        lost = 0
+        for step in range(160):
+            now = step / 8
+            state = states[rng.randrange(PROCESSES)]
+            server = choose.choose(
+                balance_data.BalanceState(),
+                choose.Known(backlog.Backlog(), state),
+                SERVERS,
+                WISH,
+                'a',
+                now,
+            )
+            assert server is not None
+            if server.instance == GREY and rng.random() < FAIL_RATE:
+                lost += 1
+                suspicion.failed(state, GREY, suspicion.BROKEN, now)
+            untold = suspicion.tell(state) if tells else {}
+            for other in states:
+                suspicion.take(other, {} if other is state else untold, now)
+        return lost
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -123,6 +123,7 @@
         phase: canary_data.Phase,
         seen: canary_data.Tally,
     ) -> None:
+        paced = verdict.slowness(seen)
         self._lines.write(
             'verdict',
             service=rollout.order.service,
@@ -133,5 +134,6 @@
             requests=seen.requests,
             answers={name: list(each) for name, each in seen.answers.items()},
             old=list(seen.old),
-            slowdown=round(verdict.slowdown(seen), 2),
+            slow={name: list(each) for name, each in paced.by_instance.items()},
+            old_slow=list(paced.old),
         )
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -8,6 +8,7 @@
 import time
 from dataclasses import dataclass
 
+from beryllug.core.placement import suspicion
 from beryllug.drivers import http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import (
@@ -144,14 +145,16 @@
                 is_good = status < dispatch.SERVER_ERROR
                 if is_good:
                     self._pool.succeeded(choice)
-                else:
-                    self._pool.failed(choice)
+                elif status != call_data.GATEWAY_TIMEOUT:
+                    # At the time limit the request was long, not the server
+                    # at fault.
+                    self._pool.failed(choice, points=suspicion.STATED)
                 took = rollout_state.Took(call.route.name, took_s)
                 self._trials.judged(
                     call,
                     choice,
                     is_good=is_good,
-                    took=took if is_good else None,
+                    took=(took,) if is_good else (),
                 )
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -9,7 +9,12 @@
 from typing import Any, NamedTuple
 
 from beryllug.core import balance_data, ejection, retry_window, server_load
-from beryllug.core.placement import backlog, choose, servers_data
+from beryllug.core.placement import (
+    backlog,
+    choose,
+    servers_data,
+    suspicion,
+)
 from beryllug.router import server_list
 
 
@@ -45,6 +50,7 @@
         self._bound = bound
         self._state = balance_data.BalanceState()
         self.reading = backlog.Backlog()
+        self.failures = suspicion.Suspicion()
         self._windows: dict[str, retry_window.Window] = {}
 
     async def start(self) -> None:
@@ -102,7 +108,12 @@
         listed, doubted = self._known.usable(now)
         for servers in (listed, doubted):
             server = choose.choose(
-                self._state, self.reading, servers, wish, self._zone, now
+                self._state,
+                choose.Known(self.reading, self.failures),
+                servers,
+                wish,
+                self._zone,
+                now,
             )
             if server is not None:
                 return self._counted(server, wish, servers, now)
@@ -140,14 +151,27 @@
         server_load.finished(self._state, instance, now)
         backlog.end(self.reading, instance, choice.number)
 
-    def failed(self, choice: Choice, *, is_gone: bool = False) -> None:
+    def failed(
+        self,
+        choice: Choice,
+        *,
+        is_gone: bool = False,
+        points: float = suspicion.BROKEN,
+    ) -> None:
         """Take a failure that the server is to blame for.
 
         A server that can't be reached is out at once: each further try would
         cost a request one of its few attempts.
+
+        Args:
+            choice: The server.
+            is_gone: Whether it could not be reached.
+            points: How much it is to be avoided for it.
         """
         now = time.monotonic()
-        seen = server_load.track(self._state, choice.server.instance)
+        instance = choice.server.instance
+        suspicion.failed(self.failures, instance, points, now)
+        seen = server_load.track(self._state, instance)
         if not is_gone:
             ejection.failed(seen, now)
         elif not ejection.is_out(seen, now):
--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -1,7 +1,7 @@
 """A roll-out as one process knows it: its own count and what it was told."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -57,7 +57,7 @@
     version: str,
     *,
     is_good: bool,
-    took: Took | None,
+    took: Sequence[Took],
 ) -> None:
     """Count an answer of a server of the service that is rolled out."""
     tally = rollout.tally
@@ -67,8 +67,11 @@
         tally.answers[instance] = _plus(known, is_good)
     else:
         tally.old = _plus(tally.old, is_good)
-    if took is not None:
-        _add_pace(tally.new_pace if is_new else tally.old_pace, took)
+    works = tally.old_times
+    if is_new:
+        works = tally.new_times.setdefault(instance, {})
+    for each in took:
+        _add_time(works, each)
 
 
 def news(
@@ -102,8 +105,8 @@
         tally.tried,
         tally.answers,
         tally.old,
-        tally.new_pace,
-        tally.old_pace,
+        tally.new_times,
+        tally.old_times,
     )
 
 
@@ -114,8 +117,8 @@
         news.tried,
         news.answers,
         news.old,
-        news.new_pace,
-        news.old_pace,
+        news.new_times,
+        news.old_times,
     )
 
 
@@ -125,9 +128,7 @@
     )
 
 
-def _add_pace(paces: dict[str, canary_data.Pace], took: Took) -> None:
-    known = paces.get(took.work, canary_data.Pace())
-    paces[took.work] = canary_data.Pace(
-        known.answers + 1,
-        known.log_sum + math.log2(max(took.seconds, LEAST_S)),
-    )
+def _add_time(works: dict[str, canary_data.Times], took: Took) -> None:
+    times = works.setdefault(took.work, {})
+    step = round(2 * math.log2(max(took.seconds, LEAST_S)))
+    times[step] = times.get(step, 0) + 1
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -14,7 +14,7 @@
 
 from beryllug.core import settings_data
 from beryllug.core.peering import members, peering_data, standing
-from beryllug.core.placement import backlog
+from beryllug.core.placement import backlog, suspicion
 from beryllug.drivers import datagrams, fleet_key
 from beryllug.router import directory, knowledge, peering, pool, server_list
 
@@ -98,6 +98,7 @@
             if self._round % ROUNDS_A_WORD == 0:
                 self._tell_word()
             self._tell_loads()
+            self._tell_failures()
 
     async def _follow_or_not(self, now: float) -> None:
         members_known = self._peers.members
@@ -149,10 +150,23 @@
                 self._notes.send(known[name].notes, note)
         self._had_load = bool(parts)
 
+    def _tell_failures(self) -> None:
+        untold = suspicion.tell(self._pool.failures)
+        if untold:
+            rounded = {name: round(each, 2) for name, each in untold.items()}
+            note = peering_data.Note(
+                self._peers.members.name,
+                self._cfg.peer_listen,
+                failures=rounded,
+            )
+            self._tell_all(note)
+
     def _take(self, note: peering_data.Note) -> None:
         now = time.monotonic()
         if note.parts is not None:
             backlog.take(self._pool.reading, note.name, note.parts, now)
+        if note.failures is not None:
+            suspicion.take(self._pool.failures, note.failures, now)
         if note.is_watching:
             self._take_word(note, now)
 
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -10,7 +10,7 @@
 import time
 
 from beryllug.core import retry_window
-from beryllug.core.placement import backlog, sizes
+from beryllug.core.placement import backlog, sizes, suspicion
 from beryllug.drivers import event_split, http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import (
@@ -167,6 +167,7 @@
         if not isinstance(came, dispatch.Answered):
             return came
         self._pool.answers(choice)
+        stream.head_s = time.monotonic() - choice.begun_at
         try:
             async with asyncio.timeout_at(call.deadline):
                 return await self._take(call, stream, came, exchange)
@@ -285,12 +286,12 @@
             case stream_state.Done() | stream_state.Larger():
                 self._pool.succeeded(choice)
                 self._learn_length(call, stream)
-                took = stream_state.pace(call, stream)
+                took = stream_state.times_of(call, stream, choice)
                 self._trials.judged(call, choice, is_good=True, took=took)
             case stream_state.Failure(status):
                 is_good = status < dispatch.SERVER_ERROR
-                if not is_good:
-                    self._pool.failed(choice)
+                if not is_good and status != call_data.GATEWAY_TIMEOUT:
+                    self._pool.failed(choice, points=suspicion.STATED)
                 self._trials.judged(call, choice, is_good=is_good)
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
--- a/beryllug/router/stream_state.py
+++ b/beryllug/router/stream_state.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from beryllug.core.placement import backlog
-from beryllug.router import attempt_log, attempts, dispatch, rollout_state
+from beryllug.router import attempt_log, attempts, dispatch, pool, rollout_state
 from beryllug.router import call as call_data
 
 # Seconds, and times the expected ones, after which a server that has sent no
@@ -18,6 +18,8 @@
 LEAST_STALLED_S = 1.0
 # Events between which a pace can be told.
 LEAST_EVENTS = 3
+# Seconds under which an expected time says nothing: a round trip and a step.
+LEAST_EXPECTED_S = 0.02
 MS = 1000
 
 
@@ -32,6 +34,7 @@
         started: Whether the caller has the head of the answer.
         status: Status of the answer, once started.
         confidence: What the last answer said of itself, if anything.
+        head_s: Seconds until the head of the last answer was here.
         first_at: When the first event went out.
         last_at: When the last event went out.
         longest_gap_s: Longest pause between two events that went out.
@@ -44,6 +47,7 @@
     started: bool = False
     status: int = 0
     confidence: int | None = None
+    head_s: float = 0.0
     first_at: float = 0.0
     last_at: float = 0.0
     longest_gap_s: float = 0.0
@@ -117,13 +121,24 @@
     )
 
 
-def pace(call: call_data.Call, stream: Stream) -> rollout_state.Took | None:
-    """Return the mean pause between events, by route and size."""
+def times_of(
+    call: call_data.Call, stream: Stream, choice: pool.Choice
+) -> list[rollout_state.Took]:
+    """Return what an answer's times say of its version.
+
+    The mean pause between events by route and size, and the time to the
+    first event by what was expected of the server.
+    """
     times = stream.events
-    if len(times) < LEAST_EVENTS:
-        return None
-    mean_s = (times[-1] - times[0]) / (len(times) - 1)
-    return rollout_state.Took(f'{call.route.name}/{stream.size}', mean_s)
+    took = []
+    if stream.head_s and choice.first_s:
+        ratio = stream.head_s / max(choice.first_s, LEAST_EXPECTED_S)
+        took.append(rollout_state.Took(f'first/{stream.size}', ratio))
+    if len(times) >= LEAST_EVENTS:
+        mean_s = (times[-1] - times[0]) / (len(times) - 1)
+        work = f'{call.route.name}/{stream.size}'
+        took.append(rollout_state.Took(work, mean_s))
+    return took
 
 
 def told(came: Came, stream: Stream) -> attempt_log.Came:
