--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -9,15 +9,10 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from beryllug.core.canary import canary_data
 
-# A sequential test of "fails three in ten" against "fails three in a hundred".
-# Two failures in a row reach the threshold; three among eight answers do, too.
-BAD_RATE = 0.3
-SOUND_RATE = 0.03
-FAILURE_SCORE = math.log(BAD_RATE / SOUND_RATE)
-SUCCESS_SCORE = math.log((1 - BAD_RATE) / (1 - SOUND_RATE))
 BAD_SCORE = 4.5
 # A server that is bad while another of the same version has given this many
 # answers without one that is, is at fault itself.
@@ -35,6 +30,26 @@
 SAME_RATIO = 2.0
 
 
+class _Rates(NamedTuple):
+    """Rates of bad answers that a sequential test tells apart."""
+
+    bad: float
+    sound: float
+
+    def score(self, answers: canary_data.Answers) -> float:
+        """Return the logarithm of the likelihood ratio."""
+        per_bad = math.log(self.bad / self.sound)
+        per_good = math.log((1 - self.bad) / (1 - self.sound))
+        return answers.bad * per_bad + answers.good * per_good
+
+
+# Two failures in a row reach the score; three among eight answers do, too.
+FAILING = _Rates(bad=0.3, sound=0.03)
+# One answer in ten is slow by chance, on a busy or a cold server: four slow
+# ones in a row reach the score, or six among ten.
+SLOW = _Rates(bad=0.4, sound=0.1)
+
+
 def merge(tallies: Iterable[canary_data.Tally]) -> canary_data.Tally:
     """Add up the tallies of several processes."""
     total = canary_data.Tally()
@@ -53,10 +68,10 @@
 
 def is_bad(tally: canary_data.Tally) -> bool:
     """Tell whether the new version is to be taken back."""
-    if _is_version_bad(tally.answers, tally.old):
+    if _is_version_bad(tally.answers, tally.old, FAILING):
         return True
     paced = slowness(tally)
-    return _is_version_bad(paced.by_instance, paced.old)
+    return _is_version_bad(paced.by_instance, paced.old, SLOW)
 
 
 def judged(tally: canary_data.Tally) -> int:
@@ -104,12 +119,13 @@
 
 
 def _is_version_bad(
-    by_instance: dict[str, canary_data.Answers], old: canary_data.Answers
+    by_instance: dict[str, canary_data.Answers],
+    old: canary_data.Answers,
+    rates: _Rates,
 ) -> bool:
     good = sum(each.good for each in by_instance.values())
     bad = sum(each.bad for each in by_instance.values())
-    score = bad * FAILURE_SCORE + good * SUCCESS_SCORE
-    if score < BAD_SCORE:
+    if rates.score(canary_data.Answers(good, bad)) < BAD_SCORE:
         return False
     failing = [each for each in by_instance.values() if each.bad]
     sound = [
