Tell peers which sessions run, so that a roll-out moves none of them

Change: from the order on, processes tell all others the sessions that the draw would take and the version each runs on; the first is drawn a second later. Checked by: rollout_test.test_sessions_elsewhere, which fails without it.

--- a/beryllug/core/canary/sessions.py
+++ b/beryllug/core/canary/sessions.py
@@ -22,11 +22,25 @@
     seen_at: float
 
 
+class Told(NamedTuple):
+    """A session's version, as processes tell one another."""
+
+    service: str
+    session: str
+    version: str
+
+
 @dataclass(slots=True)
 class Sessions:
-    """Pins by service and session, the least recent first."""
+    """Which version sessions ran on.
+
+    Attributes:
+        pins: Pins by service and session, the least recent first.
+        untold: What peers are still to be told of, once each.
+    """
 
     pins: dict[tuple[str, str], Pin] = field(default_factory=dict)
+    untold: dict[Told, None] = field(default_factory=dict)
 
 
 def pinned(
@@ -52,3 +66,22 @@
     sessions.pins[key] = Pin(version, now)
     while len(sessions.pins) > MOST:
         sessions.pins.pop(next(iter(sessions.pins)))
+
+
+def of_service(
+    sessions: Sessions, service: str, session_s: float, now: float
+) -> list[Told]:
+    """Return the sessions of a service that go on."""
+    return [
+        Told(service, session, pin.version)
+        for (each, session), pin in sessions.pins.items()
+        if each == service and now - pin.seen_at <= session_s + MARGIN_S
+    ]
+
+
+def tell(sessions: Sessions, most: int) -> list[Told]:
+    """Return some of what peers are to be told of; the rest comes next."""
+    chosen = list(sessions.untold)[:most]
+    for told in chosen:
+        sessions.untold.pop(told)
+    return chosen
--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -44,10 +44,10 @@
 
 
 # Two failures in a row reach the score; three among eight answers do, too.
-FAILING = _Rates(bad=0.3, sound=0.03)
+FAILING = _Rates(3 / 10, 3 / 100)
 # One answer in ten is slow by chance, on a busy or a cold server: four slow
 # ones in a row reach the score, or six among ten.
-SLOW = _Rates(bad=0.4, sound=0.1)
+SLOW = _Rates(4 / 10, 1 / 10)
 
 
 def merge(tallies: Iterable[canary_data.Tally]) -> canary_data.Tally:
--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from beryllug.core.canary import canary_data
+from beryllug.core.canary import canary_data, sessions
 from beryllug.core.placement import backlog
 
 
@@ -78,6 +78,8 @@
         parts: What it knows of the backlog of each model runner; None where
             the note is not about that.
         failures: Points of suspicion of backend servers since its last note.
+        running: Versions that sessions, which may be drawn for a roll-out,
+            run on.
         is_watching: Whether it follows the store, and the store answers it.
         versions: How new its knowledge is.
         returned_ago_s: Seconds since the store came back from an outage.
@@ -90,6 +92,7 @@
     address: str
     parts: dict[str, backlog.Part] | None = None
     failures: dict[str, float] | None = None
+    running: tuple[sessions.Told, ...] = ()
     is_watching: bool = False
     versions: Versions = Versions()
     returned_ago_s: float = 0.0
--- a/beryllug/proofs/platform/rollout_test.py
+++ b/beryllug/proofs/platform/rollout_test.py
@@ -69,6 +69,21 @@
         for number in range(20):
             self.assertEqual(seen[f'old-{number}'], {'v1'})
 
+    async def test_sessions_elsewhere(self) -> None:
+        """A session stays on its version when it comes by another router.
+
+        It began at the first router before the order. The second one has
+        never seen it; drawn anew there, it would leave its version.
+        """
+        for number in range(40):
+            await self._ask_session(f'old-{number}')
+        await self._order(error_rate=0.0, duration_s=30)
+        await asyncio.sleep(1.1)
+        self.router = self.site.routers[1]
+        for again in range(40):
+            version = await self._ask_session(f'old-{again}')
+            self.assertEqual(version, 'v1')
+
     async def _order(
         self, error_rate: float, duration_s: float = DURATION_S
     ) -> None:
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -8,15 +8,23 @@
 import asyncio
 import random
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
 from beryllug.core import settings_data
+from beryllug.core.canary import sessions
 from beryllug.core.peering import members, peering_data, standing
 from beryllug.core.placement import backlog, suspicion
 from beryllug.drivers import datagrams, fleet_key
-from beryllug.router import directory, knowledge, peering, pool, server_list
+from beryllug.router import (
+    directory,
+    knowledge,
+    peering,
+    pool,
+    server_list,
+    trials,
+)
 
 # Seconds between two rounds: a runner's backlog of a second must be known
 # before the next prompt goes there too.
@@ -32,6 +40,15 @@
 SPREAD_S = 0.15
 # Bytes of changes that fit a note beside the rest of it.
 MOST_ENTRIES = 1000
+# Sessions in one note, of some 40 bytes each.
+MOST_SESSIONS = 20
+
+
+class Decided(NamedTuple):
+    """The services whose knowledge of requests is told."""
+
+    pool: pool.Pool
+    trials: trials.Trials
 
 
 class Sharing:
@@ -42,16 +59,16 @@
         cfg: settings_data.Router,
         peers: peering.Peering,
         known: directory.Directory,
-        shared: knowledge.Knowledge,
-        servers: pool.Pool,
+        decided: Decided,
         keys: fleet_key.KeyRing,
     ) -> None:
         """Bind to what is told and to who takes it."""
         self._cfg = cfg
         self._peers = peers
         self._known = known
-        self._shared = shared
-        self._pool = servers
+        self._shared = knowledge.Knowledge(known)
+        self._pool = decided.pool
+        self._trials = decided.trials
         self._notes = datagrams.Datagrams(keys, peering_data.Note, self._take)
         self._rng = random.Random(peers.members.name)
         self._standing = standing.Standing()
@@ -98,7 +115,7 @@
             if self._round % ROUNDS_A_WORD == 0:
                 self._tell_word()
             self._tell_loads()
-            self._tell_failures()
+            self._tell_news()
 
     async def _follow_or_not(self, now: float) -> None:
         members_known = self._peers.members
@@ -150,14 +167,16 @@
                 self._notes.send(known[name].notes, note)
         self._had_load = bool(parts)
 
-    def _tell_failures(self) -> None:
+    def _tell_news(self) -> None:
+        """Tell failures of servers, and sessions that a roll-out may draw."""
         untold = suspicion.tell(self._pool.failures)
-        if untold:
-            rounded = {name: round(each, 2) for name, each in untold.items()}
+        running = sessions.tell(self._trials.sessions, MOST_SESSIONS)
+        if untold or running:
             note = peering_data.Note(
                 self._peers.members.name,
                 self._cfg.peer_listen,
-                failures=rounded,
+                failures={key: round(each, 2) for key, each in untold.items()},
+                running=tuple(running),
             )
             self._tell_all(note)
 
@@ -167,6 +186,7 @@
             backlog.take(self._pool.reading, note.name, note.parts, now)
         if note.failures is not None:
             suspicion.take(self._pool.failures, note.failures, now)
+        self._trials.take_sessions(note.running)
         if note.is_watching:
             self._take_word(note, now)
 
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from beryllug.core.canary import canary_data, plan, sessions, verdict
@@ -20,6 +20,10 @@
 # taken from the store alone: its old servers are stopped then.
 FROM_PEERS = (canary_data.Phase.FULL, canary_data.Phase.ROLLED_BACK)
 
+# Seconds after an order before a session is drawn: by then the processes have
+# told one another which sessions already run.
+TOLD_WITHIN_S = 1.0
+
 
 class Drawn(NamedTuple):
     """The versions that a request may run on.
@@ -49,7 +53,7 @@
         self._bounds = bounds
         self._lines = lines
         self._rollouts: dict[str, rollout_state.Rollout] = {}
-        self._sessions = sessions.Sessions()
+        self.sessions = sessions.Sessions()
 
     async def start(self) -> None:
         """Do nothing: it is driven by orders and requests."""
@@ -87,6 +91,10 @@
                 order, canary_data.Phase.TRIAL, now, now
             )
             self._rollouts[order.service] = known
+            for told in sessions.of_service(
+                self.sessions, order.service, self._bounds.session_s, now
+            ):
+                self._tell(told)
             _log(self._lines, order, phase, 'ordered')
         known.order = order
         if plan.is_over(phase):
@@ -121,14 +129,14 @@
     def take_news(self, digest: peering_data.Digest, now: float) -> None:
         """Take what a peer knows and has seen of roll-outs."""
         for news in digest.rollouts:
-            known = self._known(news.service, news.target)
+            known = _find(self._rollouts, news.service, news.target)
             if known is None:
                 continue
             known.begun_at = min(known.begun_at, now - news.age_s)
             if news.phase in FROM_PEERS:
                 self.set_phase(known, news.phase, digest.name, now)
         for told in digest.tallies:
-            known = self._known(told.service, told.target)
+            known = _find(self._rollouts, told.service, told.target)
             if known is not None:
                 rollout_state.take(known, digest.name, told)
 
@@ -155,13 +163,21 @@
 
     def ran(self, call: call_data.Call, version: str) -> None:
         """Note the version on which a request of a session runs."""
-        if call.asked.session:
+        session = call.asked.session
+        if not session:
+            return
+        now = time.monotonic()
+        sessions.ran(self.sessions, call.service, session, version, now)
+        rollout = self._rollouts.get(call.service)
+        if rollout is not None and rollout.is_open:
+            self._tell(sessions.Told(call.service, session, version))
+
+    def take_sessions(self, told: Iterable[sessions.Told]) -> None:
+        """Take the versions that sessions run on at peers."""
+        now = time.monotonic()
+        for each in told:
             sessions.ran(
-                self._sessions,
-                call.service,
-                call.asked.session,
-                version,
-                time.monotonic(),
+                self.sessions, each.service, each.session, each.version, now
             )
 
     def judged(
@@ -188,12 +204,6 @@
             rollout, server.instance, server.version, is_good=is_good, took=took
         )
 
-    def _known(self, service: str, target: str) -> rollout_state.Rollout | None:
-        known = self._rollouts.get(service)
-        if known is None or known.order.target != target:
-            return None
-        return known
-
     def _draw_trial(
         self,
         call: call_data.Call,
@@ -204,7 +214,7 @@
         now = time.monotonic()
         session = call.asked.session
         pin = session and sessions.pinned(
-            self._sessions,
+            self.sessions,
             call.service,
             session,
             self._bounds.session_s,
@@ -223,16 +233,37 @@
         rollout.tally.tried += 1
         return Drawn(target, old, is_trial=True)
 
+    def _tell(self, told: sessions.Told) -> None:
+        """Tell peers of a session that each of them might draw.
+
+        One that comes by another process would else be drawn anew there and
+        leave its version. The others are drawn nowhere.
+        """
+        if plan.is_drawn(told.session, self._bounds):
+            self.sessions.untold[told] = None
+
     def _is_drawn(
         self, call: call_data.Call, rollout: rollout_state.Rollout
     ) -> bool:
         """Tell whether a request that is bound to no version tries the new."""
+        age_s = time.monotonic() - rollout.begun_at
+        if age_s < TOLD_WITHIN_S:
+            return False
         subject = call.asked.session or call.asked.attempt_id
         return plan.is_drawn(subject, self._bounds) and plan.may_try(
             rollout.tally, self._bounds, self._pool.processes
         )
 
 
+def _find(
+    rollouts: Mapping[str, rollout_state.Rollout], service: str, target: str
+) -> rollout_state.Rollout | None:
+    known = rollouts.get(service)
+    if known is None or known.order.target != target:
+        return None
+    return known
+
+
 def _log(
     lines: log_lines.LineWriter,
     order: canary_data.Order,
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -81,7 +81,8 @@
     peers = peering.Peering(name, cfg, calls, shared, canaries, lines)
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
-    spread = sharing.Sharing(cfg, peers, known, shared, servers, keys)
+    decided = sharing.Decided(servers, canaries)
+    spread = sharing.Sharing(cfg, peers, known, decided, keys)
     operators_api = ops.Operators(
         settings.operators,
         services,
