--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.installed
 
-.PHONY: check demo bench slopes mutations format lint test
+.PHONY: check demo demo-router bench slopes mutations format lint test
 
 check: $(STAMP) lint test
 
@@ -25,6 +25,9 @@
 demo: $(STAMP)
 	$(PY) -m beryllug.scripts.demo
 
+demo-router: $(STAMP)
+	$(PY) -m beryllug.scripts.router_demo
+
 bench: $(STAMP)
 	$(PY) -m beryllug.bench
 
