Let a client account's rank go before its route's at the servers

Cause: the platform says that an account's rank precedes; only the route's was sent. Both flows now take their services as one record, and a lookup that nobody used is gone.

--- a/beryllug/core/routes/match.py
+++ b/beryllug/core/routes/match.py
@@ -1,4 +1,4 @@
-"""The route and the client account of a request, and the service it goes to."""
+"""The route of a request, the service it goes to, and its rank."""
 
 from beryllug.core.routes import routes_data
 
@@ -21,13 +21,6 @@
     return None
 
 
-def find_account(
-    table: routes_data.RouteTable, route: routes_data.Route, key: str
-) -> routes_data.Account | None:
-    """Return the client account of a key; None where it is not valid."""
-    return table.accounts.get(key)
-
-
 def choose_service(route: routes_data.Route, share: float) -> str:
     """Return the service of a request.
 
--- /dev/null
+++ b/beryllug/router/flow_parts.py
@@ -0,0 +1,21 @@
+"""What both flows work with, wired by the composition root."""
+
+from typing import NamedTuple
+
+from beryllug.router import attempt_log, dispatch, pool, trials
+
+
+class FlowParts(NamedTuple):
+    """The services of a flow.
+
+    Attributes:
+        pool: Chooses backend servers.
+        sender: Sends requests to them.
+        trials: Draws versions and counts their answers.
+        log: Takes what became of requests.
+    """
+
+    pool: pool.Pool
+    sender: dispatch.Dispatcher
+    trials: trials.Trials
+    log: attempt_log.AttemptLog
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -12,12 +12,11 @@
 from beryllug.drivers import http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import (
-    attempt_log,
     attempts,
     dispatch,
+    flow_parts,
     pool,
     rollout_state,
-    trials,
 )
 from beryllug.router import call as call_data
 
@@ -39,18 +38,12 @@
 class PlainFlow:
     """Serves requests whose answer is not a stream."""
 
-    def __init__(
-        self,
-        servers: pool.Pool,
-        sender: dispatch.Dispatcher,
-        canaries: trials.Trials,
-        told: attempt_log.AttemptLog,
-    ) -> None:
+    def __init__(self, parts: flow_parts.FlowParts) -> None:
         """Bind to the services it uses."""
-        self._pool = servers
-        self._sender = sender
-        self._trials = canaries
-        self._log = told
+        self._pool = parts.pool
+        self._sender = parts.sender
+        self._trials = parts.trials
+        self._log = parts.log
 
     async def serve(
         self, call: call_data.Call, exchange: http_server.Exchange
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -14,12 +14,11 @@
 from beryllug.drivers import event_split, http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import (
-    attempt_log,
     attempts,
     dispatch,
+    flow_parts,
     pool,
     stream_state,
-    trials,
 )
 from beryllug.router import call as call_data
 
@@ -31,18 +30,12 @@
 class StreamFlow:
     """Serves requests whose answer is a stream of events."""
 
-    def __init__(
-        self,
-        servers: pool.Pool,
-        sender: dispatch.Dispatcher,
-        canaries: trials.Trials,
-        told: attempt_log.AttemptLog,
-    ) -> None:
+    def __init__(self, parts: flow_parts.FlowParts) -> None:
         """Bind to the services it uses."""
-        self._pool = servers
-        self._sender = sender
-        self._trials = canaries
-        self._log = told
+        self._pool = parts.pool
+        self._sender = parts.sender
+        self._trials = parts.trials
+        self._log = parts.log
 
     async def serve(
         self, call: call_data.Call, exchange: http_server.Exchange
@@ -159,7 +152,7 @@
             left_s,
             call.account_name,
             model=stream_state.model_of(call, stream.size),
-            urgency=min(9, call.route.priority + 3 * stream.size),
+            urgency=stream_state.urgency(call, stream),
             last_event=stream.last_event,
         )
         wait_s = stream_state.first_wait_s(call, stream, choice.first_s)
--- a/beryllug/router/stream_state.py
+++ b/beryllug/router/stream_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from beryllug.core.placement import backlog
+from beryllug.core.routes import match
 from beryllug.router import attempt_log, attempts, dispatch, pool, rollout_state
 from beryllug.router import call as call_data
 
@@ -20,6 +21,10 @@
 LEAST_EVENTS = 3
 # Seconds under which an expected time says nothing: a round trip and a step.
 LEAST_EXPECTED_S = 0.02
+# Ranks that a server knows, and those between two sizes of model: as many as
+# operators give to routes and accounts today.
+LAST_RANK = 9
+RANKS_A_SIZE = 3
 MS = 1000
 
 
@@ -78,6 +83,17 @@
 Came = Done | Larger | Failure | dispatch.Outcome
 
 
+def urgency(call: call_data.Call, stream: Stream) -> int:
+    """Return the rank at a server, 0 the first.
+
+    Small models go before large ones there: behind the prompts of large ones,
+    which take ten times as long to read, one first event in ten of the small
+    took over two seconds.
+    """
+    rank = match.urgency(call.route, call.account)
+    return min(rank + RANKS_A_SIZE * stream.size, LAST_RANK)
+
+
 def first_wait_s(
     call: call_data.Call, stream: Stream, expected_s: float
 ) -> float:
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -19,6 +19,7 @@
     attempt_log,
     directory,
     dispatch,
+    flow_parts,
     front,
     judge,
     knowledge,
@@ -69,9 +70,9 @@
     orders.on_order(canaries.take_order)
     told = attempt_log.AttemptLog(lines, known)
     sender = dispatch.Dispatcher(http_client.HttpClient(CONNECT_S))
+    parts = flow_parts.FlowParts(servers, sender, canaries, told)
     flows = front.Flows(
-        plain_flow.PlainFlow(servers, sender, canaries, told),
-        stream_flow.StreamFlow(servers, sender, canaries, told),
+        plain_flow.PlainFlow(parts), stream_flow.StreamFlow(parts)
     )
     edge = front.Front(cfg, known, flows, told)
     keys = fleet_key.KeyRing(settings.fleet.keys)
