Give each router site of the proofs loopback addresses of its own

A port that was free for TCP was looked for on 127.0.0.1 and bound later for UDP; another deployment had it by then. Ruled out: the role itself (its settings name the port). Change: each site takes two loopback addresses of its own, ports outside the range that connections take, as the other proofs do.

--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -8,7 +8,6 @@
 import contextlib
 import itertools
 import os
-import socket
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any, NamedTuple
@@ -20,6 +19,7 @@
 from beryllug.scripts import compose_router
 from beryllug.standins import (
     faults,
+    fleet_settings,
     party,
     platform_runner,
     platform_store,
@@ -86,12 +86,13 @@
         self.lines: list[dict[str, Any]] = []
         self._client = http_client.HttpClient()
         self._numbers = itertools.count(1)
+        self._hosts = (fleet_settings.own_host(), fleet_settings.own_host())
         self._stack = contextlib.AsyncExitStack()
         self.store_stand_in = party.StandIn(self.store_party, faults.Switches())
 
     async def open(self) -> None:
         """Start the store, with a route table in it."""
-        await self.store_stand_in.start()
+        await self.store_stand_in.start(self._hosts[0])
         self.put_table(table())
 
     async def close(self) -> None:
@@ -112,7 +113,7 @@
         """Start a backend server and list it."""
         cfg = platform_runner.PlatformRunnerCfg(instance, **options)
         stand_in = platform_runner.stand_in(cfg)
-        await stand_in.start()
+        await stand_in.start(self._hosts[0])
         self.stand_ins[instance] = stand_in
         runner = stand_in.party
         assert isinstance(runner, platform_runner.PlatformRunner)
@@ -219,11 +220,15 @@
         return [line for line in self.lines if line['event'] == event]
 
     def _settings(self, **settings: Any) -> settings_data.Settings:
+        # An address of its own for each deployment: on one for all, another
+        # test's connection or datagram took a port between the look for a
+        # free one and its use.
+        ports = itertools.chain(*map(fleet_settings.free_ports, self._hosts))
         cfg = settings_data.Router(
-            listen=_free_address(),
-            ready=_free_address(),
-            peer_listen=_free_address(),
-            notes_listen=_free_address(),
+            listen=next(ports),
+            ready=next(ports),
+            peer_listen=next(ports),
+            notes_listen=next(ports),
             store=self.store_stand_in.address,
             seeds=tuple(each.cfg.peer_listen for each in self.routers),
             **settings,
@@ -232,7 +237,7 @@
         process = settings_data.Process(
             name, settings_data.Role.ROUTER, name, 'a'
         )
-        operators = settings_data.Operators(_free_address(), OPERATOR_KEYS)
+        operators = settings_data.Operators(next(ports), OPERATOR_KEYS)
         fleet = settings_data.Fleet(FLEET_KEYS)
         return settings_data.Settings(process, operators, fleet, router=cfg)
 
@@ -262,12 +267,6 @@
     }
 
 
-def _free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind((party.HOST, 0))
-        return f'{party.HOST}:{sock.getsockname()[1]}'
-
-
 def _ini(whole: settings_data.Settings) -> str:
     """Return settings as the text of their file."""
     lines = []
