Add a fault soak of router processes: signals, proxies, parties' switches

Callers keep their connections until the process is gone. Nine checks hold what callers and servers saw against the promises; afterwards each router must answer each kind of request.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.installed
 
-.PHONY: check demo demo-router bench slopes mutations format lint test
+.PHONY: check demo demo-router bench slopes soak mutations format lint test
 
 check: $(STAMP) lint test
 
@@ -34,5 +34,12 @@
 slopes: $(STAMP)
 	$(PY) -m beryllug.bench.slopes
 
+SEED ?= 1
+COUNT ?= 1
+ROUTERS ?= 3
+
+soak: $(STAMP)
+	$(PY) -m beryllug.soak.run $(SEED) $(COUNT) $(ROUTERS)
+
 mutations: $(STAMP)
 	$(PY) -m beryllug.proofs.mutations
--- /dev/null
+++ b/beryllug/soak/checks.py
@@ -0,0 +1,166 @@
+"""The promises, held against what callers and backend servers saw.
+
+Each check takes all that was seen and names each breach. Where a promise has
+a bound in time, it is checked only where nothing was wrong around it.
+"""
+
+import re
+from collections.abc import Callable, Iterator
+from http import HTTPStatus
+
+from beryllug.platform import names
+from beryllug.soak import callers, seen, site
+from beryllug.standins import platform_site
+
+ONCE = ('/hold/', '/report/')
+PROMISES = frozenset((408, 421, 429, 503))
+DENIALS = frozenset((400, 401, 403, 404, 413, 431))
+ANSWERED = HTTPStatus.OK
+# Seconds in which a change of the table or of a server's entry is in force,
+# and one for a busy machine.
+IN_FORCE_S = 3.0
+# Seconds before a request in which a trouble may still have its effect.
+BEFORE_S = 3.0
+STORE = 'store'
+EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) (\d+)\n\n')
+
+
+def at_most_once(found: seen.Seen) -> Iterator[str]:
+    """A hold or a report that may not be resumed runs once at most."""
+    for sent in found.sent:
+        runs = found.runs.get(sent.attempt_id, ())
+        if sent.path.startswith(ONCE) and len(runs) > 1:
+            where = [run.instance for run in runs]
+            yield f'{sent.attempt_id} ran {len(runs)} times, on {where}'
+
+
+def not_run_is_true(found: seen.Seen) -> Iterator[str]:
+    """What is said not to have run has not run."""
+    for sent in found.sent:
+        is_once = sent.path.startswith(ONCE)
+        if (
+            is_once
+            and sent.status in PROMISES
+            and sent.attempt_id in found.runs
+        ):
+            yield f'{sent.attempt_id} got {sent.status} and ran'
+
+
+def whole_own_answer(found: seen.Seen) -> Iterator[str]:
+    """An answer is the whole one of the server, to this very request."""
+    for sent in found.sent:
+        if sent.status != ANSWERED:
+            continue
+        seal = sent.headers.get(names.SEAL, '')
+        if not seal.endswith(f'.{sent.attempt_id}'):
+            yield f'{sent.attempt_id} has the seal {seal!r}'
+        if not _is_whole(sent):
+            yield f'{sent.attempt_id} is not whole: {sent.answer!r}'
+
+
+def own_headers(found: seen.Seen) -> Iterator[str]:
+    """A server gets the account of the key, and never the key."""
+    for runs in found.runs.values():
+        for run in runs:
+            if run.account != platform_site.ACCOUNT:
+                yield f'{run.attempt_id} came as {run.account!r}'
+            if names.AUTHORIZATION in run.headers:
+                yield f'{run.attempt_id} came with its key'
+
+
+def not_denied(found: seen.Seen) -> Iterator[str]:
+    """A proper request of a key in force is never refused for good."""
+    for sent in found.sent:
+        if sent.status in DENIALS and sent.key == platform_site.KEY:
+            yield f'{sent.attempt_id} got {sent.status} of {sent.router}'
+
+
+def revoked(found: seen.Seen) -> Iterator[str]:
+    """A key that was taken away is refused soon."""
+    if found.revoked_at is None:
+        return
+    for sent in found.sent:
+        is_late = sent.began_at > found.revoked_at + IN_FORCE_S
+        if (
+            sent.key != site.REVOKED_KEY
+            or sent.status != ANSWERED
+            or not is_late
+        ):
+            continue
+        whats = frozenset((sent.router, STORE))
+        since = found.revoked_at - BEFORE_S
+        if not found.is_troubled(whats, since, sent.began_at):
+            yield f'{sent.attempt_id} was answered on a revoked key'
+
+
+def drained(found: seen.Seen) -> Iterator[str]:
+    """A server that leaves gets no new request after a while."""
+    routers = frozenset(sent.router for sent in found.sent) | {STORE}
+    for runs in found.runs.values():
+        for run in runs:
+            left_at = found.left_at.get(run.instance)
+            if left_at is None or run.at < left_at + IN_FORCE_S:
+                continue
+            if not found.is_troubled(routers, left_at - BEFORE_S, run.at):
+                yield f'{run.attempt_id} came to {run.instance}, which leaves'
+
+
+def not_cut(found: seen.Seen) -> Iterator[str]:
+    """No request breaks off but by a kill, a freeze, a server or its link.
+
+    A planned stop and a reload cut nothing. A request that crosses the close
+    of a kept connection and is not passed on may be sent again.
+    """
+    for sent in found.sent:
+        if not sent.failure or sent.is_unsent:
+            continue
+        if sent.attempt_id not in found.runs and 'timeout' not in sent.failure:
+            continue
+        whats = frozenset((sent.router, 'servers'))
+        since = sent.began_at - BEFORE_S
+        if not found.is_troubled(whats, since, sent.ended_at):
+            yield f'{sent.attempt_id} was cut by {sent.router}: {sent.failure}'
+
+
+def answered_in_time(found: seen.Seen) -> Iterator[str]:
+    """No request hangs, unless its router stood still or was killed."""
+    for sent in found.sent:
+        if sent.ended_at - sent.began_at < callers.HANGS_S:
+            continue
+        whats = frozenset((sent.router,))
+        if not found.is_troubled(whats, sent.began_at, sent.ended_at):
+            yield f'{sent.attempt_id} hung at {sent.router}'
+
+
+CHECKS: tuple[Callable[[seen.Seen], Iterator[str]], ...] = (
+    at_most_once,
+    not_run_is_true,
+    whole_own_answer,
+    own_headers,
+    not_denied,
+    revoked,
+    drained,
+    not_cut,
+    answered_in_time,
+)
+
+
+def breaches(found: seen.Seen) -> list[str]:
+    """Return all breaches, each with the name of its check."""
+    return [
+        f'{check.__name__}: {breach}'
+        for check in CHECKS
+        for breach in check(found)
+    ]
+
+
+def _is_whole(sent: seen.Sent) -> bool:
+    if sent.path.startswith(('/lookup', '/hold')):
+        method = 'POST' if sent.body else 'GET'
+        return sent.answer == f'{method} {sent.path}'.encode() + sent.body
+    events = EVENT.findall(sent.answer)
+    numbers = [int(number) for number, _, _ in events]
+    models = {model for _, model, _ in events}
+    are_all = numbers == list(range(1, site.EVENTS + 1))
+    rest = EVENT.sub(b'', sent.answer)
+    return are_all and len(models) == 1 and not rest
--- /dev/null
+++ b/beryllug/soak/inject.py
@@ -0,0 +1,174 @@
+"""Brings about one fault of a plan, and its end."""
+
+import asyncio
+import contextlib
+import signal
+import time
+from collections.abc import AsyncIterator
+
+from beryllug.platform import store
+from beryllug.soak import checks, plan, site
+from beryllug.standins import platform_site
+
+Kind = plan.Kind
+# Seconds that a process is gone before it starts again.
+RESTART_S = 0.3
+# Seconds that a server which leaves goes on, beyond what it owes.
+LINGER_S = 1.5
+DELAY_S = 0.08
+SLOW_S = 0.3
+SHARE = 0.4
+SERVERS = 'servers'
+
+
+class Injector:
+    """Injects the faults of a plan into a deployment."""
+
+    def __init__(self, made: site.SoakSite) -> None:
+        """Begin with nothing wrong."""
+        self._made = made
+        self._busy: set[str] = set()
+
+    async def inject(self, fault: plan.Fault) -> None:
+        """Bring a fault about, and end it."""
+        if fault.kind in plan.OF_ROUTERS:
+            await self._hit_router(fault)
+        elif fault.kind in plan.OF_LINKS:
+            await self._hit_way(fault)
+        elif fault.kind in plan.OF_STORE:
+            await self._hit_store(fault)
+        elif fault.kind in {Kind.TABLE, Kind.KEY}:
+            self._change(fault.kind)
+        else:
+            await self._hit_server(fault)
+
+    @contextlib.asynccontextmanager
+    async def _trouble(self, *whats: str) -> AsyncIterator[None]:
+        began_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self._made.note(whats, began_at, time.monotonic())
+
+    async def _hit_router(self, fault: plan.Fault) -> None:
+        router = self._made.site.routers[fault.target]
+        if router.name in self._busy:
+            return
+        self._busy.add(router.name)
+        try:
+            await self._signal(fault, router)
+        finally:
+            self._busy.discard(router.name)
+
+    async def _signal(
+        self, fault: plan.Fault, router: platform_site.Router
+    ) -> None:
+        running = self._made.running
+        match fault.kind:
+            case Kind.RELOAD:
+                running.signal(router.name, signal.SIGHUP)
+            case Kind.FREEZE:
+                async with self._trouble(router.name):
+                    running.freeze(router.name)
+                    await asyncio.sleep(fault.for_s)
+                    running.thaw(router.name)
+            case Kind.STOP:
+                await running.terminate(router.name)
+                await self._start_again(router)
+            case _:
+                async with self._trouble(router.name):
+                    await running.kill(router.name)
+                    await self._start_again(router)
+
+    async def _start_again(self, router: platform_site.Router) -> None:
+        await asyncio.sleep(RESTART_S)
+        await self._made.site.respawn(self._made.running, router)
+        await asyncio.sleep(RESTART_S)
+
+    async def _hit_way(self, fault: plan.Fault) -> None:
+        way = self._made.store_ways[fault.target]
+        router = self._made.site.routers[fault.target]
+        async with self._trouble(router.name):
+            match fault.kind:
+                case Kind.STORE_SILENT:
+                    way.silence()
+                case Kind.STORE_HALF_CUT:
+                    way.link.is_cut_down = True
+                case _:
+                    way.link.is_cut_up = True
+                    way.link.is_cut_down = True
+            await asyncio.sleep(fault.for_s)
+            way.link.is_cut_up = False
+            way.link.is_cut_down = False
+
+    async def _hit_store(self, fault: plan.Fault) -> None:
+        async with self._trouble(checks.STORE):
+            match fault.kind:
+                case Kind.STORE_FORGETS:
+                    self._made.site.store_party.compact()
+                case Kind.STORE_DOWN:
+                    self._made.put_store_faults(refuse=True)
+                case Kind.STORE_SLOW:
+                    self._made.put_store_faults(answer_delay_s=SLOW_S)
+                case _:
+                    self._made.put_store_faults(drop_answer=True)
+            await asyncio.sleep(fault.for_s)
+            self._made.put_store_faults()
+
+    def _change(self, kind: plan.Kind) -> None:
+        made = self._made
+        if kind is Kind.KEY and made.seen.revoked_at is None:
+            made.seen.revoked_at = time.monotonic()
+        made.put_table()
+
+    async def _hit_server(self, fault: plan.Fault) -> None:
+        instance = self._made.present[fault.target]
+        if instance in self._busy:
+            return
+        self._busy.add(instance)
+        try:
+            if fault.kind is Kind.SERVER_LEAVES:
+                await self._leave(fault.target, instance)
+            else:
+                await self._break(fault, instance)
+        finally:
+            self._busy.discard(instance)
+
+    async def _leave(self, number: int, instance: str) -> None:
+        made = self._made
+        made.present[number] = await made.add_server(number)
+        made.site.list_runner(made.service(number), instance, 'draining')
+        made.seen.left_at[instance] = time.monotonic()
+        await asyncio.sleep(checks.IN_FORCE_S + LINGER_S)
+        made.site.store_party.drop(store.SERVERS, instance)
+        await asyncio.sleep(LINGER_S)
+        # Requests that still run there have had all of their time.
+        async with self._trouble(SERVERS):
+            made.put_faults(instance, refuse=True)
+
+    async def _break(self, fault: plan.Fault, instance: str) -> None:
+        made = self._made
+        way = made.server_ways[instance]
+        async with self._trouble(SERVERS):
+            match fault.kind:
+                case Kind.SERVER_CRASH:
+                    made.site.stand_ins[instance].crash()
+                    way.reset()
+                case Kind.SERVER_RESETS:
+                    made.put_faults(instance, reset_before_run=True, times=4)
+                case Kind.SERVER_LOSES:
+                    made.put_faults(instance, drop_answer=True, times=4)
+                case Kind.SERVER_FAILS:
+                    made.put_faults(instance, error_rate=SHARE)
+                case Kind.SERVER_SLOW:
+                    made.put_faults(instance, delay_s=SLOW_S)
+                case Kind.SERVER_CUT:
+                    way.link.is_cut_down = True
+                case Kind.SERVER_SILENT:
+                    way.silence()
+                case _:
+                    way.link.delay_s = DELAY_S
+            await asyncio.sleep(fault.for_s)
+            made.put_faults(instance)
+            way.link.is_cut_down = False
+            way.link.delay_s = 0
--- /dev/null
+++ b/beryllug/soak/seen.py
@@ -0,0 +1,85 @@
+"""What callers, servers and the soak itself saw, for the checks."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+
+class Sent(NamedTuple):
+    """A request of a caller, and what came of it.
+
+    Attributes:
+        attempt_id: Its id.
+        path: Its path, which names its route.
+        body: Its body.
+        key: Key that it carried.
+        router: Name of the router that took it.
+        began_at: Monotonic second at which it was sent.
+        ended_at: Second at which its answer was whole, or it failed.
+        status: Status of its answer; 0 without a whole one.
+        headers: Headers of its answer.
+        answer: Body of its answer.
+        failure: Why there is no whole answer, or empty.
+        is_unsent: Whether no byte of it can have gone out.
+    """
+
+    attempt_id: str
+    path: str
+    body: bytes
+    key: str
+    router: str
+    began_at: float
+    ended_at: float
+    status: int = 0
+    headers: Mapping[str, str] = {}
+    answer: bytes = b''
+    failure: str = ''
+    is_unsent: bool = False
+
+
+class Span(NamedTuple):
+    """A time in which something was wrong; `what` names whom it hit."""
+
+    what: str
+    began_at: float
+    ended_at: float
+
+
+class Ran(NamedTuple):
+    """A request that began to run at a server."""
+
+    attempt_id: str
+    instance: str
+    at: float
+    account: str
+    headers: Mapping[str, str]
+
+
+@dataclass(slots=True)
+class Seen:
+    """All that a run saw.
+
+    Attributes:
+        sent: Requests of callers.
+        spans: Troubles with their times.
+        revoked_at: When the second key was taken away, or None.
+        left_at: When servers were listed as leaving, by instance.
+        runs: Runs at the servers, by attempt id.
+    """
+
+    sent: list[Sent] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+    revoked_at: float | None = None
+    left_at: dict[str, float] = field(default_factory=dict)
+    runs: dict[str, list[Ran]] = field(default_factory=dict)
+
+    def is_troubled(
+        self, whats: frozenset[str], began_at: float, ended_at: float
+    ) -> bool:
+        """Tell whether one of some parties was in trouble within a time."""
+        return any(
+            span.what in whats
+            and span.began_at <= ended_at
+            and began_at <= span.ended_at
+            for span in self.spans
+        )
--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import time
 import zlib
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -52,13 +53,23 @@
 
 
 class Run(NamedTuple):
-    """A request that began to run, as the server saw it."""
+    """A request that began to run, as the server saw it.
+
+    Attributes:
+        attempt_id: Id of the caller's try.
+        account: Client account that it came for.
+        model: Model that it named.
+        last_event: Event that it goes on from, or empty.
+        headers: All headers.
+        at: Monotonic second at which it began.
+    """
 
     attempt_id: str
     account: str
     model: str
     last_event: str
     headers: Mapping[str, str]
+    at: float
 
 
 class PlatformRunner:
@@ -121,6 +132,7 @@
                 asked.model,
                 asked.last_event,
                 req.headers,
+                time.monotonic(),
             )
         )
         if self._switches.chance(self.cfg.error_rate):
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -53,6 +53,21 @@
     services: registry.Registry
 
 
+def caller_headers(path: str, attempt_id: str) -> dict[str, str]:
+    """Return the headers of a usual request."""
+    sent = {
+        'host': HOST,
+        names.ATTEMPT: attempt_id,
+        names.DEADLINE: '5000',
+        names.AUTHORIZATION: f'Bearer {KEY}',
+    }
+    if path.startswith(('/draft', '/report')):
+        sent[names.MODEL] = '*' if path.startswith('/draft') else 'solo'
+        sent[names.TOKENS] = '400,100'
+        sent[names.PROMPT] = 'a1:300,b2:100'
+    return sent
+
+
 def table(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return a stored route table with a route of each kind."""
     routes = [
@@ -84,6 +99,8 @@
         self.stand_ins: dict[str, party.StandIn] = {}
         self.routers: list[Router] = []
         self.lines: list[dict[str, Any]] = []
+        self.shown_addresses: dict[str, str] = {}
+        self._inis: dict[str, str] = {}
         self._client = http_client.HttpClient()
         self._numbers = itertools.count(1)
         self._hosts = (fleet_settings.own_host(), fleet_settings.own_host())
@@ -126,9 +143,10 @@
     ) -> None:
         """Write a backend server's entry, as the server does."""
         cfg = self.runners[instance].cfg
+        address = self.stand_ins[instance].address
         spec = {
             'service': service,
-            'address': self.stand_ins[instance].address,
+            'address': self.shown_addresses.get(instance, address),
             'zone': 'a',
             'version': cfg.version,
             'slots': cfg.slots,
@@ -154,29 +172,34 @@
         whole = self._settings(**settings)
         cfg = whole.router
         assert cfg is not None
-        await running.spawn(whole.process.name, _ini(whole))
+        self._inis[whole.process.name] = _ini(whole)
+        await running.spawn(whole.process.name, self._inis[whole.process.name])
         router = Router(whole.process.name, cfg, registry.Registry())
         self.routers.append(router)
         await self.until_ready(router)
         return router
 
+    async def respawn(
+        self, running: processes.Processes, router: Router
+    ) -> None:
+        """Start a process that has ended again, at its addresses."""
+        await running.spawn(router.name, self._inis[router.name])
+
     async def until_ready(self, router: Router) -> None:
         """Wait until a router says that it is ready."""
-
-        async def is_ready() -> bool:  # noqa: WPS430
-            asked = http_data.Outgoing('GET', names.READY_PATH, {})
-            try:
-                incoming, _ = await self._client.call(
-                    router.cfg.ready, asked, 1
-                )
-            except (http_data.NotSentError, http_data.BrokenError):
-                return False
-            return incoming.status == HTTPStatus.OK
-
         async with asyncio.timeout(TIMEOUT_S):
-            while not await is_ready():
+            while not await self.is_ready(router):
                 await asyncio.sleep(POLL_S)
 
+    async def is_ready(self, router: Router) -> bool:
+        """Ask a router whether it is ready, as the balancer does."""
+        asked = http_data.Outgoing('GET', names.READY_PATH, {})
+        try:
+            incoming, _ = await self._client.call(router.cfg.ready, asked, 1)
+        except (http_data.NotSentError, http_data.BrokenError):
+            return False
+        return incoming.status == HTTPStatus.OK
+
     async def ask(
         self,
         router: Router,
@@ -194,16 +217,7 @@
             body: The body.
             headers: Headers that differ from the usual, with underscores.
         """
-        sent = {
-            'host': HOST,
-            names.ATTEMPT: f'try-{next(self._numbers):06}',
-            names.DEADLINE: '5000',
-            names.AUTHORIZATION: f'Bearer {KEY}',
-        }
-        if path.startswith(('/draft', '/report')):
-            sent[names.MODEL] = '*' if path.startswith('/draft') else 'solo'
-            sent[names.TOKENS] = '400,100'
-            sent[names.PROMPT] = 'a1:300,b2:100'
+        sent = caller_headers(path, f'try-{next(self._numbers):06}')
         changed = {
             name.replace('_', '-'): text for name, text in headers.items()
         }
@@ -224,15 +238,15 @@
         # test's connection or datagram took a port between the look for a
         # free one and its use.
         ports = itertools.chain(*map(fleet_settings.free_ports, self._hosts))
-        cfg = settings_data.Router(
-            listen=next(ports),
-            ready=next(ports),
-            peer_listen=next(ports),
-            notes_listen=next(ports),
-            store=self.store_stand_in.address,
-            seeds=tuple(each.cfg.peer_listen for each in self.routers),
-            **settings,
-        )
+        given: dict[str, Any] = {
+            'listen': next(ports),
+            'ready': next(ports),
+            'peer_listen': next(ports),
+            'notes_listen': next(ports),
+            'store': self.store_stand_in.address,
+            'seeds': tuple(each.cfg.peer_listen for each in self.routers),
+        }
+        cfg = settings_data.Router(**(given | settings))
         name = f'router-{next(self._numbers)}'
         process = settings_data.Process(
             name, settings_data.Role.ROUTER, name, 'a'
