Refuse requests that crash each server that runs them, on the platform's door

Cause: such a request was sent on as often as its route permits, by each process (OPEN). A loss counts where the connection broke and the server's entry went within 6 s without its having said that it leaves, the store being there; at three servers without a good answer between, the like of the request (method, path, account, body) is refused as not run for 60 s. Losses are told to all processes and add up in any order. core/suspects stays with the product's own door: its trials need a record of each request and a control process. Checked by: crashers_test; site_test.CrashTest, red with the check taken out.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from beryllug.core.canary import canary_data, sessions
-from beryllug.core.placement import backlog
+from beryllug.core.placement import backlog, crashers
 
 
 class Peer(NamedTuple):
@@ -87,6 +87,7 @@
         entries: Changes of the list of backend servers up to its revision,
             as JSON, or empty.
         rollouts: How far roll-outs have come that just changed.
+        losses: Servers that were lost under requests, since its last note.
     """
 
     name: str
@@ -100,6 +101,7 @@
     since: int = 0
     entries: bytes = b''
     rollouts: tuple[RolloutNews, ...] = ()
+    losses: tuple[crashers.Loss, ...] = ()
 
 
 class Digest(NamedTuple):
--- /dev/null
+++ b/beryllug/core/placement/crashers_test.py
@@ -0,0 +1,81 @@
+"""Tests of requests that crash servers, and of those that don't."""
+
+import unittest
+
+from beryllug.core.placement import crashers
+
+BAD = 'bad'
+GOOD = 'good'
+SERVERS = ('i-1', 'i-2', 'i-3', 'i-4')
+
+
+class CrashersTest(unittest.TestCase):
+    """What is held against a request."""
+
+    def setUp(self) -> None:
+        """Begin with nothing known."""
+        self.state = crashers.Crashers()
+
+    def crash(self, fingerprint: str, instance: str, now: float) -> None:
+        """A request's connection breaks, and its server is gone soon."""
+        crashers.broke(self.state, crashers.Loss(fingerprint, instance), now)
+        crashers.lost(self.state, instance, now + 4)
+
+    def test_third_server(self) -> None:
+        """A caller sends a request again that has crashed three servers.
+
+        Each server was dropped from the list four seconds after its
+        connections broke. The request is refused after the third; until
+        then it may be innocent.
+        """
+        for number, instance in enumerate(SERVERS[:3]):
+            self.assertEqual(crashers.refused_s(self.state, BAD, number), 0)
+            self.crash(BAD, instance, number)
+        self.assertGreater(crashers.refused_s(self.state, BAD, 8), 50)
+        self.assertEqual(crashers.refused_s(self.state, GOOD, 8), 0)
+        after_s = 8 + crashers.REFUSED_S
+        self.assertEqual(crashers.refused_s(self.state, BAD, after_s), 0)
+
+    def test_resets(self) -> None:
+        """Servers that reset a part of their connections are not lost."""
+        for number in range(20):
+            loss = crashers.Loss(GOOD, SERVERS[number % 4])
+            crashers.broke(self.state, loss, number)
+        self.assertEqual(crashers.refused_s(self.state, GOOD, 20), 0)
+
+    def test_gone_later(self) -> None:
+        """A server that leaves long after a reset was not crashed by it."""
+        for instance in SERVERS:
+            crashers.broke(self.state, crashers.Loss(GOOD, instance), 0)
+            crashers.lost(self.state, instance, 30)
+        self.assertEqual(crashers.refused_s(self.state, GOOD, 30), 0)
+
+    def test_innocent(self) -> None:
+        """A request that was answered since has not crashed its servers."""
+        for instance in SERVERS[:2]:
+            self.crash(GOOD, instance, 0)
+        crashers.answered(self.state, GOOD)
+        self.crash(GOOD, SERVERS[2], 5)
+        self.assertEqual(crashers.refused_s(self.state, GOOD, 9), 0)
+
+    def test_told(self) -> None:
+        """Losses at three processes add up, told once or repeatedly."""
+        others = [crashers.Crashers() for _ in range(3)]
+        for other, instance in zip(others, SERVERS):
+            crashers.broke(other, crashers.Loss(BAD, instance), 0)
+            crashers.lost(other, instance, 1)
+            told = crashers.tell(other)
+            crashers.take(self.state, told, 1)
+            crashers.take(self.state, told, 2)
+            self.assertEqual(crashers.tell(other), ())
+        self.assertGreater(crashers.refused_s(self.state, BAD, 2), 0)
+
+    def test_bounded(self) -> None:
+        """What is known stays bounded, the oldest goes first."""
+        for number in range(2 * crashers.MOST_KNOWN):
+            self.crash(f'request-{number}', f'i-{number}', 0)
+        self.assertLessEqual(len(self.state.losses), crashers.MOST_KNOWN)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/core/placement/listing.py
+++ b/beryllug/core/placement/listing.py
@@ -55,17 +55,22 @@
     book.servers[server.instance] = server
 
 
-def drop(book: Book, instance: str, now: float) -> None:
+def drop(book: Book, instance: str, now: float) -> bool:
     """Take that an entry is gone.
 
     A server that had said it leaves is gone. Another one may have been
     dropped because the store was away.
+
+    Returns:
+        Whether the server was lost: it had not said that it leaves, and the
+        store was there all the while.
     """
     server = book.servers.pop(instance, None)
     if server is None or server.state is servers_data.State.LEAVING:
-        return
-    until = max(now + book.doubt_s, book.returned_at + RETURN_S)
-    book.doubted[instance] = (server, until)
+        return False
+    returns_until = book.returned_at + RETURN_S
+    book.doubted[instance] = (server, max(now + book.doubt_s, returns_until))
+    return not book.was_away and now >= returns_until
 
 
 def replace(
--- a/beryllug/proofs/platform/site_test.py
+++ b/beryllug/proofs/platform/site_test.py
@@ -239,6 +239,59 @@
                 await asyncio.sleep(platform_site.POLL_S)
 
 
+class CrashTest(SiteCase):
+    """A request that crashes each server that runs it."""
+
+    routers = 2
+
+    async def test_refused(self) -> None:
+        """A hold crashes its server; its caller sends it again and again.
+
+        Each server's connections break, its entry is dropped, and another
+        one starts. Each of the first three sendings costs a server and gets
+        502. Then both routers refuse that hold as "not run"; others run.
+        """
+        for number in range(3):
+            instance = f'crashed-{number}'
+            await self._one_server(instance)
+            made = self.site.stand_ins[instance]
+            made.put_faults(drop_answer=True)
+            reply = await self._hold(self.site.routers[number % 2], b'bad')
+            self.assertEqual(reply.status, 502)
+            self.site.store_party.drop(store.SERVERS, instance)
+            await self._until_dropped(instance)
+            made.put_faults(refuse=True)
+        await self._one_server('sound')
+        await asyncio.sleep(1)
+        for router in self.site.routers:
+            self.assertEqual((await self._hold(router, b'bad')).status, 503)
+            self.assertEqual((await self._hold(router, b'good')).status, 200)
+        self.assertEqual(len(self.runs('sound')), 2)
+
+    async def _hold(
+        self, router: platform_site.Router, body: bytes
+    ) -> platform_site.Reply:
+        return await self.site.ask(router, HOLD, method='POST', body=body)
+
+    async def _one_server(self, instance: str) -> None:
+        """Leave one server to the service, in both routers' lists."""
+        for each in ('d1', 'd2'):
+            self.site.list_runner(platform_site.DESK, each, 'draining')
+        await self.site.add_runner(platform_site.DESK, instance)
+        async with asyncio.timeout(platform_site.TIMEOUT_S):
+            while len(self._named('server_listed', instance)) < self.routers:
+                await asyncio.sleep(platform_site.POLL_S)
+
+    async def _until_dropped(self, instance: str) -> None:
+        async with asyncio.timeout(platform_site.TIMEOUT_S):
+            while len(self._named('server_dropped', instance)) < self.routers:
+                await asyncio.sleep(platform_site.POLL_S)
+
+    def _named(self, event: str, instance: str) -> list[Any]:
+        logged = self.site.logged(event)
+        return [line for line in logged if line['instance'] == instance]
+
+
 class StreamTest(SiteCase):
     """Streams that break off, hang, or lose their caller."""
 
--- /dev/null
+++ b/beryllug/router/crash_watch.py
@@ -0,0 +1,90 @@
+"""Service 'crash_watch': refuses requests that crash their servers."""
+
+import hashlib
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from beryllug.core.placement import crashers, servers_data
+from beryllug.kernel import log_lines
+from beryllug.router import call as call_data
+
+DIGEST_BYTES = 8
+
+
+class CrashWatch:
+    """Holds lost servers against the requests that ran there.
+
+    Attributes:
+        state: What is known, of this process and of its peers.
+    """
+
+    def __init__(self, lines: log_lines.LineWriter) -> None:
+        """Begin with nothing known."""
+        self.state = crashers.Crashers()
+        self._lines = lines
+
+    async def start(self) -> None:
+        """Do nothing: it is driven by requests and by lost servers."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the servers that were lost, by request."""
+        return {
+            fingerprint: sorted(known)
+            for fingerprint, known in self.state.losses.items()
+        }
+
+    def check(self, call: call_data.Call) -> None:
+        """Let a request pass, unless servers were lost under its like.
+
+        Raises:
+            RefusedError: It is refused for now; it has not run.
+        """
+        if not self.state.losses:
+            return
+        now = time.monotonic()
+        left_s = crashers.refused_s(self.state, _fingerprint(call), now)
+        if left_s:
+            raise call_data.RefusedError(
+                call_data.UNAVAILABLE,
+                'backend servers were lost while this request ran',
+                left_s,
+            )
+
+    def broke(self, call: call_data.Call, server: servers_data.Server) -> None:
+        """Note that a request's connection to a server broke."""
+        loss = crashers.Loss(_fingerprint(call), server.instance)
+        crashers.broke(self.state, loss, time.monotonic())
+
+    def answered(self, call: call_data.Call) -> None:
+        """Take a good answer to a request."""
+        if self.state.losses:
+            crashers.answered(self.state, _fingerprint(call))
+
+    def lost(self, instance: str, now: float) -> None:
+        """Take that a server is gone which had not said that it leaves."""
+        for loss in crashers.lost(self.state, instance, now):
+            known = self.state.losses[loss.fingerprint]
+            self._lines.write(
+                'server_lost_under',
+                instance=instance,
+                fingerprint=loss.fingerprint,
+                servers=len(known),
+            )
+
+    def take(self, told: Iterable[crashers.Loss], now: float) -> None:
+        """Take losses that a peer has seen."""
+        crashers.take(self.state, told, now)
+
+
+def _fingerprint(call: call_data.Call) -> str:
+    """Return what a request that is sent again has in common with the first."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (call.req.method, call.req.target, call.account_name):
+        digest.update(part.encode())
+        digest.update(b'\n')
+    digest.update(call.req.body)
+    return digest.hexdigest()
--- a/beryllug/router/flow_parts.py
+++ b/beryllug/router/flow_parts.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from beryllug.router import attempt_log, dispatch, pool, trials
+from beryllug.router import attempt_log, crash_watch, dispatch, pool, trials
 
 
 class FlowParts(NamedTuple):
@@ -13,9 +13,11 @@
         sender: Sends requests to them.
         trials: Draws versions and counts their answers.
         log: Takes what became of requests.
+        crashes: Takes connections that broke, and good answers.
     """
 
     pool: pool.Pool
     sender: dispatch.Dispatcher
     trials: trials.Trials
     log: attempt_log.AttemptLog
+    crashes: crash_watch.CrashWatch
--- a/beryllug/router/front.py
+++ b/beryllug/router/front.py
@@ -14,6 +14,7 @@
 from beryllug.platform import requests
 from beryllug.router import (
     attempt_log,
+    crash_watch,
     directory,
     plain_flow,
     stream_flow,
@@ -40,10 +41,11 @@
 
 
 class Flows(NamedTuple):
-    """What serves a request, by its kind."""
+    """What serves a request, by its kind, and what it must pass first."""
 
     plain: plain_flow.PlainFlow
     streams: stream_flow.StreamFlow
+    crashes: crash_watch.CrashWatch
 
 
 class Front:
@@ -120,6 +122,7 @@
             await _refuse(asked.attempt_id, exc, exchange)
             return
         try:
+            self._flows.crashes.check(call)
             await self._flow(call).serve(call, exchange)
         except call_data.RefusedError as exc:
             self._log.refused(call, exc.status, exc.reason)
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -44,6 +44,7 @@
         self._sender = parts.sender
         self._trials = parts.trials
         self._log = parts.log
+        self._crashes = parts.crashes
 
     async def serve(
         self, call: call_data.Call, exchange: http_server.Exchange
@@ -138,6 +139,7 @@
                 is_good = status < dispatch.SERVER_ERROR
                 if is_good:
                     self._pool.succeeded(choice)
+                    self._crashes.answered(call)
                 elif status != call_data.GATEWAY_TIMEOUT:
                     # At the time limit the request was long, not the server
                     # at fault.
@@ -152,6 +154,9 @@
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
                     self._pool.failed(choice, is_gone=True)
+            case dispatch.Unknown():
+                self._crashes.broke(call, choice.server)
+                self._pool.failed(choice)
             case _:
                 self._pool.failed(choice)
 
--- a/beryllug/router/server_list.py
+++ b/beryllug/router/server_list.py
@@ -9,6 +9,8 @@
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
 
+LostListener = Callable[[str, float], None]
+
 
 class Delta(NamedTuple):
     """Changes of the list between two revisions of the store.
@@ -32,6 +34,7 @@
         is_cut_off: Whether the store did not answer the last call.
         specs: The stored entries by instance, for peers.
         revision: Revision of the store that the list is of.
+        on_lost: Told of each server that is gone without having said so.
     """
 
     def __init__(self, doubt_s: float, lines: log_lines.LineWriter) -> None:
@@ -48,6 +51,7 @@
         self._book = listing.Book(doubt_s)
         self._lines = lines
         self._listeners: list[Callable[[Delta], None]] = []
+        self.on_lost: LostListener = _pass_over
 
     def on_changes(self, listener: Callable[[Delta], None]) -> None:
         """Tell of changes that the store has brought."""
@@ -139,8 +143,10 @@
 
     def _drop(self, instance: str, source: str, now: float) -> None:
         self.specs.pop(instance, None)
-        listing.drop(self._book, instance, now)
+        is_lost = listing.drop(self._book, instance, now)
         self._lines.write('server_dropped', instance=instance, source=source)
+        if is_lost:
+            self.on_lost(instance, now)
 
     def _put(self, instance: str, spec: Any, source: str) -> None:
         self.specs[instance] = spec
@@ -175,3 +181,7 @@
                 'server_refused', instance=instance, error=str(exc)
             )
         return None
+
+
+def _pass_over(instance: str, now: float) -> None:
+    """Tell nobody of a lost server."""
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -15,9 +15,10 @@
 from beryllug.core import settings_data
 from beryllug.core.canary import sessions
 from beryllug.core.peering import members, peering_data, standing
-from beryllug.core.placement import backlog, suspicion
+from beryllug.core.placement import backlog, crashers, suspicion
 from beryllug.drivers import datagrams, fleet_key
 from beryllug.router import (
+    crash_watch,
     directory,
     knowledge,
     peering,
@@ -50,6 +51,7 @@
 
     pool: pool.Pool
     trials: trials.Trials
+    crashes: crash_watch.CrashWatch
 
 
 class Sharing:
@@ -70,6 +72,7 @@
         self._shared = knowledge.Knowledge(known)
         self._pool = decided.pool
         self._trials = decided.trials
+        self._crashes = decided.crashes
         self._notes = datagrams.Datagrams(keys, peering_data.Note, self._take)
         self._rng = random.Random(peers.members.name)
         self._standing = standing.Standing()
@@ -182,15 +185,17 @@
         self._had_load = bool(parts)
 
     def _tell_news(self) -> None:
-        """Tell failures of servers, and sessions that a roll-out may draw."""
+        """Tell what servers did, and sessions that a roll-out may draw."""
         untold = suspicion.tell(self._pool.failures)
         running = sessions.tell(self._trials.pins.sessions, MOST_SESSIONS)
-        if untold or running:
+        losses = crashers.tell(self._crashes.state)
+        if untold or running or losses:
             note = peering_data.Note(
                 self._peers.members.name,
                 self._cfg.peer_listen,
                 failures={key: round(each, 2) for key, each in untold.items()},
                 running=tuple(running),
+                losses=losses,
             )
             self._tell_all(note)
 
@@ -201,6 +206,7 @@
         if note.failures is not None:
             suspicion.take(self._pool.failures, note.failures, now)
         self._trials.pins.take(note.running)
+        self._crashes.take(note.losses, now)
         self._trials.take_phases(note.rollouts, note.name, now)
         if note.is_watching:
             self._take_word(note, now)
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -36,6 +36,7 @@
         self._sender = parts.sender
         self._trials = parts.trials
         self._log = parts.log
+        self._crashes = parts.crashes
 
     async def serve(
         self, call: call_data.Call, exchange: http_server.Exchange
@@ -283,6 +284,7 @@
         match came:
             case stream_state.Done() | stream_state.Larger():
                 self._pool.succeeded(choice)
+                self._crashes.answered(call)
                 self._learn_length(call, stream)
                 took = stream_state.times_of(call, stream, choice)
                 self._trials.judged(call, choice, is_good=True, took=took)
@@ -294,6 +296,9 @@
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
                     self._pool.failed(choice, is_gone=True)
+            case dispatch.Unknown():
+                self._crashes.broke(call, choice.server)
+                self._pool.failed(choice)
             case _:
                 self._pool.failed(choice)
 
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -17,6 +17,7 @@
 from beryllug.platform import store
 from beryllug.router import (
     attempt_log,
+    crash_watch,
     directory,
     dispatch,
     flow_parts,
@@ -70,9 +71,11 @@
     orders.on_order(canaries.take_order)
     told = attempt_log.AttemptLog(lines, known)
     sender = dispatch.Dispatcher(http_client.HttpClient(CONNECT_S))
-    parts = flow_parts.FlowParts(servers, sender, canaries, told)
+    crashes = crash_watch.CrashWatch(lines)
+    listed.on_lost = crashes.lost
+    parts = flow_parts.FlowParts(servers, sender, canaries, told, crashes)
     flows = front.Flows(
-        plain_flow.PlainFlow(parts), stream_flow.StreamFlow(parts)
+        plain_flow.PlainFlow(parts), stream_flow.StreamFlow(parts), crashes
     )
     edge = front.Front(cfg, known, flows, told)
     keys = fleet_key.KeyRing(settings.fleet.keys)
@@ -82,7 +85,7 @@
     peers = peering.Peering(name, cfg, calls, shared, canaries, lines)
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
-    decided = sharing.Decided(servers, canaries)
+    decided = sharing.Decided(servers, canaries, crashes)
     spread = sharing.Sharing(cfg, peers, known, decided, keys)
     operators_api = ops.Operators(
         settings.operators,
@@ -91,17 +94,20 @@
         {},
         are_metrics_open=True,
     )
-    services.register('operators', operators_api)
-    services.register('requests', told)
-    services.register('directory', known)
-    services.register('calls', calls)
-    services.register(
-        'rpc', rpc_endpoint.RpcEndpoint(rpc_server, cfg.peer_listen)
-    )
-    services.register('peering', peers)
-    services.register('sharing', spread)
-    services.register('judge', judge.Judge(canaries, peers, spread, api, lines))
-    services.register('pool', servers)
-    services.register('trials', canaries)
-    services.register('front', edge)
+    in_order: dict[str, registry.Service] = {
+        'operators': operators_api,
+        'requests': told,
+        'directory': known,
+        'calls': calls,
+        'rpc': rpc_endpoint.RpcEndpoint(rpc_server, cfg.peer_listen),
+        'peering': peers,
+        'sharing': spread,
+        'judge': judge.Judge(canaries, peers, spread, api, lines),
+        'pool': servers,
+        'trials': canaries,
+        'crash_watch': crashes,
+        'front': edge,
+    }
+    for service_name, service in in_order.items():
+        services.register(service_name, service)
     return services
