--- a/beryllug/core/placement/backlog.py
+++ b/beryllug/core/placement/backlog.py
@@ -34,9 +34,6 @@
 # taken to have still to read although this one has not sent it there.
 HOME_PART = 0.4
 MOST_READ = 4000
-# Seconds of reading that a copy must save: it takes part of two runners'
-# links, and is priced.
-LEAST_SAVED_S = 0.3
 
 
 class Prompt(NamedTuple):
@@ -47,15 +44,12 @@
         shared: Name of the parts that other requests share.
         shared_tokens: Tokens in these.
         own_tokens: Tokens that are the request's own.
-        copy_token_s: Seconds in which what another runner keeps of a shared
-            token is copied; 0 where that is not possible.
     """
 
     model: str
     shared: str
     shared_tokens: int
     own_tokens: int
-    copy_token_s: float = 0.0
 
     @property
     def key(self) -> str:
@@ -95,12 +89,10 @@
     Attributes:
         wait_s: Seconds of reading that it has before it.
         read_s: Seconds of reading of the prompt itself.
-        is_copied: Whether its shared part is taken to be copied there.
     """
 
     wait_s: float
     read_s: float
-    is_copied: bool = False
 
     @property
     def first_s(self) -> float:
@@ -153,10 +145,10 @@
 ) -> int:
     """Count a prompt that is sent to a runner; returns its number."""
     tokens = _tokens(backlog, instance, prompt, now, is_home=is_home)
-    found = expected(backlog, instance, prompt, now, is_home=is_home)
+    work_s = tokens * pace(backlog, prompt.model)
     backlog.number += 1
     items = backlog.items.setdefault(instance, {})
-    items[backlog.number] = Item(prompt, tokens, found.read_s, now)
+    items[backlog.number] = Item(prompt, tokens, work_s, now)
     return backlog.number
 
 
@@ -207,12 +199,7 @@
     """Return when a runner is expected to answer a prompt."""
     tokens = _tokens(backlog, instance, prompt, now, is_home=is_home)
     read_s = tokens * pace(backlog, prompt.model)
-    waiting_s = wait_s(backlog, instance, now)
-    if prompt.copy_token_s and not is_home:
-        copied_s = _copied_s(backlog, prompt)
-        if read_s - copied_s > LEAST_SAVED_S:
-            return Expected(waiting_s, copied_s, is_copied=True)
-    return Expected(waiting_s, read_s)
+    return Expected(wait_s(backlog, instance, now), read_s)
 
 
 def wait_s(backlog: Backlog, instance: str, now: float) -> float:
@@ -307,24 +294,14 @@
         part = 0
     elif is_home:
         part = HOME_PART
-    return _weighed(prompt, prompt.own_tokens + part * prompt.shared_tokens)
-
-
-def _copied_s(backlog: Backlog, prompt: Prompt) -> float:
-    """Return the seconds to read a prompt whose shared part is copied."""
-    read = _weighed(prompt, prompt.own_tokens) * pace(backlog, prompt.model)
-    return read + prompt.shared_tokens * prompt.copy_token_s
-
-
-def _weighed(prompt: Prompt, unread: float) -> float:
-    """Return the tokens that the last ones of a prompt count for."""
-    before = prompt.own_tokens + prompt.shared_tokens - unread / 2
+    unread = prompt.own_tokens + part * prompt.shared_tokens
+    whole = prompt.own_tokens + prompt.shared_tokens
+    before = whole - unread / 2
     return unread * (1 + before / DOUBLE_AT_TOKENS)
 
 
 def _learn(backlog: Backlog, item: Item, now: float) -> None:
-    is_whole = item.work_s >= item.tokens * pace(backlog, item.prompt.model)
-    if item.tokens < LEAST_TOKENS or not is_whole:
+    if item.tokens < LEAST_TOKENS:
         return
     seen = (now - item.sent_at) / item.tokens
     known = backlog.paces.get(item.prompt.model, seen)
--- a/beryllug/core/placement/choose.py
+++ b/beryllug/core/placement/choose.py
@@ -107,23 +107,6 @@
     )
 
 
-def source(
-    servers: Sequence[servers_data.Server],
-    chosen: servers_data.Server,
-    key: str,
-) -> str:
-    """Return the address of the runner to copy a shared prompt from.
-
-    It runs the same version: what another one's weights have read is of no
-    use. Empty where the chosen one is preferred among these.
-    """
-    alike = [each for each in servers if each.version == chosen.version]
-    kept_by = home(alike, key)
-    if kept_by == chosen.instance:
-        return ''
-    return next(each.address for each in alike if each.instance == kept_by)
-
-
 def _for_prompt(
     known: Known,
     usable: Sequence[servers_data.Server],
--- a/beryllug/core/routes/match.py
+++ b/beryllug/core/routes/match.py
@@ -44,11 +44,3 @@
     if account is not None and account.priority is not None:
         return account.priority
     return route.priority
-
-
-def copy_token_s(table: routes_data.RouteTable, service: str) -> float:
-    """Return the seconds in which a service's runners copy a token."""
-    found = table.services.get(service)
-    if found is None or found.engine is None:
-        return 0
-    return found.engine.copy_token_s
--- a/beryllug/core/routes/routes_data.py
+++ b/beryllug/core/routes/routes_data.py
@@ -72,14 +72,11 @@
     Attributes:
         slots: Requests that run at once.
         kv_tokens: Tokens of memory shared by all of them.
-        copy_token_s: Seconds in which what one runner keeps of a token is
-            copied to another; 0 where that is not possible.
         costs: Cost of 1,000 generated tokens, by model.
     """
 
     slots: int
     kv_tokens: int
-    copy_token_s: float
     costs: Mapping[str, float]
 
 
--- a/beryllug/platform/documents.py
+++ b/beryllug/platform/documents.py
@@ -13,8 +13,6 @@
 from beryllug.core.routes import routes_data
 
 MS = 1000
-BITS = 8
-MEGA = 1_000_000
 DRAINING = 'draining'
 WHOLE = 1.0
 _STATES = MappingProxyType(
@@ -64,9 +62,6 @@
 class _Engine(msgspec.Struct):
     slots: int = 1
     kv_capacity_tokens: int = 0
-    kv_token_bytes: float = 0
-    # Between two runners, for copies of what they keep.
-    link_mbps: float = 0
     models: tuple[_Model, ...] = ()
 
 
@@ -226,13 +221,6 @@
         engine = routes_data.Engine(
             slots=found.engine.slots,
             kv_tokens=found.engine.kv_capacity_tokens,
-            copy_token_s=_copy_token_s(found.engine),
             costs={model.name: model.cost for model in found.engine.models},
         )
     return routes_data.Service(found.name, found.max_connections, engine)
-
-
-def _copy_token_s(found: _Engine) -> float:
-    if not found.link_mbps:
-        return 0
-    return found.kv_token_bytes * BITS / (found.link_mbps * MEGA)
--- a/beryllug/platform/names.py
+++ b/beryllug/platform/names.py
@@ -18,8 +18,6 @@
 INSTANCE = 'beryllug-instance-id'
 SESSION = 'session'
 LAST_EVENT = 'last-event-id'
-# Address of a runner whose cache of the prompt is to be copied first.
-FETCH = 'kv-fetch'
 AUTHORIZATION = 'authorization'
 RETRY_AFTER = 'retry-after'
 CONTENT_ENCODING = 'content-encoding'
@@ -58,7 +56,7 @@
         'beryllug-pin-ms',
         'beryllug-kv-backup',
         'kv-from',
-        FETCH,
+        'kv-fetch',
     )
 )
 NOT_RETURNED = frozenset(
--- a/beryllug/platform/requests.py
+++ b/beryllug/platform/requests.py
@@ -53,8 +53,6 @@
         model: Model to run, or empty to leave what the caller named.
         urgency: Rank from 0, the first, to 9; None to leave it unsaid.
         last_event: Id of the event to go on from, or empty for the caller's.
-        fetch_from: Address of a runner to copy the shared parts from, or
-            empty.
     """
 
     server: servers_data.Server
@@ -63,7 +61,6 @@
     model: str = ''
     urgency: int | None = None
     last_event: str = ''
-    fetch_from: str = ''
 
 
 class Head(NamedTuple):
@@ -129,8 +126,6 @@
         headers[names.URGENCY] = str(sending.urgency)
     if sending.last_event:
         headers[names.LAST_EVENT] = sending.last_event
-    if sending.fetch_from:
-        headers[names.FETCH] = sending.fetch_from
     return http_data.Outgoing(req.method, req.target, headers, req.body, fresh)
 
 
--- a/beryllug/router/call.py
+++ b/beryllug/router/call.py
@@ -26,8 +26,6 @@
         service: The service that it goes to.
         arrived_at: Monotonic second at which it was read.
         deadline: Monotonic second by which its caller must have an answer.
-        copy_token_s: Seconds in which what a model runner keeps of a token
-            is copied to another; 0 where that is not possible.
     """
 
     req: http_data.Request
@@ -37,7 +35,6 @@
     service: str
     arrived_at: float
     deadline: float
-    copy_token_s: float = 0.0
 
     @property
     def account_name(self) -> str:
--- a/beryllug/router/front.py
+++ b/beryllug/router/front.py
@@ -155,18 +155,16 @@
         patience_s = asked.patience_s
         if patience_s is None:
             patience_s = DEFAULT_PATIENCE_S
-        service = match.choose_service(
-            route, rendezvous.share(asked.attempt_id)
-        )
         return call_data.Call(
             req=req,
             asked=asked,
             route=route,
             account=account,
-            service=service,
+            service=match.choose_service(
+                route, rendezvous.share(asked.attempt_id)
+            ),
             arrived_at=now,
             deadline=now + min(patience_s, route.timeout_s),
-            copy_token_s=match.copy_token_s(table, service),
         )
 
     def _open_table(self, now: float) -> routes_data.RouteTable:
--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -25,15 +25,12 @@
         begun_at: Monotonic second at which the request was counted on it.
         number: Number of the prompt in the backlog, or 0.
         first_s: Seconds until it is expected to begin to answer.
-        fetch_from: Address of the runner to copy the prompt's shared part
-            from, or empty.
     """
 
     server: servers_data.Server
     begun_at: float
     number: int = 0
     first_s: float = 0.0
-    fetch_from: str = ''
 
 
 class Pool:
@@ -201,16 +198,13 @@
             return Choice(server, now)
         same = [each for each in servers if each.service == wish.service]
         is_home = choose.home(same, prompt.key) == instance
-        expected = backlog.expected(
+        first_s = backlog.first_s(
             self.reading, instance, prompt, now, is_home=is_home
         )
         number = backlog.begin(
             self.reading, instance, prompt, now, is_home=is_home
         )
-        fetch_from = ''
-        if expected.is_copied:
-            fetch_from = choose.source(same, server, prompt.key)
-        return Choice(server, now, number, expected.first_s, fetch_from)
+        return Choice(server, now, number, first_s)
 
     def _window(self, service: str) -> retry_window.Window:
         return self._windows.setdefault(service, retry_window.Window())
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -137,7 +137,6 @@
             expected_ms=stream_state.milliseconds(choice.first_s),
             sure=stream.confidence,
             resumed=stream.last_event if stream.started else '',
-            fetched=choice.fetch_from,
         )
         return came
 
@@ -156,7 +155,6 @@
             model=stream_state.model_of(call, stream.size),
             urgency=stream_state.urgency(call, stream),
             last_event=stream.last_event,
-            fetch_from=choice.fetch_from,
         )
         wait_s = stream_state.first_wait_s(call, stream, choice.first_s)
         came = await self._sender.send(call, sending, wait_s)
--- a/beryllug/router/stream_state.py
+++ b/beryllug/router/stream_state.py
@@ -134,7 +134,6 @@
         asked.shared,
         asked.shared_tokens,
         asked.own_tokens,
-        call.copy_token_s,
     )
 
 
