Draw roll-outs in the soak: a bad version is never completed nor over its share

A good and a bad version (half of its answers fail) are kinds of fault now; the checks hold the store's status and what ran on the version's servers.

--- a/beryllug/soak/checks.py
+++ b/beryllug/soak/checks.py
@@ -22,6 +22,14 @@
 # Seconds before a request in which a trouble may still have its effect.
 BEFORE_S = 3.0
 STORE = 'store'
+SERVERS = 'servers'
+STREAMS = ('/draft/', '/report/')
+COMPLETE = 'complete'
+ROLLED_BACK = 'rolled_back'
+# Bounds of the settings that a run leaves as they are, with those requests
+# that were on their way as the version was taken back.
+TRIAL_SHARE = 0.1
+TRIAL_SLACK = 24
 EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) (\d+)\n\n')
 
 
@@ -116,7 +124,7 @@
             continue
         if sent.attempt_id not in found.runs and 'timeout' not in sent.failure:
             continue
-        whats = frozenset((sent.router, 'servers'))
+        whats = frozenset((sent.router, SERVERS))
         since = sent.began_at - BEFORE_S
         if not found.is_troubled(whats, since, sent.ended_at):
             yield f'{sent.attempt_id} was cut by {sent.router}: {sent.failure}'
@@ -132,6 +140,38 @@
             yield f'{sent.attempt_id} hung at {sent.router}'
 
 
+def rolled_out(found: seen.Seen) -> Iterator[str]:
+    """A bad version is never completed, and gets no more than its share."""
+    ordered = found.ordered
+    if ordered is None or not ordered.is_bad:
+        return
+    if ordered.state == COMPLETE:
+        yield 'a bad version was completed'
+    tried = sum(
+        run.instance in ordered.instances
+        for runs in found.runs.values()
+        for run in runs
+    )
+    asked = sum(
+        sent.path.startswith(STREAMS)
+        and ordered.began_at <= sent.began_at <= ordered.ended_at
+        for sent in found.sent
+    )
+    most = TRIAL_SHARE * asked + TRIAL_SLACK
+    if tried > most:
+        yield f'a bad version got {tried} requests of {asked}'
+
+
+def rolled_out_good(found: seen.Seen) -> Iterator[str]:
+    """A good version is not taken back while nothing else is wrong."""
+    ordered = found.ordered
+    if ordered is None or ordered.is_bad or ordered.state != ROLLED_BACK:
+        return
+    whats = frozenset((SERVERS, STORE))
+    if not found.is_troubled(whats, ordered.began_at, ordered.ended_at):
+        yield 'a good version was taken back'
+
+
 CHECKS: tuple[Callable[[seen.Seen], Iterator[str]], ...] = (
     at_most_once,
     not_run_is_true,
@@ -142,6 +182,8 @@
     drained,
     not_cut,
     answered_in_time,
+    rolled_out,
+    rolled_out_good,
 )
 
 
--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator
 
 from beryllug.platform import store
-from beryllug.soak import checks, plan, site
+from beryllug.soak import checks, plan, seen, site
 from beryllug.standins import platform_site
 
 Kind = plan.Kind
@@ -18,7 +18,12 @@
 DELAY_S = 0.08
 SLOW_S = 0.3
 SHARE = 0.4
-SERVERS = 'servers'
+# A roll-out: seconds in which it is to be done, its version, and the share
+# of a bad one's answers that fail.
+ROLLOUT = 'rollout'
+ROLLOUT_S = 10
+VERSION = 'v2'
+BAD_SHARE = 0.5
 
 
 class Injector:
@@ -31,16 +36,16 @@
 
     async def inject(self, fault: plan.Fault) -> None:
         """Bring a fault about, and end it."""
-        if fault.kind in plan.OF_ROUTERS:
-            await self._hit_router(fault)
-        elif fault.kind in plan.OF_LINKS:
-            await self._hit_way(fault)
-        elif fault.kind in plan.OF_STORE:
-            await self._hit_store(fault)
-        elif fault.kind in {Kind.TABLE, Kind.KEY}:
-            self._change(fault.kind)
-        else:
-            await self._hit_server(fault)
+        for kinds, hit in (
+            (plan.OF_ROUTERS, self._hit_router),
+            (plan.OF_LINKS, self._hit_way),
+            (plan.OF_STORE, self._hit_store),
+            (plan.ROLLOUTS, self._roll_out),
+            (plan.CHANGES, self._change),
+            (plan.OF_SERVERS, self._hit_server),
+        ):
+            if fault.kind in kinds:
+                await hit(fault)
 
     @contextlib.asynccontextmanager
     async def _trouble(self, *whats: str) -> AsyncIterator[None]:
@@ -115,12 +120,42 @@
             await asyncio.sleep(fault.for_s)
             self._made.put_store_faults()
 
-    def _change(self, kind: plan.Kind) -> None:
+    async def _change(self, fault: plan.Fault) -> None:
         made = self._made
-        if kind is Kind.KEY and made.seen.revoked_at is None:
+        if fault.kind is Kind.KEY and made.seen.revoked_at is None:
             made.seen.revoked_at = time.monotonic()
         made.put_table()
 
+    async def _roll_out(self, fault: plan.Fault) -> None:
+        """Order a new version of the model runners; once in a run."""
+        if ROLLOUT in self._busy:
+            return
+        self._busy.add(ROLLOUT)
+        made = self._made
+        is_bad = fault.kind is Kind.BAD_VERSION
+        error_rate = BAD_SHARE if is_bad else 0
+        instances = [
+            await made.add_server(0, version=VERSION, error_rate=error_rate)
+            for _ in range(2)
+        ]
+        began_at = time.monotonic()
+        service = made.service(0)
+        order = {
+            'service': service,
+            'target': VERSION,
+            'duration_s': ROLLOUT_S,
+        }
+        made.site.store_party.put(store.ROLLOUTS, service, order)
+        await asyncio.sleep(ROLLOUT_S)
+        status = made.site.store_party.status(store.ROLLOUTS, service)
+        made.seen.ordered = seen.Ordered(
+            is_bad,
+            began_at,
+            time.monotonic(),
+            (status or {}).get('state', ''),
+            frozenset(instances),
+        )
+
     async def _hit_server(self, fault: plan.Fault) -> None:
         instance = self._made.present[fault.target]
         if instance in self._busy:
@@ -143,13 +178,13 @@
         made.site.store_party.drop(store.SERVERS, instance)
         await asyncio.sleep(LINGER_S)
         # Requests that still run there have had all of their time.
-        async with self._trouble(SERVERS):
+        async with self._trouble(checks.SERVERS):
             made.put_faults(instance, refuse=True)
 
     async def _break(self, fault: plan.Fault, instance: str) -> None:
         made = self._made
         way = made.server_ways[instance]
-        async with self._trouble(SERVERS):
+        async with self._trouble(checks.SERVERS):
             match fault.kind:
                 case Kind.SERVER_CRASH:
                     made.site.stand_ins[instance].crash()
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -37,6 +37,8 @@
     SERVER_FAR = 'server_far'
     TABLE = 'table'
     KEY = 'key'
+    GOOD_VERSION = 'good_version'
+    BAD_VERSION = 'bad_version'
 
 
 # Faults of routers, of the store for one router, and of servers.
@@ -50,7 +52,10 @@
         Kind.STORE_FORGETS,
     )
 )
-OF_ALL = OF_STORE | {Kind.TABLE, Kind.KEY}
+ROLLOUTS = frozenset((Kind.GOOD_VERSION, Kind.BAD_VERSION))
+CHANGES = frozenset((Kind.TABLE, Kind.KEY))
+OF_ALL = OF_STORE | ROLLOUTS | CHANGES
+OF_SERVERS = frozenset(Kind) - OF_ROUTERS - OF_LINKS - OF_ALL
 
 
 class Fault(NamedTuple):
--- a/beryllug/soak/seen.py
+++ b/beryllug/soak/seen.py
@@ -55,6 +55,24 @@
     headers: Mapping[str, str]
 
 
+class Ordered(NamedTuple):
+    """A roll-out that was ordered, and what became of it.
+
+    Attributes:
+        is_bad: Whether half of the new version's answers fail.
+        began_at: Second of the order.
+        ended_at: Second at which its time was over.
+        state: What the routers wrote of it; empty where nothing.
+        instances: The new version's servers.
+    """
+
+    is_bad: bool
+    began_at: float
+    ended_at: float
+    state: str
+    instances: frozenset[str]
+
+
 @dataclass(slots=True)
 class Seen:
     """All that a run saw.
@@ -65,6 +83,7 @@
         revoked_at: When the second key was taken away, or None.
         left_at: When servers were listed as leaving, by instance.
         runs: Runs at the servers, by attempt id.
+        ordered: The roll-out, if there was one.
     """
 
     sent: list[Sent] = field(default_factory=list)
@@ -72,6 +91,7 @@
     revoked_at: float | None = None
     left_at: dict[str, float] = field(default_factory=dict)
     runs: dict[str, list[Ran]] = field(default_factory=dict)
+    ordered: Ordered | None = None
 
     def is_troubled(
         self, whats: frozenset[str], began_at: float, ended_at: float
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -1,6 +1,7 @@
 """The deployment of a soak: routers as processes, proxies on their ways."""
 
 from collections.abc import Iterable
+from typing import Any
 
 from beryllug.soak import plan, proxy, seen
 from beryllug.standins import platform_site, processes
@@ -72,13 +73,13 @@
         is_model = number < self.sizes.models
         return platform_site.POOL if is_model else platform_site.DESK
 
-    async def add_server(self, number: int) -> str:
+    async def add_server(self, number: int, **options: Any) -> str:
         """Start a server behind a proxy, list it, and return its instance."""
         self._count += 1
         instance = f'server-{self._count}'
         service = self.service(number)
         await self.site.add_runner(
-            service, instance, events=EVENTS, event_s=EVENT_S
+            service, instance, events=EVENTS, event_s=EVENT_S, **options
         )
         way = proxy.Proxy(self.site.stand_ins[instance].address)
         self.site.shown_addresses[instance] = await way.start('127.0.0.1')
