Find processes gone by calls that fail, and tell all; silence counts by size

A process was gone after 6 s of silence, whatever the fleet; two calls a second, with six others told of in each, bring a word of each of 75 every ten seconds or so. The order of who follows the store moved with it: 1,684 calls of the store, eight processes that had followed it. It had been hidden by the ten calls a second of a judged roll-out. Ruled out: lost datagrams (membership goes by calls); other choices of whom to tell of (the freshest, half of each: longest silence of 60 s 27 to 42 s in a simulation of 75, 35 as it is). Change: a process that does not answer two calls is gone, which who finds it tells all, unless it reaches no one itself; one that stops tells all; older words do not bring it back, a later sign of life does, notes included. Silence counts after 0.6 s a process.

--- a/beryllug/core/peering/members.py
+++ b/beryllug/core/peering/members.py
@@ -1,6 +1,11 @@
-"""Which processes of the role there are, by signs of life.
+"""Which processes of the role there are.
+
+A process is gone when it says so, or when a call to it fails twice, which who
+finds it tells all others. Silence alone takes long to tell anything: a few
+calls a second bring a word of each process of a large fleet only now and
+then, so the time after which silence counts grows with the fleet. A later
+sign of life, of which others hear too, brings a process back.
 
-A process that was not heard of for a while is taken for gone and forgotten.
 Nothing depends on all processes having the same view: it decides whom to
 call, and by how many a bound of the fleet is divided.
 """
@@ -13,9 +18,14 @@
 from beryllug.core import rendezvous
 from beryllug.core.peering import peering_data
 
-# Seconds without a sign of life after which a process counts as gone. Each
-# one calls two peers a second, so a word of it comes round in three.
+# Seconds without a sign of life after which a process counts as gone; of a
+# fleet beyond ten, so many a process. Each calls two peers a second and tells
+# six others each time. With 6 s for all, 75 processes forgot one another
+# eight times a second each, and took turns in following the store.
 ALIVE_S = 6.0
+ALIVE_A_PEER_S = 0.6
+# Seconds for which older words of a process that is gone are passed over.
+GONE_S = 60.0
 # Processes that are told of in one message: with some in each, all are known
 # everywhere after a few rounds, whatever the size of the fleet.
 TOLD = 6
@@ -37,37 +47,81 @@
 
 @dataclass(slots=True)
 class Members:
-    """The processes that this one knows, by name, without itself."""
+    """The processes that this one knows, by name, without itself.
+
+    Attributes:
+        name: Name of this process.
+        known: Those that are there.
+        gone: Those that are gone, with the second of the last word of it.
+    """
 
     name: str
     known: dict[str, Known] = field(default_factory=dict)
+    gone: dict[str, float] = field(default_factory=dict)
 
 
 def heard(members: Members, name: str, seen: Known) -> bool:
     """Take a sign of life; returns whether the process was unknown."""
-    if name == members.name:
+    if name == members.name or seen.heard_at <= members.gone.get(name, -1):
         return False
+    members.gone.pop(name, None)
     before = members.known.get(name)
     if before is None or before.heard_at < seen.heard_at:
         members.known[name] = seen
     return before is None
 
 
-def left(members: Members, name: str) -> None:
-    """Forget a process that said it stops."""
-    members.known.pop(name, None)
+def heard_again(members: Members, name: str, now: float) -> None:
+    """Take a sign of life that does not tell where a process is called."""
+    known = members.known.get(name)
+    if known is not None:
+        members.known[name] = known._replace(heard_at=now)
+
+
+def found_gone(members: Members, name: str, at: float) -> bool:
+    """Forget a process that was gone at a second; returns whether it counts.
+
+    It does not where a later sign of life is known.
+    """
+    known = members.known.get(name)
+    if known is None or known.heard_at > at:
+        return False
+    members.known.pop(name)
+    members.gone[name] = at
+    return True
+
+
+def alive_s(members: Members) -> float:
+    """Return the seconds of silence after which a process counts as gone."""
+    return max(ALIVE_S, ALIVE_A_PEER_S * len(members.known))
 
 
 def forget(members: Members, now: float) -> list[str]:
     """Forget processes that were not heard of for long; returns their names."""
-    gone = [
+    longest_s = alive_s(members)
+    silent = [
         name
         for name, known in members.known.items()
-        if now - known.heard_at > ALIVE_S
+        if now - known.heard_at > longest_s
     ]
-    for name in gone:
-        members.known.pop(name)
-    return gone
+    for lost in silent:
+        found_gone(members, lost, now)
+    members.gone = {
+        name: at for name, at in members.gone.items() if now - at < GONE_S
+    }
+    return silent
+
+
+def name_of(members: Members, address: str) -> str | None:
+    """Return the name of the process that is called at an address."""
+    return next(
+        (
+            name
+            for name, known in members.known.items()
+            if known.address == address
+        ),
+        None,
+    )
 
 
 def told(
--- a/beryllug/core/peering/members_test.py
+++ b/beryllug/core/peering/members_test.py
@@ -10,6 +10,22 @@
     return members.Known(f'{name}:1', f'{name}:2', at)
 
 
+def _fleet(size: int) -> dict[str, members.Members]:
+    """Return processes that all know one another."""
+    fleet = {f'p{each}': members.Members(f'p{each}') for each in range(size)}
+    for known in fleet.values():
+        for name in fleet:
+            members.heard(known, name, _known(name, 0))
+    return fleet
+
+
+def _tell_gone(
+    fleet: dict[str, members.Members], name: str, now: float
+) -> None:
+    for each in fleet.values():
+        members.found_gone(each, name, now)
+
+
 class MembersTest(unittest.TestCase):
     """Signs of life, and their end."""
 
@@ -29,9 +45,36 @@
         self.assertEqual(members.forget(self.members, 15.9), [])
         self.assertEqual(members.forget(self.members, 16.1), ['two'])
         members.heard(self.members, 'two', _known('two', 20))
-        members.left(self.members, 'two')
+        self.assertTrue(members.found_gone(self.members, 'two', 20))
         self.assertEqual(self.members.known, {})
 
+    def test_older_words(self) -> None:
+        """Others who have not heard that it is gone do not bring it back.
+
+        A later sign of life does, and makes an older word of its end void.
+        """
+        members.found_gone(self.members, 'two', 12)
+        self.assertFalse(members.heard(self.members, 'two', _known('two', 11)))
+        self.assertTrue(members.heard(self.members, 'two', _known('two', 13)))
+        self.assertFalse(members.found_gone(self.members, 'two', 12.5))
+        members.heard_again(self.members, 'two', 18)
+        self.assertEqual(members.forget(self.members, 23), [])
+
+    def test_large_fleet(self) -> None:
+        """75 processes that live do not forget one another; a dead one is.
+
+        Each calls two others a second. One is killed half way: who calls it
+        finds it gone, and tells all.
+        """
+        rng = random.Random(5)
+        fleet = _fleet(75)
+        silent = [self._round(fleet, now, rng) for now in range(60)]
+        dead = fleet.pop('p7')
+        silent.extend(self._round(fleet, now, rng) for now in range(60, 90))
+        self.assertEqual(sum(silent), 0)
+        knowing = [each for each in fleet.values() if dead.name in each.known]
+        self.assertEqual(knowing, [])
+
     def test_ranked(self) -> None:
         """All processes agree on who judges, whatever their own name."""
         other = members.Members('two')
@@ -65,6 +108,18 @@
         least = min(len(each.known) for each in fleet.values())
         self.assertGreaterEqual(least, 55)
 
+    def _round(
+        self, fleet: dict[str, members.Members], now: float, rng: random.Random
+    ) -> int:
+        """Let each call two others; returns how many were forgotten unasked."""
+        for name, known in fleet.items():
+            for peer in rng.sample(sorted(known.known), 2):
+                if peer in fleet:
+                    self._compare(fleet, name, peer, now, rng)
+                else:
+                    _tell_gone(fleet, peer, now)
+        return sum(len(members.forget(each, now)) for each in fleet.values())
+
     def _compare(
         self,
         fleet: dict[str, members.Members],
--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -88,6 +88,7 @@
             as JSON, or empty.
         rollouts: How far roll-outs have come that just changed.
         losses: Servers that were lost under requests, since its last note.
+        gone: Processes that were found gone just now, or that stop.
     """
 
     name: str
@@ -102,6 +103,7 @@
     entries: bytes = b''
     rollouts: tuple[RolloutNews, ...] = ()
     losses: tuple[crashers.Loss, ...] = ()
+    gone: tuple[str, ...] = ()
 
 
 class Digest(NamedTuple):
--- a/beryllug/router/directory.py
+++ b/beryllug/router/directory.py
@@ -80,6 +80,13 @@
         for watch in self._watches:
             await watch.stop()
 
+    async def follow_or_not(self, *, must: bool) -> None:
+        """Follow the store where one must, else no more once all is known."""
+        if must:
+            self.follow()
+        elif self.is_ready():
+            await self.unfollow()
+
     def is_current(self) -> bool:
         """Tell whether the store answered the last calls of all kinds."""
         return all(watch.is_current for watch in self._watches)
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -13,7 +13,7 @@
 from beryllug.core.peering import members, peering_data
 from beryllug.drivers import methods, rpc, rpc_peers
 from beryllug.kernel import log_lines
-from beryllug.router import knowledge, rollout_state, trials
+from beryllug.router import knowledge, rollout_state, roster, trials
 
 # Seconds between two rounds of calls, and the peers that are called in one.
 # Two calls a second of about 500 bytes carry news through a fleet of 900 in
@@ -31,12 +31,19 @@
 # Parts of a period between which each round's is drawn, so that processes
 # that started together do not call together.
 JITTER = (0.8, 1.2)
+# Calls after which a process that does not answer is gone.
+TRIES = 2
 # Processes that judge one roll-out; the second stands in for the first.
 JUDGES = 2
 
 
 class Peering:
-    """Compares knowledge with a few peers at a time."""
+    """Compares knowledge with a few peers at a time.
+
+    Attributes:
+        roster: The processes that are known.
+        members: The same, for deciding functions.
+    """
 
     def __init__(
         self,
@@ -48,12 +55,12 @@
         lines: log_lines.LineWriter,
     ) -> None:
         """Bind to what is told and learnt."""
-        self.members = members.Members(name)
+        self.roster = roster.Roster(name, lines)
+        self.members = self.roster.members
         self._cfg = cfg
         self._calls = calls
         self._knowledge = known
         self._trials = canaries
-        self._lines = lines
         self._rng = random.Random(name)
         self._leaving = False
         self._task: asyncio.Task[None] | None = None
@@ -94,23 +101,29 @@
         """Compare with one peer, at some moment within a time."""
         if within_s:
             await asyncio.sleep(within_s * self._rng.random())
+        for _ in range(TRIES):
+            reply = await self._try_compare(address)
+            if reply is not None:
+                self.roster.reached()
+                self._take(reply)
+                return
+        self.roster.missed(address)
+
+    async def _try_compare(self, address: str) -> peering_data.Digest | None:
         try:
-            reply = await self._calls.call(
+            return await self._calls.call(
                 address, methods.COMPARE, self._digest(), CALL_S
             )
         except rpc.RpcError:
-            # A connection that fell silent is not used again. Whether the
-            # peer is gone shows by no one hearing of it.
+            # A connection that fell silent is not used again.
             await self._calls.drop(address)
-            return
-        self._take(reply)
+            return None
 
     async def _run(self) -> None:
         due_at = 0.0
         while True:
             now = time.monotonic()
-            for name in members.forget(self.members, now):
-                self._lines.write('peer_lost', peer=name)
+            self.roster.forget(now)
             called = set(self._judges(now))
             if now >= due_at:
                 called |= self._addresses()
@@ -167,18 +180,10 @@
     def _take(self, digest: peering_data.Digest) -> None:
         now = time.monotonic()
         if digest.is_leaving:
-            members.left(self.members, digest.name)
+            self.roster.left(digest.name, now)
         else:
             seen = members.Known(digest.address, digest.notes, now)
-            self._heard(digest.name, seen)
-        for peer in digest.peers:
-            if peer.heard_ago_s < members.ALIVE_S:
-                at = now - peer.heard_ago_s
-                seen = members.Known(peer.address, peer.notes, at)
-                self._heard(peer.name, seen)
+            self.roster.heard(digest.name, seen)
+        self.roster.heard_of(digest.peers, now)
         self._trials.take_news(digest, now)
         self._knowledge.take(digest, now)
-
-    def _heard(self, name: str, seen: members.Known) -> None:
-        if members.heard(self.members, name, seen):
-            self._lines.write('peer_found', peer=name, address=seen.address)
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -81,6 +81,7 @@
         self._caught_up_at = 0.0
         self._task: asyncio.Task[None] | None = None
         self._calls: set[asyncio.Task[None]] = set()
+        peers.roster.on_gone = lambda name: self._tell_all(_gone(name, cfg))
         known.servers.on_changes(self._tell_changes)
         known.on_table(lambda _: self._tell_word())
         known.orders.on_order(lambda *_: self._tell_word())
@@ -97,6 +98,7 @@
                 task.cancel()
         if self._task is not None:
             await asyncio.gather(self._task, return_exceptions=True)
+        self._tell_all(_gone(self._peers.members.name, self._cfg))
         self._notes.stop()
 
     def dump(self) -> dict[str, Any]:
@@ -128,21 +130,18 @@
             await asyncio.sleep(PERIOD_S)
             self._round += 1
             self._pool.processes = len(self._peers.members.known) + 1
-            await self._follow_or_not(time.monotonic())
+            await self._known.follow_or_not(must=self._must_watch())
             if self._round % ROUNDS_A_WORD == 0:
                 self._tell_word()
             self._tell_loads()
             self._tell_news()
 
-    async def _follow_or_not(self, now: float) -> None:
-        members_known = self._peers.members
+    def _must_watch(self) -> bool:
+        now = time.monotonic()
+        known = self._peers.members
         if self._known.is_current():
-            standing.heard(self._standing, members_known.name, now)
-        must = standing.must_watch(self._standing, members_known, now)
-        if must:
-            self._known.follow()
-        elif self._known.is_ready():
-            await self._known.unfollow()
+            standing.heard(self._standing, known.name, now)
+        return standing.must_watch(self._standing, known, now)
 
     def _tell_word(self) -> None:
         """Say that this process follows the store, if it does."""
@@ -201,6 +200,10 @@
 
     def _take(self, note: peering_data.Note) -> None:
         now = time.monotonic()
+        if not note.gone:
+            members.heard_again(self._peers.members, note.name, now)
+        for name in note.gone:
+            self._peers.roster.left(name, now)
         if note.parts is not None:
             backlog.take(self._pool.reading, note.name, note.parts, now)
         if note.failures is not None:
@@ -237,3 +240,8 @@
         task = asyncio.create_task(self._peers.compare(address, within_s))
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
+
+
+def _gone(name: str, cfg: settings_data.Router) -> peering_data.Note:
+    """Return the note that a process is gone, or stops itself."""
+    return peering_data.Note(name, cfg.peer_listen, gone=(name,))
