Check the list of servers against a model of the store in any series of trouble

Hypothesis draws series of up to 30 steps of eight kinds; the model knows which servers live. No sound server is lost in an outage or in the two seconds after it, no leaving one is used 2 s later while the store is calm, and in the end the list is the truth. Red without the doubt of lapsed entries (steps down, up) and without a new listing after dropped history.

--- /dev/null
+++ b/beryllug/proofs/platform/watch_model_test.py
@@ -0,0 +1,255 @@
+"""The list of servers against a model of the store, its outages and gaps.
+
+Any series of servers that start, leave and crash, of outages in which entries
+lapse, of history that is dropped and of answers that are lost, in virtual
+time. What must hold at each step is stated by the model, which knows the truth.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from hypothesis import given, settings, strategies
+
+from beryllug.control import virtual_time_test
+from beryllug.drivers import object_data
+from beryllug.kernel import log_lines
+from beryllug.platform import store
+from beryllug.router import server_list, store_watch
+
+DRAIN_S = 2.0
+DOUBT_S = 1.5
+# Seconds after its return in which the store has the lapsed entries again.
+BACK_S = 2.0
+CALL_S = 0.004
+# Seconds in which a change is known here while the store answers: the longest
+# pause between two tries, a call, and the pause that the model makes.
+KNOWN_S = 1.7
+POLL_S = 0.02
+STEP_S = 0.25
+
+
+class _Event(NamedTuple):
+    revision: int
+    name: str
+    state: str | None
+
+
+class _Store:
+    """The store as its page tells it, for one kind; it holds the truth."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, str] = {}
+        self.is_down = False
+        self.loses = 0
+        self._revision = 1
+        self._history: list[_Event] = []
+        self._oldest = 1
+
+    def put(self, name: str, state: str | None) -> None:
+        """Write an entry, or remove it."""
+        if state is None:
+            self.states.pop(name, None)
+        else:
+            self.states[name] = state
+        self._revision += 1
+        self._history.append(_Event(self._revision, name, state))
+
+    def compact(self) -> None:
+        """Drop the history; watches that wait are cut."""
+        self._history.clear()
+        self._oldest = self._revision
+
+    async def list_all(self, kind: str) -> store.Listing:
+        """List all entries."""
+        await self._reach()
+        found = tuple(
+            _stored(name, self._revision, state)
+            for name, state in self.states.items()
+        )
+        return store.Listing(found, self._revision)
+
+    async def watch(self, kind: str, after: int, wait_s: float) -> Any:
+        """Return the changes after a revision, waiting for the first."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while True:
+            await self._reach()
+            if after < self._oldest:
+                raise object_data.CompactedError('history is gone')
+            changes = tuple(
+                store.Change(
+                    _stored(event.name, event.revision, event.state),
+                    is_gone=event.state is None,
+                )
+                for event in self._history
+                if event.revision > after
+            )
+            if changes or loop.time() >= until:
+                return store.Changes(changes, self._revision)
+            await asyncio.sleep(POLL_S)
+
+    async def _reach(self) -> None:
+        await asyncio.sleep(CALL_S)
+        if self.is_down:
+            raise object_data.UnavailableError('down')
+        if self.loses:
+            self.loses -= 1
+            raise object_data.UncertainError('the answer was lost')
+
+
+class _World:
+    """Servers, the store, and a process that follows it."""
+
+    def __init__(self, seed: int) -> None:
+        self.store = _Store()
+        self.alive: set[str] = set()
+        self.leaves_at: dict[str, float] = {}
+        self.calm_since = 0.0
+        lines = log_lines.LineWriter(_NOWHERE)
+        self.listed = server_list.ServerList(DOUBT_S, lines)
+        api: Any = self.store
+        follower = store_watch.Follower(
+            self.listed.listed, self.listed.changed, self.listed.reached
+        )
+        self._watch = store_watch.StoreWatch(
+            api, store.SERVERS, follower, lines
+        )
+        self.ever_usable: set[str] = set()
+        self._rng = random.Random(seed)
+        self._number = 0
+
+    def start(self) -> None:
+        """Begin with three servers."""
+        for _ in range(3):
+            self.add()
+        self._watch.start()
+
+    async def stop(self) -> None:
+        """Stop to follow."""
+        await self._watch.stop()
+
+    def add(self) -> None:
+        """A server starts."""
+        self._number += 1
+        name = f's{self._number}'
+        self.alive.add(name)
+        self.store.put(name, 'ready')
+
+    def drain(self) -> None:
+        """A server says that it leaves, and its entry goes later."""
+        name = self._one()
+        if name and not self.store.is_down:
+            self.store.put(name, 'draining')
+            self.leaves_at[name] = self.now()
+            self.alive.discard(name)
+
+    def crash(self) -> None:
+        """A server is gone, and its entry with it."""
+        name = self._one()
+        if name and not self.store.is_down:
+            self.store.put(name, None)
+            self.alive.discard(name)
+
+    def forget(self) -> None:
+        """The store drops its history."""
+        self.store.compact()
+
+    def lose(self) -> None:
+        """The next answers of the store are lost."""
+        self.store.loses = 2
+        self.calm_since = self.now()
+
+    def down(self) -> None:
+        """The store goes away, and all entries lapse meanwhile."""
+        if not self.store.is_down:
+            self.store.is_down = True
+            for name in list(self.store.states):
+                self.store.put(name, None)
+
+    def up(self) -> None:
+        """The store is back; the servers that live write anew, within 2 s."""
+        if self.store.is_down:
+            self.store.is_down = False
+            self.calm_since = self.now()
+            loop = asyncio.get_running_loop()
+            for name in self.alive:
+                after_s = self._rng.uniform(0, BACK_S)
+                loop.call_later(after_s, self._write_again, name)
+
+    def now(self) -> float:
+        """Return the present second."""
+        return asyncio.get_running_loop().time()
+
+    def usable(self) -> set[str]:
+        """Return the servers that the process would send work to."""
+        listed, doubted = self.listed.usable(self.now())
+        return {server.instance for server in (*listed, *doubted)}
+
+    def is_calm(self, for_s: float) -> bool:
+        """Tell whether the store was well for a while."""
+        return not self.store.is_down and self.now() >= self.calm_since + for_s
+
+    def _one(self) -> str | None:
+        ready = sorted(self.alive)
+        return self._rng.choice(ready) if len(ready) > 1 else None
+
+    def _write_again(self, name: str) -> None:
+        if name in self.alive and not self.store.is_down:
+            self.store.put(name, 'ready')
+
+
+_NOWHERE = 1
+STEPS = ('add', 'drain', 'crash', 'forget', 'lose', 'down', 'up', 'wait')
+
+
+class WatchModelTest(virtual_time_test.VirtualTimeCase):
+    """The list of one process, step by step."""
+
+    @settings(max_examples=150, deadline=None)
+    @given(
+        strategies.lists(strategies.sampled_from(STEPS), max_size=30),
+        strategies.integers(0, 1000),
+    )
+    def test_series(self, steps: Sequence[str], seed: int) -> None:
+        """No sound server is lost in an outage, no leaving one gets work."""
+        asyncio.run(self._play(steps, seed))
+
+    async def _play(self, steps: Sequence[str], seed: int) -> None:
+        world = _World(seed)
+        world.start()
+        await asyncio.sleep(KNOWN_S)
+        for step in steps:
+            if step != 'wait':
+                getattr(world, step)()
+            await asyncio.sleep(STEP_S)
+            self._check(world)
+        world.up()
+        await asyncio.sleep(BACK_S + DOUBT_S + 2 * KNOWN_S)
+        self.assertEqual(world.usable(), world.alive)
+        await world.stop()
+
+    def _check(self, world: _World) -> None:
+        usable = world.usable()
+        left = [
+            name
+            for name, at in world.leaves_at.items()
+            if world.now() > at + DRAIN_S
+        ]
+        if world.is_calm(KNOWN_S):
+            self.assertEqual(usable & set(left), set())
+        if world.store.is_down or not world.is_calm(BACK_S):
+            # The newest may not have been seen before the outage.
+            known = world.alive & world.ever_usable
+            self.assertEqual(known - usable, set())
+        world.ever_usable |= usable
+
+
+def _stored(name: str, revision: int, state: str | None) -> store.Stored:
+    spec = {
+        'service': 'pool',
+        'address': f'10.0.0.1:{name[1:]}',
+        'state': state or 'ready',
+    }
+    return store.Stored(name, revision, spec, None, is_leaving=False)
