Seek processes that are gone, so that halves of a fleet find each other

Cause: a process called only those it knows, and the seeds when it knew fewer than two. Two sides of a cut link forget each other within seconds; with two or more on each side neither called the other again once the link was back. (Before the calls that fail counted, silence of 6 s had the same end.) Change: one of the seeds, or of those gone in the last ten minutes, is called every five seconds.

--- a/beryllug/core/peering/members.py
+++ b/beryllug/core/peering/members.py
@@ -24,8 +24,10 @@
 # eight times a second each, and took turns in following the store.
 ALIVE_S = 6.0
 ALIVE_A_PEER_S = 0.6
-# Seconds for which older words of a process that is gone are passed over.
-GONE_S = 60.0
+# Seconds for which a process that is gone is remembered: older words of it are
+# passed over, and it is called now and then, since two halves of a fleet that
+# lost one another would else each stay alone when the link is back.
+GONE_S = 600.0
 # Processes that are told of in one message: with some in each, all are known
 # everywhere after a few rounds, whatever the size of the fleet.
 TOLD = 6
@@ -45,6 +47,13 @@
     heard_at: float
 
 
+class Gone(NamedTuple):
+    """A process that is gone: since when, and where it was called."""
+
+    at: float
+    address: str
+
+
 @dataclass(slots=True)
 class Members:
     """The processes that this one knows, by name, without itself.
@@ -52,17 +61,19 @@
     Attributes:
         name: Name of this process.
         known: Those that are there.
-        gone: Those that are gone, with the second of the last word of it.
+        gone: Those that are gone.
     """
 
     name: str
     known: dict[str, Known] = field(default_factory=dict)
-    gone: dict[str, float] = field(default_factory=dict)
+    gone: dict[str, Gone] = field(default_factory=dict)
 
 
 def heard(members: Members, name: str, seen: Known) -> bool:
     """Take a sign of life; returns whether the process was unknown."""
-    if name == members.name or seen.heard_at <= members.gone.get(name, -1):
+    gone = members.gone.get(name)
+    is_older = gone is not None and seen.heard_at <= gone.at
+    if name == members.name or is_older:
         return False
     members.gone.pop(name, None)
     before = members.known.get(name)
@@ -87,7 +98,7 @@
     if known is None or known.heard_at > at:
         return False
     members.known.pop(name)
-    members.gone[name] = at
+    members.gone[name] = Gone(at, known.address)
     return True
 
 
@@ -107,7 +118,9 @@
     for lost in silent:
         found_gone(members, lost, now)
     members.gone = {
-        name: at for name, at in members.gone.items() if now - at < GONE_S
+        name: gone
+        for name, gone in members.gone.items()
+        if now - gone.at < GONE_S
     }
     return silent
 
--- a/beryllug/core/peering/members_test.py
+++ b/beryllug/core/peering/members_test.py
@@ -1,5 +1,6 @@
 """Tests of which processes there are."""
 
+import itertools
 import random
 import unittest
 
@@ -75,6 +76,30 @@
         knowing = [each for each in fleet.values() if dead.name in each.known]
         self.assertEqual(knowing, [])
 
+    def test_halves(self) -> None:
+        """Two zones lose one another, and find each other again.
+
+        Each forgets all of the other zone within seconds. One call to a
+        process that was gone, once the link is back, is enough to begin with.
+        """
+        rng = random.Random(5)
+        fleet = _fleet(12)
+        for now in range(5):
+            self._round(fleet, now, rng)
+        names = sorted(fleet)
+        for one, other in itertools.product(names[:6], names[6:]):
+            members.found_gone(fleet[one], other, 5)
+            members.found_gone(fleet[other], one, 5)
+        for now in range(6, 10):
+            self._round(fleet, now, rng)
+        gone = fleet['p0'].gone
+        self.assertEqual(len(gone), 6)
+        self._compare(fleet, 'p0', sorted(gone)[0], 10, rng)
+        for now in range(11, 31):
+            self._round(fleet, now, rng)
+        least = min(len(each.known) for each in fleet.values())
+        self.assertEqual(least, 11)
+
     def test_ranked(self) -> None:
         """All processes agree on who judges, whatever their own name."""
         other = members.Members('two')
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -31,6 +31,8 @@
 # Parts of a period between which each round's is drawn, so that processes
 # that started together do not call together.
 JITTER = (0.8, 1.2)
+# Seconds between two calls to a process that is gone, or to a seed.
+SEEK_S = 5.0
 # Calls after which a process that does not answer is gone.
 TRIES = 2
 # Processes that judge one roll-out; the second stands in for the first.
@@ -62,6 +64,7 @@
         self._knowledge = known
         self._trials = canaries
         self._rng = random.Random(name)
+        self._seek_at = 0.0
         self._leaving = False
         self._task: asyncio.Task[None] | None = None
         self._calling: set[asyncio.Task[None]] = set()
@@ -79,7 +82,7 @@
         if self._task is not None:
             self._task.cancel()
         self._leaving = True
-        for address in self._addresses():
+        for address in self._addresses(time.monotonic()):
             self._call_later(address)
         if self._calling:
             await asyncio.wait(self._calling, timeout=CALL_S)
@@ -126,7 +129,7 @@
             self.roster.forget(now)
             called = set(self._judges(now))
             if now >= due_at:
-                called |= self._addresses()
+                called |= self._addresses(now)
                 due_at = now + PERIOD_S * self._rng.uniform(*JITTER)
             for address in called:
                 self._call_later(address)
@@ -144,13 +147,18 @@
                 chosen.extend(order[:JUDGES])
         return members.addresses(self.members, chosen)
 
-    def _addresses(self) -> set[str]:
+    def _addresses(self, now: float) -> set[str]:
         """Return whom to compare with now: some others, or the seeds."""
         names = sorted(self.members.known)
         chosen = self._rng.sample(names, min(FAN_OUT, len(names)))
         called = set(members.addresses(self.members, chosen))
         if len(called) < FAN_OUT:
             called.update(self._cfg.seeds)
+        gone = [each.address for each in self.members.gone.values()]
+        sought = [*self._cfg.seeds, *gone]
+        if sought and now >= self._seek_at:
+            self._seek_at = now + SEEK_S
+            called.add(self._rng.choice(sought))
         called.discard(self._cfg.peer_listen)
         return called
 
