Let a proof's thaw pass over a process that was killed meanwhile

Both faults drew the same entry; the killed one had not been started again when the freeze was over, and the harness looked for its process: KeyError. Checked by: processes_test, which fails without the change.

--- a/beryllug/standins/processes.py
+++ b/beryllug/standins/processes.py
@@ -59,8 +59,13 @@
         self.signal(name, signal.SIGSTOP)
 
     def thaw(self, name: str) -> None:
-        """Let a frozen daemon go on."""
-        self.signal(name, signal.SIGCONT)
+        """Let a frozen daemon go on; one that was killed meanwhile is gone.
+
+        Two faults may hit one daemon: on a busy machine the one that kills
+        it had not started it anew when the other one's time was over.
+        """
+        if name in self._running:
+            self.signal(name, signal.SIGCONT)
 
     def rewrite(self, name: str, old: str, new: str) -> None:
         """Change a text in a daemon's settings file."""
