--- a/beryllug/core/canary/plan_test.py
+++ b/beryllug/core/canary/plan_test.py
@@ -107,6 +107,16 @@
             with self.subTest(title):
                 self.assertEqual(verdict.is_bad(tally), expected)
 
+    def test_one_route(self) -> None:
+        """A version fails half of the requests of one route in four.
+
+        Seven of its sixty answers are failures, on both of its servers, and
+        one in a hundred of the others'. Judged with those of all routes it
+        passes, all requests go to it, and it gets more than its share.
+        """
+        answers = {'n1': Answers(26, 4), 'n2': Answers(27, 3)}
+        self.assertTrue(verdict.is_bad(_tally(answers)))
+
     def test_phases(self) -> None:
         """Each case of the table."""
         for title, phase, tally, ages, expected in PHASES:
