--- a/beryllug/core/peering/members.py
+++ b/beryllug/core/peering/members.py
@@ -180,8 +180,8 @@
     """Return the names of those in a zone, and of the others, each in order."""
     parted = members.zones.get(zone)
     if parted is None:
-        near = []
-        far = []
+        near: list[str] = []
+        far: list[str] = []
         for name in sorted(members.known):
             is_near = members.known[name].zone == zone
             (near if is_near else far).append(name)
