Tell loads by two levels: reports to a zone, sums of zones, one total

Cause: at 195 processes one choice of a runner took 11.3 ms of processor time (process time, measured alone), since it asked for each of 78 runners what each of some 50 peers had told; a prompt needs two or three choices. And placement went by a sample: what 8 of 39 and 6 of 156 peers had told was multiplied up. Change: a process reports to two gatherers of its zone, found by hash; the first speaks: its zone's sum to the other zones' gatherers, the total of all to its own zone. Loads, counts of streams and points of suspicion go that way, as states. A choice asks one sum a runner.

--- /dev/null
+++ b/beryllug/core/peering/gathering.py
@@ -0,0 +1,230 @@
+"""Two levels of telling: a process, its availability zone, the other zones.
+
+What one process sees of the servers is too little to decide by, and told to
+each other one it is too much: messages would grow with the square of the
+fleet. So each process reports to the gatherers of its zone. One of them, the
+speaker, adds the reports up, tells the sum to the gatherers of the other
+zones, and the total of all zones to the processes of its own.
+
+The gatherers of a zone are the first two of a rank by hash over the living
+processes there, so each process finds them alone. Both get all reports. The
+second speaks where it has not heard the first for `SILENT_S`, as when that one
+was killed, froze or is cut off; nothing has to be handed over, since both know
+the same, and nothing that they know needs to last for more than a second.
+
+Everything told is a state and not a change: a message that is lost, late or
+comes twice is made good by the next. Two that both take themselves for the
+speaker tell the same twice. One to whom only some reports come, since others
+take another for the gatherer, tells a sum of less; the sum of more reports
+goes before it.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from beryllug.core.peering import members, peering_data
+from beryllug.core.placement import load_sums
+
+# Gatherers of a zone; the second stands in for the first.
+GATHERERS = 2
+# Seconds of silence of the first after which the second speaks: it speaks
+# twice a second at the least, and all must know of who follows the store again
+# within 1.2 s.
+SILENT_S = 0.6
+# Seconds for which a report, and the sum of a zone, count.
+KEPT_S = 1.5
+# Own reports that are remembered, to take them out of a total that holds one
+# of them: as many as are sent within `KEPT_S`, and some more.
+REMEMBERED = 10
+# Reports are numbered from 0 to this, and again: one byte of a message.
+MOST_NUMBER = 127
+# Hundredths of a second by which a sum must rise at some server to be told to
+# the other zones at once.
+RISE_CS = 30
+
+
+class _Heard(NamedTuple):
+    """What a process has reported, the number of it, and when it came."""
+
+    loads: load_sums.Loads
+    number: int
+    at: float
+
+
+class _Zone(NamedTuple):
+    """The sum of a zone, of how many reports it is, and when it came."""
+
+    loads: dict[int, load_sums.Load]
+    reports: int
+    at: float
+
+
+@dataclass(slots=True)
+class Gathering:
+    """What one process has of the news of its fleet.
+
+    Attributes:
+        name: Name of the process.
+        zone: Its availability zone.
+        others: What all others have.
+        reports: Reports of this zone, by process; kept by gatherers.
+        zones: Sums of the other zones; kept by gatherers.
+        spoken: When each other process last told this zone a total.
+        number: Number of the last own report.
+        own: The last own reports, by number.
+        told: The sum that the other zones were last told.
+    """
+
+    name: str
+    zone: str
+    others: load_sums.Others = field(default_factory=load_sums.Others)
+    reports: dict[str, _Heard] = field(default_factory=dict)
+    zones: dict[str, _Zone] = field(default_factory=dict)
+    spoken: dict[str, float] = field(default_factory=dict)
+    number: int = 0
+    own: dict[int, load_sums.Loads] = field(default_factory=dict)
+    told: load_sums.Loads = field(default_factory=dict)
+
+
+def gatherers(known: members.Members, zone: str, own_zone: str) -> list[str]:
+    """Return the gatherers of a zone, this process too where it is one.
+
+    Args:
+        known: The processes that are known.
+        zone: The zone.
+        own_zone: Zone of this process.
+    """
+    near, _ = members.by_zone(known, zone)
+    in_zone = frozenset(near)
+    chosen = []
+    for name in members.ranked(known, f'gatherer/{zone}'):
+        is_own = name == known.name and zone == own_zone
+        if is_own or name in in_zone:
+            chosen.append(name)
+        if len(chosen) == GATHERERS:
+            break
+    return chosen
+
+
+def is_speaker(state: Gathering, known: members.Members, now: float) -> bool:
+    """Tell whether this process tells the sums of its zone now."""
+    ranked = gatherers(known, state.zone, state.zone)
+    if state.name not in ranked:
+        return False
+    ahead = ranked[: ranked.index(state.name)]
+    return all(
+        now - state.spoken.get(name, float('-inf')) > SILENT_S for name in ahead
+    )
+
+
+def report(
+    state: Gathering, own: load_sums.Loads, most: int
+) -> list[peering_data.Report]:
+    """Return what this process reports next.
+
+    Args:
+        state: What it has of the news.
+        own: What it has at servers.
+        most: Servers that one message may tell of.
+    """
+    state.number = state.number % MOST_NUMBER + 1
+    state.own.pop(state.number, None)
+    state.own[state.number] = own
+    while len(state.own) > REMEMBERED:
+        state.own.pop(next(iter(state.own)))
+    return [
+        peering_data.Report(state.number, part)
+        for part in load_sums.sliced(own, most)
+    ]
+
+
+def take_report(
+    state: Gathering, name: str, told: peering_data.Report, now: float
+) -> None:
+    """Take the report of a process of this zone."""
+    known = state.reports.get(name)
+    before = known.loads if known else {}
+    merged = load_sums.merged(before, told.part)
+    state.reports[name] = _Heard(merged, told.number, now)
+
+
+def take_sum(state: Gathering, told: peering_data.ZoneSum, now: float) -> None:
+    """Take the sum of another zone.
+
+    Where two speak for a zone, the one to whom fewer reports come is passed
+    over while the other's word counts.
+    """
+    known = state.zones.get(told.zone)
+    if known is None or now - known.at > KEPT_S:
+        known = _Zone({}, 0, now)
+    elif known.reports > told.reports and now - known.at < SILENT_S:
+        return
+    merged = load_sums.merged(known.loads, told.part)
+    state.zones[told.zone] = _Zone(merged, told.reports, now)
+
+
+def zone_sum(state: Gathering, now: float) -> tuple[load_sums.Loads, int]:
+    """Return what the processes of this zone have, and of how many it is."""
+    state.reports = {
+        name: heard
+        for name, heard in state.reports.items()
+        if now - heard.at <= KEPT_S
+    }
+    heard = state.reports.values()
+    return load_sums.add(each.loads for each in heard), len(heard)
+
+
+def total(
+    state: Gathering, own_zone: load_sums.Loads, now: float
+) -> load_sums.Loads:
+    """Return what all zones have, this one's sum among them."""
+    state.zones = {
+        zone: each
+        for zone, each in state.zones.items()
+        if now - each.at <= KEPT_S
+    }
+    return load_sums.add(
+        (own_zone, *(each.loads for each in state.zones.values()))
+    )
+
+
+def holds(state: Gathering) -> dict[int, int]:
+    """Return the numbers of the reports that are added up now."""
+    return {
+        load_sums.key_of(name): heard.number
+        for name, heard in state.reports.items()
+    }
+
+
+def take_total(state: Gathering, told: peering_data.Total, now: float) -> None:
+    """Take a total, and leave this process's own part out of it.
+
+    It holds an earlier report than the last, by as much as the way there and
+    back takes. Without its number, a prompt that was just sent would count
+    twice at its runner, or hide as much of what others have there.
+    """
+    number = told.holds.get(load_sums.key_of(state.name))
+    own: Mapping[int, load_sums.Load] = {}
+    if number is not None:
+        own = state.own.get(number, {})
+    others = load_sums.without(told.part.loads, own)
+    part = told.part._replace(loads=others)
+    state.others.loads = load_sums.merged(state.others.loads, part)
+    state.others.at = now
+
+
+def has_risen(state: Gathering, own_zone: load_sums.Loads) -> bool:
+    """Tell whether the other zones must know of a new load at once."""
+    return any(
+        _rise(load, state.told.get(key, load_sums.NOTHING)) >= RISE_CS
+        for key, load in own_zone.items()
+    )
+
+
+def _rise(load: load_sums.Load, before: load_sums.Load) -> int:
+    return max(
+        load.work_cs - before.work_cs,
+        load.overdue_cs - before.overdue_cs,
+        load.points - before.points,
+    )
--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from beryllug.core.canary import canary_data, sessions
-from beryllug.core.placement import backlog, crashers
+from beryllug.core.placement import crashers, load_sums
 
 
 class Peer(NamedTuple):
@@ -68,15 +68,51 @@
     orders: int = 0
 
 
+class Report(NamedTuple):
+    """What one process has at servers.
+
+    Attributes:
+        number: Number of the report, by its process.
+        part: What it has, or a slice of it.
+    """
+
+    number: int
+    part: load_sums.Slice
+
+
+class ZoneSum(NamedTuple):
+    """What the processes of an availability zone have.
+
+    Attributes:
+        zone: The zone.
+        reports: Reports that were added up.
+        part: A slice of the sum.
+    """
+
+    zone: str
+    reports: int
+    part: load_sums.Slice
+
+
+class Total(NamedTuple):
+    """What all processes have, for those of one availability zone.
+
+    Attributes:
+        holds: Numbers of the zone's reports that it holds, by the key of the
+            process.
+        part: A slice of the total.
+    """
+
+    holds: dict[int, int]
+    part: load_sums.Slice
+
+
 class Note(NamedTuple):
     """What a process tells by datagram, some times a second.
 
     Attributes:
         name: Name of the sender.
         address: Where it is called.
-        parts: What it knows of the backlog of each model runner; None where
-            the note is not about that.
-        failures: Points of suspicion of backend servers since its last note.
         running: Versions that sessions, which may be drawn for a roll-out,
             run on.
         is_watching: Whether it follows the store, and the store answers it.
@@ -88,14 +124,13 @@
         rollouts: How far roll-outs have come that just changed.
         losses: Servers that were lost under requests, since its last note.
         gone: Processes that were found gone just now, or that stop.
-        streams: Requests that it has at each model runner; None where the
-            note is not about that.
+        report: What it has at backend servers, for the gatherers of its zone.
+        zone_sum: What the processes of its zone have, for other zones.
+        total: What all processes have, for those of its zone.
     """
 
     name: str
     address: str
-    parts: dict[str, backlog.Part] | None = None
-    failures: dict[str, float] | None = None
     running: tuple[sessions.Told, ...] = ()
     is_watching: bool = False
     versions: Versions = Versions()
@@ -105,7 +140,9 @@
     rollouts: tuple[RolloutNews, ...] = ()
     losses: tuple[crashers.Loss, ...] = ()
     gone: tuple[str, ...] = ()
-    streams: dict[str, int] | None = None
+    report: Report | None = None
+    zone_sum: ZoneSum | None = None
+    total: Total | None = None
 
 
 class Digest(NamedTuple):
--- a/beryllug/core/placement/backlog.py
+++ b/beryllug/core/placement/backlog.py
@@ -8,12 +8,12 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-# Seconds for which a peer's word counts; it is told several times a second.
-TOLD_S = 1.5
+from beryllug.core.placement import load_sums
+
 # Seconds of a backlog below which it is not told.
 LEAST_TOLD_S = 0.1
 # Seconds a token takes before anything was measured; it is learnt within a
@@ -97,10 +97,14 @@
     Attributes:
         wait_s: Seconds of reading that it has before it.
         read_s: Seconds of reading of the prompt itself.
+        behind_s: Seconds of reading that it has behind it.
+        unread_part: Part of the shared tokens that it has still to read.
     """
 
     wait_s: float
     read_s: float
+    behind_s: float = 0
+    unread_part: float = 1
 
     @property
     def first_s(self) -> float:
@@ -111,21 +115,6 @@
 NEVER = Expected(math.inf, math.inf)
 
 
-class Told(NamedTuple):
-    """What a peer knows of runners' backlogs.
-
-    Attributes:
-        parts: What it knows, by runner.
-        at: When it told.
-        share: Part of its like whose last notes count here; what the others
-            have sent is taken to be like it.
-    """
-
-    parts: Mapping[str, Part]
-    at: float
-    share: float
-
-
 @dataclass(slots=True)
 class Backlog:
     """What is known of the reading that runners still have to do.
@@ -133,7 +122,7 @@
     Attributes:
         items: Prompts of this process that have not begun to answer, by
             runner and a number of their own.
-        peers: What peers have told last.
+        others: What the other processes have.
         read_at: When a runner last read a prompt, as far as known.
         paces: Seconds to read a token, by model.
         write_paces: Seconds to write a token that was expected, by model.
@@ -141,7 +130,7 @@
     """
 
     items: dict[str, dict[int, Item]] = field(default_factory=dict)
-    peers: dict[str, Told] = field(default_factory=dict)
+    others: load_sums.Others = field(default_factory=load_sums.Others)
     read_at: dict[tuple[str, str], float] = field(default_factory=dict)
     paces: dict[str, float] = field(default_factory=dict)
     write_paces: dict[str, float] = field(default_factory=dict)
@@ -157,7 +146,8 @@
     is_home: bool,
 ) -> int:
     """Count a prompt that is sent to a runner; returns its number."""
-    tokens = _tokens(backlog, instance, prompt, now, is_home=is_home)
+    part = unread_part(backlog, instance, prompt, now, is_home=is_home)
+    tokens = _tokens(prompt, part)
     work_s = tokens * pace(backlog, prompt.model)
     backlog.number += 1
     items = backlog.items.setdefault(instance, {})
@@ -210,10 +200,12 @@
     is_home: bool,
 ) -> Expected:
     """Return when a runner is expected to answer a prompt."""
-    tokens = _tokens(backlog, instance, prompt, now, is_home=is_home)
-    read_s = tokens * pace(backlog, prompt.model)
-    before_s = wait_s(backlog, instance, now, is_first=prompt.is_first)
-    return Expected(before_s, read_s)
+    part = unread_part(backlog, instance, prompt, now, is_home=is_home)
+    read_s = _tokens(prompt, part) * pace(backlog, prompt.model)
+    whole_s, first_s = _waits_s(backlog, instance, now)
+    if prompt.is_first:
+        return Expected(first_s, read_s, max(whole_s - first_s, 0), part)
+    return Expected(whole_s, read_s, 0, part)
 
 
 def wait_s(
@@ -226,47 +218,42 @@
     answered after 50, and left their zone and the runner that kept their
     shared part for others.
     """
+    whole_s, first_s = _waits_s(backlog, instance, now)
+    return first_s if is_first else whole_s
+
+
+def _waits_s(
+    backlog: Backlog, instance: str, now: float
+) -> tuple[float, float]:
+    """Return the seconds before any prompt, and before one read first."""
     own = own_part(backlog, instance, now)
-    work_s, overdue_s = _ahead(own, is_first=is_first)
-    told_s = 0.0
-    for told in backlog.peers.values():
-        if now - told.at < TOLD_S:
-            part = told.parts.get(instance, NOTHING)
-            more_s, late_s = _ahead(part, is_first=is_first)
-            told_s += more_s / told.share
-            overdue_s = max(overdue_s, late_s)
-    return work_s + told_s + overdue_s
+    told = load_sums.of(backlog.others, instance, now)
+    overdue_s = max(own.overdue_s, told.overdue_cs / load_sums.PARTS)
+    first_overdue_s = max(
+        own.first_overdue_s, told.first_overdue_cs / load_sums.PARTS
+    )
+    return (
+        own.work_s + told.work_cs / load_sums.PARTS + overdue_s,
+        own.first_work_s
+        + told.first_work_cs / load_sums.PARTS
+        + first_overdue_s,
+    )
 
 
 def own_part(backlog: Backlog, instance: str, now: float) -> Part:
     """Return what this process knows of a runner's backlog."""
-    items = backlog.items.get(instance, {}).values()
+    known = backlog.items.get(instance)
+    if not known:
+        return NOTHING
+    items = known.values()
     first = [item for item in items if item.prompt.is_first]
     return Part(*_left_s(items, now), *_left_s(first, now))
 
 
-def heard_part(
-    peers: int, told_at_once: int, period_s: float, kept_s: float = TOLD_S
-) -> float:
-    """Return the part of the peers whose last notes count here.
-
-    Args:
-        peers: Peers that there are.
-        told_at_once: Peers that each process tells in a period, drawn anew.
-        period_s: Seconds between two notes of a process.
-        kept_s: Seconds for which a note counts.
-    """
-    if peers <= told_at_once:
-        return 1
-    missed = 1 - told_at_once / peers
-    part: float = 1 - missed ** (kept_s / period_s)
-    return part
-
-
 def told(backlog: Backlog, now: float) -> dict[str, Part]:
-    """Return this process's part of the backlog, to tell peers.
+    """Return this process's part of the backlog, to tell others.
 
-    What is over before a peer's next choice is left out. Untrimmed, notes of
+    What is over before another's next choice is left out. Untrimmed, notes of
     loads were 153 of the 340 KB that a process of eight sent in a calm minute.
     """
     parts = {
@@ -279,25 +266,6 @@
     }
 
 
-def take(
-    backlog: Backlog,
-    peer: str,
-    parts: Mapping[str, Part],
-    now: float,
-    share: float = 1,
-) -> None:
-    """Take a peer's part of the backlog.
-
-    Args:
-        backlog: What is known.
-        peer: Its name.
-        parts: What it knows, by runner.
-        now: The present second.
-        share: Part of its like whose last notes count here.
-    """
-    backlog.peers[peer] = Told(parts, now, share)
-
-
 def wrote(
     backlog: Backlog, model: str, tokens_out: int, seconds: float
 ) -> None:
@@ -334,13 +302,6 @@
     return HOME_PART if is_home else 1
 
 
-def _ahead(part: Part, *, is_first: bool) -> tuple[float, float]:
-    """Return the work, and the delay, that a prompt waits for."""
-    if is_first:
-        return part.first_work_s, part.first_overdue_s
-    return part.work_s, part.overdue_s
-
-
 def _left_s(items: Iterable[Item], now: float) -> tuple[float, float]:
     """Return the work of some items that is left, and their delay."""
     work_s = 0.0
@@ -352,19 +313,15 @@
     return round(work_s, 2), round(overdue_s, 2)
 
 
-def _tokens(
-    backlog: Backlog,
-    instance: str,
-    prompt: Prompt,
-    now: float,
-    *,
-    is_home: bool,
-) -> float:
+def _tokens(prompt: Prompt, part: float) -> float:
     """Return the tokens that a runner has to read of a prompt.
 
     Those far into a long prompt count for more, by what they look back at.
+
+    Args:
+        prompt: The prompt.
+        part: Part of its shared tokens that is still to be read there.
     """
-    part = unread_part(backlog, instance, prompt, now, is_home=is_home)
     unread = prompt.own_tokens + part * prompt.shared_tokens
     whole = prompt.own_tokens + prompt.shared_tokens
     before = whole - unread / 2
--- a/beryllug/core/placement/choose.py
+++ b/beryllug/core/placement/choose.py
@@ -159,29 +159,16 @@
         others_s = streams.cost_s(
             known.streams, server.instance, server.slots, due.read_s, now
         )
-        part = backlog.unread_part(
-            known.reading, server.instance, prompt, now, is_home=is_home
-        )
-        again_s = part * prompt.shared_tokens * AGAIN_S
-        behind_s = 0.0
-        if prompt.is_first:
-            behind_s = _behind_s(known.reading, server.instance, now)
+        again_s = due.unread_part * prompt.shared_tokens * AGAIN_S
         remote_s = 0 if server.zone == away.zone else away.seconds
         points = suspicion.points_of(known.failures, server.instance, now)
-        later_s = behind_s * BEHIND_PART
+        later_s = due.behind_s * BEHIND_PART
         own_s = due.first_s + later_s + points * POINT_S
         return own_s + others_s + again_s + remote_s
 
     return min(usable, key=cost_s)
 
 
-def _behind_s(reading: backlog.Backlog, instance: str, now: float) -> float:
-    """Return the seconds of reading behind what a runner reads first."""
-    whole_s = backlog.wait_s(reading, instance, now)
-    first_s = backlog.wait_s(reading, instance, now, is_first=True)
-    return max(whole_s - first_s, 0)
-
-
 def _load(
     state: balance_data.BalanceState,
     known: Known,
--- a/beryllug/core/placement/streams.py
+++ b/beryllug/core/placement/streams.py
@@ -8,12 +8,10 @@
 processes tell one another.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
-# Seconds for which a peer's word counts: a stream lasts about as long.
-TOLD_S = 4.0
+from beryllug.core.placement import load_sums
+
 # Seconds of waiting that a second by which a running stream is delayed counts
 # like: most are on time all the same.
 DELAY_PART = 0.05
@@ -22,32 +20,17 @@
 PLACE_S = 0.25
 
 
-class Told(NamedTuple):
-    """What a peer runs at each runner.
-
-    Attributes:
-        counts: Its requests, by runner.
-        at: When it told.
-        share: Part of its like whose last notes count here; what the others
-            run is taken to be like it.
-    """
-
-    counts: Mapping[str, int]
-    at: float
-    share: float
-
-
 @dataclass(slots=True)
 class Streams:
     """What is known of the requests that runners have.
 
     Attributes:
         own: Requests of this process, by runner.
-        peers: What peers have told last.
+        others: What the other processes have.
     """
 
     own: dict[str, int] = field(default_factory=dict)
-    peers: dict[str, Told] = field(default_factory=dict)
+    others: load_sums.Others = field(default_factory=load_sums.Others)
 
 
 def begin(streams: Streams, instance: str) -> None:
@@ -64,32 +47,9 @@
         streams.own.pop(instance, None)
 
 
-def take(
-    streams: Streams,
-    peer: str,
-    counts: Mapping[str, int],
-    now: float,
-    share: float = 1,
-) -> None:
-    """Take what a peer runs.
-
-    Args:
-        streams: What is known.
-        peer: Its name.
-        counts: Its requests, by runner.
-        now: The present second.
-        share: Part of its like whose last notes count here.
-    """
-    streams.peers[peer] = Told(counts, now, share)
-
-
-def running(streams: Streams, instance: str, now: float) -> float:
+def running(streams: Streams, instance: str, now: float) -> int:
     """Return the requests that a runner is taken to have."""
-    told = sum(
-        each.counts.get(instance, 0) / each.share
-        for each in streams.peers.values()
-        if now - each.at < TOLD_S
-    )
+    told = load_sums.of(streams.others, instance, now).running
     return streams.own.get(instance, 0) + told
 
 
--- a/beryllug/core/placement/suspicion.py
+++ b/beryllug/core/placement/suspicion.py
@@ -6,10 +6,11 @@
 service; a share comes back by itself as the count fades, which tests it.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from beryllug.core.placement import load_sums
+
 # Seconds in which a count falls to half: long against the pauses between one
 # process's requests to a server, short against a server's restart.
 HALF_LIFE_S = 4.0
@@ -32,43 +33,45 @@
 
 @dataclass(slots=True)
 class Suspicion:
-    """Points by server, and those that peers are still to be told of."""
+    """Points of servers.
+
+    Attributes:
+        counts: Points that this process has given, by server.
+        others: What the other processes have, their points among it.
+    """
 
     counts: dict[str, Count] = field(default_factory=dict)
-    untold: dict[str, float] = field(default_factory=dict)
+    others: load_sums.Others = field(default_factory=load_sums.Others)
 
 
 def failed(state: Suspicion, instance: str, points: float, now: float) -> None:
     """Count a failure that this process has seen."""
-    _add(state, instance, points, now)
-    state.untold[instance] = state.untold.get(instance, 0) + points
-
-
-def take(state: Suspicion, told: Mapping[str, float], now: float) -> None:
-    """Count failures that a peer has seen."""
-    for instance, points in told.items():
-        _add(state, instance, points, now)
+    before = own_points(state, instance, now)
+    state.counts[instance] = Count(before + points, now)
 
 
-def tell(state: Suspicion) -> dict[str, float]:
-    """Return what peers are to be told of, once."""
-    untold = state.untold
-    state.untold = {}
-    return untold
+def points_of(state: Suspicion, instance: str, now: float) -> float:
+    """Return the present points of a server, of all processes."""
+    own = own_points(state, instance, now)
+    told = load_sums.of(state.others, instance, now).points / load_sums.PARTS
+    if told:
+        told *= _faded(now - state.others.at)
+    return min(own + told, MOST)
 
 
-def points_of(state: Suspicion, instance: str, now: float) -> float:
-    """Return the present points of a server."""
+def own_points(state: Suspicion, instance: str, now: float) -> float:
+    """Return the present points that this process has given a server."""
     count = state.counts.get(instance)
     if count is None:
         return 0
-    faded: float = count.points * 0.5 ** ((now - count.at) / HALF_LIFE_S)
-    if faded < LEAST:
+    left = count.points * _faded(now - count.at)
+    if left < LEAST:
         state.counts.pop(instance)
         return 0
-    return min(faded, MOST)
+    return left
 
 
-def _add(state: Suspicion, instance: str, points: float, now: float) -> None:
-    before = points_of(state, instance, now)
-    state.counts[instance] = Count(before + points, now)
+def _faded(seconds: float) -> float:
+    """Return the part of points that is left after some time."""
+    part: float = 0.5 ** (seconds / HALF_LIFE_S)
+    return part
--- /dev/null
+++ b/beryllug/router/fleet_loads.py
@@ -0,0 +1,162 @@
+"""What this process tells of its load, and what it hears of all others'.
+
+It reports what it has at servers to the gatherers of its availability zone,
+and where it speaks for the zone itself, tells the sums; see
+`core.peering.gathering`.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from beryllug.core.peering import gathering, members, peering_data
+from beryllug.core.placement import load_sums, own_loads
+from beryllug.router import pool
+
+# Seconds between two rounds: a runner's backlog of a second must be known
+# before the next prompt goes there too.
+PERIOD_S = 0.25
+# Rounds after which what has not changed is told again, since a message may
+# be lost and what was told counts for a moment only.
+ROUNDS_AGAIN = 2
+# Rounds between two sums to the other zones while nothing has risen much:
+# bytes between zones are paid. Long prompts do go there, to where their shared
+# part is kept: told of long backlogs once a second only, three and four of 197
+# were late on a calm day, and none to two before.
+ROUNDS_A_FAR_SUM = 4
+# Servers in one message, and processes whose reports it names: 20 bytes and 6
+# each at the most, so that it fits a datagram.
+MOST_SERVERS = 44
+MOST_HOLDS = 40
+Told = peering_data.Report | peering_data.ZoneSum | peering_data.Total
+
+
+class Due(NamedTuple):
+    """A message, and the addresses that it goes to."""
+
+    told: Told
+    addresses: list[str]
+
+
+class FleetLoads:
+    """Decides what is told of loads and to whom, and takes what is told.
+
+    It belongs to the service that sends the notes, and calls it round by
+    round.
+    """
+
+    def __init__(
+        self, zone: str, known: members.Members, servers: pool.Pool
+    ) -> None:
+        """Bind to the processes that are known, and to the loads."""
+        self.state = gathering.Gathering(known.name, zone, servers.others)
+        self._members = known
+        self._pool = servers
+        self._round = 0
+        # A process that starts reports that it has nothing: its zone may still
+        # count what it had before.
+        self._reported: load_sums.Loads | None = None
+        self._had_load = False
+        self._had_total = False
+
+    def due(self, now: float) -> list[Due]:
+        """Return what is told in this round.
+
+        The end of a load is told once; then there is nothing to tell.
+        """
+        self._round += 1
+        due = list(self._due_report(now))
+        if gathering.is_speaker(self.state, self._members, now):
+            own_zone, reports = gathering.zone_sum(self.state, now)
+            due.extend(self._due_sums(own_zone, reports))
+            due.extend(self._due_totals(own_zone, now))
+        return due
+
+    def take(self, name: str, told: Told, now: float) -> None:
+        """Take what a process tells."""
+        match told:
+            case peering_data.Report():
+                gathering.take_report(self.state, name, told, now)
+            case peering_data.ZoneSum():
+                gathering.take_sum(self.state, told, now)
+            case peering_data.Total():
+                self.state.spoken[name] = now
+                gathering.take_total(self.state, told, now)
+
+    def _due_report(self, now: float) -> Iterable[Due]:
+        own = own_loads.of_process(self._pool.known, now)
+        is_again = self._round % ROUNDS_AGAIN == 0
+        is_due = own != self._reported or (bool(own) and is_again)
+        if not is_due:
+            return
+        self._reported = own
+        zone = self.state.zone
+        chosen = gathering.gatherers(self._members, zone, zone)
+        addresses = self._addresses(chosen)
+        for told in gathering.report(self.state, own, MOST_SERVERS):
+            if self._members.name in chosen:
+                self.take(self._members.name, told, now)
+            yield Due(told, addresses)
+
+    def _due_sums(
+        self, own_zone: load_sums.Loads, reports: int
+    ) -> Iterable[Due]:
+        """Return the sum of this zone, for the gatherers of the others."""
+        is_told = bool(own_zone) or self._had_load
+        is_again = self._round % ROUNDS_A_FAR_SUM == 0
+        has_risen = gathering.has_risen(self.state, own_zone)
+        if not is_told or not (is_again or has_risen):
+            return
+        self._had_load = bool(own_zone)
+        self.state.told = own_zone
+        chosen = [
+            name
+            for zone in self._other_zones()
+            for name in gathering.gatherers(
+                self._members, zone, self.state.zone
+            )
+        ]
+        addresses = self._addresses(chosen)
+        for part in load_sums.sliced(own_zone, MOST_SERVERS):
+            told = peering_data.ZoneSum(self.state.zone, reports, part)
+            yield Due(told, addresses)
+
+    def _due_totals(
+        self, own_zone: load_sums.Loads, now: float
+    ) -> Iterable[Due]:
+        """Return the total of all zones, for the processes of this one."""
+        total = gathering.total(self.state, own_zone, now)
+        is_told = bool(total) or self._had_total
+        self._had_total = bool(total)
+        if not is_told:
+            return
+        held = gathering.holds(self.state)
+        parts = load_sums.sliced(total, MOST_SERVERS)
+        for part in parts:
+            gathering.take_total(
+                self.state, peering_data.Total(held, part), now
+            )
+        for names in self._groups():
+            held_here = _only(held, names)
+            addresses = self._addresses(names)
+            for part in parts:
+                yield Due(peering_data.Total(held_here, part), addresses)
+
+    def _groups(self) -> list[list[str]]:
+        """Return the other processes of the zone, in groups for a message."""
+        near, _ = members.by_zone(self._members, self.state.zone)
+        starts = range(0, len(near), MOST_HOLDS)
+        return [near[start : start + MOST_HOLDS] for start in starts]
+
+    def _other_zones(self) -> list[str]:
+        known = self._members.known.values()
+        return sorted({each.zone for each in known} - {self.state.zone})
+
+    def _addresses(self, names: Iterable[str]) -> list[str]:
+        known = self._members.known
+        return [known[name].notes for name in names if name in known]
+
+
+def _only(held: dict[int, int], names: Iterable[str]) -> dict[int, int]:
+    """Return the report numbers of some processes."""
+    keys = [load_sums.key_of(name) for name in names]
+    return {key: held[key] for key in keys if key in held}
--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -11,6 +11,7 @@
 from beryllug.core.placement import (
     backlog,
     choose,
+    load_sums,
     servers_data,
     streams,
     suspicion,
@@ -49,9 +50,11 @@
         self._zone = zone
         self._bound = bound
         self._state = balance_data.BalanceState()
-        self.reading = backlog.Backlog()
-        self.failures = suspicion.Suspicion()
-        self.streams = streams.Streams()
+        self.others = load_sums.Others()
+        self.reading = backlog.Backlog(others=self.others)
+        self.failures = suspicion.Suspicion(others=self.others)
+        self.streams = streams.Streams(others=self.others)
+        self.known = choose.Known(self.reading, self.failures, self.streams)
         self._windows: dict[str, retry_window.Window] = {}
 
     async def start(self) -> None:
@@ -110,7 +113,7 @@
         for servers in (listed, doubted):
             server = choose.choose(
                 self._state,
-                choose.Known(self.reading, self.failures, self.streams),
+                self.known,
                 servers,
                 wish,
                 self._zone,
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -14,14 +14,18 @@
 
 from beryllug.core import settings_data
 from beryllug.core.canary import sessions
-from beryllug.core.peering import members, peering_data, standing
-from beryllug.core.placement import backlog, crashers, suspicion
+from beryllug.core.peering import (
+    members,
+    peering_data,
+    standing,
+)
+from beryllug.core.placement import backlog, crashers
 from beryllug.drivers import datagrams, fleet_key
 from beryllug.router import (
     crash_watch,
     directory,
+    fleet_loads,
     knowledge,
-    load_notes,
     peering,
     pool,
     rollout_state,
@@ -67,7 +71,7 @@
         self._known = known
         self._shared = knowledge.Knowledge(known)
         self._pool = decided.pool
-        self._loads = load_notes.LoadNotes(zone, peers.members, decided.pool)
+        self._loads = fleet_loads.FleetLoads(zone, peers.members, decided.pool)
         self._trials = decided.trials
         self._crashes = decided.crashes
         self._notes = datagrams.Datagrams(keys, peering_data.Note, self._take)
@@ -111,6 +115,9 @@
         now = time.monotonic()
         return {
             'own': backlog.told(self._pool.reading, now),
+            'reports': sorted(self._loads.state.reports),
+            'zones': sorted(self._loads.state.zones),
+            'others_at': self._pool.others.at,
             'paces_s': dict(self._pool.reading.paces),
             'watching': sorted(self._standing.watching),
             'notes_sent': self._notes.sent,
@@ -132,7 +139,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(load_notes.PERIOD_S)
+            await asyncio.sleep(fleet_loads.PERIOD_S)
             self._round += 1
             self._pool.processes = len(self._peers.members.known) + 1
             await self._known.follow_or_not(must=self._must_watch())
@@ -175,28 +182,20 @@
         self._notes.send((each.notes for each in known), note)
 
     def _tell_loads(self) -> None:
-        due = self._loads.due()
-        if not due.addresses:
-            return
-        running = None if due.streams is None else dict(due.streams)
-        note = peering_data.Note(
-            self._peers.members.name,
-            self._cfg.peer_listen,
-            dict(due.parts),
-            streams=running,
-        )
-        self._notes.send(due.addresses, note)
+        for due in self._loads.due(time.monotonic()):
+            note = peering_data.Note(
+                self._peers.members.name, self._cfg.peer_listen
+            )
+            self._notes.send(due.addresses, with_loads(note, due.told))
 
     def _tell_news(self) -> None:
-        """Tell what servers did, and sessions that a roll-out may draw."""
-        untold = suspicion.tell(self._pool.failures)
+        """Tell of lost servers, and sessions that a roll-out may draw."""
         running = sessions.tell(self._trials.pins.sessions, MOST_SESSIONS)
         losses = crashers.tell(self._crashes.state)
-        if untold or running or losses:
+        if running or losses:
             note = peering_data.Note(
                 self._peers.members.name,
                 self._cfg.peer_listen,
-                failures={key: round(each, 2) for key, each in untold.items()},
                 running=tuple(running),
                 losses=losses,
             )
@@ -208,10 +207,9 @@
             members.heard_again(self._peers.members, note.name, now)
         for name in note.gone:
             self._peers.roster.left(name, now)
-        if note.parts is not None:
-            self._loads.take(note.name, note.parts, note.streams, now)
-        if note.failures is not None:
-            suspicion.take(self._pool.failures, note.failures, now)
+        for told in (note.report, note.zone_sum, note.total):
+            if told is not None:
+                self._loads.take(note.name, told, now)
         self._trials.pins.take(note.running)
         self._crashes.take(note.losses, now)
         self._trials.take_phases(note.rollouts, note.name, now)
@@ -250,6 +248,19 @@
         task.add_done_callback(self._calls.discard)
 
 
+def with_loads(
+    note: peering_data.Note, told: fleet_loads.Told
+) -> peering_data.Note:
+    """Return a note with what is told of loads."""
+    match told:
+        case peering_data.Report():
+            return note._replace(report=told)
+        case peering_data.ZoneSum():
+            return note._replace(zone_sum=told)
+        case peering_data.Total():
+            return note._replace(total=told)
+
+
 def _gone(name: str, cfg: settings_data.Router) -> peering_data.Note:
     """Return the note that a process is gone, or stops itself."""
     return peering_data.Note(name, cfg.peer_listen, gone=(name,))
