--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -10,7 +10,6 @@
 """
 
 import math
-from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from types import MappingProxyType
 from typing import NamedTuple
@@ -274,4 +273,6 @@
     more: dict[str, canary_data.Times],
 ) -> None:
     for work, times in more.items():
-        total[work] = dict(Counter(total.get(work, {})) + Counter(times))
+        known = total.setdefault(work, {})
+        for step, count in times.items():
+            known[step] = known.get(step, 0) + count
--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -38,6 +38,7 @@
         told_at: Monotonic second at which they were.
         lowest: The lowest scores of the version's failures so far.
         dither: This process's part of a request that it may send on trial.
+        told: What the others have told, together; None until it is added up.
     """
 
     order: canary_data.Order
@@ -51,6 +52,7 @@
     told_at: float = float('-inf')
     lowest: dict[str, float] = field(default_factory=dict)
     dither: float = field(default_factory=random.random)
+    told: canary_data.Tally | None = None
 
     @property
     def is_open(self) -> bool:
@@ -58,8 +60,14 @@
         return not plan.is_over(self.phase)
 
     def seen(self) -> canary_data.Tally:
-        """Return what this process saw and was told, together."""
-        return verdict.merge((self.tally, *self.others.values()))
+        """Return what this process saw and was told, together.
+
+        Asked four times a second and for each new session: what all others
+        told is added up once each time that one of them tells something.
+        """
+        if self.told is None:
+            self.told = verdict.merge(self.others.values())
+        return verdict.merge((self.told, self.tally))
 
     def looks_bad(self) -> bool:
         """Tell whether the version is to be taken back by what is known."""
@@ -130,6 +138,7 @@
     rollout.others[peer] = canary_data.Tally(
         news.requests, news.tried, news.by_route
     )
+    rollout.told = None
 
 
 def _plus(known: canary_data.Answers, is_good: bool) -> canary_data.Answers:
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -242,6 +242,8 @@
         if age_s < TOLD_WITHIN_S:
             return False
         subject = call.asked.session or call.asked.attempt_id
+        if not plan.is_drawn(subject, self.bounds):
+            return False
         part = plan.drawn_part(rollout.order, rollout.seen(), age_s)
         return plan.is_drawn(subject, self.bounds, part) and plan.may_try(
             rollout.tally,
--- a/beryllug/router/trials_test.py
+++ b/beryllug/router/trials_test.py
@@ -5,7 +5,8 @@
 from typing import Any
 from unittest import mock  # noqa: WPS458
 
-from beryllug.core.canary import canary_data, plan, sessions
+from beryllug.core.canary import canary_data, plan, sessions, verdict
+from beryllug.core.peering import peering_data
 from beryllug.core.routes import routes_data
 from beryllug.drivers import http_data
 from beryllug.kernel import log_lines
@@ -67,6 +68,32 @@
         clock.start()
         self.addCleanup(clock.stop)
 
+    def test_told(self) -> None:
+        """What peers tell counts once, however often it is asked or told.
+
+        Each tells its whole count. A verdict on answers that are added up
+        twice takes a sound version back after half of the failures.
+        """
+        rollout = next(iter(self.trials.rollouts()))
+        rollout.tally.requests = 5
+        answers = {'i-2': canary_data.Answers(2, 1)}
+        times = {'first/0': {1: 4}}
+        evidence = canary_data.Evidence(
+            answers, canary_data.Answers(7, 0), {'i-2': times}, dict(times)
+        )
+        for requests_told, expected in ((10, 15), (12, 17), (12, 17)):
+            news = peering_data.TallyNews(
+                'pool', 'v2', requests_told, 3, {'chat': evidence}
+            )
+            rollout_state.take(rollout, 'peer', news)
+            for _ in range(3):
+                seen = rollout.seen()
+                self.assertEqual(seen.requests, expected)
+                self.assertEqual(verdict.judged(seen), 3)
+                found = seen.by_route['chat']
+                self.assertEqual(found.old_times, times)
+                self.assertEqual(found.new_times, {'i-2': times})
+
     def test_phases(self) -> None:
         """All requests go where the phase says; a trial's failure goes back."""
         table: tuple[
