--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -146,10 +146,6 @@
             key=lambda each: each.first_s,
         )
 
-    def least_s(self, prompt: backlog.Prompt, tokens_out: int) -> float:
-        """Return the seconds that an answer takes at the very least."""
-        return backlog.least_s(self.reading, prompt, tokens_out)
-
     def answers(self, choice: Choice) -> None:
         """Take that a server has begun to answer a prompt."""
         instance = choice.server.instance
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -101,7 +101,8 @@
         until they leave, and their prompts delay others.
         """
         prompt = stream_state.prompt(call, stream.size)
-        least_s = self._pool.least_s(prompt, call.asked.tokens_out)
+        reading = self._pool.reading
+        least_s = backlog.least_s(reading, prompt, call.asked.tokens_out)
         if attempts.left_s(call) < least_s:
             raise call_data.RefusedError(
                 call_data.UNAVAILABLE, 'no answer can end in the time left'
