Ask the smallest model once more where a larger one fails or is refused

Cause: a small answer that was dropped as unsure counted as if nothing had run. Change: a dropped answer has run; after a failure of a larger model the smallest is asked, whose answer is kept on the last attempt. Callers get an answer where they got an error. Test: site_test.RefusedModelTest fails without (503 of 20), passes with it.

--- a/beryllug/proofs/platform/site_test.py
+++ b/beryllug/proofs/platform/site_test.py
@@ -148,6 +148,29 @@
         self.assertEqual(bodies, {b'small', b'large'})
 
 
+class RefusedModelTest(SiteCase):
+    """All runners refuse the larger model."""
+
+    async def test_refused(self) -> None:
+        """A caller gets the small model's answer, and no "not run" that lies.
+
+        The small model's unsure answer is dropped and the large one asked,
+        which runners refuse, as full ones do. The request has run by then: 503
+        would promise that it has not. The small one is asked again, and its
+        answer goes out since no attempt is left.
+        """
+        for instance in ('p1', 'p2'):
+            self.site.runners[instance].refused_model = 'large'
+        for number in range(20):
+            attempt_id = f'draft-{number}'
+            reply = await self.ask(
+                DRAFT, method='POST', **{names.ATTEMPT: attempt_id}
+            )
+            self.assertEqual(reply.status, 200, attempt_id)
+            self.assertNotIn(b'large', reply.body)
+        self.assertGreater(len(self.runs('p1', 'p2')), 20)
+
+
 class BrokenTest(SiteCase):
     """A backend server breaks at some step of one request."""
 
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -81,11 +81,13 @@
                 case stream_state.Larger(size):
                     stream.size = size
                     stream.progress.arrivals += 1
+                    stream.progress.may_have_run = True
                     continue
                 case stream_state.Failure(status):
                     failure = came
                     came = dispatch.Unknown(f'the server failed: {status}')
             attempts.note(stream.progress, choice, came)
+            stream.size = stream_state.next_size(stream, came)
             now = time.monotonic()
             if not attempts.may_go_on(call, stream.progress, self._pool, now):
                 break
--- a/beryllug/router/stream_state.py
+++ b/beryllug/router/stream_state.py
@@ -123,6 +123,18 @@
     return bool(call.route.models) and call.asked.is_any_model
 
 
+def next_size(stream: Stream, failed: dispatch.Outcome) -> int:
+    """Return the index of the model that is asked after a failure.
+
+    Where the larger model failed, or its runners refused it, the smallest is
+    asked once more: its answer is kept on the last attempt, and a caller gets
+    that and not a failure. A stream that has begun goes on with its model, and
+    a server that could not be reached has cost no attempt.
+    """
+    is_unreached = isinstance(failed, dispatch.NotRun) and failed.is_gone
+    return stream.size if stream.started or is_unreached else 0
+
+
 def model_of(call: call_data.Call, size: int) -> str:
     """Return the model of a size, or nothing where the caller names it."""
     return call.route.models[size] if may_choose(call) else ''
--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -86,6 +86,7 @@
         self.cut_after: int | None = None
         self.stall_after: int | None = None
         self.is_sealed = True
+        self.refused_model = ''
         self._switches = switches
         self._running = 0
         self._read: set[tuple[str, str]] = set()
@@ -108,7 +109,8 @@
         if expected != self.cfg.instance:
             await self._refuse(HTTPStatus.MISDIRECTED_REQUEST, answer)
             return
-        if self._running >= self.cfg.slots + self.cfg.queue:
+        is_full = self._running >= self.cfg.slots + self.cfg.queue
+        if is_full or (asked.model and asked.model == self.refused_model):
             await self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, answer)
             return
         self._running += 1
