--- a/beryllug/drivers/http_server.py
+++ b/beryllug/drivers/http_server.py
@@ -182,7 +182,9 @@
         limits = self.mode.limits
         shortest = min(limits.read_s, limits.idle_s, limits.write_s)
         period = min(shortest / SWEEPS_PER_LIMIT, MAX_SWEEP_S)
-        self._sweeper = loop.call_later(period, self._sweep)
+        # At whole periods, so that the servers of a process wake it once.
+        due = (loop.time() // period + 1) * period
+        self._sweeper = loop.call_at(due, self._sweep)
 
     def _expire(self, now: float) -> None:
         late = [link for link in self._clients if link.deadline <= now]
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -62,6 +62,9 @@
 
     async def _run(self) -> None:
         while True:
+            # Without a roll-out there is nothing to look at, and each look
+            # wakes the process.
+            await self._trials.ordered.wait()
             await asyncio.sleep(PERIOD_S)
             for rollout in list(self._trials.rollouts()):
                 if not rollout.is_stored:
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -5,6 +5,7 @@
 sees it fail. The verdict for the fleet is the judge's.
 """
 
+import asyncio
 import time
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
@@ -45,6 +46,7 @@
     Attributes:
         bounds: What a roll-out must keep to.
         pins: Which version each session runs on.
+        ordered: Set while some roll-out is not known to be over in the store.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self._lines = lines
         self._rollouts: dict[str, rollout_state.Rollout] = {}
         self.pins = pins.Pins(bounds)
+        self.ordered = asyncio.Event()
 
     async def start(self) -> None:
         """Do nothing: it is driven by orders and requests."""
@@ -102,6 +105,7 @@
         known.order = order
         if plan.is_over(phase):
             self.settle(known, phase, 'store')
+        self._note_open()
 
     def set_phase(
         self,
@@ -128,6 +132,7 @@
             _log(self._lines, rollout.order, phase, source)
         rollout.phase = phase
         rollout.is_stored = True
+        self._note_open()
 
     def take_news(self, digest: peering_data.Digest, now: float) -> None:
         """Take what a peer knows and has seen of roll-outs."""
@@ -211,6 +216,12 @@
             took=took,
         )
 
+    def _note_open(self) -> None:
+        if all(each.is_stored for each in self._rollouts.values()):
+            self.ordered.clear()
+        else:
+            self.ordered.set()
+
     def _draw_trial(
         self,
         call: call_data.Call,
