--- a/beryllug/core/placement/herd_test.py
+++ b/beryllug/core/placement/herd_test.py
@@ -116,7 +116,8 @@
         number = backlog.begin(
             known.reading, instance, prompt, now, is_home=False
         )
-        work_s = known.reading.items[instance][number].work_s
+        items = known.reading.items[instance]
+        work_s = items[number].work_s
         answers_at = max(self._free_at[instance], now) + work_s
         self._free_at[instance] = answers_at
         self._under.append(_Under(answers_at, process, instance, number))
