Choose gatherers and their addresses in one place

FleetLoads and StoreWords each had the list of the other zones' gatherers and the addresses for datagrams; both stand in core.peering now. The dump tells how long ago the others' loads were told, and the docstring of sharing what it does today. No decision changes.

--- a/beryllug/core/peering/gathering.py
+++ b/beryllug/core/peering/gathering.py
@@ -107,6 +107,15 @@
     return chosen
 
 
+def of_others(known: members.Members, own_zone: str) -> list[str]:
+    """Return the gatherers of all zones but this process's own."""
+    return [
+        name
+        for zone in members.other_zones(known, own_zone)
+        for name in gatherers(known, zone, own_zone)
+    ]
+
+
 def is_speaker(state: Gathering, known: members.Members, now: float) -> bool:
     """Tell whether this process tells the sums of its zone now."""
     ranked = gatherers(known, state.zone, state.zone)
--- a/beryllug/core/peering/members.py
+++ b/beryllug/core/peering/members.py
@@ -213,6 +213,18 @@
     ]
 
 
+def note_addresses(members: Members, names: Iterable[str]) -> list[str]:
+    """Return where processes that are known take datagrams."""
+    return [
+        members.known[name].notes for name in names if name in members.known
+    ]
+
+
+def other_zones(members: Members, zone: str) -> list[str]:
+    """Return the zones of the known processes but for one."""
+    return sorted({each.zone for each in members.known.values()} - {zone})
+
+
 def _changed(members: Members) -> None:
     """Forget what was worked out of the names that were known."""
     members.orders.clear()
--- a/beryllug/router/fleet_loads.py
+++ b/beryllug/router/fleet_loads.py
@@ -27,6 +27,7 @@
 # each at the most, so that it fits a datagram.
 MOST_SERVERS = 44
 MOST_HOLDS = 40
+
 Told = peering_data.Report | peering_data.ZoneSum | peering_data.Total
 
 
@@ -101,7 +102,7 @@
         self._reported = own
         zone = self.state.zone
         chosen = gathering.gatherers(self._members, zone, zone)
-        addresses = self._addresses(chosen)
+        addresses = members.note_addresses(self._members, chosen)
         for told in gathering.report(self.state, own, MOST_SERVERS):
             if self._members.name in chosen:
                 self.take(self._members.name, told, now)
@@ -118,14 +119,8 @@
             return
         self._had_load = bool(own_zone)
         self.state.told = own_zone
-        chosen = [
-            name
-            for zone in self._other_zones()
-            for name in gathering.gatherers(
-                self._members, zone, self.state.zone
-            )
-        ]
-        addresses = self._addresses(chosen)
+        chosen = gathering.of_others(self._members, self.state.zone)
+        addresses = members.note_addresses(self._members, chosen)
         for part in load_sums.sliced(own_zone, MOST_SERVERS):
             told = peering_data.ZoneSum(self.state.zone, reports, part)
             yield Due(told, addresses)
@@ -152,7 +147,7 @@
             )
         for names in self._groups():
             held_here = _only(held, names)
-            addresses = self._addresses(names)
+            addresses = members.note_addresses(self._members, names)
             for part in parts:
                 yield Due(peering_data.Total(held_here, part), addresses)
 
@@ -162,14 +157,6 @@
         starts = range(0, len(near), MOST_HOLDS)
         return [near[start : start + MOST_HOLDS] for start in starts]
 
-    def _other_zones(self) -> list[str]:
-        known = self._members.known.values()
-        return sorted({each.zone for each in known} - {self.state.zone})
-
-    def _addresses(self, names: Iterable[str]) -> list[str]:
-        known = self._members.known
-        return [known[name].notes for name in names if name in known]
-
 
 def _only(held: dict[int, int], names: Iterable[str]) -> dict[int, int]:
     """Return the report numbers of some processes."""
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -1,8 +1,9 @@
 """Service 'sharing': short notes between the processes of the fleet.
 
-Those who follow the platform's store say so twice a second, and tell its
-changes as they come; the others follow it no more. All tell what they have
-sent to model runners, while there is something to tell.
+Round by round it tells what this process has at backend servers and who
+follows the platform's store, by the gatherers of the zones; see
+`core.peering.gathering`. What is seldom goes to all at once: a process that is
+gone, a server that was lost under a request, the phase of a roll-out.
 """
 
 import asyncio
@@ -93,7 +94,7 @@
             'own': backlog.told(self._pool.reading, now),
             'reports': sorted(self._loads.state.reports),
             'zones': sorted(self._loads.state.zones),
-            'others_at': self._pool.others.at,
+            'others_ago_s': now - self._pool.others.at,
             'paces_s': dict(self._pool.reading.paces),
             'watching': sorted(self._words.standing.watching),
             'notes_sent': self._notes.sent,
--- a/beryllug/router/store_words.py
+++ b/beryllug/router/store_words.py
@@ -83,7 +83,10 @@
     def tell(self) -> None:
         """Say that this process follows the store, if it does."""
         if self._known.is_current():
-            self._send(self._addresses(self._gatherers()), self.stated())
+            self._send(
+                members.note_addresses(self._members, self._gatherers()),
+                self.stated(),
+            )
 
     def stated(self) -> peering_data.Note:
         """Return a note with what this process knows of the store."""
@@ -156,7 +159,8 @@
         if self._members.name in self._near_gatherers():
             near, _ = members.by_zone(self._members, self._zone)
             told.extend(near)
-        self._send(self._addresses(dict.fromkeys(told)), note)
+        addresses = members.note_addresses(self._members, dict.fromkeys(told))
+        self._send(addresses, note)
 
     def _source(self, note: peering_data.Note, now: float) -> str:
         """Return the address of one that knows what this process lacks.
@@ -190,13 +194,5 @@
 
     def _gatherers(self) -> list[str]:
         """Return the gatherers of all zones, this process too if it is one."""
-        zones = {each.zone for each in self._members.known.values()}
-        return [
-            name
-            for zone in sorted(zones | {self._zone})
-            for name in gathering.gatherers(self._members, zone, self._zone)
-        ]
-
-    def _addresses(self, names: Iterable[str]) -> list[str]:
-        known = self._members.known
-        return [known[name].notes for name in names if name in known]
+        far = gathering.of_others(self._members, self._zone)
+        return [*self._near_gatherers(), *far]
