Let a request go on elsewhere whose small answer was dropped

Cause, found by reading the change before: a dropped answer was noted as if its connection had broken; a stream that may not be resumed would then not be asked of another server where the first refused the larger model. Change: that it has run stands apart: it decides that no refusal says 'not run'. Test: attempts_test.

--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -30,6 +30,8 @@
         may_have_run: Whether "not run" can't be said of it any more.
         reason: Why the last attempt failed.
         is_late: Whether the last attempt failed by its time.
+        was_dropped: Whether an answer of a smaller model was dropped: the
+            request has run then, and may still go on elsewhere.
     """
 
     drawn: trials.Drawn
@@ -39,6 +41,7 @@
     may_have_run: bool = False
     reason: str = 'no backend server is listed'
     is_late: bool = False
+    was_dropped: bool = False
 
 
 def wish(
@@ -101,7 +104,7 @@
     call: call_data.Call, progress: Progress, now: float
 ) -> call_data.RefusedError:
     """Return the answer to a request that no server has answered."""
-    if not progress.may_have_run:
+    if not progress.may_have_run and not progress.was_dropped:
         return call_data.RefusedError(
             call_data.UNAVAILABLE,
             progress.reason,
--- /dev/null
+++ b/beryllug/router/attempts_test.py
@@ -0,0 +1,79 @@
+"""Tests of whether a request is tried once more, and what it gets else."""
+
+import unittest
+from typing import Any
+
+from beryllug.core.routes import routes_data
+from beryllug.drivers import http_data
+from beryllug.platform import requests
+from beryllug.router import attempts, trials
+from beryllug.router import call as call_data
+
+ROUTE = routes_data.Route(
+    name='draft',
+    host='a.example',
+    prefix='/draft/',
+    kind=routes_data.RequestKind.STREAMING,
+    timeout_s=20,
+    target_s=3,
+    gap_s=1,
+    priority=0,
+    models=('small', 'large'),
+    targets=(routes_data.Target('pool', 1),),
+    max_attempts=3,
+    is_anonymous=True,
+    is_resumable=False,
+)
+
+
+class _Pool:
+    """A pool that has repeats left."""
+
+    def may_repeat(self, service: str) -> bool:
+        return True
+
+
+def _call(route: routes_data.Route) -> call_data.Call:
+    asked = requests.Asked('try', '', 20, '*', True, '', 0, 100, 50, '', '')
+    req = http_data.Request('POST', '/draft/a', {}, b'', '')
+    return call_data.Call(req, asked, route, None, 'pool', 0, 20)
+
+
+class AttemptsTest(unittest.TestCase):
+    """A request whose last attempt has failed, at second 1 of 20."""
+
+    def test_next(self) -> None:
+        """What has run is never refused as not run; what may go on does.
+
+        A small answer that was dropped has run, and the larger model may still
+        be asked of another server: the caller has none of it. A broken
+        connection ends a request that may not run twice.
+        """
+        table: tuple[tuple[str, dict[str, Any], bool, bool, int], ...] = (
+            ('refused by a server', {}, False, True, 503),
+            ('dropped, then refused', {'was_dropped': True}, False, True, 502),
+            ('broken off', {'may_have_run': True}, False, False, 502),
+            ('broken off, repeatable', {'may_have_run': True}, True, True, 502),
+            (
+                'in vain until its time',
+                {'may_have_run': True, 'is_late': True},
+                True,
+                True,
+                504,
+            ),
+        )
+        pool: Any = _Pool()
+        for title, changed, is_resumable, goes_on, status in table:
+            with self.subTest(title):
+                call = _call(ROUTE._replace(is_resumable=is_resumable))
+                progress = attempts.Progress(
+                    trials.Drawn(), arrivals=1, **changed
+                )
+                found = attempts.may_go_on(call, progress, pool, 1)
+                self.assertEqual(found, goes_on)
+                refused = attempts.given_up(call, progress, 1)
+                self.assertEqual(refused.status, status)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -81,7 +81,7 @@
                 case stream_state.Larger(size):
                     stream.size = size
                     stream.progress.arrivals += 1
-                    stream.progress.may_have_run = True
+                    stream.progress.was_dropped = True
                     continue
                 case stream_state.Failure(status):
                     failure = came
