--- a/beryllug/core/placement/choose.py
+++ b/beryllug/core/placement/choose.py
@@ -39,13 +39,6 @@
 # not delay its first event, but those after it, since runners read in chunks
 # between the tokens of all streams.
 BEHIND_PART = 0.3
-# Most seconds that are drawn, by prompt and runner, beside what is expected.
-# What is known of the others' prompts is some tenths of a second old: without
-# it, all that a fleet sent in that time went to the first of several idle
-# runners. In a replayed load of 0.8 of what runners can read 23% of the answers
-# were late, and 12% with it. It is less than a runner's reading of anything
-# that matters, so prompts leave no home for it.
-DRAWN_S = 0.02
 # What a point of suspicion counts like: two broken connections outweigh the
 # own zone, and a stream that breaks costs its prompt's reading once more.
 POINT_LOAD = 1.0
@@ -170,8 +163,7 @@
         points = suspicion.points_of(known.failures, server.instance, now)
         later_s = due.behind_s * BEHIND_PART
         own_s = due.first_s + later_s + points * POINT_S
-        drawn = rendezvous.share(f'{prompt.key},{server.name}')
-        return own_s + others_s + again_s + remote_s + drawn * DRAWN_S
+        return own_s + others_s + again_s + remote_s
 
     return min(usable, key=cost_s)
 
