Call them aggregators, a primary and its standby; let more reports go first

Names: gatherer, speaker and word were words of our own. The field says aggregator, primary and standby; Word is Follower.

A fault that the new names showed: they changed the ranks by hash, and test_two_views was red. Where the second aggregator knows a first one that half of the zone does not know, it stayed silent, the first told half of the zone's reports and the third the other half. The same held for a primary that hears nothing (was in OPEN): its zone was told of little until it was found gone. Change: a total states how many reports it holds; the standby tells, too, where the primary's hold less than three quarters of its own, and what holds more reports goes before the other.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -71,7 +71,7 @@
 NOTHING_KNOWN = Versions()
 
 
-class Word(NamedTuple):
+class Follower(NamedTuple):
     """That a process follows the store, as another one has heard.
 
     Attributes:
@@ -114,12 +114,14 @@
 
     Attributes:
         holds: Numbers of the zone's reports that it holds, by the key of the
-            process.
+            process; those of the receivers.
         part: A slice of the total.
+        reports: Reports of the zone that it holds, of all processes.
     """
 
     holds: dict[int, int]
     part: load_sums.Slice
+    reports: int = 0
 
 
 class Note(NamedTuple):
@@ -139,10 +141,10 @@
         rollouts: How far roll-outs have come that just changed.
         losses: Servers that were lost under requests, since its last note.
         gone: Processes that were found gone just now, or that stop.
-        report: What it has at backend servers, for the gatherers of its zone.
+        report: What it has at backend servers, for the aggregators of its zone.
         zone_sum: What the processes of its zone have, for other zones.
         total: What all processes have, for those of its zone.
-        words: Who follows the store, as the sender has heard.
+        followers: Who follows the store, as the sender has heard.
         notes: Where it takes datagrams; told by a process that its zone may
             not know yet, else empty.
         zone: Its availability zone, likewise.
@@ -165,7 +167,7 @@
     report: Report | None = None
     zone_sum: ZoneSum | None = None
     total: Total | None = None
-    words: tuple[Word, ...] = ()
+    followers: tuple[Follower, ...] = ()
     notes: str = ''
     zone: str = ''
     asks: int = 0
@@ -192,7 +194,7 @@
         orders: The stored roll-out orders by name, as JSON, for a peer with
             older ones.
         zone: Availability zone of the sender.
-        words: Who follows the store, as the sender has heard; in an answer.
+        followers: Who follows the store, as the sender has heard; in an answer.
     """
 
     name: str
@@ -207,4 +209,4 @@
     servers: bytes = b''
     orders: bytes = b''
     zone: str = ''
-    words: tuple[Word, ...] = ()
+    followers: tuple[Follower, ...] = ()
--- a/beryllug/core/peering/standing.py
+++ b/beryllug/core/peering/standing.py
@@ -65,16 +65,18 @@
         standing.watching[name] = Heard(now)
 
 
-def words(standing: Standing, now: float) -> tuple[peering_data.Word, ...]:
+def followers(
+    standing: Standing, now: float
+) -> tuple[peering_data.Follower, ...]:
     """Return who watches, to tell others."""
     return tuple(
-        peering_data.Word(name, round(now - standing.watching[name].at, 2))
+        peering_data.Follower(name, round(now - standing.watching[name].at, 2))
         for name in sorted(watching(standing, now))
     )
 
 
-def take_words(
-    standing: Standing, told: Iterable[peering_data.Word], now: float
+def take_followers(
+    standing: Standing, told: Iterable[peering_data.Follower], now: float
 ) -> None:
     """Take who watches, as another process has heard."""
     for word in told:
--- a/beryllug/core/placement/load_sums.py
+++ b/beryllug/core/placement/load_sums.py
@@ -1,6 +1,6 @@
 """What processes have at backend servers, added up over many of them.
 
-Each process tells a few numbers a server, a gatherer of its availability zone
+Each process tells a few numbers a server, a aggregator of its availability zone
 adds them up, and every process gets one sum for the whole fleet: no process
 keeps a word of each other one, and none guesses the rest of a fleet from a
 part of it. A choice between 78 runners asked what 50 processes had told took
--- a/beryllug/router/fleet_loads.py
+++ b/beryllug/router/fleet_loads.py
@@ -1,14 +1,14 @@
 """What this process tells of its load, and what it hears of all others'.
 
-It reports what it has at servers to the gatherers of its availability zone,
-and where it speaks for the zone itself, tells the sums; see
-`core.peering.gathering`.
+It reports what it has at servers to the aggregators of its availability zone,
+and where it is their primary, tells the sums; see
+`core.peering.aggregation`.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from beryllug.core.peering import gathering, members, peering_data
+from beryllug.core.peering import aggregation, members, peering_data
 from beryllug.core.placement import load_sums, own_loads
 from beryllug.router import pool
 
@@ -49,7 +49,7 @@
         self, zone: str, known: members.Members, servers: pool.Pool
     ) -> None:
         """Bind to the processes that are known, and to the loads."""
-        self.state = gathering.Gathering(known.name, zone, servers.others)
+        self.state = aggregation.Aggregation(known.name, zone, servers.others)
         self._members = known
         self._pool = servers
         self._round = 0
@@ -66,22 +66,22 @@
         """
         self._round += 1
         due = list(self._due_report(now))
-        if gathering.is_speaker(self.state, self._members, now):
-            own_zone, reports = gathering.zone_sum(self.state, now)
+        if aggregation.is_primary(self.state, self._members, now):
+            own_zone, reports = aggregation.zone_sum(self.state, now)
             due.extend(self._due_sums(own_zone, reports))
-            due.extend(self._due_totals(own_zone, now))
+            due.extend(self._due_totals(own_zone, reports, now))
         return due
 
     def take(self, name: str, told: Told, now: float) -> None:
         """Take what a process tells."""
         match told:
             case peering_data.Report():
-                gathering.take_report(self.state, name, told, now)
+                aggregation.take_report(self.state, name, told, now)
             case peering_data.ZoneSum():
-                gathering.take_sum(self.state, told, now)
+                aggregation.take_sum(self.state, told, now)
             case peering_data.Total():
-                self.state.spoken[name] = now
-                gathering.take_total(self.state, told, now)
+                if not aggregation.hears_more(self.state, name, told, now):
+                    aggregation.take_total(self.state, told, now)
 
     def is_unheard(self, now: float) -> bool:
         """Tell whether this process hears no total: who tells may not know it.
@@ -101,9 +101,9 @@
             return
         self._reported = own
         zone = self.state.zone
-        chosen = gathering.gatherers(self._members, zone, zone)
+        chosen = aggregation.aggregators(self._members, zone, zone)
         addresses = members.note_addresses(self._members, chosen)
-        for told in gathering.report(self.state, own, MOST_SERVERS):
+        for told in aggregation.report(self.state, own, MOST_SERVERS):
             if self._members.name in chosen:
                 self.take(self._members.name, told, now)
             yield Due(told, addresses)
@@ -111,45 +111,48 @@
     def _due_sums(
         self, own_zone: load_sums.Loads, reports: int
     ) -> Iterable[Due]:
-        """Return the sum of this zone, for the gatherers of the others."""
+        """Return the sum of this zone, for the aggregators of the others."""
         is_told = bool(own_zone) or self._had_load
         is_again = self._round % ROUNDS_A_FAR_SUM == 0
-        has_risen = gathering.has_risen(self.state, own_zone)
+        has_risen = aggregation.has_risen(self.state, own_zone)
         if not is_told or not (is_again or has_risen):
             return
         self._had_load = bool(own_zone)
         self.state.told = own_zone
-        chosen = gathering.of_others(self._members, self.state.zone)
+        chosen = aggregation.of_others(self._members, self.state.zone)
         addresses = members.note_addresses(self._members, chosen)
         for part in load_sums.sliced(own_zone, MOST_SERVERS):
             told = peering_data.ZoneSum(self.state.zone, reports, part)
             yield Due(told, addresses)
 
     def _due_totals(
-        self, own_zone: load_sums.Loads, now: float
+        self, own_zone: load_sums.Loads, reports: int, now: float
     ) -> Iterable[Due]:
         """Return the total of all zones, for the processes of this one.
 
         It is told where there is nothing, too: who follows the store is told
-        with it, and its zone knows by it that this process speaks.
+        with it, and the standby knows by it that the primary lives.
         """
-        total = gathering.total(self.state, own_zone, now)
+        total = aggregation.total(self.state, own_zone, now)
         is_again = self._round % ROUNDS_AGAIN == 0
         is_due = total != self._told_total or is_again
         if not is_due:
             return
         self._told_total = total
-        held = gathering.holds(self.state)
+        held = aggregation.holds(self.state)
         parts = load_sums.sliced(total, MOST_SERVERS)
         for part in parts:
-            gathering.take_total(
-                self.state, peering_data.Total(held, part), now
+            self.take(
+                self._members.name,
+                peering_data.Total(held, part, reports),
+                now,
             )
         for names in self._groups():
             held_here = _only(held, names)
             addresses = members.note_addresses(self._members, names)
             for part in parts:
-                yield Due(peering_data.Total(held_here, part), addresses)
+                told = peering_data.Total(held_here, part, reports)
+                yield Due(told, addresses)
 
     def _groups(self) -> list[list[str]]:
         """Return the other processes of the zone, in groups for a message."""
--- a/beryllug/router/knowledge.py
+++ b/beryllug/router/knowledge.py
@@ -55,7 +55,9 @@
         else yet. Without it 195 processes made twice as many calls of the
         store in a day, as the newest each began to follow it for a moment.
         """
-        digest = digest._replace(words=standing.words(self.standing, now))
+        digest = digest._replace(
+            followers=standing.followers(self.standing, now)
+        )
         own = digest.versions
         known = self._known
         if asked.table < own.table:
@@ -69,7 +71,7 @@
 
     def take(self, digest: peering_data.Digest, now: float) -> None:
         """Take what a peer has added to its digest."""
-        standing.take_words(self.standing, digest.words, now)
+        standing.take_followers(self.standing, digest.followers, now)
         known = self._known
         if digest.table:
             table = _decode(zlib.decompress(digest.table))
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -1,9 +1,9 @@
 """Service 'sharing': short notes between the processes of the fleet.
 
 Round by round it tells what this process has at backend servers and who
-follows the platform's store, by the gatherers of the zones; see
-`core.peering.gathering`. What is seldom goes to all at once: a process that is
-gone, a server that was lost under a request, the phase of a roll-out.
+follows the platform's store, by the aggregators of the zones; see
+`core.peering.aggregation`. What is seldom goes to all at once: a process that
+is gone, a server that was lost under a request, the phase of a roll-out.
 """
 
 import asyncio
@@ -23,7 +23,7 @@
     pool,
     probes,
     rollout_state,
-    store_words,
+    store_news,
     trials,
 )
 
@@ -60,7 +60,7 @@
         self._trials = decided.trials
         self._crashes = decided.crashes
         self._notes = datagrams.Datagrams(keys, peering_data.Note, self._take)
-        self._words = store_words.StoreWords(
+        self._news = store_news.StoreNews(
             cfg, zone, peers, known, self._notes.send
         )
         self._probes = probes.Probes(
@@ -74,13 +74,13 @@
         """Start to tell and to take."""
         await self._notes.start(self._cfg.notes_listen)
         now = time.monotonic()
-        self._words.start(now)
-        await self._words.follow_or_not(now)
+        self._news.start(now)
+        await self._news.follow_or_not(now)
         self._task = asyncio.create_task(self._run())
 
     async def stop(self, grace_s: float) -> None:
         """Stop to tell."""
-        self._words.stop()
+        self._news.stop()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -96,7 +96,7 @@
             'zones': sorted(self._loads.state.zones),
             'others_ago_s': now - self._pool.others.at,
             'paces_s': dict(self._pool.reading.paces),
-            'watching': sorted(self._words.standing.watching),
+            'watching': sorted(self._news.standing.watching),
             'notes_sent': self._notes.sent,
             'notes_dropped': self._notes.dropped,
         }
@@ -115,15 +115,15 @@
             await asyncio.sleep(fleet_loads.PERIOD_S)
             now = time.monotonic()
             self._pool.processes = len(self._peers.members.known) + 1
-            await self._words.follow_or_not(now)
-            self._words.tell()
+            await self._news.follow_or_not(now)
+            self._news.tell()
             self._tell_loads(now)
             self._tell_news()
             self._probes.look(now)
 
     def _ask(self, name: str) -> None:
         now = time.monotonic()
-        stated = self._words.relayed(self._words.stated(), now)
+        stated = self._news.relayed(self._news.stated(), now)
         self._probes.ask(name, stated, now)
 
     def _tell_all(self, note: peering_data.Note) -> None:
@@ -134,7 +134,7 @@
         for due in self._loads.due(now):
             note = with_loads(self._note(), due.told)
             if note.total is not None:
-                note = self._words.relayed(note, now)
+                note = self._news.relayed(note, now)
             if self._loads.is_unheard(now):
                 note = note._replace(
                     notes=self._cfg.notes_listen, zone=self._zone
@@ -169,9 +169,9 @@
         self._trials.pins.take(note.running)
         self._crashes.take(note.losses, now)
         self._trials.take_phases(note.rollouts, note.name, now)
-        self._words.take(note, now)
+        self._news.take(note, now)
         if note.asks:
-            stated = self._words.relayed(self._words.stated(), now)
+            stated = self._news.relayed(self._news.stated(), now)
             self._probes.answer(note, stated, now)
         self._probes.take(note, now)
 
--- a/beryllug/router/store_words.py
+++ b/beryllug/router/store_news.py
@@ -1,11 +1,11 @@
 """What processes tell one another of the platform's store.
 
 A few follow the store for all, see `core.peering.standing`. They say so, and
-how new their knowledge is, to the gatherers of each availability zone; the
-speaker of a zone says it on with each total of loads. What changes in the store
-goes the same way, at once: from who follows it to all gatherers, from these to
-their zones. Told to each process singly, three who follow the store sent 1,164
-notes a second in a fleet of 195 while nothing changed.
+how new their knowledge is, to the aggregators of each availability zone; the
+primary of a zone says it on with each total of loads. What changes in the
+store goes the same way, at once: from who follows it to all aggregators, from
+these to their zones. Told to each process singly, three who follow the store
+sent 1,164 notes a second in a fleet of 195 while nothing changed.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 import msgspec
 
 from beryllug.core import settings_data
-from beryllug.core.peering import gathering, members, peering_data, standing
+from beryllug.core.peering import aggregation, members, peering_data, standing
 from beryllug.core.placement import backlog
 from beryllug.router import directory, peering, server_list
 
@@ -31,7 +31,7 @@
 Send = Callable[[Iterable[str], peering_data.Note], None]
 
 
-class StoreWords:
+class StoreNews:
     """Decides who follows the store, and spreads what those know.
 
     It belongs to the service that sends the notes.
@@ -84,7 +84,7 @@
         """Say that this process follows the store, if it does."""
         if self._known.is_current():
             self._send(
-                members.note_addresses(self._members, self._gatherers()),
+                members.note_addresses(self._members, self._aggregators()),
                 self.stated(),
             )
 
@@ -103,7 +103,7 @@
         """Return a note with what this process has heard of the store."""
         mine = self.stated()
         return note._replace(
-            words=standing.words(self.standing, now),
+            followers=standing.followers(self.standing, now),
             versions=mine.versions,
             returned_ago_s=mine.returned_ago_s,
         )
@@ -112,7 +112,7 @@
         """Take what a process tells of the store."""
         if note.is_watching:
             standing.heard(self.standing, note.name, now)
-        standing.take_words(self.standing, note.words, now)
+        standing.take_followers(self.standing, note.followers, now)
         if note.versions == peering_data.NOTHING_KNOWN:
             return
         servers = self._known.servers
@@ -152,11 +152,11 @@
         )
 
     def _tell_change(self, note: peering_data.Note) -> None:
-        """Tell of news: to all gatherers, and as one of them to its zone."""
+        """Tell of news: to all aggregators, and as one of them to its zone."""
         told: list[str] = []
         if note.is_watching:
-            told.extend(self._gatherers())
-        if self._members.name in self._near_gatherers():
+            told.extend(self._aggregators())
+        if self._members.name in self._near_aggregators():
             near, _ = members.by_zone(self._members, self._zone)
             told.extend(near)
         addresses = members.note_addresses(self._members, dict.fromkeys(told))
@@ -167,10 +167,10 @@
 
         Not always the first that told: all others would ask it alone, and its
         link would carry the route table to each of them. Of a change that a
-        gatherer told of, its zone asks one of the gatherers.
+        aggregator told of, its zone asks one of the aggregators.
         """
         names: list[str] = []
-        near = self._near_gatherers()
+        near = self._near_aggregators()
         if note.is_watching:
             names = sorted(standing.watching(self.standing, now))
         elif note.name in near:
@@ -189,10 +189,10 @@
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    def _near_gatherers(self) -> list[str]:
-        return gathering.gatherers(self._members, self._zone, self._zone)
+    def _near_aggregators(self) -> list[str]:
+        return aggregation.aggregators(self._members, self._zone, self._zone)
 
-    def _gatherers(self) -> list[str]:
-        """Return the gatherers of all zones, this process too if it is one."""
-        far = gathering.of_others(self._members, self._zone)
-        return [*self._near_gatherers(), *far]
+    def _aggregators(self) -> list[str]:
+        """Return the aggregators of all zones, also this process if it is."""
+        far = aggregation.of_others(self._members, self._zone)
+        return [*self._near_aggregators(), *far]
