--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -72,8 +72,25 @@
     at: float
 
 
+class Arrival(NamedTuple):
+    """A request that reached the server, run or refused.
+
+    Attributes:
+        at: Monotonic second.
+        limit_per_s: The limit that its answer names, or None.
+    """
+
+    at: float
+    limit_per_s: float | None
+
+
 class PlatformRunner:
-    """A backend server without its sockets."""
+    """A backend server without its sockets.
+
+    Attributes:
+        limit_per_s: Limit that its answers name, in requests a second.
+        arrivals: Requests that reached it and were meant for it.
+    """
 
     def __init__(
         self, cfg: PlatformRunnerCfg, switches: faults.Switches
@@ -87,6 +104,8 @@
         self.stall_after: int | None = None
         self.is_sealed = True
         self.refused_model = ''
+        self.limit_per_s: float | None = None
+        self.arrivals: list[Arrival] = []
         self._switches = switches
         self._running = 0
         self._read: set[tuple[str, str]] = set()
@@ -109,6 +128,7 @@
         if expected != self.cfg.instance:
             await self._refuse(HTTPStatus.MISDIRECTED_REQUEST, answer)
             return
+        self.arrivals.append(Arrival(time.monotonic(), self.limit_per_s))
         is_full = self._running >= self.cfg.slots + self.cfg.queue
         if is_full or (asked.model and asked.model == self.refused_model):
             await self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, answer)
@@ -183,13 +203,18 @@
     async def _refuse(self, status: int, answer: faults.Answer) -> None:
         self.refused += 1
         headers = {names.NOT_RUN: '1', names.INSTANCE: self.cfg.instance}
-        await answer.respond(status, b'', headers)
+        await answer.respond(status, b'', headers | self._named_limit())
 
     def _headers(self, asked: requests.Asked) -> dict[str, str]:
         headers = {names.ATTEMPT: asked.attempt_id}
         if self.is_sealed:
             headers[names.SEAL] = f'{self.cfg.instance}.{asked.attempt_id}'
-        return headers
+        return headers | self._named_limit()
+
+    def _named_limit(self) -> dict[str, str]:
+        if self.limit_per_s is None:
+            return {}
+        return {names.LIMIT: str(self.limit_per_s)}
 
 
 def stand_in(cfg: PlatformRunnerCfg) -> party.StandIn:
