--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -126,6 +126,48 @@
     reports: int = 0
 
 
+class LimitNews(NamedTuple):
+    """What a server was last known to say of its limit.
+
+    Attributes:
+        instance: The server.
+        per_s: Requests a second that it takes from all processes together;
+            None where it names no limit.
+        ago_s: Seconds since it was known to say so.
+    """
+
+    instance: str
+    per_s: float | None
+    ago_s: float
+
+
+class Claim(NamedTuple):
+    """A question whether a request may be sent to a server.
+
+    Attributes:
+        number: Number of the question.
+        limit: The server's limit, as the sender knows it.
+    """
+
+    number: int
+    limit: LimitNews
+
+
+class Permit(NamedTuple):
+    """The answer to a claim.
+
+    Attributes:
+        number: Number of the question.
+        wait_s: Seconds until the next request is due; 0 where this one may be
+            sent now.
+        limit: The server's limit, as the sender knows it.
+    """
+
+    number: int
+    wait_s: float
+    limit: LimitNews
+
+
 class Note(NamedTuple):
     """What a process tells by datagram, some times a second.
 
@@ -156,6 +198,10 @@
         evacuated: The evacuated availability zones, where `versions` tells of
             them. They are few, so they come with each word of what is known:
             nobody has to be asked for them first.
+        limits: Limits of servers that have just begun or ended; in a question
+            or an answer, some of those that the sender knows.
+        claim: Asks for a permit.
+        permit: Answers a claim.
     """
 
     name: str
@@ -179,6 +225,9 @@
     answers: int = 0
     peers: tuple[Peer, ...] = ()
     evacuated: tuple[str, ...] = ()
+    limits: tuple[LimitNews, ...] = ()
+    claim: Claim | None = None
+    permit: Permit | None = None
 
 
 class Digest(NamedTuple):
--- a/beryllug/core/placement/choose.py
+++ b/beryllug/core/placement/choose.py
@@ -82,7 +82,25 @@
         zone: Availability zone of this process.
         now: The present second.
     """
-    fitting = [
+    usable = _sound(state, fitting(servers, wish), now)
+    if not usable:
+        return None
+    if wish.prompt is not None:
+        away_s = REMOTE_S + _transfer_bytes(wish) * REMOTE_BYTE_S
+        return _for_prompt(known, usable, wish.prompt, _Away(zone, away_s), now)
+    return min(
+        usable, key=lambda server: _load(state, known, server, zone, now)
+    )
+
+
+def fitting(
+    servers: Iterable[servers_data.Server], wish: servers_data.Wish
+) -> list[servers_data.Server]:
+    """Return the servers that fit an attempt.
+
+    Of the versions that it may run on, or of any where none of these is there.
+    """
+    found = [
         server
         for server in servers
         if server.service == wish.service
@@ -91,18 +109,10 @@
     ]
     allowed = [
         server
-        for server in fitting
+        for server in found
         if wish.versions is None or server.version in wish.versions
     ]
-    usable = _sound(state, allowed or fitting, now)
-    if not usable:
-        return None
-    if wish.prompt is not None:
-        away_s = REMOTE_S + _transfer_bytes(wish) * REMOTE_BYTE_S
-        return _for_prompt(known, usable, wish.prompt, _Away(zone, away_s), now)
-    return min(
-        usable, key=lambda server: _load(state, known, server, zone, now)
-    )
+    return allowed or found
 
 
 def _sound(
--- a/beryllug/core/placement/cold.py
+++ b/beryllug/core/placement/cold.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 
 from beryllug.core import rendezvous
+from beryllug.core.placement import fleet_size
 
 # Part of the rate that is used on the mean. Of six drawn for a rate of eight,
 # more than seventeen, at which a server crashes, are drawn once in 30,000.
@@ -26,11 +27,6 @@
 # Seconds in which a process sends what is its part, a little over one: a
 # request may be longer under way than the next.
 WINDOW_S = 1.05
-# Seconds for which the count of processes must not have grown by more than a
-# tenth. One that has just started knows none yet and would take itself for the
-# whole fleet; where all start together, each would.
-SETTLED_S = 2.0
-GROWN = 1.1
 
 
 @dataclass(slots=True)
@@ -41,18 +37,14 @@
         name: Name of the process.
         until: When each cold server is taken to be warm.
         sent: When this process sent it requests, within the window.
-        processes: Processes that are or were there, this one too.
-        counted: The same, as the fleet last grew.
-        grown_at: When that was; never where nothing was counted yet, and a
-            process sends nothing to a cold server until then.
+        size: The size of the fleet; until it is known, a process sends nothing
+            to a cold server.
     """
 
     name: str
+    size: fleet_size.FleetSize = field(default_factory=fleet_size.FleetSize)
     until: dict[str, float] = field(default_factory=dict)
     sent: dict[str, deque[float]] = field(default_factory=dict)
-    processes: int = 1
-    counted: int = 0
-    grown_at: float = float('inf')
 
 
 def becomes_cold(cold: Cold, instance: str, seconds: float, now: float) -> None:
@@ -67,14 +59,6 @@
     cold.until[instance] = max(before, now + seconds)
 
 
-def count(cold: Cold, processes: int, now: float) -> None:
-    """Take how many processes are or were there, this one too."""
-    cold.processes = processes
-    if processes > cold.counted * GROWN:
-        cold.counted = processes
-        cold.grown_at = now
-
-
 def is_cold(cold: Cold, instance: str, now: float) -> bool:
     """Tell whether a server is cold."""
     until = cold.until.get(instance)
@@ -97,17 +81,17 @@
     """
     if per_s <= 0 or not is_cold(cold, instance, now):
         return True
-    if now - cold.grown_at < SETTLED_S:
+    if fleet_size.unsettled_s(cold.size, now) > 0:
         return False
     used = max(per_s * USED_PART, 1)
     drawn = rendezvous.share(f'{instance}/{cold.name}')
-    if drawn * cold.processes >= used:
+    if drawn * cold.size.ever >= used:
         return False
     window_s = WINDOW_S / min(per_s, 1)
     times = cold.sent.get(instance, deque())
     while times and now - times[0] >= window_s:
         times.popleft()
-    return len(times) < max(int(used / cold.processes), 1)
+    return len(times) < max(int(used / cold.size.ever), 1)
 
 
 def sent(cold: Cold, instance: str, now: float) -> None:
--- a/beryllug/core/placement/cold_test.py
+++ b/beryllug/core/placement/cold_test.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from beryllug.core.placement import cold
+from beryllug.core.placement import cold, fleet_size
 
 PER_S = 8.0
 # Requests in a second at which a server of that rate crashes.
@@ -50,15 +50,16 @@
     came: dict[str, list[float]] = {name: [] for name in servers}
     for state, name in itertools.product(states, servers):
         cold.becomes_cold(state, name, LONG_S, 0)
-        cold.count(state, load.known, -60)
+        fleet_size.count(state.size, load.known, load.known, -60)
         if load.is_new:
-            state.counted = 0
-            state.grown_at = math.inf
+            state.size.counted = 0
+            state.size.grown_at = math.inf
     for step in range(1, int(LONG_S / STEP_S)):
         now = step * STEP_S
         part = min(now, 1) if load.is_new else 1
         for each in states:
-            cold.count(each, max(int(load.known * part), 1), now)
+            known = max(int(load.known * part), 1)
+            fleet_size.count(each.size, known, known, now)
         for state, name in itertools.product(states, servers):
             asks = rng.random() < load.asks_a_s * STEP_S
             if asks and cold.may_send(state, name, PER_S, now):
@@ -122,7 +123,7 @@
 
     def setUp(self) -> None:
         self.state = cold.Cold('p')
-        cold.count(self.state, 1, -10)
+        fleet_size.count(self.state.size, 1, 1, -10)
 
     def test_end(self) -> None:
         """A server is cold for as long as its latest word says."""
--- a/beryllug/core/placement/returning.py
+++ b/beryllug/core/placement/returning.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from enum import Enum, auto
 from types import MappingProxyType
+from typing import NamedTuple
 
 # Part of what is left of a caller's time after which it comes back.
 PART = 0.3
@@ -22,13 +23,27 @@
     NO_REGION = auto()
     EVACUATED = auto()
     COLD = auto()
+    LIMITED = auto()
     NO_TABLE = auto()
     STOPPING = auto()
 
 
+class Lack(NamedTuple):
+    """Why there is no server for a request.
+
+    Attributes:
+        cause: Why.
+        due_s: Seconds until there is one, where that is known.
+    """
+
+    cause: Cause
+    due_s: float | None = None
+
+
 # Most seconds for which a caller is sent away, by cause.
 # A server that was replaced or has restarted takes work again within one, and
 # one that is cold is warm, or free for one more request, within one.
+# One with a limit takes a further request within one, unless that is very low.
 # An evacuation lasts for seconds at the least.
 # A process without a route table started while the store is away; that lasts
 # for seconds, and a request has waited for it before it is sent away.
@@ -39,10 +54,14 @@
         Cause.NO_REGION: 3.0,
         Cause.EVACUATED: 3.0,
         Cause.COLD: 1.0,
+        Cause.LIMITED: 1.0,
         Cause.NO_TABLE: 1.4,
         Cause.STOPPING: 0.1,
     }
 )
+# Seconds for which a caller is sent away at the least: all that are refused at
+# one moment would else come back together at once.
+LEAST_DUE_S = 0.1
 # Why there is no server for a request, for its caller and the log.
 REASONS: Mapping[Cause, str] = MappingProxyType(
     {
@@ -50,6 +69,7 @@
         Cause.NO_REGION: 'no backend server is in a region that is allowed',
         Cause.EVACUATED: 'the zones of all backend servers are evacuated',
         Cause.COLD: 'all backend servers have just started',
+        Cause.LIMITED: 'all backend servers are at the limit that they name',
     }
 )
 # Part of a caller's time beyond the least, and most seconds, for which a
@@ -63,14 +83,17 @@
 LEAST_LEFT_S = 1.5
 
 
-def after_s(cause: Cause, left_s: float) -> float:
+def after_s(lack: Lack, left_s: float) -> float:
     """Return the seconds after which a refused caller should come back.
 
     Args:
-        cause: Why it is refused.
+        lack: Why it is refused.
         left_s: Seconds that it has left.
     """
-    return min(max(left_s, 0) * PART, MOST_S[cause])
+    most_s = MOST_S[lack.cause]
+    if lack.due_s is not None:
+        most_s = max(lack.due_s, LEAST_DUE_S)
+    return min(max(left_s, 0) * PART, most_s)
 
 
 def held_s(left_s: float) -> float:
--- a/beryllug/core/placement/returning_test.py
+++ b/beryllug/core/placement/returning_test.py
@@ -7,12 +7,17 @@
 from beryllug.core.placement import returning
 
 Cause = returning.Cause
-CASES: tuple[tuple[str, Cause, float, float], ...] = (
-    ('a short call', Cause.NO_TABLE, 1.5, 0.45),
-    ('a long one', Cause.NO_TABLE, 25, 1.4),
-    ('a long one, no server', Cause.NO_SERVER, 25, 1),
-    ('stopping', Cause.STOPPING, 25, 0.1),
-    ('no time left', Cause.NO_SERVER, -1, 0),
+NO_TABLE = returning.Lack(Cause.NO_TABLE)
+CASES: tuple[tuple[str, Cause, float | None, float, float], ...] = (
+    ('a short call', Cause.NO_TABLE, None, 1.5, 0.45),
+    ('a long one', Cause.NO_TABLE, None, 25, 1.4),
+    ('a long one, no server', Cause.NO_SERVER, None, 25, 1),
+    ('stopping', Cause.STOPPING, None, 25, 0.1),
+    ('no time left', Cause.NO_SERVER, None, -1, 0),
+    ('a limit, due soon', Cause.LIMITED, 0.6, 25, 0.6),
+    ('a low limit', Cause.LIMITED, 4, 25, 4),
+    ('a low limit, a short call', Cause.LIMITED, 4, 1.5, 0.45),
+    ('a limit, due now', Cause.LIMITED, 0, 25, 0.1),
 )
 CALLERS = 2000
 # Seconds for which the store stays away once all processes are back, at most;
@@ -45,9 +50,9 @@
 
     def test_cases(self) -> None:
         """Each case of the table."""
-        for title, cause, left_s, expected in CASES:
+        for title, cause, due_s, left_s, expected in CASES:
             with self.subTest(title):
-                found = returning.after_s(cause, left_s)
+                found = returning.after_s(returning.Lack(cause, due_s), left_s)
                 self.assertAlmostEqual(found, expected)
 
     def test_outage(self) -> None:
@@ -60,7 +65,7 @@
         """
         at_once = Policy(0, WITHOUT_WAIT_S)
         held_s = returning.held_s(PATIENCE_S)
-        after_s = returning.after_s(Cause.NO_TABLE, PATIENCE_S - held_s)
+        after_s = returning.after_s(NO_TABLE, PATIENCE_S - held_s)
         waiting = Policy(held_s, after_s)
         self.assertLess(_on_time(at_once, may_return=True), 0.66)
         self.assertLess(_on_time(at_once, may_return=False), 0.15)
@@ -76,7 +81,7 @@
         """
         rng = random.Random(5)
         held_s = returning.held_s(PATIENCE_S)
-        after_s = returning.after_s(Cause.NO_TABLE, PATIENCE_S - held_s)
+        after_s = returning.after_s(NO_TABLE, PATIENCE_S - held_s)
         on_time = {SHORT_S: 0, after_s: 0}
         for _ in range(CALLERS):
             came_at = rng.uniform(0, AWAY_S)
--- a/beryllug/core/placement/server_limits.py
+++ b/beryllug/core/placement/server_limits.py
@@ -10,8 +10,16 @@
 from typing import NamedTuple
 
 # Seconds for which the end of a limit is remembered, so that an older word of
-# the limit, told by another process, does not bring it back.
+# the limit, told by another process, does not bring it back; as long may such
+# a word be told.
 ENDED_S = 10.0
+# Seconds by which the word of another process must be newer. Each hop adds the
+# time of a message to its age; without this a word that goes round would seem
+# new for ever.
+HOP_S = 0.25
+# Seconds for which the limit of a server that is not listed is remembered: its
+# entry may lapse for a moment.
+UNLISTED_S = 60.0
 
 
 class Word(NamedTuple):
@@ -58,17 +66,39 @@
     return word.per_s != before.per_s
 
 
+def take_told(limits: Limits, instance: str, word: Word) -> bool:
+    """Take what another process has heard of a server, likewise."""
+    before = limits.words.get(instance)
+    if before is not None and word.at <= before.at + HOP_S:
+        return False
+    return take(limits, instance, word)
+
+
 def per_s(limits: Limits, instance: str) -> float | None:
     """Return the limit of a server; None where there is none."""
     word = limits.words.get(instance)
     return word and word.per_s
 
 
+def limited(limits: Limits) -> frozenset[str]:
+    """Return the servers that have a limit."""
+    return frozenset(
+        instance
+        for instance, word in limits.words.items()
+        if word.per_s is not None
+    )
+
+
 def forget(limits: Limits, listed: frozenset[str], now: float) -> None:
-    """Forget servers that are not listed, and limits that ended long ago."""
+    """Forget limits that ended long ago, or whose servers are gone."""
     limits.words = {
         instance: word
         for instance, word in limits.words.items()
-        if instance in listed
-        and (word.per_s is not None or now - word.at < ENDED_S)
+        if now - word.at < _kept_s(word, is_listed=instance in listed)
     }
+
+
+def _kept_s(word: Word, *, is_listed: bool) -> float:
+    if word.per_s is None:
+        return ENDED_S
+    return math.inf if is_listed else UNLISTED_S
--- a/beryllug/core/placement/server_limits_test.py
+++ b/beryllug/core/placement/server_limits_test.py
@@ -54,10 +54,27 @@
             server_limits.take(limits, f'i-{number}', Word(1, 0))
         server_limits.take(limits, 'i-1', Word(None, 1))
         listed = frozenset(('i-0', 'i-1'))
-        server_limits.forget(limits, listed, 2)
-        self.assertEqual(set(limits.words), listed)
-        server_limits.forget(limits, listed, 1 + server_limits.ENDED_S)
-        self.assertEqual(set(limits.words), {'i-0'})
+        table: tuple[tuple[float, set[str]], ...] = (
+            (2, {'i-0', 'i-1', 'i-2'}),
+            (1 + server_limits.ENDED_S, {'i-0', 'i-2'}),
+            (server_limits.UNLISTED_S, {'i-0'}),
+        )
+        for now, kept in table:
+            server_limits.forget(limits, listed, now)
+            self.assertEqual(set(limits.words), kept)
+
+    def test_told(self) -> None:
+        """A word that goes round gets younger with each hop, for ever."""
+        limits = server_limits.Limits()
+        server_limits.take(limits, 'i', Word(2, 1))
+        for word, per_s in (
+            (Word(3, 1 + server_limits.HOP_S), 2),
+            (Word(3, 1.1 + server_limits.HOP_S), 3),
+            (Word(None, 2), None),
+            (Word(3, 1.5), None),
+        ):
+            server_limits.take_told(limits, 'i', word)
+            self.assertEqual(server_limits.per_s(limits, 'i'), per_s)
 
 
 if __name__ == '__main__':
--- a/beryllug/core/placement/servers_data.py
+++ b/beryllug/core/placement/servers_data.py
@@ -65,6 +65,7 @@
         body_bytes: Bytes of its body.
         tokens_out: Tokens that its answer is expected to have.
         regions: Regions that it may run in; None for any.
+        without_limit: Whether servers that name a limit are left out.
     """
 
     service: str
@@ -74,3 +75,4 @@
     body_bytes: int = 0
     tokens_out: int = 0
     regions: frozenset[str] | None = None
+    without_limit: bool = False
--- a/beryllug/proofs/platform/server_limit_test.py
+++ b/beryllug/proofs/platform/server_limit_test.py
@@ -60,17 +60,18 @@
         run, with a time to come back.
         """
         per_s = 2.0
-        load = LOADS[1]
-        await self._limit(load.servers, per_s)
-        replies = await self._press(load)
-        for instance in load.servers:
-            self._check_bound(instance, per_s)
-        served = sum(each.status == OK for each in replies)
-        self.assertGreater(served, PRESSED_S * per_s)
-        for reply in replies:
-            if reply.status != OK:
-                self.assertEqual(reply.status, UNAVAILABLE)
-                self.assertIn(names.RETRY_AFTER, reply.headers)
+        for load in LOADS[1:]:
+            with self.subTest(load.path):
+                await self._limit(load.servers, per_s)
+                replies = await self._press(load)
+                for instance in load.servers:
+                    self._check_bound(instance, per_s)
+                refused = [each for each in replies if each.status != OK]
+                served = len(replies) - len(refused)
+                self.assertGreater(served, PRESSED_S * per_s)
+                for reply in refused:
+                    self.assertEqual(reply.status, UNAVAILABLE)
+                    self.assertIn(names.RETRY_AFTER, reply.headers)
 
     async def test_end(self) -> None:
         """A server that names no limit any more is still kept to its last."""
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -45,7 +45,7 @@
     unreached: int = 0
     may_have_run: bool = False
     reason: str = ''
-    lack: returning.Cause = returning.Cause.NO_SERVER
+    lack: returning.Lack = returning.Lack(returning.Cause.NO_SERVER)
     is_late: bool = False
     ended: int = 0
     was_dropped: bool = False
@@ -78,7 +78,7 @@
         wish(call, progress), time.monotonic()
     )
     if not progress.reason:
-        progress.reason = returning.REASONS[progress.lack]
+        progress.reason = returning.REASONS[progress.lack.cause]
 
 
 def note(
--- /dev/null
+++ b/beryllug/router/claims_test.py
@@ -0,0 +1,362 @@
+"""Tests of a server's limit, kept by a whole fleet, in virtual time.
+
+Processes with their own view of the fleet press one server that names a limit.
+Messages take some milliseconds; in some cases they are lost, late or doubled,
+and processes are killed, restarted, frozen or cut off.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+from unittest import main
+
+from beryllug.control import virtual_time_test
+from beryllug.core import settings_data
+from beryllug.core.peering import members, peering_data
+from beryllug.core.placement import fleet_size, servers_data
+from beryllug.kernel import log_lines
+from beryllug.platform import requests
+from beryllug.router import claims, dispatch, server_limits
+
+SERVER = servers_data.Server(
+    'i', 'pool', '10.0.0.1:80', 'a', 'v1', 8, servers_data.State.READY
+)
+# The bound of the service: requests in some seconds, by the limit.
+WINDOW_S = 4.0
+OVER = 1.5
+SLACK = 5
+# Seconds after the first answer with a limit from which the bound is checked.
+STABLE_S = 1.0
+# Seconds from a request to the head of its answer.
+ANSWER_S = 0.03
+MESSAGE_S = 0.002
+ROUND_S = 0.25
+# Parts of what a server takes that the fleet uses, where it presses enough.
+USED_PART = 0.7
+
+
+# Processes, and what a server takes of all of them.
+FLEETS = ((8, 1.0), (8, 20.0), (84, 1.6), (300, 20.0))
+
+
+class _Arrival(NamedTuple):
+    """A request at the server, the sender, and the limit that was named."""
+
+    at: float
+    name: str
+    per_s: float | None
+
+
+class _Process:
+    """One process of the fleet, with its own view of it."""
+
+    def __init__(self, name: str, fleet: '_Fleet') -> None:
+        self.name = name
+        self.members = members.Members(name)
+        self.limits = server_limits.ServerLimits(name, _Silent())
+        self.size = fleet_size.FleetSize()
+        cfg: Any = settings_data.Router(
+            listen='',
+            ready='',
+            store='',
+            seeds=(),
+            peer_listen=name,
+            notes_listen=name,
+        )
+        peers: Any = self
+        self.claims = claims.Claims(
+            cfg,
+            'a',
+            peers,
+            self.limits,
+            self.size,
+            lambda addresses, note: fleet.send(name, addresses, note),
+        )
+        self.limits.claim = self.claims.claim
+        self.limits.on_changed = lambda: fleet.tell_all(self)
+
+    def ask(self, name: str) -> None:
+        """Pass over that a process does not answer."""
+
+
+class _Silent(log_lines.LineWriter):
+    """Writes no lines."""
+
+    def __init__(self) -> None:
+        """Open nothing."""
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Drop a line."""
+
+
+class _Fleet:
+    """Processes before one server, and the messages between them.
+
+    Attributes:
+        lost: Share of messages that are lost.
+        late_s: Longest delay of a message beyond the usual.
+        doubled: Whether each message comes twice.
+        deaf: Processes that no message reaches.
+        side: Which part of a cut fleet a process is in.
+    """
+
+    def __init__(self, size: int, per_s: float | None) -> None:
+        self.per_s = per_s
+        self.lost = 0.0
+        self.late_s = 0.0
+        self.doubled = False
+        self.deaf: set[str] = set()
+        self.side: dict[str, int] = {}
+        self.came: list[_Arrival] = []
+        self.refused = 0
+        self.names = [f'p{number}' for number in range(size)]
+        self._rng = random.Random(size)
+        self.processes: dict[str, _Process] = {}
+        for name in self.names:
+            self.start(name)
+        for process in self.processes.values():
+            self.meet(process, self.names, -60)
+            self.count(process, time.monotonic() - 60)
+
+    def start(self, name: str) -> None:
+        """Start a process, or start it again; it knows no other one."""
+        self.processes[name] = _Process(name, self)
+
+    def meet(
+        self, process: _Process, names: Iterable[str], since_s: float = 0
+    ) -> None:
+        """Let a process know of others, where it can reach them."""
+        at = time.monotonic() + since_s
+        for other in names:
+            is_near = self.side.get(other) == self.side.get(process.name)
+            if is_near and other in self.processes:
+                seen = members.Known(other, other, at, 'a')
+                members.heard(process.members, other, seen)
+
+    def forget(self, gone: Iterable[str], name: str) -> None:
+        """Let a process learn that others are gone."""
+        for each in gone:
+            members.found_gone(
+                self.processes[name].members, each, time.monotonic()
+            )
+
+    def count(self, process: _Process, now: float) -> None:
+        """Do what a process does each round."""
+        present = len(process.members.known) + 1
+        ever = members.count_ever(process.members)
+        fleet_size.count(process.size, present, ever, now)
+
+    def send(
+        self, sender: str, addresses: Iterable[str], note: peering_data.Note
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        for address in addresses:
+            is_cut = self.side.get(sender) != self.side.get(address)
+            is_lost = self._rng.random() < self.lost or address in self.deaf
+            if is_cut or is_lost:
+                continue
+            delay_s = MESSAGE_S + self._rng.random() * self.late_s
+            for _ in range(1 + self.doubled):
+                loop.call_later(delay_s, self._deliver, address, note)
+
+    def tell_all(self, process: _Process) -> None:
+        """Tell all of a limit that began or ended."""
+        told = process.limits.changed(time.monotonic())
+        note = peering_data.Note(process.name, process.name, limits=told)
+        others = [name for name in self.names if name != process.name]
+        self.send(process.name, others, note)
+
+    async def press(self, a_second: float, seconds: float) -> None:
+        """Let callers ask processes at random."""
+        until = time.monotonic() + seconds
+        asking = []
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.expovariate(a_second))
+            process = self._rng.choice(list(self.processes.values()))
+            asking.append(asyncio.create_task(self._ask(process)))
+        await asyncio.gather(*asking)
+
+    async def rounds(self) -> None:
+        """Let each process count the fleet, round by round."""
+        while True:
+            await asyncio.sleep(ROUND_S)
+            for process in self.processes.values():
+                self.count(process, time.monotonic())
+
+    async def _ask(self, process: _Process) -> None:
+        now = time.monotonic()
+        instance = SERVER.instance
+        if process.limits.per_s(instance) is not None:
+            is_refused = process.limits.refused_s(instance, now) > 0
+            if is_refused or not await process.limits.claim(instance):
+                self.refused += 1
+                return
+        sent_at = time.monotonic()
+        self.came.append(_Arrival(sent_at, process.name, self.per_s))
+        limit = '' if self.per_s is None else str(self.per_s)
+        await asyncio.sleep(ANSWER_S)
+        head = requests.Head(200, True, False, False, '', None, limit)
+        process.limits.heard(
+            dispatch.Said(SERVER, head, sent_at, time.monotonic())
+        )
+
+    def _deliver(self, name: str, note: peering_data.Note) -> None:
+        process = self.processes.get(name)
+        if process is not None:
+            process.claims.take(note, time.monotonic())
+
+
+def _most(fleet: _Fleet, excused: Iterable[str] = ()) -> int:
+    """Return the most requests in a window while a limit is known."""
+    named = [each for each in fleet.came if each.per_s is not None]
+    since = named[0].at + STABLE_S
+    times = [
+        each.at
+        for each in named
+        if each.at >= since and each.name not in frozenset(excused)
+    ]
+    return max(
+        (sum(at <= each < at + WINDOW_S for each in times) for at in times),
+        default=0,
+    )
+
+
+Scene = Callable[[_Fleet], Any]
+
+
+async def _calm(fleet: _Fleet) -> None:
+    """Do nothing."""
+
+
+async def _kill_first(fleet: _Fleet) -> None:
+    """Kill the process that permits; the others notice after two seconds."""
+    await asyncio.sleep(4)
+    for _ in range(2):
+        known = next(iter(fleet.processes.values())).members
+        first = members.ranked(known, SERVER.instance)[0]
+        fleet.processes.pop(first)
+        await asyncio.sleep(2)
+        for name in fleet.processes:
+            fleet.forget((first,), name)
+
+
+async def _restart_each(fleet: _Fleet) -> None:
+    """Restart one process after the other; each knows none at first."""
+    for name in fleet.names:
+        await asyncio.sleep(10 / len(fleet.names))
+        fleet.start(name)
+        await asyncio.sleep(0.15)
+        fleet.meet(fleet.processes[name], fleet.names)
+
+
+async def _restart_all(fleet: _Fleet) -> None:
+    """Kill all at once; they learn of one another within some seconds."""
+    await asyncio.sleep(4)
+    for name in fleet.names:
+        fleet.start(name)
+    for part in range(1, 9):
+        await asyncio.sleep(0.5)
+        known = fleet.names[: len(fleet.names) * part // 8]
+        for process in fleet.processes.values():
+            fleet.meet(process, known)
+
+
+async def _cut(fleet: _Fleet) -> None:
+    """Cut the fleet into halves that each notice after two seconds."""
+    await asyncio.sleep(3)
+    half = len(fleet.names) // 2
+    fleet.side = dict.fromkeys(fleet.names[:half], 0)
+    halves = list(fleet.side), fleet.names[half:]
+    await asyncio.sleep(2)
+    for near, far in (halves, tuple(reversed(halves))):
+        for name in near:
+            fleet.forget(far, name)
+    await asyncio.sleep(8)
+    fleet.side = {}
+    for process in fleet.processes.values():
+        fleet.meet(process, fleet.names)
+
+
+async def _freeze_first(fleet: _Fleet) -> None:
+    """Let the process that permits hear and answer nothing for a while."""
+    await asyncio.sleep(4)
+    known = next(iter(fleet.processes.values())).members
+    first = members.ranked(known, SERVER.instance)[0]
+    fleet.deaf = {first}
+    await asyncio.sleep(5)
+    fleet.deaf = set()
+
+
+async def _lose(fleet: _Fleet) -> None:
+    """Lose one message in three; the others come late, and twice."""
+    fleet.lost = 0.3
+    fleet.late_s = 0.5
+    fleet.doubled = True
+
+
+async def _lower(fleet: _Fleet) -> None:
+    """Lower the limit by and by; the bound is that of the last."""
+    for part in (0.9, 0.8, 0.7):
+        await asyncio.sleep(0.2)
+        assert fleet.per_s is not None
+        fleet.per_s = round(fleet.per_s * part, 3)
+
+
+class ClaimsTest(virtual_time_test.VirtualTimeCase):
+    """A fleet that is asked for several times what a server takes."""
+
+    async def test_bound(self) -> None:
+        """Processes that keep a limit each for itself exceed it together."""
+        scenes: tuple[Scene, ...] = (
+            _calm,
+            _kill_first,
+            _restart_each,
+            _restart_all,
+            _cut,
+            _freeze_first,
+            _lose,
+            _lower,
+        )
+        for scene in scenes:
+            for size, per_s in FLEETS:
+                with self.subTest(scene=scene.__name__, size=size):
+                    fleet = await self._play(size, per_s, scene)
+                    limit = fleet.per_s or 0
+                    allowed = OVER * limit * WINDOW_S + SLACK
+                    self.assertLessEqual(_most(fleet), allowed)
+
+    async def test_used(self) -> None:
+        """What one process leaves another lacks: the server is idle."""
+        for size in (1, 8, 84, 195, 300):
+            for per_s in (0.5, 2.0, 20.0):
+                with self.subTest(size=size, per_s=per_s):
+                    fleet = await self._play(size, per_s, _calm)
+                    seconds = fleet.came[-1].at - fleet.came[0].at
+                    used = len(fleet.came) / seconds / per_s
+                    self.assertGreater(used, USED_PART)
+
+    async def test_end(self) -> None:
+        """A limit that a server names no more is kept for ever."""
+        for size in (1, 8, 84, 300):
+            with self.subTest(size=size):
+                fleet = await self._play(size, 1.0, _calm)
+                fleet.per_s = None
+                await fleet.press(30, 4)
+                fleet.refused = 0
+                await fleet.press(30, 2)
+                self.assertEqual(fleet.refused, 0)
+
+    async def _play(self, size: int, per_s: float, scene: Scene) -> _Fleet:
+        fleet = _Fleet(size, per_s)
+        rounds = asyncio.create_task(fleet.rounds())
+        playing = asyncio.create_task(scene(fleet))
+        await fleet.press(4 * per_s + 4, 20)
+        await playing
+        rounds.cancel()
+        return fleet
+
+
+if __name__ == '__main__':
+    main()
--- a/beryllug/router/eligible.py
+++ b/beryllug/router/eligible.py
@@ -1,18 +1,24 @@
 """Service 'eligible': which backend servers a request may be sent to at all.
 
 Of those that are listed, none in an availability zone that is evacuated, none
-outside the regions that the request is bound to, and a cold one only where the
-fleet's bound on it leaves this process a part.
+outside the regions that the request is bound to, a cold one only where the
+fleet's bound on it leaves this process a part, and one that names a limit not
+while it is known to take no more.
 """
 
 import time
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from beryllug.core.placement import cold, returning, servers_data
+from beryllug.core.placement import (
+    choose,
+    cold,
+    returning,
+    servers_data,
+)
 from beryllug.core.routes import routes_data
 from beryllug.kernel import metrics_data
-from beryllug.router import server_list, zone_list
+from beryllug.router import server_limits, server_list, zone_list
 
 NO_SERVICE = routes_data.Service('', 0, None)
 Servers = list[servers_data.Server]
@@ -33,19 +39,27 @@
 
 
 class Eligible:
-    """Knows which listed servers take requests of this process now."""
+    """Knows which listed servers take requests of this process now.
+
+    Attributes:
+        limits: The limits that servers name.
+        size: The size of the fleet, by which bounds are divided.
+    """
 
     def __init__(
         self,
         known: server_list.ServerList,
         zones: zone_list.ZoneList,
         place: Place,
+        limits: server_limits.ServerLimits,
     ) -> None:
-        """Bind to the listed servers and to the evacuated zones."""
+        """Bind to the listed servers, evacuated zones and limits."""
+        self.limits = limits
         self._known = known
         self._zones = zones
         self._regions = place.regions
         self._cold = cold.Cold(place.name)
+        self.size = self._cold.size
         self._services: Mapping[str, routes_data.Service] = {}
         known.on_listed = self._listed
         zones.on_reopened = self._reopened
@@ -60,10 +74,6 @@
         """Take the services of the route table in force."""
         self._services = table.services
 
-    def count(self, processes: int, now: float) -> None:
-        """Take how many processes are or were there, this one too."""
-        cold.count(self._cold, processes, now)
-
     def versions(self, service: str, now: float) -> frozenset[str]:
         """Return the versions that a service's listed servers run."""
         listed, _ = self._known.usable(now)
@@ -77,15 +87,23 @@
         """Return the listed servers for an attempt, and the doubted ones."""
         listed, doubted = self._known.usable(now)
         return (
-            [each for each in listed if self._takes(each, wish, now)],
-            [each for each in doubted if self._takes(each, wish, now)],
+            self._open(listed, wish, now),
+            self._open(doubted, wish, now),
         )
 
+    def still_takes(
+        self, server: servers_data.Server, wish: servers_data.Wish, now: float
+    ) -> bool:
+        """Tell whether a server is listed and takes requests as before."""
+        listed, doubted = self._known.usable(now)
+        is_listed = server in listed or server in doubted
+        return is_listed and self._takes(server, wish, now)
+
     def sent(self, instance: str, now: float) -> None:
         """Count a request that is sent to a server."""
         cold.sent(self._cold, instance, now)
 
-    def lack(self, wish: servers_data.Wish, now: float) -> returning.Cause:
+    def lack(self, wish: servers_data.Wish, now: float) -> returning.Lack:
         """Return why there is no server for an attempt."""
         listed, doubted = self._known.usable(now)
         same = [
@@ -94,14 +112,21 @@
         inside = [
             each for each in same if _is_inside(self._regions, each, wish)
         ]
-        present = [each for each in inside if self._is_open(each)]
-        if not same or not wish.excluded.isdisjoint(
-            each.instance for each in present
-        ):
-            return returning.Cause.NO_SERVER
+        present = {each.instance for each in inside if self._is_open(each)}
+        if not same or not wish.excluded.isdisjoint(present):
+            return returning.Lack(returning.Cause.NO_SERVER)
         if not inside:
-            return returning.Cause.NO_REGION
-        return returning.Cause.COLD if present else returning.Cause.EVACUATED
+            return returning.Lack(returning.Cause.NO_REGION)
+        if not present:
+            return returning.Lack(returning.Cause.EVACUATED)
+        due_s = [
+            self.limits.refused_s(instance, now)
+            for instance in present
+            if self.limits.per_s(instance) is not None
+        ]
+        if due_s:
+            return returning.Lack(returning.Cause.LIMITED, min(due_s))
+        return returning.Lack(returning.Cause.COLD)
 
     def dump(self) -> dict[str, Any]:
         """Return the evacuated zones and the cold servers."""
@@ -113,7 +138,7 @@
                 for instance, until in self._cold.until.items()
                 if until > now
             },
-            'processes': self._cold.processes,
+            'processes': self.size.ever,
         }
 
     def measure(self) -> Iterable[metrics_data.Sample]:
@@ -130,6 +155,25 @@
             'Backend servers that bear few requests after their start.',
         )
 
+    def _open(
+        self, servers: Servers, wish: servers_data.Wish, now: float
+    ) -> Servers:
+        """Return the servers that take a request of this process now.
+
+        Where those of the versions that it may run on take no more, others do
+        not take their place: a session would leave its version.
+        """
+        taking = [each for each in servers if self._takes(each, wish, now)]
+        held = {
+            each.instance
+            for each in taking
+            if _is_held(self.limits, each.instance, wish, now)
+        }
+        if not held:
+            return taking
+        fitting = choose.fitting(taking, wish)
+        return [each for each in fitting if each.instance not in held]
+
     def _takes(
         self, server: servers_data.Server, wish: servers_data.Wish, now: float
     ) -> bool:
@@ -141,7 +185,7 @@
             and cold.may_send(
                 self._cold,
                 server.instance,
-                self._service(server).cold_per_s,
+                _service_of(self._services, server).cold_per_s,
                 now,
             )
         )
@@ -149,9 +193,6 @@
     def _is_open(self, server: servers_data.Server) -> bool:
         return server.zone not in self._zones.evacuated
 
-    def _service(self, server: servers_data.Server) -> routes_data.Service:
-        return self._services.get(server.service, NO_SERVICE)
-
     def _listed(self, server: servers_data.Server, now: float) -> None:
         cold.becomes_cold(self._cold, server.instance, server.cold_s, now)
 
@@ -168,11 +209,30 @@
                     cold.becomes_cold(
                         self._cold,
                         server.instance,
-                        self._service(server).cold_s,
+                        _service_of(self._services, server).cold_s,
                         now,
                     )
 
 
+def _service_of(
+    services: Mapping[str, routes_data.Service], server: servers_data.Server
+) -> routes_data.Service:
+    return services.get(server.service, NO_SERVICE)
+
+
+def _is_held(
+    limits: server_limits.ServerLimits,
+    instance: str,
+    wish: servers_data.Wish,
+    now: float,
+) -> bool:
+    """Tell whether a server's limit leaves no room for a request."""
+    is_limited = limits.per_s(instance) is not None
+    if wish.without_limit and is_limited:
+        return True
+    return is_limited and limits.refused_s(instance, now) > 0
+
+
 def _is_inside(
     regions: Mapping[str, str],
     server: servers_data.Server,
--- a/beryllug/router/eligible_test.py
+++ b/beryllug/router/eligible_test.py
@@ -1,13 +1,20 @@
 """Tests of which backend servers a request may be sent to at all."""
 
 import unittest
+from collections.abc import Mapping
 from types import MappingProxyType
 
-from beryllug.core.placement import returning, servers_data
+from beryllug.core.peering import peering_data
+from beryllug.core.placement import permits, returning, servers_data
 from beryllug.core.routes import match, routes_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
-from beryllug.router import eligible, server_list, zone_list
+from beryllug.router import (
+    eligible,
+    server_limits,
+    server_list,
+    zone_list,
+)
 
 REGIONS = MappingProxyType({'a': 'west', 'b': 'west', 'c': 'east'})
 DESK = 'desk'
@@ -23,6 +30,7 @@
     }
 )
 NONE: frozenset[str] = frozenset()
+NO_VERSIONS: Mapping[str, str] = MappingProxyType({})
 Names = tuple[str, ...]
 
 
@@ -61,7 +69,10 @@
         self.zones = zone_list.ZoneList(lines)
         self.listed = server_list.ServerList(1, lines)
         place = eligible.Place('p', 'a', REGIONS)
-        self.eligible = eligible.Eligible(self.listed, self.zones, place)
+        self.limits = server_limits.ServerLimits('p', lines)
+        self.eligible = eligible.Eligible(
+            self.listed, self.zones, place, self.limits
+        )
         services = [{'name': DESK, 'cold_per_s': 2}]
         self.eligible.take_table(documents.table(_table(services=services)))
         self._list(dict.fromkeys('abcd', 0))
@@ -81,9 +92,8 @@
         for regions, names in table:
             with self.subTest(regions):
                 self.assertEqual(self._found(_wish(*regions)), names)
-        self.assertIs(
-            self.eligible.lack(_wish('north'), 0), returning.Cause.NO_REGION
-        )
+        lack = self.eligible.lack(_wish('north'), 0)
+        self.assertIs(lack.cause, returning.Cause.NO_REGION)
 
     def test_lack(self) -> None:
         """Why there is no server decides when the caller comes back."""
@@ -98,7 +108,7 @@
                 self._list(dict.fromkeys('abcd', cold_ms))
                 self.zones.take(evacuated, 5, 'peer', 0)
                 wish = _wish(excluded=excluded)
-                self.assertIs(self.eligible.lack(wish, 0), cause)
+                self.assertIs(self.eligible.lack(wish, 0).cause, cause)
 
     def test_cold(self) -> None:
         """A process that knows no fleet yet sends cold servers nothing."""
@@ -106,6 +116,34 @@
         self.assertEqual(self._found(_wish()), 'a')
         self.assertEqual(self._found(_wish(), now=1), 'ab')
 
+    def test_limited(self) -> None:
+        """A session leaves its version as its servers are at their limit."""
+        self._list(dict.fromkeys('abcd', 0), {'c': 'v2'})
+        self._limit('c', 1)
+        wish = _wish()._replace(versions=frozenset(('v2',)))
+        table: tuple[tuple[servers_data.Wish, float, str], ...] = (
+            (wish, 0, 'abcd'),
+            (wish, 1, ''),
+            (wish._replace(without_limit=True), 0, ''),
+            (_wish(), 1, 'abd'),
+            (_wish()._replace(without_limit=True), 0, 'abd'),
+        )
+        for asked, refused_s, names in table:
+            with self.subTest(asked=asked, refused_s=refused_s):
+                permits.refuse(self.limits.permits, 'c', refused_s, 0)
+                self.assertEqual(self._found(asked), names)
+
+    def test_due(self) -> None:
+        """A caller is told to come back when no server takes a request."""
+        self._limit('a', 1)
+        self._limit('b', 1)
+        for instance, wait_s in (('a', 0.7), ('b', 0.4)):
+            permits.refuse(self.limits.permits, instance, wait_s, 0)
+        self.zones.take('cd', 5, 'peer', 0)
+        lack = self.eligible.lack(_wish(), 0)
+        self.assertIs(lack.cause, returning.Cause.LIMITED)
+        self.assertEqual(lack.due_s, 0.4)
+
     def test_old_word(self) -> None:
         """A peer's older set of evacuated zones changes nothing."""
         for names, revision, evacuated in (
@@ -117,9 +155,21 @@
             self.zones.take(names, revision, 'peer', 0)
             self.assertEqual(self.zones.evacuated, frozenset(evacuated))
 
-    def _list(self, cold_ms: dict[str, int]) -> None:
+    def _limit(self, instance: str, per_s: float) -> None:
+        news = peering_data.LimitNews(instance, per_s, 0)
+        self.limits.take((news,), 'peer', 0)
+
+    def _list(
+        self, cold_ms: dict[str, int], versions: Mapping[str, str] = NO_VERSIONS
+    ) -> None:
         found = tuple(
-            store.Stored(zone, 1, _entry(zone, each), None, False)
+            store.Stored(
+                zone,
+                1,
+                _entry(zone, each) | {'version': versions.get(zone, 'v1')},
+                None,
+                False,
+            )
             for zone, each in cold_ms.items()
         )
         self.listed.listed(store.Listing(found, self.listed.revision + 1), 0)
--- a/beryllug/router/front.py
+++ b/beryllug/router/front.py
@@ -35,6 +35,8 @@
 # A caller that does not say how long it waits is taken to wait this long.
 DEFAULT_PATIENCE_S = 60.0
 IDLE_POLL_S = 0.05
+STOPPING = returning.Lack(returning.Cause.STOPPING)
+NO_TABLE = returning.Lack(returning.Cause.NO_TABLE)
 # Seconds for which a write to a caller may be blocked.
 WRITE_S = 10.0
 
@@ -190,7 +192,7 @@
             raise call_data.RefusedError(
                 call_data.UNAVAILABLE,
                 'this process is stopping',
-                returning.after_s(returning.Cause.STOPPING, patience_s),
+                returning.after_s(STOPPING, patience_s),
             )
         table = self._known.table
         if table is None or not self._known.servers.is_known:
@@ -198,7 +200,7 @@
                 call_data.UNAVAILABLE,
                 'no route table is known yet',
                 returning.after_s(
-                    returning.Cause.NO_TABLE,
+                    NO_TABLE,
                     patience_s - returning.held_s(patience_s),
                 ),
             )
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -58,7 +58,7 @@
         progress = attempts.Progress(self._trials.draw(call))
         failure: _Whole | None = None
         while True:
-            choice = self._pool.choose(attempts.wish(call, progress))
+            choice = await self._pool.choose(attempts.wish(call, progress))
             if choice is None:
                 attempts.note_lack(call, progress, self._pool)
                 break
--- a/beryllug/router/pool.py
+++ b/beryllug/router/pool.py
@@ -20,6 +20,17 @@
 from beryllug.router import eligible, repeats
 
 
+# Servers with a limit that are asked for one attempt, each a round trip.
+MOST_CLAIMS = 3
+
+
+class _Found(NamedTuple):
+    """The best server for an attempt, and those that it was chosen from."""
+
+    server: servers_data.Server
+    servers: list[servers_data.Server]
+
+
 class Choice(NamedTuple):
     """A server that was chosen.
 
@@ -82,28 +93,35 @@
         """Return the versions that a service's servers run."""
         return self.eligible.versions(service, time.monotonic())
 
-    def choose(self, wish: servers_data.Wish) -> Choice | None:
-        """Choose a server and count the request on it; None without one."""
-        now = time.monotonic()
-        for servers in self.eligible.of(wish, now):
-            server = choose.choose(
-                self._state,
-                self.known,
-                servers,
-                wish,
-                self._zone,
-                now,
-            )
-            if server is not None:
-                self.eligible.sent(server.instance, now)
-                return self._counted(server, wish, servers, now)
-        return None
+    async def choose(self, wish: servers_data.Wish) -> Choice | None:
+        """Choose a server and count the request on it; None without one.
+
+        A server with a limit must permit it first; others are asked in turn.
+        """
+        limits = self.eligible.limits
+        for _ in range(MOST_CLAIMS):
+            found = self._best(wish)
+            if found is None:
+                return None
+            instance = found.server.instance
+            if limits.per_s(instance) is None:
+                return self._counted(found, wish)
+            is_permitted = await limits.claim(instance)
+            # Things may have changed meanwhile.
+            now = time.monotonic()
+            if is_permitted and self.eligible.still_takes(
+                found.server, wish, now
+            ):
+                return self._counted(found, wish)
+        found = self._best(wish._replace(without_limit=True))
+        return found and self._counted(found, wish)
 
     def expected(self, wish: servers_data.Wish) -> backlog.Expected:
         """Return when a prompt's answer would begin, where that is soonest."""
         prompt = wish.prompt
         now = time.monotonic()
-        same, _ = self.eligible.of(wish, now)
+        # One with a limit may permit no more when it is asked.
+        same, _ = self.eligible.of(wish._replace(without_limit=True), now)
         if prompt is None or not same:
             return backlog.NEVER
         preferred = choose.home(same, prompt.key)
@@ -166,14 +184,27 @@
         seen = server_load.track(self._state, choice.server.instance)
         ejection.succeeded(seen, 1)
 
-    def _counted(
-        self,
-        server: servers_data.Server,
-        wish: servers_data.Wish,
-        servers: list[servers_data.Server],
-        now: float,
-    ) -> Choice:
+    def _best(self, wish: servers_data.Wish) -> _Found | None:
+        """Return the best server for an attempt; None without one."""
+        now = time.monotonic()
+        for servers in self.eligible.of(wish, now):
+            server = choose.choose(
+                self._state,
+                self.known,
+                servers,
+                wish,
+                self._zone,
+                now,
+            )
+            if server is not None:
+                return _Found(server, servers)
+        return None
+
+    def _counted(self, found: _Found, wish: servers_data.Wish) -> Choice:
+        now = time.monotonic()
+        server, servers = found
         instance = server.instance
+        self.eligible.sent(instance, now)
         server_load.dispatched(self._state, instance, now)
         prompt = wish.prompt
         if prompt is None:
--- a/beryllug/router/pool_test.py
+++ b/beryllug/router/pool_test.py
@@ -1,5 +1,6 @@
 """Tests of what a process keeps count of at its servers."""
 
+import asyncio
 import unittest
 from typing import Any
 
@@ -7,7 +8,13 @@
 from beryllug.core.placement import backlog, load_sums, servers_data
 from beryllug.kernel import log_lines
 from beryllug.platform import store
-from beryllug.router import eligible, pool, server_list, zone_list
+from beryllug.router import (
+    eligible,
+    pool,
+    server_limits,
+    server_list,
+    zone_list,
+)
 
 BOUND = retry_window.Bound(ratio=0.9, slack=56, window_s=10)
 PROMPT = backlog.Prompt('m', 'menu', 5000, 600)
@@ -49,8 +56,9 @@
         listed.listed(_listed(('i-1', 'i-2')), 0)
         zones = zone_list.ZoneList(log_lines.LineWriter(1))
         place = eligible.Place('p', 'a', {})
+        limits = server_limits.ServerLimits('p', log_lines.LineWriter(1))
         self.pool = pool.Pool(
-            eligible.Eligible(listed, zones, place), 'a', BOUND
+            eligible.Eligible(listed, zones, place, limits), 'a', BOUND
         )
 
     def test_counts(self) -> None:
@@ -104,7 +112,7 @@
         self.assertGreaterEqual(failed - larger, 4)
 
     def _choose(self, wish: servers_data.Wish) -> Any:
-        choice = self.pool.choose(wish)
+        choice = asyncio.run(self.pool.choose(wish))
         assert choice is not None
         return choice
 
--- a/beryllug/router/server_limits.py
+++ b/beryllug/router/server_limits.py
@@ -1,44 +1,86 @@
-"""Service 'server_limits': limits that backend servers name in answers."""
+"""Service 'server_limits': limits that backend servers name in answers.
 
-from collections.abc import Iterable
+A limit is told to all processes as it begins and as it ends, since one that
+has not heard of it goes on sending.
+"""
+
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from beryllug.core.placement import server_limits
+from beryllug.core.peering import peering_data
+from beryllug.core.placement import permits, server_limits
 from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import dispatch, refusals
 
+# Limits in a message of nothing else, and in one with other things, of some 40
+# bytes each.
+MOST_CHANGED = 20
+MOST_SOME = 6
+ANSWER = 'answer'
+NO_WORD = server_limits.Word(None, float('-inf'))
+Claim = Callable[[str], Awaitable[bool]]
+
 
 class ServerLimits:
-    """Knows which backend servers have named a limit, and which one."""
+    """Knows which backend servers have named a limit, and which one.
+
+    Attributes:
+        permits: What this process has permitted, and was refused.
+        claim: Asks whether a request may be sent to a server.
+        on_changed: Told of each limit that this process hears begin or end.
+    """
 
-    def __init__(self, lines: log_lines.LineWriter) -> None:
-        """Begin without a limit."""
+    def __init__(self, name: str, lines: log_lines.LineWriter) -> None:
+        """Begin without a limit.
+
+        Args:
+            name: Name of the process.
+            lines: Takes log lines.
+        """
+        self.permits = permits.Permits()
+        self.claim: Claim = _refuse
+        self.on_changed: Callable[[], None] = _pass_over
         self._limits = server_limits.Limits()
+        self._changed: set[str] = set()
         self._lines = lines
         self._refusals = refusals.Refusals('server_limit_unreadable', lines)
+        self._rng = random.Random(name)
 
     async def start(self) -> None:
-        """Do nothing: it is driven by answers."""
+        """Do nothing: it is driven by answers and by notes."""
 
     async def stop(self, grace_s: float) -> None:
         """Do nothing: it holds no socket and no task."""
 
     def dump(self) -> dict[str, Any]:
-        """Return the limits, in requests a second."""
+        """Return the limits, in requests a second, and who is refused."""
+        now = time.monotonic()
         return {
-            instance: word.per_s
-            for instance, word in self._limits.words.items()
-            if word.per_s is not None
+            instance: {
+                'per_s': self.per_s(instance),
+                'refused_s': round(self.refused_s(instance, now), 2),
+            }
+            for instance in sorted(server_limits.limited(self._limits))
         }
 
     def measure(self) -> Iterable[metrics_data.Sample]:
         """Return how many servers are limited."""
         yield metrics_data.Sample(
             'servers_limited',
-            len(self.dump()),
+            len(server_limits.limited(self._limits)),
             'Backend servers that name a limit on requests a second.',
         )
 
+    def per_s(self, instance: str) -> float | None:
+        """Return the limit of a server; None where there is none."""
+        return server_limits.per_s(self._limits, instance)
+
+    def refused_s(self, instance: str, now: float) -> float:
+        """Return the seconds for which a server takes no more from here."""
+        return permits.refused_s(self.permits, instance, now)
+
     def heard(self, said: dispatch.Said) -> None:
         """Take what the head of an answer says of its server's limit."""
         instance = said.server.instance
@@ -48,17 +90,81 @@
             if per_s is None:
                 self._refusals.refused(instance, text)
                 return
-            self._take(instance, server_limits.Word(per_s, said.heard_at))
+            self._hear(instance, server_limits.Word(per_s, said.heard_at))
         elif said.head.is_sealed:
-            self._take(instance, server_limits.Word(None, said.sent_at))
-
-    def _take(self, instance: str, word: server_limits.Word) -> None:
-        before = server_limits.per_s(self._limits, instance)
-        if server_limits.take(self._limits, instance, word):
-            self._lines.write(
-                'server_limit',
-                server=instance,
-                per_s=word.per_s,
-                before=before,
-                source='answer',
-            )
+            self._hear(instance, server_limits.Word(None, said.sent_at))
+
+    def take(
+        self, told: Iterable[peering_data.LimitNews], source: str, now: float
+    ) -> None:
+        """Take what another process has heard of servers lately."""
+        for news in told:
+            if news.ago_s < server_limits.ENDED_S:
+                self.take_one(news, source, now)
+
+    def take_one(
+        self, news: peering_data.LimitNews, source: str, now: float
+    ) -> None:
+        """Take what another process has heard of a server at any time."""
+        before = self.per_s(news.instance)
+        word = server_limits.Word(news.per_s, now - news.ago_s)
+        if server_limits.take_told(self._limits, news.instance, word):
+            self._log(news.instance, before, source)
+
+    def news(self, instance: str, now: float) -> peering_data.LimitNews:
+        """Return what is known of a server, to tell another process.
+
+        That nothing is known counts as older than any word of it.
+        """
+        word = self._limits.words.get(instance, NO_WORD)
+        ago_s = round(now - word.at, 3)
+        return peering_data.LimitNews(instance, word.per_s, ago_s)
+
+    def changed(self, now: float) -> tuple[peering_data.LimitNews, ...]:
+        """Return limits that began or ended since this was last asked."""
+        told = sorted(self._changed)[:MOST_CHANGED]
+        self._changed.difference_update(told)
+        return tuple(self.news(each, now) for each in told)
+
+    def recent(self, now: float) -> tuple[peering_data.LimitNews, ...]:
+        """Return some limits that were heard of lately, to tell a peer."""
+        known = [
+            instance
+            for instance in sorted(server_limits.limited(self._limits))
+            if now - self._limits.words[instance].at < server_limits.ENDED_S
+        ]
+        chosen = self._rng.sample(known, min(MOST_SOME, len(known)))
+        return tuple(self.news(each, now) for each in chosen)
+
+    def forget(self, listed: frozenset[str], now: float) -> None:
+        """Forget what is over, and servers that are gone."""
+        server_limits.forget(self._limits, listed, now)
+        limited = server_limits.limited(self._limits)
+        permits.forget(self.permits, limited, now)
+
+    def _hear(self, instance: str, word: server_limits.Word) -> None:
+        before = self.per_s(instance)
+        if not server_limits.take(self._limits, instance, word):
+            return
+        self._log(instance, before, ANSWER)
+        if before is None or word.per_s is None:
+            self._changed.add(instance)
+            self.on_changed()
+
+    def _log(self, instance: str, before: float | None, source: str) -> None:
+        self._lines.write(
+            'server_limit',
+            server=instance,
+            per_s=self.per_s(instance),
+            before=before,
+            source=source,
+        )
+
+
+async def _refuse(instance: str) -> bool:
+    """Permit nothing to a limited server while there is nobody to ask."""
+    return False
+
+
+def _pass_over() -> None:
+    """Tell nobody of a limit."""
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -14,9 +14,10 @@
 from beryllug.core import settings_data
 from beryllug.core.canary import sessions
 from beryllug.core.peering import members, peering_data
-from beryllug.core.placement import backlog, crashers
+from beryllug.core.placement import backlog, crashers, fleet_size
 from beryllug.drivers import datagrams, fleet_key
 from beryllug.router import (
+    claims,
     crash_watch,
     directory,
     fleet_loads,
@@ -56,6 +57,7 @@
         self._cfg = cfg
         self._zone = zone
         self._peers = peers
+        self._known = known
         self._pool = decided.pool
         self._loads = fleet_loads.FleetLoads(zone, peers.members, decided.pool)
         self._trials = decided.trials
@@ -67,6 +69,18 @@
         self._probes = probes.Probes(
             cfg, zone, peers, decided.trials, self._notes.send
         )
+        self._limits = decided.pool.eligible.limits
+        self._claims = claims.Claims(
+            cfg,
+            zone,
+            peers,
+            self._limits,
+            decided.pool.eligible.size,
+            self._notes.send,
+        )
+        self._limits.claim = self._claims.claim
+        self._limits.on_changed = self._tell_limits
+        self._limits_told_at = float('-inf')
         self._task: asyncio.Task[None] | None = None
         peers.ask = self._ask
         peers.roster.on_gone = lambda name: self._tell_all(_gone(name, cfg))
@@ -116,8 +130,12 @@
             await asyncio.sleep(fleet_loads.PERIOD_S)
             now = time.monotonic()
             known = self._peers.members
-            self._pool.repeats.processes = len(known.known) + 1
-            self._pool.eligible.count(members.count_ever(known), now)
+            present = len(known.known) + 1
+            self._pool.repeats.processes = present
+            ever = members.count_ever(known)
+            fleet_size.count(self._pool.eligible.size, present, ever, now)
+            self._limits.forget(_instances(self._known, now), now)
+            self._tell_limits()
             await self._news.follow_or_not(now)
             self._news.tell()
             self._tell_loads(self._loads.due(now), now)
@@ -126,8 +144,12 @@
 
     def _ask(self, name: str) -> None:
         now = time.monotonic()
+        self._probes.ask(name, self._stated(now), now)
+
+    def _stated(self, now: float) -> peering_data.Note:
+        """Return a note of what this process knows, for one other."""
         stated = self._news.relayed(self._news.stated(), now)
-        self._probes.ask(name, stated, now)
+        return stated._replace(limits=self._limits.recent(now))
 
     def _tell_all(self, note: peering_data.Note) -> None:
         known = self._peers.members.known.values()
@@ -157,6 +179,19 @@
             note = self._note()
             self._tell_all(note._replace(running=tuple(running), losses=losses))
 
+    def _tell_limits(self) -> None:
+        """Tell all of limits that began or ended, at most once a round.
+
+        A server whose answers name a limit by turns is told of no more often.
+        """
+        now = time.monotonic()
+        if now - self._limits_told_at < fleet_loads.PERIOD_S:
+            return
+        told = self._limits.changed(now)
+        if told:
+            self._limits_told_at = now
+            self._tell_all(self._note()._replace(limits=told))
+
     def _take(self, note: peering_data.Note) -> None:
         now = time.monotonic()
         if note.notes:
@@ -173,11 +208,11 @@
             self._tell_loads(self._loads.due_at_once(now), now)
         self._trials.pins.take(note.running)
         self._crashes.take(note.losses, now)
+        self._claims.take(note, now)
         self._trials.take_phases(note.rollouts, note.name, now)
         self._news.take(note, now)
         if note.asks:
-            stated = self._news.relayed(self._news.stated(), now)
-            self._probes.answer(note, stated, now)
+            self._probes.answer(note, self._stated(now), now)
         self._probes.take(note, now)
 
 
@@ -194,6 +229,12 @@
             return note._replace(total=told)
 
 
+def _instances(known: directory.Directory, now: float) -> frozenset[str]:
+    """Return the servers that are listed or doubted."""
+    listed, doubted = known.servers.usable(now)
+    return frozenset(each.instance for each in (*listed, *doubted))
+
+
 def _gone(name: str, cfg: settings_data.Router) -> peering_data.Note:
     """Return the note that a process is gone, or stops itself."""
     return peering_data.Note(name, cfg.peer_listen, gone=(name,))
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -51,7 +51,7 @@
         self._refuse_late(call, stream)
         failure: stream_state.Failure | None = None
         while True:
-            choice = self._pool.choose(
+            choice = await self._pool.choose(
                 attempts.wish(
                     call,
                     stream.progress,
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -76,7 +76,8 @@
     place = eligible.Place(
         settings.process.name, zone, settings_data.region_by_zone(cfg)
     )
-    open_servers = eligible.Eligible(listed, zones, place)
+    limits = server_limits.ServerLimits(settings.process.name, lines)
+    open_servers = eligible.Eligible(listed, zones, place, limits)
     known.on_table(open_servers.take_table)
     bound = retry_window.Bound(
         cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
@@ -91,7 +92,6 @@
     told = attempt_log.AttemptLog(lines, known)
     to_servers = http_client.HttpClient(CONNECT_S)
     sender = dispatch.Dispatcher(to_servers)
-    limits = server_limits.ServerLimits(lines)
     sender.on_head = limits.heard
     crashes = crash_watch.CrashWatch(lines)
     listed.on_lost = crashes.lost
