Soak: servers that name a limit for all routers together

A server names a limit of 2 requests a second for seven seconds and more; in any 4 s from three seconds on it gets no more than one and a half times that, and five, from routers that were not restarted, frozen or cut off a moment before.

--- a/beryllug/soak/callers.py
+++ b/beryllug/soak/callers.py
@@ -82,9 +82,11 @@
     ) -> seen.Sent:
         """Return the next request, not yet sent."""
         self._count += 1
+        attempt_id = f'{self._name}-{self._count:05}'
+        self._made.seen.routers[attempt_id] = router.name
         is_second = self._rng.random() < REVOKED_KEY_PART
         return seen.Sent(
-            attempt_id=f'{self._name}-{self._count:05}',
+            attempt_id=attempt_id,
             path=path,
             body=body,
             key=site.REVOKED_KEY if is_second else platform_site.KEY,
--- a/beryllug/soak/checks.py
+++ b/beryllug/soak/checks.py
@@ -25,6 +25,10 @@
 # Requests in a second at a cold server, by its rate: these times it, and some.
 COLD_OVER = 1.5
 COLD_SLACK = 5
+# Requests in some seconds at a server that names a limit, likewise.
+LIMIT_S = 4.0
+LIMIT_OVER = 1.5
+LIMIT_SLACK = 5
 STORE = 'store'
 SERVERS = 'servers'
 STREAMS = ('/draft/', '/report/')
@@ -147,6 +151,27 @@
                 break
 
 
+def limited(found: seen.Seen) -> Iterator[str]:
+    """A server that names a limit gets no more from all routers together.
+
+    A router that was restarted, frozen or cut off a moment before counts for
+    nothing.
+    """
+    for instance, came in found.limited.items():
+        since = came[0].at + BEFORE_S if came else 0
+        times = [
+            each.at
+            for each in came
+            if each.at >= since and not _is_excused(found, each)
+        ]
+        for at in times:
+            count = sum(at <= each < at + LIMIT_S for each in times)
+            most = LIMIT_OVER * site.LIMIT_PER_S * LIMIT_S + LIMIT_SLACK
+            if count > most:
+                yield f'{instance} got {count} requests, at its limit'
+                break
+
+
 def not_cut(found: seen.Seen) -> Iterator[str]:
     """No request breaks off but by a kill, a freeze, a server or its link.
 
@@ -216,6 +241,7 @@
     drained,
     evacuated,
     cold,
+    limited,
     not_cut,
     answered_in_time,
     rolled_out,
@@ -232,6 +258,16 @@
     ]
 
 
+def restart_of(router: str) -> str:
+    """Return what names the restarts of a router among the troubles."""
+    return f'{router} restarts'
+
+
+def _is_excused(found: seen.Seen, came: seen.Came) -> bool:
+    whats = frozenset((came.router, restart_of(came.router)))
+    return found.is_troubled(whats, came.at - BEFORE_S, came.at)
+
+
 def _is_whole(sent: seen.Sent) -> bool:
     if sent.path.startswith(('/lookup', '/hold')):
         method = 'POST' if sent.body else 'GET'
--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -87,9 +87,10 @@
                     await self._start_again(router)
 
     async def _start_again(self, router: platform_site.Router) -> None:
-        await asyncio.sleep(RESTART_S)
-        await self._made.site.respawn(self._made.running, router)
-        await asyncio.sleep(RESTART_S)
+        async with self._trouble(checks.restart_of(router.name)):
+            await asyncio.sleep(RESTART_S)
+            await self._made.site.respawn(self._made.running, router)
+            await asyncio.sleep(RESTART_S)
 
     async def _hit_way(self, fault: plan.Fault) -> None:
         way = self._made.store_ways[fault.target]
@@ -168,6 +169,8 @@
                     await self._leave(fault.target, instance)
                 case Kind.SERVER_COLD:
                     await self._return_cold(fault.target, instance)
+                case Kind.SERVER_LIMITED:
+                    await self._limit(fault, instance)
                 case _:
                     await self._break(fault, instance)
         finally:
@@ -185,6 +188,13 @@
         async with self._trouble(checks.SERVERS):
             made.put_faults(instance, refuse=True)
 
+    async def _limit(self, fault: plan.Fault, instance: str) -> None:
+        """Let a server name a limit, for longer than it takes to be known."""
+        runner = self._made.site.runners[instance]
+        runner.limit_per_s = site.LIMIT_PER_S
+        await asyncio.sleep(checks.IN_FORCE_S + checks.LIMIT_S + fault.for_s)
+        runner.limit_per_s = None
+
     async def _return_cold(self, number: int, instance: str) -> None:
         """Let a server crash; another one is there for it at once, cold."""
         made = self._made
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -36,6 +36,7 @@
     SERVER_SILENT = 'server_silent'
     SERVER_FAR = 'server_far'
     SERVER_COLD = 'server_cold'
+    SERVER_LIMITED = 'server_limited'
     TABLE = 'table'
     KEY = 'key'
     GOOD_VERSION = 'good_version'
--- a/beryllug/soak/seen.py
+++ b/beryllug/soak/seen.py
@@ -55,6 +55,20 @@
     headers: Mapping[str, str]
 
 
+class Came(NamedTuple):
+    """A request that reached a server which names a limit.
+
+    Attributes:
+        at: Monotonic second.
+        router: Name of the router that sent it.
+        per_s: The limit, in requests a second.
+    """
+
+    at: float
+    router: str
+    per_s: float
+
+
 class Ordered(NamedTuple):
     """A roll-out that was ordered, and what became of it.
 
@@ -95,6 +109,9 @@
         closed: Zones that were evacuated.
         zones: Zones of all servers, by instance.
         cold_until: When cold servers are warm again, by instance.
+        routers: Router that took each request, by attempt id.
+        limited: Requests that reached servers while they named a limit, by
+            instance.
     """
 
     sent: list[Sent] = field(default_factory=list)
@@ -106,6 +123,8 @@
     closed: list[Closed] = field(default_factory=list)
     zones: dict[str, str] = field(default_factory=dict)
     cold_until: dict[str, float] = field(default_factory=dict)
+    routers: dict[str, str] = field(default_factory=dict)
+    limited: dict[str, list[Came]] = field(default_factory=dict)
 
     def is_troubled(
         self, whats: frozenset[str], began_at: float, ended_at: float
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -20,6 +20,8 @@
 # it bears meanwhile.
 COLD_S = 2.0
 COLD_PER_S = 4
+# Requests a second that a server takes while it names a limit.
+LIMIT_PER_S = 2.0
 
 
 class SoakSite:
@@ -138,3 +140,12 @@
                     run.attempt_id, instance, run.at, run.account, run.headers
                 )
                 self.seen.runs.setdefault(run.attempt_id, []).append(ran)
+            self.seen.limited[instance] = [
+                seen.Came(
+                    each.at,
+                    self.seen.routers[each.attempt_id],
+                    each.limit_per_s,
+                )
+                for each in runner.arrivals
+                if each.limit_per_s is not None
+            ]
--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -76,10 +76,12 @@
     """A request that reached the server, run or refused.
 
     Attributes:
+        attempt_id: Id of the caller's try.
         at: Monotonic second.
         limit_per_s: The limit that its answer names, or None.
     """
 
+    attempt_id: str
     at: float
     limit_per_s: float | None
 
@@ -128,7 +130,9 @@
         if expected != self.cfg.instance:
             await self._refuse(HTTPStatus.MISDIRECTED_REQUEST, answer)
             return
-        self.arrivals.append(Arrival(time.monotonic(), self.limit_per_s))
+        self.arrivals.append(
+            Arrival(asked.attempt_id, time.monotonic(), self.limit_per_s)
+        )
         is_full = self._running >= self.cfg.slots + self.cfg.queue
         if is_full or (asked.model and asked.model == self.refused_model):
             await self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, answer)
