Follow the store through a return from an older copy

Cause: revisions were taken for rising for ever. Change: the era of every answer is read, errors too; era and revision are one number (core/stamps) wherever a revision was, also between processes. A new era lists all kinds anew, also where a watch waits; answers of an earlier era and writes under a condition of one are refused. For ten seconds an evacuated zone, a server that leaves or has gone, and an order that replaced another one hold against the copy; what it lacks counts as lapsed; a verdict that it lost is written again.

--- a/beryllug/core/placement/listing.py
+++ b/beryllug/core/placement/listing.py
@@ -20,6 +20,8 @@
 # Names whose latest start is remembered: several times those of a fleet, for
 # entries that come late after a server is gone.
 MOST_BIRTHS = 50000
+# Instances that have gone and are remembered: those of some minutes.
+MOST_DEPARTED = 1000
 
 
 class Doubt(NamedTuple):
@@ -45,6 +47,7 @@
         servers: Listed servers by name.
         doubted: Dropped ones.
         births: The latest start that each name has stated.
+        departed: Instances that have left or were lost, the latest ones.
         was_away: Whether the store has not answered the last call.
         returned_at: When the store last answered after it had not.
     """
@@ -53,6 +56,7 @@
     servers: dict[str, servers_data.Server] = field(default_factory=dict)
     doubted: dict[str, Doubt] = field(default_factory=dict)
     births: dict[str, int] = field(default_factory=dict)
+    departed: dict[str, None] = field(default_factory=dict)
     was_away: bool = False
     returned_at: float = float('-inf')
 
@@ -75,6 +79,28 @@
     book.was_away = False
 
 
+def store_returned(book: Book, now: float) -> None:
+    """Note that the store has returned from an older copy.
+
+    Entries that it lacks count as lapsed: their servers write them again.
+    """
+    book.was_away = True
+    store_answered(book, now)
+
+
+def is_contradicted(book: Book, server: servers_data.Server) -> bool:
+    """Tell whether an entry of an older copy denies that a server leaves."""
+    if server.instance in book.departed:
+        return True
+    known = book.servers.get(server.name)
+    return (
+        known is not None
+        and known.instance == server.instance
+        and known.state is servers_data.State.LEAVING
+        and server.state is not servers_data.State.LEAVING
+    )
+
+
 def is_stale(book: Book, server: servers_data.Server) -> bool:
     """Tell whether an entry is of an earlier start than is known.
 
@@ -91,6 +117,7 @@
         The incarnation that it takes the place of; None if it is the same.
     """
     doubt = book.doubted.pop(server.name, None)
+    book.departed.pop(server.instance, None)
     before = book.servers.get(server.name, doubt and doubt.server)
     book.servers[server.name] = server
     if server.born:
@@ -114,13 +141,19 @@
         store was there all the while.
     """
     server = book.servers.pop(name, None)
-    if server is None or server.state is servers_data.State.LEAVING:
+    if server is None:
+        return None
+    if server.state is servers_data.State.LEAVING:
+        _departs(book, server)
         return None
     returns_until = book.returned_at + RETURN_S
     is_lapse = book.was_away or now < returns_until
     until = max(now + book.doubt_s, returns_until)
     book.doubted[name] = Doubt(server, until, is_lapse)
-    return None if is_lapse else server
+    if is_lapse:
+        return None
+    _departs(book, server)
+    return server
 
 
 def usable(
@@ -151,3 +184,9 @@
         if doubt.server.address not in reused
     ]
     return listed, doubted
+
+
+def _departs(book: Book, server: servers_data.Server) -> None:
+    book.departed[server.instance] = None
+    while len(book.departed) > MOST_DEPARTED:
+        book.departed.pop(next(iter(book.departed)))
--- a/beryllug/platform/names.py
+++ b/beryllug/platform/names.py
@@ -16,6 +16,8 @@
 # "Surely not run": the one answer that permits to send the request again.
 NOT_RUN = 'beryllug-not-executed'
 INSTANCE = 'beryllug-instance-id'
+# How often the store has returned from an older copy.
+ERA = 'store-era'
 # Requests a second that a server takes from all processes together.
 LIMIT = 'server-limit'
 SESSION = 'session'
--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -1,10 +1,12 @@
 """Calls of the platform's store of objects.
 
+All revisions are stamps, see `core.stamps`.
+
 The errors are those of our object API: after `UncertainError` a write may
 have taken effect, or may do so seconds later.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any, NamedTuple
@@ -12,11 +14,13 @@
 
 import msgspec
 
+from beryllug.core import stamps
 from beryllug.drivers import (
     http_client,
     http_data,
-    json_repair,
+    json_decode,
     object_data,
+    store_era,
 )
 from beryllug.platform import names
 
@@ -26,8 +30,6 @@
 # that was lost is made again, soon after the store's return.
 LIST_S = 0.5
 MS = 1000
-# Bytes of an entry that can't be read that a log line shows.
-SHOWN_BYTES = 80
 JSON = MappingProxyType({'content-type': 'application/json'})
 TABLES = 'config'
 TABLE = 'main'
@@ -128,7 +130,12 @@
 
 
 class Store:
-    """The store at one address; counts its calls by what they do."""
+    """The store at one address; counts its calls by what they do.
+
+    Attributes:
+        calls: Calls by what they do.
+        eras: The era that its answers tell.
+    """
 
     def __init__(
         self, client: http_client.HttpClient, address: str, timeout_s: float
@@ -138,6 +145,7 @@
         self._address = address
         self._timeout_s = timeout_s
         self.calls: dict[str, int] = {}
+        self.eras = store_era.StoreEra()
 
     async def list_page(self, kind: str, after: str = '') -> Page:
         """List objects of a kind in the order of their names.
@@ -153,12 +161,13 @@
         if after:
             path = f'{path}?after={url_parse.quote(after, safe="")}'
         body = await self._call('list', 'GET', path, timeout_s=LIST_S)
-        page = _decode(body, _Page)
-        read, errors = _each(page.items, _Object)
-        found = tuple(_stored(each) for each in read)
+        page = json_decode.decode(body, _Page)
+        read, errors = json_decode.each(page.items, _Object)
+        era = self.eras.era
+        found = tuple(_stored(each, era) for each in read)
         is_last = not page.has_more or not found
         return Page(
-            Listing(found, page.at, tuple(errors)),
+            Listing(found, stamps.stamp(era, page.at), tuple(errors)),
             '' if is_last else found[-1].name,
         )
 
@@ -169,38 +178,45 @@
             CompactedError: The store no longer has all of them.
             ObjectApiError: The store did not answer.
         """
-        query = f'watch={after}&wait_ms={int(wait_s * MS)}'
+        self._refuse_earlier(after)
+        revision = stamps.revision(after)
+        query = f'watch={revision}&wait_ms={int(wait_s * MS)}'
         body = await self._call(
             'watch',
             'GET',
             f'{_path(kind)}?{query}',
             timeout_s=wait_s + WATCH_SLACK_S,
         )
-        events = _decode(body, _Events)
-        read, errors = _each(events.events, _Event)
+        self._refuse_earlier(after)
+        era = self.eras.era
+        events = json_decode.decode(body, _Events)
+        read, errors = json_decode.each(events.events, _Event)
         changes = tuple(
-            Change(_stored(event.object), event.tombstone) for event in read
+            Change(_stored(event.object, era), event.tombstone)
+            for event in read
         )
-        return Changes(changes, events.at, tuple(errors))
+        revision = stamps.stamp(era, events.at)
+        return Changes(changes, revision, tuple(errors))
 
     async def set_status(
-        self, kind: str, name: str, revision: int | None, status: Any
+        self, kind: str, name: str, revision: int, status: Any
     ) -> None:
         """Replace the status of an object that has not changed since.
 
         Raises:
-            ConflictError: It has another revision.
+            ConflictError: It has another revision, or the same one of another
+                era, which means nothing.
             UncertainError: It may have taken effect, or may do so later.
             ObjectApiError: The store refused.
         """
-        body = http_data.to_json(
-            {
-                'metadata': {'name': name, 'revision': revision},
-                'status': status,
-            }
-        )
+        if stamps.era(revision) < self.eras.era:
+            raise object_data.ConflictError(0)
+        metadata = {'name': name, 'revision': stamps.revision(revision)}
+        body = http_data.to_json({'metadata': metadata, 'status': status})
         path = f'{_path(kind, name)}/status'
         await self._call('status', 'PUT', path, body)
+        if stamps.era(revision) < self.eras.era:
+            raise object_data.UncertainError('the store has returned')
 
     async def create(self, kind: str, name: str, spec: Any) -> None:
         """Create an object.
@@ -240,9 +256,14 @@
             raise object_data.UnavailableError(str(exc)) from exc
         except http_data.BrokenError as exc:
             raise object_data.UncertainError(str(exc)) from exc
+        self.eras.answered(incoming.headers.get(names.ERA, ''))
         _raise_failure(incoming.status, incoming.headers)
         return answer
 
+    def _refuse_earlier(self, stamp: int) -> None:
+        if stamps.era(stamp) < self.eras.era:
+            raise object_data.CompactedError('history of an earlier era')
+
 
 def _raise_failure(status: int, headers: Mapping[str, str]) -> None:
     if status not in DONE:
@@ -270,36 +291,11 @@
     return f'{path}/{url_parse.quote(name, safe="")}' if name else path
 
 
-def _decode(body: bytes, shape: type[Any]) -> Any:
-    try:
-        return msgspec.json.decode(body, type=shape)
-    except (msgspec.MsgspecError, RecursionError, UnicodeError):
-        sound = json_repair.repair(body)
-    try:
-        return msgspec.json.decode(sound, type=shape)
-    except (msgspec.MsgspecError, RecursionError, UnicodeError) as exc:
-        raise object_data.ObjectApiError(f'unreadable answer: {exc}') from exc
-
-
-def _each(
-    raw: Iterable[msgspec.Raw], shape: type[Any]
-) -> tuple[list[Any], list[str]]:
-    """Return the entries that can be read, and why the others can't."""
-    found = []
-    errors = []
-    for each in raw:
-        try:
-            found.append(msgspec.json.decode(each, type=shape))
-        except (msgspec.MsgspecError, RecursionError, UnicodeError) as exc:
-            errors.append(f'{exc}: {bytes(each[:SHOWN_BYTES])!r}')
-    return found, errors
-
-
-def _stored(found: _Object) -> Stored:
+def _stored(found: _Object, era: int) -> Stored:
     metadata = found.metadata
     return Stored(
         metadata.name,
-        metadata.revision,
+        stamps.stamp(era, metadata.revision),
         found.spec,
         found.status,
         metadata.deleting,
--- a/beryllug/proofs/platform/knowledge_test.py
+++ b/beryllug/proofs/platform/knowledge_test.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from beryllug.core.peering import peering_data, standing
+from beryllug.drivers import store_era
 from beryllug.kernel import log_lines
 from beryllug.router import (
     directory,
@@ -25,7 +26,7 @@
 
 def _known() -> directory.Directory:
     lines = log_lines.LineWriter(1)
-    api: Any = types.SimpleNamespace()
+    api: Any = types.SimpleNamespace(eras=store_era.StoreEra())
     return directory.Directory(
         api,
         server_list.ServerList(1, lines),
--- a/beryllug/router/attempt_log.py
+++ b/beryllug/router/attempt_log.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from beryllug.core import stamps
 from beryllug.core.placement import servers_data
 from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import call as call_data, directory, dispatch
@@ -84,7 +85,7 @@
             id=call.asked.attempt_id,
             server=server.instance,
             software=server.version,
-            servers=self._known.servers.revision,
+            servers=stamps.shown(self._known.servers.revision),
             left_ms=round((call.deadline - time.monotonic()) * MS),
             came=_told(came),
             took_ms=round(took_s * MS, 1),
--- a/beryllug/router/directory.py
+++ b/beryllug/router/directory.py
@@ -16,7 +16,12 @@
 from beryllug.core.routes import routes_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
-from beryllug.router import order_list, server_list, store_watch, zone_list
+from beryllug.router import (
+    order_list,
+    server_list,
+    store_watch,
+    zone_list,
+)
 
 TableListener = Callable[[routes_data.RouteTable], None]
 
@@ -30,6 +35,7 @@
         servers: The list of backend servers.
         orders: The roll-out orders.
         zones: The evacuated availability zones.
+        eras: The era of the store.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
             store_watch.StoreWatch(api, kind, follower, lines)
             for kind, follower in followers.items()
         ]
+        self.eras = api.eras
 
     def on_table(self, listener: TableListener) -> None:
         """Tell of each table that comes in force."""
@@ -124,6 +131,11 @@
             'is_current': self.is_current(),
         }
 
+    def renew(self) -> None:
+        """List all kinds anew, where this process follows the store."""
+        for watch in self._watches:
+            watch.renew()
+
     def take_table_spec(self, spec: Any, source: str) -> None:
         """Take a route table, if it is newer than the one in force."""
         try:
@@ -146,16 +158,12 @@
 
     def _list_tables(self, listed: store.Listing, now: float) -> None:
         for stored in listed.found:
-            self._take_table(stored)
+            if stored.name == store.TABLE:
+                self.take_table_spec(stored.spec, 'store')
 
     def _change_tables(self, changes: store.Changes, now: float) -> None:
-        for change in changes.changes:
-            if not change.is_gone:
-                self._take_table(change.stored)
-
-    def _take_table(self, stored: store.Stored) -> None:
-        if stored.name == store.TABLE:
-            self.take_table_spec(stored.spec, 'store')
+        present = [each.stored for each in changes.changes if not each.is_gone]
+        self._list_tables(store.Listing(tuple(present), 0), now)
 
 
 def _ignore(is_reached: bool, now: float) -> None:
--- a/beryllug/router/directory_test.py
+++ b/beryllug/router/directory_test.py
@@ -3,9 +3,10 @@
 import asyncio
 import unittest
 from collections.abc import Mapping
-from types import MappingProxyType
+from types import MappingProxyType, SimpleNamespace
 from typing import Any
 
+from beryllug.drivers import store_era
 from beryllug.kernel import log_lines
 from beryllug.platform import store
 from beryllug.router import directory, order_list, server_list, zone_list
@@ -22,7 +23,7 @@
 
     async def asyncSetUp(self) -> None:
         lines = log_lines.LineWriter(1)
-        api: Any = None
+        api: Any = SimpleNamespace(eras=store_era.StoreEra())
         self.servers = server_list.ServerList(1, lines)
         orders = order_list.OrderList(lines)
         self.known = directory.Directory(
--- a/beryllug/router/knowledge.py
+++ b/beryllug/router/knowledge.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from beryllug.core import stamps
 from beryllug.core.peering import peering_data, standing
 from beryllug.router import directory, order_list
 
@@ -40,14 +41,19 @@
         )
 
     def evacuated(self) -> tuple[str, ...]:
-        """Return the evacuated availability zones."""
-        return tuple(sorted(self._known.zones.evacuated))
+        """Return the evacuated availability zones, as the store names them."""
+        return tuple(sorted(self._known.zones.stated))
 
     def is_behind(self, versions: peering_data.Versions) -> bool:
         """Tell whether a peer with these versions knows more."""
         own = self.versions()
         return any(mine < theirs for mine, theirs in zip(own, versions))
 
+    def learn_era(self, versions: peering_data.Versions) -> None:
+        """Take the era of the store that a peer knows."""
+        newest = max(versions.servers, versions.orders, versions.zones)
+        self._known.eras.learn(stamps.era(newest))
+
     def complete(
         self,
         digest: peering_data.Digest,
@@ -76,6 +82,7 @@
     def take(self, digest: peering_data.Digest, now: float) -> None:
         """Take what a peer has added to its digest."""
         standing.take_followers(self.standing, digest.followers, now)
+        self.learn_era(digest.versions)
         known = self._known
         known.zones.take(
             digest.evacuated, digest.versions.zones, digest.name, now
--- a/beryllug/router/order_list.py
+++ b/beryllug/router/order_list.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from beryllug.core import stamps
 from beryllug.core.canary import canary_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
@@ -33,6 +34,7 @@
         self.orders: dict[str, StoredOrder] = {}
         self._refusals = refusals.Refusals('order_refused', lines)
         self._listeners: list[Listener] = []
+        self._replaced: dict[str, set[str]] = {}
 
     def on_order(self, listener: Listener) -> None:
         """Tell of each order and each change of its status."""
@@ -57,17 +59,36 @@
         self._refusals.accepted(name)
         spec = documents.order_spec(order)
         status = documents.order_status(order.target, phase)
+        if known is not None and known.spec != spec:
+            self._replaced.setdefault(name, set()).add(known.spec['target'])
         self.orders[name] = StoredOrder(stored.revision, spec, status)
         for listener in self._listeners:
             listener(order, phase, now)
 
     def listed(self, listed: store.Listing, now: float) -> None:
-        """Take a whole list of the store."""
+        """Take a whole list of the store.
+
+        Returned from a copy, the store may have an order that was replaced.
+        """
         for each in listed.found:
-            order = StoredOrder(each.revision, each.spec, each.status)
-            self.take(each.name, order, now)
+            if not self._is_replaced(each):
+                self._take(each, now)
 
     def changed(self, changes: store.Changes, now: float) -> None:
         """Take changes that the store reports."""
-        present = [each.stored for each in changes.changes if not each.is_gone]
-        self.listed(store.Listing(tuple(present), changes.revision), now)
+        for change in changes.changes:
+            if not change.is_gone:
+                self._take(change.stored, now)
+
+    def _take(self, found: store.Stored, now: float) -> None:
+        order = StoredOrder(found.revision, found.spec, found.status)
+        self.take(found.name, order, now)
+
+    def _is_replaced(self, found: store.Stored) -> bool:
+        known = self.orders.get(found.name)
+        if known is None or not stamps.is_return(
+            found.revision, known.revision
+        ):
+            return False
+        target = found.spec.get('target') if found.spec else None
+        return target in self._replaced.get(found.name, ())
--- a/beryllug/router/server_list.py
+++ b/beryllug/router/server_list.py
@@ -5,10 +5,11 @@
 
 import msgspec
 
+from beryllug.core import stamps
 from beryllug.core.placement import listing, servers_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
-from beryllug.router import refusals
+from beryllug.router import held_servers, refusals
 
 LostListener = Callable[[str, float], None]
 RestartListener = Callable[[servers_data.Server], None]
@@ -19,8 +20,8 @@
     """Changes of the list between two revisions of the store.
 
     Attributes:
-        since: Revision that the changes follow on.
-        revision: Revision that the list is of with them.
+        since: Stamp that the changes follow on.
+        revision: Stamp that the list is of with them.
         entries: Names in order, each with its entry; None where it went.
     """
 
@@ -36,7 +37,7 @@
         is_known: Whether there is a list at all.
         is_cut_off: Whether the store did not answer the last call.
         specs: The sound entries by name, for peers.
-        revision: Revision of the store that the list is of.
+        revision: Stamp of the store that the list is of.
         on_known: Told when there is a list.
         on_lost: Told of each server that is gone without having said so.
         on_restarted: Told of each incarnation that another one of the same
@@ -55,6 +56,7 @@
         self.is_cut_off = False
         self.specs: dict[str, Any] = {}
         self.revision = 0
+        self._held = held_servers.HeldServers(lines)
         self._book = listing.Book(doubt_s)
         self._lines = lines
         self._listeners: list[Callable[[Delta], None]] = []
@@ -72,6 +74,8 @@
         self, now: float
     ) -> tuple[list[servers_data.Server], list[servers_data.Server]]:
         """Return the listed servers that take work, and the doubted ones."""
+        for server in self._held.release(now):
+            self._put(server, 'held', now)
         return listing.usable(self._book, now)
 
     def returned_ago_s(self, now: float) -> float:
@@ -81,7 +85,8 @@
     def dump(self) -> dict[str, Any]:
         """Return the listed and the doubted servers."""
         return {
-            'revision': self.revision,
+            'revision': stamps.shown(self.revision),
+            'held': sorted(self._held.entries),
             'is_cut_off': self.is_cut_off,
             'listed': sorted(self._book.servers),
             'doubted': sorted(self._book.doubted),
@@ -100,15 +105,21 @@
         self._book.returned_at = max(self._book.returned_at, at)
 
     def listed(self, found: store.Listing, now: float) -> None:
-        """Take a whole list of the store."""
+        """Take a whole list of the store, unless it is of an earlier era."""
+        if stamps.is_return(self.revision, found.revision):
+            return
         specs = {each.name: each.spec for each in found.found}
         self._replace(specs, found.revision, 'store', now)
         self._lines.write(
-            'servers_listed', servers=len(specs), revision=found.revision
+            'servers_listed',
+            servers=len(specs),
+            revision=stamps.shown(found.revision),
         )
 
     def changed(self, changes: store.Changes, now: float) -> None:
-        """Take changes that the store reports."""
+        """Take changes that the store reports, likewise."""
+        if stamps.is_return(self.revision, changes.revision):
+            return
         entries: list[tuple[str, Any]] = []
         for change in changes.changes:
             name = change.stored.name
@@ -134,7 +145,7 @@
         self._lines.write(
             'servers_taken',
             source=source,
-            revision=revision,
+            revision=stamps.shown(revision),
             servers=len(specs),
         )
 
@@ -146,12 +157,15 @@
         """
         if not self.is_known or delta.since > self.revision:
             return False
+        if stamps.is_return(delta.revision, delta.since):
+            return False
         if delta.revision > self.revision:
             self._apply(delta, source, now)
         return True
 
     def _apply(self, delta: Delta, source: str, now: float) -> None:
         for name, spec in delta.entries:
+            self._held.changed(name)
             server = None if spec is None else self._read(name, spec)
             if server is not None:
                 self._put(server, source, now)
@@ -204,12 +218,18 @@
         found = (self._read(name, spec) for name, spec in specs.items())
         servers = [server for server in found if server is not None]
         listed = {server.name for server in servers}
+        if stamps.is_return(revision, self.revision):
+            listing.store_returned(self._book, now)
+            servers = self._held.hold(self._book, servers, now)
         gone = [name for name in self._book.servers if name not in listed]
         for name in gone:
             self._drop(name, source, now)
         for server in servers:
             if self._book.servers.get(server.name) != server:
                 self._put(server, source, now)
+        # Peers are handed what the store says, and hold what they know.
+        for held in self._held.entries.values():
+            self.specs[held.name] = documents.server_spec(held)
         self.revision = revision
         self.is_known = True
         self.on_known()
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -136,6 +136,7 @@
             fleet_size.count(self._pool.eligible.size, present, ever, now)
             self._limits.forget(_instances(self._known, now), now)
             self._tell_limits()
+            self._known.zones.settle(now)
             await self._news.follow_or_not(now)
             self._news.tell()
             self._tell_loads(self._loads.due(now), now)
--- a/beryllug/router/store_listing.py
+++ b/beryllug/router/store_listing.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from beryllug.core import stamps
 from beryllug.drivers import object_data
 from beryllug.platform import store
 
@@ -48,6 +49,7 @@
         pause_s: Seconds to wait before each further page.
 
     Raises:
+        CompactedError: The store has returned from a copy between two pages.
         ObjectApiError: The store did not give all of them.
     """
     page = await api.list_page(kind)
@@ -57,6 +59,8 @@
     while page.after:
         await asyncio.sleep(pause_s)
         page = await _next_page(api, kind, page.after)
+        if stamps.era(page.listing.revision) != stamps.era(revision):
+            raise object_data.CompactedError('a list of two eras')
         found.extend(page.listing.found)
         errors.extend(page.listing.errors)
     return store.Listing(tuple(found), revision, tuple(errors))
--- a/beryllug/router/store_news.py
+++ b/beryllug/router/store_news.py
@@ -122,6 +122,7 @@
         standing.take_followers(self.standing, note.followers, now)
         if note.versions == peering_data.NOTHING_KNOWN:
             return
+        self._shared.learn_era(note.versions)
         self._known.zones.take(
             note.evacuated, note.versions.zones, note.name, now
         )
--- a/beryllug/router/store_news_test.py
+++ b/beryllug/router/store_news_test.py
@@ -14,6 +14,7 @@
     peering_data,
     standing,
 )
+from beryllug.drivers import store_era
 from beryllug.kernel import log_lines
 from beryllug.router import knowledge, server_list, store_news, zone_list
 
@@ -38,6 +39,7 @@
         self.servers = server_list.ServerList(1, lines)
         self.servers.take_specs({}, 5, 'p9', 0)
         self.table: Any = None
+        self.eras = store_era.StoreEra()
         self.orders = self
         self.zones = zone_list.ZoneList(lines)
         self._is_current = is_current
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -91,6 +91,17 @@
             self._revision = 0
             self._task = asyncio.create_task(self._run())
 
+    def renew(self) -> None:
+        """List anew at once, also where a call is waiting.
+
+        Its own call, whose answer told that there is a new era, goes on.
+        """
+        if self._task is None or self._task is asyncio.current_task():
+            return
+        self._task.cancel()
+        self._task = None
+        self.start()
+
     async def stop(self) -> None:
         """Stop to follow."""
         task = self._task
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
+from beryllug.core import stamps
 from beryllug.core.canary import canary_data, plan, sessions
 from beryllug.core.peering import peering_data
 from beryllug.kernel import log_lines
@@ -26,6 +27,10 @@
 TOLD_WITHIN_S = 1.0
 
 
+# Roll-outs that others took the place of and that are remembered.
+MOST_REPLACED = 50
+
+
 class Drawn(NamedTuple):
     """The versions that a request may run on.
 
@@ -60,6 +65,7 @@
         self.bounds = bounds
         self._lines = lines
         self._rollouts: dict[str, rollout_state.Rollout] = {}
+        self._replaced: dict[tuple[str, str], rollout_state.Rollout] = {}
         self.pins = pins.Pins(bounds)
         self.ordered = asyncio.Event()
 
@@ -96,15 +102,17 @@
         """Take an order, or a change of its status, from the store."""
         known = self._rollouts.get(order.service)
         if known is None or known.order.target != order.target:
-            known = rollout_state.Rollout(
-                order, canary_data.Phase.TRIAL, now, now
-            )
+            if known is not None:
+                self._replaced[(order.service, known.order.target)] = known
+            known = _begun(self._replaced, order, now)
             self._rollouts[order.service] = known
             self.pins.tell_of(order.service)
             _log(self._lines, order, phase, 'ordered')
         known.order = order
         if plan.is_over(phase):
             self.settle(known, phase, 'store')
+        # Returned from a copy, the store may have lost how it ended.
+        known.is_stored = plan.is_over(phase)
         self._note_open()
 
     def set_phase(
@@ -264,6 +272,20 @@
         )
 
 
+def _begun(
+    replaced: dict[tuple[str, str], rollout_state.Rollout],
+    order: canary_data.Order,
+    now: float,
+) -> rollout_state.Rollout:
+    """Return a new roll-out, or one that the store had lost in a return."""
+    while len(replaced) > MOST_REPLACED:
+        replaced.pop(next(iter(replaced)))
+    known = replaced.pop((order.service, order.target), None)
+    if known and stamps.is_return(order.revision, known.order.revision):
+        return known
+    return rollout_state.Rollout(order, canary_data.Phase.TRIAL, now, now)
+
+
 def _find(
     rollouts: Mapping[str, rollout_state.Rollout], service: str, target: str
 ) -> rollout_state.Rollout | None:
--- a/beryllug/router/zone_list.py
+++ b/beryllug/router/zone_list.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from beryllug.core import stamps
 from beryllug.kernel import log_lines
 from beryllug.platform import store
 
@@ -18,18 +19,21 @@
     """Follows the store's list of evacuated zones, or what peers tell of it.
 
     Attributes:
-        evacuated: Names of the evacuated zones.
-        revision: Revision of the store that the list is of, 0 for none.
+        evacuated: Names of the zones that are taken to be evacuated.
+        stated: Those of them that the store names.
+        revision: Stamp of the store that the list is of, 0 for none.
         on_reopened: Told of each zone that takes requests again.
     """
 
     def __init__(self, lines: log_lines.LineWriter) -> None:
         """Begin without a list."""
         self.evacuated: frozenset[str] = frozenset()
+        self.stated: frozenset[str] = frozenset()
         self.revision = 0
         self.on_reopened: ReopenedListener = _pass_over
         self._lines = lines
         self._listeners: list[Listener] = []
+        self._held: dict[str, float] = {}
 
     def on_changed(self, listener: Listener) -> None:
         """Tell of each time that another set of zones is evacuated."""
@@ -37,7 +41,11 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the evacuated zones."""
-        return {'revision': self.revision, 'evacuated': sorted(self.evacuated)}
+        return {
+            'revision': stamps.shown(self.revision),
+            'evacuated': sorted(self.evacuated),
+            'held': sorted(self._held),
+        }
 
     def listed(self, found: store.Listing, now: float) -> None:
         """Take a whole list of the store."""
@@ -46,8 +54,9 @@
 
     def changed(self, changes: store.Changes, now: float) -> None:
         """Take changes that the store reports."""
-        names = set(self.evacuated)
+        names = set(self.stated)
         for change in changes.changes:
+            self._held.pop(change.stored.name, None)
             if change.is_gone:
                 names.discard(change.stored.name)
             else:
@@ -57,12 +66,33 @@
     def take(
         self, names: Iterable[str], revision: int, source: str, now: float
     ) -> None:
-        """Take the whole set of evacuated zones, if it is newer."""
+        """Take the whole set of evacuated zones, if it is newer.
+
+        Where the store has returned from a copy, zones that it lacks stay
+        evacuated for a while.
+        """
         if revision <= self.revision:
             return
-        before = self.evacuated
+        if stamps.is_return(revision, self.revision):
+            until = now + stamps.HELD_S
+            self._held.update(dict.fromkeys(self.evacuated, until))
         self.revision = revision
-        self.evacuated = frozenset(names)
+        self.stated = frozenset(names)
+        self._put_in_force(source, now)
+
+    def settle(self, now: float) -> None:
+        """Let go of zones that were held for long enough."""
+        if self._held:
+            self._put_in_force('held', now)
+
+    def _put_in_force(self, source: str, now: float) -> None:
+        self._held = {
+            zone: until
+            for zone, until in self._held.items()
+            if until > now and zone not in self.stated
+        }
+        before = self.evacuated
+        self.evacuated = self.stated | frozenset(self._held)
         for zone in sorted(self.evacuated - before):
             self._log('zone_evacuated', zone, source)
         for reopened in sorted(before - self.evacuated):
@@ -74,7 +104,10 @@
 
     def _log(self, event: str, zone: str, source: str) -> None:
         self._lines.write(
-            event, zone=zone, source=source, revision=self.revision
+            event,
+            zone=zone,
+            source=source,
+            revision=stamps.shown(self.revision),
         )
 
 
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -34,6 +34,7 @@
     server_limits,
     server_list,
     sharing,
+    store_returns,
     stream_flow,
     trials,
     zone_list,
@@ -72,6 +73,8 @@
     orders = order_list.OrderList(lines)
     zones = zone_list.ZoneList(lines)
     known = directory.Directory(api, listed, orders, zones, lines)
+    returns = store_returns.StoreReturns(api.eras, lines)
+    returns.on_returned = known.renew
     zone = settings.process.zone
     place = eligible.Place(
         settings.process.name, zone, settings_data.region_by_zone(cfg)
@@ -122,6 +125,7 @@
         'operators': operators_api,
         'requests': told,
         'directory': known,
+        'store_returns': returns,
         'calls': calls,
         'rpc': rpc_endpoint.RpcEndpoint(rpc_server, cfg.peer_listen),
         'peering': peers,
--- a/beryllug/standins/platform_store.py
+++ b/beryllug/standins/platform_store.py
@@ -41,16 +41,35 @@
     is_gone: bool
 
 
+class Copy(NamedTuple):
+    """What the store held at a moment."""
+
+    revision: int
+    oldest: int
+    stored: dict[tuple[str, str], dict[str, Any]]
+    history: list[_Event]
+
+
 class PlatformStore:
-    """The store without its sockets."""
+    """The store without its sockets.
+
+    Attributes:
+        revision: Of its last change.
+        era: How often it has returned from a copy, from 1 on.
+        shown_era: The era as its answers tell it; empty for no word of it.
+        calls: Calls by what they asked.
+        history: Changes that watches are told of.
+    """
 
     def __init__(self, cfg: PlatformStoreCfg) -> None:
         """Begin empty, at revision 1."""
         self.revision = 1
+        self.era = 1
+        self.shown_era = '1'
         self.calls: dict[str, int] = {}
         self._cfg = cfg
         self._stored: dict[tuple[str, str], dict[str, Any]] = {}
-        self._history: list[_Event] = []
+        self.history: list[_Event] = []
         self._oldest = 1
         self._changed = asyncio.Event()
         self._reads = rate.Bucket(cfg.reads_per_s, 0)
@@ -85,9 +104,28 @@
         """Return the status of an object."""
         return self._stored[(kind, name)]['status']
 
+    def copy(self) -> Copy:
+        """Take a copy to return from."""
+        return Copy(
+            self.revision,
+            self._oldest,
+            dict(self._stored),
+            list(self.history),
+        )
+
+    def return_from(self, taken: Copy) -> None:
+        """Return from an older copy; what was written since is gone."""
+        self.era += 1
+        self.shown_era = str(self.era)
+        self.revision = taken.revision
+        self._stored = dict(taken.stored)
+        self.history = list(taken.history)
+        self._oldest = taken.oldest
+        self._wake()
+
     def compact(self) -> None:
         """Drop the history, and cut the watches that wait."""
-        self._history.clear()
+        self.history.clear()
         self._oldest = self.revision
         self._wake()
 
@@ -109,21 +147,25 @@
         self.calls[what] = self.calls.get(what, 0) + 1
         calls = self._reads if req.method == 'GET' else self._writes
         if calls.take(asyncio.get_running_loop().time()):
-            await answer.respond(HTTPStatus.TOO_MANY_REQUESTS)
+            await answer.respond(
+                HTTPStatus.TOO_MANY_REQUESTS, headers=_headers(self.shown_era)
+            )
             return
+        found: Any = {}
+        status: int = HTTPStatus.OK
         match what:
             case 'list':
-                await answer.respond_json(*self._list(parts[0], asked))
+                status, found = self._list(parts[0], asked)
             case 'watch':
-                await answer.respond_json(*await self._watch(parts[0], asked))
+                status, found = await self._watch(parts[0], asked)
             case 'get':
-                await answer.respond_json(*self._get(parts))
+                status, found = self._get(parts)
             case 'delete':
                 self.drop(parts[0], url_parse.unquote(parts[1]))
-                await answer.respond_json(HTTPStatus.OK, {})
             case _:
                 body = msgspec.json.decode(req.body)
-                await answer.respond_json(*self._write(what, parts, body))
+                status, found = self._write(what, parts, body)
+        await answer.respond_json(status, found, _headers(self.shown_era))
 
     def _list(
         self, kind: str, asked: dict[str, str]
@@ -146,22 +188,16 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + int(asked.get('wait_ms', '0')) / MS
         while True:
-            if since < self._oldest:
+            if not self._oldest <= since <= self.revision:
                 return HTTPStatus.GONE, {}
             events = [
                 {'object': event.shown, 'tombstone': event.is_gone}
-                for event in self._history
+                for event in self.history
                 if event.kind == kind and event.revision > since
             ]
             if events or loop.time() >= until:
                 return HTTPStatus.OK, {'events': events, 'at': self.revision}
-            await self._wait(until - loop.time())
-
-    async def _wait(self, seconds: float) -> None:
-        try:
-            await asyncio.wait_for(self._changed.wait(), seconds)
-        except TimeoutError:
-            return
+            await _wait(self._changed, until - loop.time())
 
     def _get(self, parts: list[str]) -> tuple[int, dict[str, Any]]:
         shown = self._stored.get((parts[0], url_parse.unquote(parts[1])))
@@ -191,7 +227,7 @@
         return HTTPStatus.OK, self._stored[(parts[0], name)]
 
     def _note(self, event: _Event) -> None:
-        self._history.append(event)
+        self.history.append(event)
         self._wake()
 
     def _wake(self) -> None:
@@ -199,6 +235,17 @@
         self._changed = asyncio.Event()
 
 
+async def _wait(changed: asyncio.Event, seconds: float) -> None:
+    try:
+        await asyncio.wait_for(changed.wait(), seconds)
+    except TimeoutError:
+        return
+
+
+def _headers(shown_era: str) -> dict[str, str]:
+    return {names.ERA: shown_era} if shown_era else {}
+
+
 def stand_in(cfg: PlatformStoreCfg) -> party.StandIn:
     """Make the stand-in."""
     return party.StandIn(PlatformStore(cfg), faults.Switches())
--- a/beryllug/standins/platform_store_test.py
+++ b/beryllug/standins/platform_store_test.py
@@ -1,9 +1,12 @@
 """Tests of the store's client, against the stand-in."""
 
+import asyncio
 import unittest
 
+from beryllug.core import stamps
 from beryllug.drivers import http_client, object_data
 from beryllug.platform import store
+from beryllug.router import store_listing
 from beryllug.standins import platform_store
 
 
@@ -36,11 +39,12 @@
         ]
         self.assertEqual(names, [['a', 'b'], ['c']])
         self.assertEqual((first.after, last.after), ('b', ''))
-        self.assertEqual(last.listing.revision, self.party.revision)
+        self.assertEqual(last.listing.revision, self._stamp())
 
     async def test_watch(self) -> None:
         """Changes come in order, a removal as such, none after a wait."""
-        revision = self.party.put('servers', 'a', {'x': 1})
+        self.party.put('servers', 'a', {'x': 1})
+        revision = self._stamp()
         self.party.put('servers', 'b', {'x': 2})
         self.party.drop('servers', 'a')
         changes = await self.api.watch('servers', revision, 1)
@@ -51,7 +55,8 @@
 
     async def test_status(self) -> None:
         """A status is written against the revision it was decided on."""
-        revision = self.party.put('rollouts', 'pool', {'target': 'v2'})
+        self.party.put('rollouts', 'pool', {'target': 'v2'})
+        revision = self._stamp()
         await self.api.set_status('rollouts', 'pool', revision, {'state': 'x'})
         self.assertEqual(self.party.status('rollouts', 'pool'), {'state': 'x'})
         with self.assertRaises(object_data.ConflictError):
@@ -60,6 +65,7 @@
     async def test_failures(self) -> None:
         """Whether a call can have taken effect is told by its error."""
         self.party.put('rollouts', 'pool', {'target': 'v2'})
+        revision = self._stamp()
         table: tuple[tuple[dict[str, object], type[Exception]], ...] = (
             ({'refuse': True}, object_data.UnavailableError),
             ({'unavailable': True}, object_data.UnavailableError),
@@ -71,7 +77,7 @@
                 self.stand_in.put_faults(**broken)
                 await self.stand_in.settle()
                 with self.assertRaises(expected):
-                    await self.api.set_status('rollouts', 'pool', None, {})
+                    await self.api.set_status('rollouts', 'pool', revision, {})
                 self.stand_in.put_faults()
                 await self.stand_in.settle()
 
@@ -81,7 +87,90 @@
         self.party.put('servers', 'b', {})
         self.party.compact()
         with self.assertRaises(object_data.CompactedError):
-            await self.api.watch('servers', 1, 0.1)
+            await self.api.watch('servers', stamps.stamp(1, 1), 0.1)
+
+    async def test_returned(self) -> None:
+        """A revision that was given out again is taken for the one before."""
+        copy = self.party.copy()
+        self.party.put('rollouts', 'pool', {'target': 'v2'})
+        before = self._stamp()
+        await self.api.list_page('rollouts')
+        self.party.return_from(copy)
+        self.party.put('rollouts', 'pool', {'target': 'v3'})
+        self.assertEqual(self.party.revision, stamps.revision(before))
+        with self.assertRaises(object_data.CompactedError):
+            await self.api.watch('rollouts', before, 0.1)
+        with self.assertRaises(object_data.ConflictError):
+            await self.api.set_status(
+                'rollouts', 'pool', before, {'state': 'x'}
+            )
+        self.assertIsNone(self.party.status('rollouts', 'pool'))
+        page = await self.api.list_page('rollouts')
+        self.assertGreater(page.listing.revision, before)
+
+    async def test_written_meanwhile(self) -> None:
+        """A write that meets the return counts as done."""
+        copy = self.party.copy()
+        self.party.put('rollouts', 'pool', {'target': 'v2'})
+        before = self._stamp()
+        await self.api.list_page('rollouts')
+        self.party.return_from(copy)
+        self.party.put('rollouts', 'pool', {'target': 'v2'})
+        self.api.eras.era = 1
+        with self.assertRaises(object_data.UncertainError):
+            await self.api.set_status(
+                'rollouts', 'pool', before, {'state': 'x'}
+            )
+
+    async def test_two_eras(self) -> None:
+        """A list begins before the return and ends after it."""
+        for name in ('a', 'b', 'c'):
+            self.party.put('servers', name, {})
+        copy = self.party.copy()
+        listing = asyncio.create_task(
+            store_listing.list_all(self.api, 'servers', 0.2)
+        )
+        while not self.party.calls:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        self.party.return_from(copy)
+        with self.assertRaises(object_data.CompactedError):
+            await listing
+
+    async def test_era(self) -> None:
+        """An era is missed in an error, or one that can't be read counts."""
+        table: tuple[tuple[str, bool, int, int], ...] = (
+            ('1', False, 1, 0),
+            ('', False, 1, 0),
+            ('2', True, 2, 0),
+            ('soon', False, 2, 1),
+            ('-3', False, 2, 2),
+            ('99999999', False, 2, 3),
+        )
+        unreadable: list[str] = []
+        self.api.eras.on_unreadable = unreadable.append
+        for told, is_refused, era, count in table:
+            with self.subTest(told):
+                self.party.shown_era = told
+                try:
+                    await self._call(is_refused=is_refused)
+                except object_data.ConflictError:
+                    self.assertTrue(is_refused)
+                self.assertEqual(self.api.eras.era, era)
+                self.assertEqual(len(unreadable), count)
+        self.party.shown_era = '1'
+        with self.assertRaises(object_data.UncertainError):
+            await self._call(is_refused=False)
+
+    async def _call(self, *, is_refused: bool) -> None:
+        if is_refused:
+            self.party.put('made', 'a', {})
+            await self.api.create('made', 'a', {})
+        else:
+            await self.api.list_page('servers')
+
+    def _stamp(self) -> int:
+        return stamps.stamp(self.party.era, self.party.revision)
 
 
 if __name__ == '__main__':
