Soak: the store returns from a copy, and is written again later

A copy is taken, 1.8 s later the store returns from it, and a second after that the operator and the servers write again what they had written.

--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -8,13 +8,17 @@
 
 from beryllug.platform import store
 from beryllug.soak import checks, plan, seen, site
-from beryllug.standins import platform_site
+from beryllug.standins import platform_site, platform_store
 
 Kind = plan.Kind
 # Seconds that a process is gone before it starts again.
 RESTART_S = 0.3
 # Seconds that a server which leaves goes on, beyond what it owes.
 LINGER_S = 1.5
+# Seconds between a copy of the store and its loss, and from its return until
+# operator and servers have written again.
+COPY_S = 1.5
+REWRITTEN_S = 1.0
 DELAY_S = 0.08
 SLOW_S = 0.3
 SHARE = 0.4
@@ -113,6 +117,8 @@
             match fault.kind:
                 case Kind.STORE_FORGETS:
                     self._made.site.store_party.compact()
+                case Kind.STORE_RETURNS:
+                    await _return_store(self._made)
                 case Kind.STORE_DOWN:
                     self._made.put_store_faults(refuse=True)
                 case Kind.STORE_SLOW:
@@ -248,3 +254,46 @@
             made.put_faults(instance)
             way.link.is_cut_down = False
             way.link.delay_s = 0
+
+
+async def _return_store(made: site.SoakSite) -> None:
+    """Let the store return from a copy, and be written again later."""
+    party = made.site.store_party
+    copy = party.copy()
+    await asyncio.sleep(COPY_S)
+    made.put_store_faults(refuse=True)
+    await asyncio.sleep(RESTART_S)
+    written = party.copy()
+    party.return_from(copy)
+    made.put_store_faults()
+    await asyncio.sleep(REWRITTEN_S)
+    _write_again(party, written, copy.revision)
+
+
+def _write_again(
+    party: platform_store.PlatformStore,
+    before: platform_store.Copy,
+    returned_at: int,
+) -> None:
+    """Write what operator and servers had written before a return.
+
+    What they have written or removed since stands.
+
+    Args:
+        party: The store.
+        before: What it held before.
+        returned_at: Revision that it returned to.
+    """
+    present = party.copy().stored
+    since = {
+        (each.kind, each.name)
+        for each in party.history
+        if each.revision > returned_at
+    }
+    for key in sorted((before.stored.keys() | present.keys()) - since):
+        shown = before.stored.get(key)
+        known = present.get(key, {})
+        if shown is None:
+            party.drop(*key)
+        elif known.get('spec') != shown['spec']:
+            party.put(*key, shown['spec'], known.get('status'))
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -23,6 +23,7 @@
     STORE_SLOW = 'store_slow'
     STORE_LOST = 'store_lost'
     STORE_FORGETS = 'store_forgets'
+    STORE_RETURNS = 'store_returns'
     STORE_CUT = 'store_cut'
     STORE_HALF_CUT = 'store_half_cut'
     STORE_SILENT = 'store_silent'
@@ -53,6 +54,7 @@
         Kind.STORE_SLOW,
         Kind.STORE_LOST,
         Kind.STORE_FORGETS,
+        Kind.STORE_RETURNS,
     )
 )
 ROLLOUTS = frozenset((Kind.GOOD_VERSION, Kind.BAD_VERSION))
--- a/beryllug/standins/platform_store.py
+++ b/beryllug/standins/platform_store.py
@@ -101,8 +101,8 @@
         self._note(_Event(kind, name, self.revision, shown, is_gone=True))
 
     def status(self, kind: str, name: str) -> Any:
-        """Return the status of an object."""
-        return self._stored[(kind, name)]['status']
+        """Return the status of an object; None without one."""
+        return self._stored.get((kind, name), {}).get('status')
 
     def copy(self) -> Copy:
         """Take a copy to return from."""
