Tests of what holds after a return of the store, and for how long

Without a store: words of before the return that come late, entries and zones that are held and let go, a later word of the store, two returns, eras that can't be read.

--- a/beryllug/core/stamps_test.py
+++ b/beryllug/core/stamps_test.py
@@ -5,21 +5,22 @@
 from beryllug.core import stamps
 
 
+# A revision after a change a millisecond for over ten years.
+LATE = 2**39
+
+
 class StampsTest(unittest.TestCase):
     """Eras and revisions in one number."""
 
     def test_order(self) -> None:
         """A late revision of an earlier era outranks one of a later era."""
-        stamped = [
-            stamps.stamp(era, revision)
-            for era, revision in ((0, 5), (0, 9), (1, 1), (1, 2**39), (2, 1))
-        ]
+        table = ((0, 5), (0, 9), (1, 1), (1, LATE), (2, 1))
+        stamped = [stamps.stamp(era, revision) for era, revision in table]
         self.assertEqual(stamped, sorted(stamped))
-        self.assertEqual(
-            [stamps.era(each) for each in stamped], [0, 0, 1, 1, 2]
-        )
-        self.assertEqual(stamps.revision(stamped[3]), 2**39)
-        self.assertEqual(stamps.shown(stamped[2]), '1/1')
+        for each, (era, revision) in zip(stamped, table, strict=True):
+            self.assertEqual(stamps.era(each), era)
+            self.assertEqual(stamps.revision(each), revision)
+            self.assertEqual(stamps.shown(each), f'{era}/{revision}')
 
     def test_return(self) -> None:
         """The first list that a process has is taken for a return."""
--- /dev/null
+++ b/beryllug/router/store_returns_test.py
@@ -0,0 +1,192 @@
+"""Tests of what holds after a return of the store, and for how long."""
+
+import unittest
+from collections.abc import Iterable
+
+from beryllug.core import stamps
+from beryllug.drivers import store_era
+from beryllug.kernel import log_lines
+from beryllug.platform import store
+from beryllug.router import server_list, store_returns, zone_list
+
+ZONE = 'b'
+OLD = stamps.stamp(1, 50)
+NEW = stamps.stamp(2, 20)
+# Seconds for which a dropped server is doubted, and of the returns.
+DOUBT_S = 1.0
+NOW = 100.0
+LATER = NOW + stamps.HELD_S + 0.1
+
+
+def _entry(name: str, state: str) -> dict[str, object]:
+    return {
+        'service': 'desk',
+        'address': f'10.0.0.{len(name)}:80',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 4,
+        'state': state,
+    }
+
+
+def _stored(name: str, state: str, stamped: int) -> store.Stored:
+    return store.Stored(name, stamped, _entry(name, state), None, False)
+
+
+def _list(states: dict[str, str], stamped: int) -> store.Listing:
+    found = (_stored(name, state, stamped) for name, state in states.items())
+    return store.Listing(tuple(found), stamped)
+
+
+class _Silent(log_lines.LineWriter):
+    """Keeps the events of lines."""
+
+    def __init__(self) -> None:
+        """Open nothing."""
+        self.events: list[str] = []
+
+    def write(self, event: str, **fields: object) -> None:
+        self.events.append(event)
+
+
+class ServersTest(unittest.TestCase):
+    """A process that knows one server of each kind as the store returns."""
+
+    def setUp(self) -> None:
+        self.servers = server_list.ServerList(DOUBT_S, _Silent())
+        states = {'stays': 'ready', 'leaves': 'ready', 'goes': 'ready'}
+        self.servers.listed(_list(states, OLD - 2), NOW - 20)
+        changes = store.Changes(
+            (
+                store.Change(_stored('leaves', 'draining', OLD - 1), False),
+                store.Change(_stored('goes', 'ready', OLD), True),
+                store.Change(_stored('new', 'ready', OLD), False),
+            ),
+            OLD,
+        )
+        self.servers.changed(changes, NOW - 10)
+        self.copy = _list(states, NEW)
+
+    def test_held(self) -> None:
+        """A server that leaves or has gone is asked again, by the copy."""
+        self.servers.listed(self.copy, NOW)
+        self.assertEqual(self._usable(NOW), ({'stays'}, {'new'}))
+        self.assertEqual(
+            self._usable(LATER), ({'stays', 'leaves', 'goes'}, set())
+        )
+
+    def test_later_word(self) -> None:
+        """The server's own later word is passed over while it is held."""
+        for state, listed in (('ready', True), ('draining', False)):
+            with self.subTest(state):
+                self.setUp()
+                self.servers.listed(self.copy, NOW)
+                change = store.Change(_stored('leaves', state, NEW + 1), False)
+                self.servers.changed(store.Changes((change,), NEW + 1), NOW)
+                self.assertIs('leaves' in self._usable(NOW)[0], listed)
+                self.assertIs('leaves' in self._usable(LATER)[0], listed)
+
+    def test_earlier_words(self) -> None:
+        """Words of before the return come late, and count."""
+        self.servers.listed(self.copy, NOW)
+        before = self.servers.revision
+        late = _stored('stays', 'draining', OLD + 5)
+        self.servers.listed(_list({}, OLD + 5), NOW)
+        change = store.Change(late, is_gone=False)
+        self.servers.changed(store.Changes((change,), OLD + 5), NOW)
+        self.servers.take_specs({}, OLD + 5, 'peer', NOW)
+        for since in (OLD, OLD + 4):
+            delta = server_list.Delta(since, OLD + 5, (('stays', None),))
+            self.servers.take_delta(delta, 'peer', NOW)
+        delta = server_list.Delta(OLD, NEW + 1, (('stays', None),))
+        self.assertFalse(self.servers.take_delta(delta, 'peer', NOW))
+        self.assertEqual(self.servers.revision, before)
+        self.assertIn('stays', self._usable(NOW)[0])
+
+    def test_from_peer(self) -> None:
+        """A peer hands the copy's list on, and it is believed at once."""
+        self.servers.take_specs(
+            {each.name: each.spec for each in self.copy.found},
+            NEW,
+            'peer',
+            NOW,
+        )
+        self.assertEqual(self._usable(NOW), ({'stays'}, {'new'}))
+
+    def test_hands_on(self) -> None:
+        """A peer is told of a server's leaving for ever: it was held here."""
+        self.servers.listed(self.copy, NOW)
+        states = {
+            name: spec['state'] for name, spec in self.servers.specs.items()
+        }
+        self.assertEqual(states['leaves'], 'ready')
+
+    def _usable(self, now: float) -> tuple[set[str], set[str]]:
+        listed, doubted = self.servers.usable(now)
+        return ({each.name for each in listed}, {each.name for each in doubted})
+
+
+class ZonesTest(unittest.TestCase):
+    """A zone was evacuated after the copy was taken."""
+
+    def setUp(self) -> None:
+        self.zones = zone_list.ZoneList(_Silent())
+        self.zones.take((ZONE,), OLD, 'store', NOW - 5)
+        self.zones.take((), NEW, 'store', NOW)
+
+    def test_held(self) -> None:
+        """An evacuation that the copy lacks ends with it, or never."""
+        for now, evacuated in ((NOW, {ZONE}), (LATER, set())):
+            self.zones.settle(now)
+            self.assertEqual(self.zones.evacuated, evacuated)
+            self.assertEqual(self.zones.stated, set())
+
+    def test_written_again(self) -> None:
+        """An evacuation that is written again ends ten seconds later."""
+        for steps, evacuated in (
+            (((False, NEW + 1),), {ZONE}),
+            (((False, NEW + 1), (True, NEW + 2)), set()),
+            (((True, NEW + 1),), set()),
+        ):
+            with self.subTest(steps):
+                self.setUp()
+                self._change(steps)
+                self.assertEqual(self.zones.evacuated, evacuated)
+                self.zones.settle(LATER)
+                self.assertEqual(self.zones.evacuated, evacuated)
+
+    def test_twice(self) -> None:
+        """A second return ends what the first has held."""
+        self.zones.take((), stamps.stamp(3, 1), 'store', LATER - 1)
+        self.zones.settle(LATER)
+        self.assertEqual(self.zones.evacuated, {ZONE})
+
+    def _change(self, steps: Iterable[tuple[bool, int]]) -> None:
+        for is_gone, stamped in steps:
+            stored = store.Stored(ZONE, stamped, {}, None, False)
+            change = store.Change(stored, is_gone)
+            self.zones.changed(store.Changes((change,), stamped), NOW)
+
+
+class ErasTest(unittest.TestCase):
+    """What a process makes of the eras that it hears of."""
+
+    def test_returns(self) -> None:
+        """The first era counts as a return, or a second word as another."""
+        lines = _Silent()
+        eras = store_era.StoreEra()
+        returns = store_returns.StoreReturns(eras, lines)
+        told: list[int] = []
+        returns.on_returned = lambda: told.append(eras.era)
+        for word in ('4', '', '5', '5', 'x', '6'):
+            eras.answered(word)
+        eras.learn(5)
+        eras.learn(7)
+        self.assertEqual(told, [5, 6, 7])
+        self.assertEqual(lines.events.count('store_returned'), 3)
+        self.assertEqual(lines.events.count('store_era_unreadable'), 1)
+        self.assertEqual(returns.dump(), {'era': 7, 'returns': 3})
+
+
+if __name__ == '__main__':
+    unittest.main()
