Go through the servers for limits only while some server names one

Each choice of a server and each round of a quarter of a second looked up a limit for every listed server; with 3,000 of them that is as much as an idle process does (read from the code, not measured). Without a limit nothing is looked up now.

--- a/beryllug/router/eligible.py
+++ b/beryllug/router/eligible.py
@@ -164,6 +164,8 @@
         not take their place: a session would leave its version.
         """
         taking = [each for each in servers if self._takes(each, wish, now)]
+        if not self.limits.known.words:
+            return taking
         held = {
             each.instance
             for each in taking
--- a/beryllug/router/server_limits.py
+++ b/beryllug/router/server_limits.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from beryllug.core.peering import peering_data
-from beryllug.core.placement import permits, server_limits
+from beryllug.core.placement import permits, server_limits, servers_data
 from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import dispatch, refusals
 
@@ -27,6 +27,7 @@
     """Knows which backend servers have named a limit, and which one.
 
     Attributes:
+        known: What servers said last.
         permits: What this process has permitted, and was refused.
         claim: Asks whether a request may be sent to a server.
         on_changed: Told of each limit that this process hears begin or end.
@@ -42,7 +43,7 @@
         self.permits = permits.Permits()
         self.claim: Claim = _refuse
         self.on_changed: Callable[[], None] = _pass_over
-        self._limits = server_limits.Limits()
+        self.known = server_limits.Limits()
         self._changed: set[str] = set()
         self._lines = lines
         self._refusals = refusals.Refusals('server_limit_unreadable', lines)
@@ -62,20 +63,20 @@
                 'per_s': self.per_s(instance),
                 'refused_s': round(self.refused_s(instance, now), 2),
             }
-            for instance in sorted(server_limits.limited(self._limits))
+            for instance in sorted(server_limits.limited(self.known))
         }
 
     def measure(self) -> Iterable[metrics_data.Sample]:
         """Return how many servers are limited."""
         yield metrics_data.Sample(
             'servers_limited',
-            len(server_limits.limited(self._limits)),
+            len(server_limits.limited(self.known)),
             'Backend servers that name a limit on requests a second.',
         )
 
     def per_s(self, instance: str) -> float | None:
         """Return the limit of a server; None where there is none."""
-        return server_limits.per_s(self._limits, instance)
+        return server_limits.per_s(self.known, instance)
 
     def refused_s(self, instance: str, now: float) -> float:
         """Return the seconds for which a server takes no more from here."""
@@ -108,7 +109,7 @@
         """Take what another process has heard of a server at any time."""
         before = self.per_s(news.instance)
         word = server_limits.Word(news.per_s, now - news.ago_s)
-        if server_limits.take_told(self._limits, news.instance, word):
+        if server_limits.take_told(self.known, news.instance, word):
             self._log(news.instance, before, source)
 
     def news(self, instance: str, now: float) -> peering_data.LimitNews:
@@ -116,7 +117,7 @@
 
         That nothing is known counts as older than any word of it.
         """
-        word = self._limits.words.get(instance, NO_WORD)
+        word = self.known.words.get(instance, NO_WORD)
         ago_s = round(now - word.at, 3)
         return peering_data.LimitNews(instance, word.per_s, ago_s)
 
@@ -130,21 +131,22 @@
         """Return some limits that were heard of lately, to tell a peer."""
         known = [
             instance
-            for instance in sorted(server_limits.limited(self._limits))
-            if now - self._limits.words[instance].at < server_limits.ENDED_S
+            for instance in sorted(server_limits.limited(self.known))
+            if now - self.known.words[instance].at < server_limits.ENDED_S
         ]
         chosen = self._rng.sample(known, min(MOST_SOME, len(known)))
         return tuple(self.news(each, now) for each in chosen)
 
-    def forget(self, listed: frozenset[str], now: float) -> None:
+    def forget(self, listed: Iterable[servers_data.Server], now: float) -> None:
         """Forget what is over, and servers that are gone."""
-        server_limits.forget(self._limits, listed, now)
-        limited = server_limits.limited(self._limits)
+        instances = frozenset(each.instance for each in listed)
+        server_limits.forget(self.known, instances, now)
+        limited = server_limits.limited(self.known)
         permits.forget(self.permits, limited, now)
 
     def _hear(self, instance: str, word: server_limits.Word) -> None:
         before = self.per_s(instance)
-        if not server_limits.take(self._limits, instance, word):
+        if not server_limits.take(self.known, instance, word):
             return
         self._log(instance, before, ANSWER)
         if before is None or word.per_s is None:
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import itertools
 import time
 from collections.abc import Iterable
 from typing import Any, NamedTuple
@@ -134,7 +135,7 @@
             self._pool.repeats.processes = present
             ever = members.count_ever(known)
             fleet_size.count(self._pool.eligible.size, present, ever, now)
-            self._limits.forget(_instances(self._known, now), now)
+            self._forget_limits(now)
             self._tell_limits()
             self._known.zones.settle(now)
             await self._news.follow_or_not(now)
@@ -180,6 +181,13 @@
             note = self._note()
             self._tell_all(note._replace(running=tuple(running), losses=losses))
 
+    def _forget_limits(self, now: float) -> None:
+        # To go through all servers four times a second costs a large fleet
+        # as much as all else that it does while idle.
+        if self._limits.known.words:
+            listed, doubted = self._known.servers.usable(now)
+            self._limits.forget(itertools.chain(listed, doubted), now)
+
     def _tell_limits(self) -> None:
         """Tell all of limits that began or ended, at most once a round.
 
@@ -230,12 +238,6 @@
             return note._replace(total=told)
 
 
-def _instances(known: directory.Directory, now: float) -> frozenset[str]:
-    """Return the servers that are listed or doubted."""
-    listed, doubted = known.servers.usable(now)
-    return frozenset(each.instance for each in (*listed, *doubted))
-
-
 def _gone(name: str, cfg: settings_data.Router) -> peering_data.Note:
     """Return the note that a process is gone, or stops itself."""
     return peering_data.Note(name, cfg.peer_listen, gone=(name,))
