Orders of an older copy: judge them by what was read, and by their version

Found in review, each with a case that failed first: an entry of the list that is no order raised in the follower of the store; an order whose time was changed, or whose version was ordered once more, counted as replaced and was passed over after a return.

--- a/beryllug/router/order_list.py
+++ b/beryllug/router/order_list.py
@@ -11,6 +11,8 @@
 from beryllug.platform import documents, store
 from beryllug.router import refusals
 
+# Versions that were ordered before the present one and are remembered.
+MOST_REPLACED = 20
 Listener = Callable[[canary_data.Order, canary_data.Phase, float], None]
 
 
@@ -34,7 +36,7 @@
         self.orders: dict[str, StoredOrder] = {}
         self._refusals = refusals.Refusals('order_refused', lines)
         self._listeners: list[Listener] = []
-        self._replaced: dict[str, set[str]] = {}
+        self._replaced: dict[str, dict[str, None]] = {}
 
     def on_order(self, listener: Listener) -> None:
         """Tell of each order and each change of its status."""
@@ -44,8 +46,24 @@
         """Return the revision of the newest change."""
         return max((each.revision for each in self.orders.values()), default=0)
 
-    def take(self, name: str, stored: StoredOrder, now: float) -> None:
-        """Take an order or its status, if it is newer than what is known."""
+    def take(
+        self,
+        name: str,
+        stored: StoredOrder,
+        now: float,
+        *,
+        is_listed: bool = False,
+    ) -> None:
+        """Take an order or its status, if it is newer than what is known.
+
+        Args:
+            name: Its name.
+            stored: The order.
+            now: The present second.
+            is_listed: Whether it stands in a list of the store, which may be
+                that of an older copy: an order that was replaced is passed
+                over there.
+        """
         known = self.orders.get(name)
         if known is not None and stored.revision <= known.revision:
             return
@@ -57,38 +75,37 @@
             self._refusals.refused(name, str(exc))
             return
         self._refusals.accepted(name)
+        if known is not None:
+            is_return = stamps.is_return(stored.revision, known.revision)
+            replaced = self._replaced.get(name, {})
+            if is_listed and is_return and order.target in replaced:
+                return
+            self._note_replaced(name, known.spec['target'], order.target)
         spec = documents.order_spec(order)
         status = documents.order_status(order.target, phase)
-        if known is not None and known.spec != spec:
-            self._replaced.setdefault(name, set()).add(known.spec['target'])
         self.orders[name] = StoredOrder(stored.revision, spec, status)
         for listener in self._listeners:
             listener(order, phase, now)
 
     def listed(self, listed: store.Listing, now: float) -> None:
-        """Take a whole list of the store.
-
-        Returned from a copy, the store may have an order that was replaced.
-        """
+        """Take a whole list of the store."""
         for each in listed.found:
-            if not self._is_replaced(each):
-                self._take(each, now)
+            self.take(each.name, _stored(each), now, is_listed=True)
 
     def changed(self, changes: store.Changes, now: float) -> None:
         """Take changes that the store reports."""
         for change in changes.changes:
             if not change.is_gone:
-                self._take(change.stored, now)
-
-    def _take(self, found: store.Stored, now: float) -> None:
-        order = StoredOrder(found.revision, found.spec, found.status)
-        self.take(found.name, order, now)
-
-    def _is_replaced(self, found: store.Stored) -> bool:
-        known = self.orders.get(found.name)
-        if known is None or not stamps.is_return(
-            found.revision, known.revision
-        ):
-            return False
-        target = found.spec.get('target') if found.spec else None
-        return target in self._replaced.get(found.name, ())
+                self.take(change.stored.name, _stored(change.stored), now)
+
+    def _note_replaced(self, name: str, before: str, target: str) -> None:
+        """Remember the versions that were ordered before the present one."""
+        replaced = self._replaced.setdefault(name, {})
+        replaced[before] = None
+        replaced.pop(target, None)
+        while len(replaced) > MOST_REPLACED:
+            replaced.pop(next(iter(replaced)))
+
+
+def _stored(found: store.Stored) -> StoredOrder:
+    return StoredOrder(found.revision, found.spec, found.status)
--- a/beryllug/router/store_returns_test.py
+++ b/beryllug/router/store_returns_test.py
@@ -2,12 +2,18 @@
 
 import unittest
 from collections.abc import Iterable
+from typing import Any
 
 from beryllug.core import stamps
 from beryllug.drivers import store_era
 from beryllug.kernel import log_lines
 from beryllug.platform import store
-from beryllug.router import server_list, store_returns, zone_list
+from beryllug.router import (
+    order_list,
+    server_list,
+    store_returns,
+    zone_list,
+)
 
 ZONE = 'b'
 OLD = stamps.stamp(1, 50)
@@ -38,6 +44,10 @@
     return store.Listing(tuple(found), stamped)
 
 
+def _order(target: str) -> dict[str, Any]:
+    return {'service': 'pool', 'target': target, 'duration_s': 12}
+
+
 class _Silent(log_lines.LineWriter):
     """Keeps the events of lines."""
 
@@ -168,6 +178,52 @@
             self.zones.changed(store.Changes((change,), stamped), NOW)
 
 
+class OrdersTest(unittest.TestCase):
+    """A roll-out was ordered after another one, before the return."""
+
+    def setUp(self) -> None:
+        self.orders = order_list.OrderList(_Silent())
+        for number, target in enumerate(('v2', 'v3')):
+            self._list(_order(target), OLD + number)
+
+    def test_copy(self) -> None:
+        """An order that was replaced is taken from the copy."""
+        table: tuple[tuple[Any, str], ...] = (
+            (_order('v2'), 'v3'),
+            (_order('v3'), 'v3'),
+            (_order('v4'), 'v4'),
+            ([], 'v3'),
+            ('v2', 'v3'),
+            (_order('v2') | {'target': []}, 'v3'),
+        )
+        for spec, target in table:
+            with self.subTest(spec):
+                self.setUp()
+                self._list(spec, NEW)
+                self.assertEqual(self._target(), target)
+
+    def test_other_time(self) -> None:
+        """An order whose time was changed counts as replaced by itself."""
+        self._list(_order('v3') | {'duration_s': 9}, OLD + 2)
+        self._list(_order('v3'), NEW)
+        self.assertGreater(self.orders.revision(), OLD + 2)
+
+    def test_ordered_again(self) -> None:
+        """A version that is ordered once more counts as replaced."""
+        self._list(_order('v2'), OLD + 2)
+        self._list(_order('v2'), NEW)
+        self.assertGreater(self.orders.revision(), OLD + 2)
+
+    def _list(self, spec: Any, stamped: int) -> None:
+        stored = store.Stored('pool', stamped, spec, None, False)
+        self.orders.listed(store.Listing((stored,), stamped), NOW)
+
+    def _target(self) -> str:
+        order = self.orders.orders['pool']
+        target: str = order.spec['target']
+        return target
+
+
 class ErasTest(unittest.TestCase):
     """What a process makes of the eras that it hears of."""
 
