--- a/beryllug/core/placement/returning.py
+++ b/beryllug/core/placement/returning.py
@@ -69,7 +69,7 @@
         Cause.NO_REGION: 'no backend server is in a region that is allowed',
         Cause.EVACUATED: 'the zones of all backend servers are evacuated',
         Cause.COLD: 'all backend servers have just started',
-        Cause.LIMITED: 'all backend servers are at the limit that they name',
+        Cause.LIMITED: 'all backend servers are at their rate limit',
     }
 )
 # Part of a caller's time beyond the least, and most seconds, for which a
--- a/beryllug/core/placement/server_limits.py
+++ b/beryllug/core/placement/server_limits.py
@@ -1,33 +1,34 @@
-"""Limits on requests a second that backend servers name in their answers.
+"""Rate limits that backend servers state in their answers.
 
-A limit holds for all processes together, from the first answer that names it
-to the first answer that no longer does. Answers overtake one another, so one
-without a limit ends it only if its request was sent after the limit was heard.
+A limit, in requests a second, holds for all processes together, from the first
+answer that states it to the first one that does not. Answers overtake one
+another, so one without a limit ends it only if its request was sent after the
+limit was observed.
 """
 
 import math
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-# Seconds for which the end of a limit is remembered, so that an older word of
-# the limit, told by another process, does not bring it back; as long may such
-# a word be told.
+# Seconds for which the end of a limit is remembered, so that an older
+# observation of another process does not bring it back, and for which an
+# observation is told to others.
 ENDED_S = 10.0
-# Seconds by which the word of another process must be newer. Each hop adds the
-# time of a message to its age; without this a word that goes round would seem
-# new for ever.
+# Seconds by which an observation of another process must be newer. The age is
+# understated by each hop's delay; without this an observation that is gossiped
+# in a circle would be renewed for ever.
 HOP_S = 0.25
 # Seconds for which the limit of a server that is not listed is remembered: its
 # entry may lapse for a moment.
 UNLISTED_S = 60.0
 
 
-class Word(NamedTuple):
-    """What a server was last known to say.
+class Observation(NamedTuple):
+    """A server's limit at a moment.
 
     Attributes:
-        per_s: Requests a second that it takes; None where it names no limit.
-        at: Monotonic second of which this is known.
+        per_s: Requests a second; None where it states no limit.
+        at: Monotonic second.
     """
 
     per_s: float | None
@@ -36,9 +37,9 @@
 
 @dataclass(slots=True)
 class Limits:
-    """What servers say, by instance; changed by the functions here only."""
+    """The latest observation of each server, by instance."""
 
-    words: dict[str, Word] = field(default_factory=dict)
+    observed: dict[str, Observation] = field(default_factory=dict)
 
 
 def read(text: str) -> float | None:
@@ -50,55 +51,55 @@
     return per_s if math.isfinite(per_s) and per_s >= 0 else None
 
 
-def take(limits: Limits, instance: str, word: Word) -> bool:
-    """Take what a server says; returns whether that differs from before.
+def take(limits: Limits, instance: str, seen: Observation) -> bool:
+    """Take an observation; returns whether the limit has changed.
 
-    An older word changes nothing, nor does the end of a limit that is unknown.
+    An older one changes nothing, nor does the end of a limit that is unknown.
     """
-    before = limits.words.get(instance)
+    before = limits.observed.get(instance)
     if before is None:
-        if word.per_s is not None:
-            limits.words[instance] = word
-        return word.per_s is not None
-    if word.at <= before.at:
+        if seen.per_s is not None:
+            limits.observed[instance] = seen
+        return seen.per_s is not None
+    if seen.at <= before.at:
         return False
-    limits.words[instance] = word
-    return word.per_s != before.per_s
+    limits.observed[instance] = seen
+    return seen.per_s != before.per_s
 
 
-def take_told(limits: Limits, instance: str, word: Word) -> bool:
-    """Take what another process has heard of a server, likewise."""
-    before = limits.words.get(instance)
-    if before is not None and word.at <= before.at + HOP_S:
+def take_remote(limits: Limits, instance: str, seen: Observation) -> bool:
+    """Take an observation of another process, likewise."""
+    before = limits.observed.get(instance)
+    if before is not None and seen.at <= before.at + HOP_S:
         return False
-    return take(limits, instance, word)
+    return take(limits, instance, seen)
 
 
 def per_s(limits: Limits, instance: str) -> float | None:
     """Return the limit of a server; None where there is none."""
-    word = limits.words.get(instance)
-    return word and word.per_s
+    seen = limits.observed.get(instance)
+    return seen and seen.per_s
 
 
 def limited(limits: Limits) -> frozenset[str]:
     """Return the servers that have a limit."""
     return frozenset(
         instance
-        for instance, word in limits.words.items()
-        if word.per_s is not None
+        for instance, seen in limits.observed.items()
+        if seen.per_s is not None
     )
 
 
 def forget(limits: Limits, listed: frozenset[str], now: float) -> None:
     """Forget limits that ended long ago, or whose servers are gone."""
-    limits.words = {
-        instance: word
-        for instance, word in limits.words.items()
-        if now - word.at < _kept_s(word, is_listed=instance in listed)
+    limits.observed = {
+        instance: seen
+        for instance, seen in limits.observed.items()
+        if now - seen.at < _kept_s(seen, is_listed=instance in listed)
     }
 
 
-def _kept_s(word: Word, *, is_listed: bool) -> float:
-    if word.per_s is None:
+def _kept_s(seen: Observation, *, is_listed: bool) -> float:
+    if seen.per_s is None:
         return ENDED_S
     return math.inf if is_listed else UNLISTED_S
--- a/beryllug/core/placement/server_limits_test.py
+++ b/beryllug/core/placement/server_limits_test.py
@@ -4,7 +4,7 @@
 
 from beryllug.core.placement import server_limits
 
-Word = server_limits.Word
+Observation = server_limits.Observation
 
 
 class ReadTest(unittest.TestCase):
@@ -32,27 +32,39 @@
 
     def test_newest(self) -> None:
         """An answer that was overtaken neither ends nor brings back a limit."""
-        table: tuple[tuple[str, tuple[Word, ...], float | None], ...] = (
-            ('named', (Word(2, 1),), 2),
-            ('named anew', (Word(2, 1), Word(3, 2)), 3),
-            ('ended', (Word(2, 1), Word(None, 2)), None),
-            ('asked before it was named', (Word(2, 1), Word(None, 0.5)), 2),
-            ('told late', (Word(2, 1), Word(None, 2), Word(2, 1.5)), None),
-            ('named again', (Word(2, 1), Word(None, 2), Word(4, 3)), 4),
+        table: tuple[tuple[str, tuple[Observation, ...], float | None], ...] = (
+            ('named', (Observation(2, 1),), 2),
+            ('named anew', (Observation(2, 1), Observation(3, 2)), 3),
+            ('ended', (Observation(2, 1), Observation(None, 2)), None),
+            (
+                'asked before it was named',
+                (Observation(2, 1), Observation(None, 0.5)),
+                2,
+            ),
+            (
+                'told late',
+                (Observation(2, 1), Observation(None, 2), Observation(2, 1.5)),
+                None,
+            ),
+            (
+                'named again',
+                (Observation(2, 1), Observation(None, 2), Observation(4, 3)),
+                4,
+            ),
         )
-        for title, words, per_s in table:
+        for title, observed, per_s in table:
             with self.subTest(title):
                 limits = server_limits.Limits()
-                for word in words:
-                    server_limits.take(limits, 'i', word)
+                for seen in observed:
+                    server_limits.take(limits, 'i', seen)
                 self.assertEqual(server_limits.per_s(limits, 'i'), per_s)
 
     def test_forget(self) -> None:
         """Limits of servers that are gone are not kept for ever."""
         limits = server_limits.Limits()
         for number in range(3):
-            server_limits.take(limits, f'i-{number}', Word(1, 0))
-        server_limits.take(limits, 'i-1', Word(None, 1))
+            server_limits.take(limits, f'i-{number}', Observation(1, 0))
+        server_limits.take(limits, 'i-1', Observation(None, 1))
         listed = frozenset(('i-0', 'i-1'))
         table: tuple[tuple[float, set[str]], ...] = (
             (2, {'i-0', 'i-1', 'i-2'}),
@@ -61,19 +73,19 @@
         )
         for now, kept in table:
             server_limits.forget(limits, listed, now)
-            self.assertEqual(set(limits.words), kept)
+            self.assertEqual(set(limits.observed), kept)
 
     def test_told(self) -> None:
-        """A word that goes round gets younger with each hop, for ever."""
+        """An observation that is gossiped in a circle is renewed for ever."""
         limits = server_limits.Limits()
-        server_limits.take(limits, 'i', Word(2, 1))
-        for word, per_s in (
-            (Word(3, 1 + server_limits.HOP_S), 2),
-            (Word(3, 1.1 + server_limits.HOP_S), 3),
-            (Word(None, 2), None),
-            (Word(3, 1.5), None),
+        server_limits.take(limits, 'i', Observation(2, 1))
+        for seen, per_s in (
+            (Observation(3, 1 + server_limits.HOP_S), 2),
+            (Observation(3, 1.1 + server_limits.HOP_S), 3),
+            (Observation(None, 2), None),
+            (Observation(3, 1.5), None),
         ):
-            server_limits.take_told(limits, 'i', word)
+            server_limits.take_remote(limits, 'i', seen)
             self.assertEqual(server_limits.per_s(limits, 'i'), per_s)
 
 
--- a/beryllug/router/claims_test.py
+++ b/beryllug/router/claims_test.py
@@ -199,7 +199,7 @@
         await asyncio.sleep(ANSWER_S)
         head = requests.Head(200, True, False, False, '', None, limit)
         process.limits.heard(
-            dispatch.Said(SERVER, head, sent_at, time.monotonic())
+            dispatch.AnswerHead(SERVER, head, sent_at, time.monotonic())
         )
 
     def _deliver(self, name: str, note: peering_data.Note) -> None:
--- a/beryllug/router/dispatch.py
+++ b/beryllug/router/dispatch.py
@@ -71,7 +71,7 @@
 Outcome = Answered | NotRun | Unknown | TimedOut
 
 
-class Said(NamedTuple):
+class AnswerHead(NamedTuple):
     """The head of an answer, as far as it is about the server itself.
 
     Attributes:
@@ -97,7 +97,7 @@
     def __init__(self, client: http_client.HttpClient) -> None:
         """Bind to the client that keeps the connections."""
         self._client = client
-        self.on_head: Callable[[Said], None] = _pass_over
+        self.on_head: Callable[[AnswerHead], None] = _pass_over
 
     async def send(
         self,
@@ -132,7 +132,9 @@
             return Unknown(str(exc))
         head = requests.head_of(incoming.status, incoming.headers)
         if _is_of(call, head):
-            self.on_head(Said(sending.server, head, sent_at, time.monotonic()))
+            self.on_head(
+                AnswerHead(sending.server, head, sent_at, time.monotonic())
+            )
         outcome = _judge(call, head)
         if outcome is None:
             return Answered(incoming, head)
@@ -180,5 +182,5 @@
     return None
 
 
-def _pass_over(said: Said) -> None:
+def _pass_over(said: AnswerHead) -> None:
     """Tell nobody of a head."""
--- a/beryllug/router/eligible.py
+++ b/beryllug/router/eligible.py
@@ -164,7 +164,7 @@
         not take their place: a session would leave its version.
         """
         taking = [each for each in servers if self._takes(each, wish, now)]
-        if not self.limits.known.words:
+        if not self.limits.known.observed:
             return taking
         held = {
             each.instance
--- a/beryllug/router/held_servers.py
+++ b/beryllug/router/held_servers.py
@@ -11,7 +11,7 @@
     """Entries that deny what was known before the store returned.
 
     A server that was known to leave, or to be gone, gets no more because the
-    store has forgotten it; its own word comes again.
+    store has lost that; the server writes it again.
 
     Attributes:
         entries: The entries by name.
@@ -41,7 +41,7 @@
         return [each for each in listed if each.name not in self.entries]
 
     def changed(self, name: str) -> None:
-        """Take that the store has a newer word of a server."""
+        """Take that a server has written its entry again."""
         self.entries.pop(name, None)
 
     def release(self, now: float) -> list[servers_data.Server]:
--- a/beryllug/router/server_limits.py
+++ b/beryllug/router/server_limits.py
@@ -1,7 +1,7 @@
-"""Service 'server_limits': limits that backend servers name in answers.
+"""Service 'server_limits': rate limits that backend servers state.
 
-A limit is told to all processes as it begins and as it ends, since one that
-has not heard of it goes on sending.
+All processes are told when a limit begins and when it ends, since one that
+doesn't know it goes on sending.
 """
 
 import random
@@ -19,7 +19,7 @@
 MOST_CHANGED = 20
 MOST_SOME = 6
 ANSWER = 'answer'
-NO_WORD = server_limits.Word(None, float('-inf'))
+NOT_OBSERVED = server_limits.Observation(None, float('-inf'))
 Claim = Callable[[str], Awaitable[bool]]
 
 
@@ -27,7 +27,7 @@
     """Knows which backend servers have named a limit, and which one.
 
     Attributes:
-        known: What servers said last.
+        known: The latest observation of each server.
         permits: What this process has permitted, and was refused.
         claim: Asks whether a request may be sent to a server.
         on_changed: Told of each limit that this process hears begin or end.
@@ -82,7 +82,7 @@
         """Return the seconds for which a server takes no more from here."""
         return permits.refused_s(self.permits, instance, now)
 
-    def heard(self, said: dispatch.Said) -> None:
+    def heard(self, said: dispatch.AnswerHead) -> None:
         """Take what the head of an answer says of its server's limit."""
         instance = said.server.instance
         text = said.head.limit
@@ -91,9 +91,11 @@
             if per_s is None:
                 self._refusals.refused(instance, text)
                 return
-            self._hear(instance, server_limits.Word(per_s, said.heard_at))
+            self._hear(
+                instance, server_limits.Observation(per_s, said.heard_at)
+            )
         elif said.head.is_sealed:
-            self._hear(instance, server_limits.Word(None, said.sent_at))
+            self._hear(instance, server_limits.Observation(None, said.sent_at))
 
     def take(
         self, told: Iterable[peering_data.LimitNews], source: str, now: float
@@ -108,18 +110,18 @@
     ) -> None:
         """Take what another process has heard of a server at any time."""
         before = self.per_s(news.instance)
-        word = server_limits.Word(news.per_s, now - news.ago_s)
-        if server_limits.take_told(self.known, news.instance, word):
+        seen = server_limits.Observation(news.per_s, now - news.ago_s)
+        if server_limits.take_remote(self.known, news.instance, seen):
             self._log(news.instance, before, source)
 
     def news(self, instance: str, now: float) -> peering_data.LimitNews:
         """Return what is known of a server, to tell another process.
 
-        That nothing is known counts as older than any word of it.
+        Where nothing is known the age is infinite.
         """
-        word = self.known.words.get(instance, NO_WORD)
-        ago_s = round(now - word.at, 3)
-        return peering_data.LimitNews(instance, word.per_s, ago_s)
+        seen = self.known.observed.get(instance, NOT_OBSERVED)
+        ago_s = round(now - seen.at, 3)
+        return peering_data.LimitNews(instance, seen.per_s, ago_s)
 
     def changed(self, now: float) -> tuple[peering_data.LimitNews, ...]:
         """Return limits that began or ended since this was last asked."""
@@ -132,7 +134,7 @@
         known = [
             instance
             for instance in sorted(server_limits.limited(self.known))
-            if now - self.known.words[instance].at < server_limits.ENDED_S
+            if now - self.known.observed[instance].at < server_limits.ENDED_S
         ]
         chosen = self._rng.sample(known, min(MOST_SOME, len(known)))
         return tuple(self.news(each, now) for each in chosen)
@@ -144,12 +146,12 @@
         limited = server_limits.limited(self.known)
         permits.forget(self.permits, limited, now)
 
-    def _hear(self, instance: str, word: server_limits.Word) -> None:
+    def _hear(self, instance: str, seen: server_limits.Observation) -> None:
         before = self.per_s(instance)
-        if not server_limits.take(self.known, instance, word):
+        if not server_limits.take(self.known, instance, seen):
             return
         self._log(instance, before, ANSWER)
-        if before is None or word.per_s is None:
+        if before is None or seen.per_s is None:
             self._changed.add(instance)
             self.on_changed()
 
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -184,7 +184,7 @@
     def _forget_limits(self, now: float) -> None:
         # To go through all servers four times a second costs a large fleet
         # as much as all else that it does while idle.
-        if self._limits.known.words:
+        if self._limits.known.observed:
             listed, doubted = self._known.servers.usable(now)
             self._limits.forget(itertools.chain(listed, doubted), now)
 
