--- a/beryllug/core/placement/permits_test.py
+++ b/beryllug/core/placement/permits_test.py
@@ -44,11 +44,7 @@
                 self.assertGreaterEqual(max(counts), case.most / 2)
 
     def test_new(self) -> None:
-        """A process that has just become the first permits a whole burst.
-
-        The one before it may have done so a moment ago. One that knows no
-        fleet yet permits nothing at all.
-        """
+        """A process that has just become the first permits a whole burst."""
         settled = fleet_size.FleetSize()
         fleet_size.count(settled, 8, 8, 0)
         for size, wait_s in (
--- a/beryllug/proofs/platform/returns_test.py
+++ b/beryllug/proofs/platform/returns_test.py
@@ -42,10 +42,7 @@
         await self._until(lambda known: len(self._listed(known)) == 6)
 
     async def test_given_out_again(self) -> None:
-        """A watch goes on from a revision that was given out again.
-
-        What was written between the copy and that revision is never seen.
-        """
+        """A watch goes on from a revision that was given out again."""
         copy = self.party.copy()
         for _ in range(4):
             self._relist('d1')
@@ -92,10 +89,7 @@
         await self._until(lambda known: 'd1' in self._usable(known))
 
     async def test_missing(self) -> None:
-        """Servers that the copy lacks are dropped although they are there.
-
-        They write their entries again, within two seconds.
-        """
+        """Servers that the copy lacks are dropped although they are there."""
         self.party.drop(store.SERVERS, 'd2')
         self.party.drop(store.SERVERS, 'far-d')
         await self._until(lambda known: len(self._listed(known)) == 4)
@@ -157,11 +151,7 @@
             self.assertIs(phase, canary_data.Phase.ROLLED_BACK)
 
     async def test_twice(self) -> None:
-        """Two returns one right after the other leave the routers apart.
-
-        One router is turned away by the store all the while, and one starts
-        in the middle.
-        """
+        """Two returns one right after the other leave the routers apart."""
         copy = self.party.copy()
         self.party.put(store.EVACUATIONS, FAR, {})
         await self._until(self._is_current)
