Store: its records stand in drivers, beside its errors

The records of objects and their changes name nothing of the platform. Only imports change elsewhere; tests of store, lists and watches green.

--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import Any
 from urllib import parse as url_parse
 
 import msgspec
@@ -20,6 +20,7 @@
     http_data,
     json_decode,
     object_data,
+    store_data,
     store_era,
 )
 from beryllug.platform import names
@@ -39,66 +40,6 @@
 DONE = (HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT)
 
 
-class Stored(NamedTuple):
-    """An object of the store.
-
-    Attributes:
-        name: Its name within its kind.
-        revision: Revision of the store at its last change.
-        spec: What it says.
-        status: What was written about it since, or None.
-        is_leaving: Whether it is being deleted.
-    """
-
-    name: str
-    revision: int
-    spec: Any
-    status: Any
-    is_leaving: bool
-
-
-class Listing(NamedTuple):
-    """All objects of a kind, and the revision to watch from.
-
-    Attributes:
-        found: The objects that can be read.
-        revision: Revision of the store.
-        errors: Why others can't be.
-    """
-
-    found: tuple[Stored, ...]
-    revision: int
-    errors: tuple[str, ...] = ()
-
-
-class Page(NamedTuple):
-    """Some of the objects of a kind; `after` goes on, empty at the end."""
-
-    listing: Listing
-    after: str
-
-
-class Change(NamedTuple):
-    """A change of one object; `is_gone` when it was deleted."""
-
-    stored: Stored
-    is_gone: bool
-
-
-class Changes(NamedTuple):
-    """Changes in order, perhaps none, and the revision to watch from.
-
-    Attributes:
-        changes: Changes of objects that can be read.
-        revision: Revision of the store.
-        errors: Why others can't be.
-    """
-
-    changes: tuple[Change, ...]
-    revision: int
-    errors: tuple[str, ...] = ()
-
-
 class _Metadata(msgspec.Struct):
     name: str
     revision: int = 0
@@ -147,7 +88,7 @@
         self.calls: dict[str, int] = {}
         self.eras = store_era.StoreEra()
 
-    async def list_page(self, kind: str, after: str = '') -> Page:
+    async def list_page(self, kind: str, after: str = '') -> store_data.Page:
         """List objects of a kind in the order of their names.
 
         Args:
@@ -166,12 +107,16 @@
         era = self.eras.era
         found = tuple(_stored(each, era) for each in read)
         is_last = not page.has_more or not found
-        return Page(
-            Listing(found, stamps.stamp(era, page.at), tuple(errors)),
+        return store_data.Page(
+            store_data.Listing(
+                found, stamps.stamp(era, page.at), tuple(errors)
+            ),
             '' if is_last else found[-1].name,
         )
 
-    async def watch(self, kind: str, after: int, wait_s: float) -> Changes:
+    async def watch(
+        self, kind: str, after: int, wait_s: float
+    ) -> store_data.Changes:
         """Return the changes after a revision, waiting for the first.
 
         Raises:
@@ -192,11 +137,11 @@
         events = json_decode.decode(body, _Events)
         read, errors = json_decode.each(events.events, _Event)
         changes = tuple(
-            Change(_stored(event.object, era), event.tombstone)
+            store_data.Change(_stored(event.object, era), event.tombstone)
             for event in read
         )
         revision = stamps.stamp(era, events.at)
-        return Changes(changes, revision, tuple(errors))
+        return store_data.Changes(changes, revision, tuple(errors))
 
     async def set_status(
         self, kind: str, name: str, revision: int, status: Any
@@ -291,9 +236,9 @@
     return f'{path}/{url_parse.quote(name, safe="")}' if name else path
 
 
-def _stored(found: _Object, era: int) -> Stored:
+def _stored(found: _Object, era: int) -> store_data.Stored:
     metadata = found.metadata
-    return Stored(
+    return store_data.Stored(
         metadata.name,
         stamps.stamp(era, metadata.revision),
         found.spec,
--- a/beryllug/proofs/platform/listing_test.py
+++ b/beryllug/proofs/platform/listing_test.py
@@ -9,7 +9,7 @@
 from typing import Any
 from unittest import IsolatedAsyncioTestCase, main, mock
 
-from beryllug.drivers import http_client, object_data
+from beryllug.drivers import http_client, object_data, store_data
 from beryllug.platform import store
 from beryllug.router import store_listing
 from beryllug.standins import platform_store
@@ -29,7 +29,7 @@
         self.changes: dict[int, str] = {}
         self.asked = 0
 
-    async def list_page(self, kind: str, after: str = '') -> store.Page:
+    async def list_page(self, kind: str, after: str = '') -> store_data.Page:
         self.asked += 1
         gone = self.changes.get(self.asked)
         if gone:
--- a/beryllug/proofs/platform/swarm_test.py
+++ b/beryllug/proofs/platform/swarm_test.py
@@ -3,7 +3,7 @@
 import asyncio
 from unittest import IsolatedAsyncioTestCase, main, mock
 
-from beryllug.drivers import http_client
+from beryllug.drivers import http_client, store_data
 from beryllug.kernel import log_lines
 from beryllug.platform import store
 from beryllug.router import store_watch
@@ -58,10 +58,10 @@
             while len(self.seen) < count or not self.watch.is_current:
                 await asyncio.sleep(0.001)
 
-    def _take_list(self, found: store.Listing, now: float) -> None:
+    def _take_list(self, found: store_data.Listing, now: float) -> None:
         self.seen.extend(each.name for each in found.found)
 
-    def _take_changes(self, changes: store.Changes, now: float) -> None:
+    def _take_changes(self, changes: store_data.Changes, now: float) -> None:
         self.seen.extend(each.stored.name for each in changes.changes)
 
 
--- a/beryllug/proofs/platform/watch_model_test.py
+++ b/beryllug/proofs/platform/watch_model_test.py
@@ -13,7 +13,7 @@
 from hypothesis import example, given, settings, strategies
 
 from beryllug.control import virtual_time_test
-from beryllug.drivers import object_data
+from beryllug.drivers import object_data, store_data
 from beryllug.kernel import log_lines
 from beryllug.platform import store
 from beryllug.router import server_list, store_watch
@@ -61,14 +61,14 @@
         self._history.clear()
         self._oldest = self._revision
 
-    async def list_page(self, kind: str, after: str = '') -> store.Page:
+    async def list_page(self, kind: str, after: str = '') -> store_data.Page:
         """List all entries, in one page."""
         await self._reach()
         found = tuple(
             _stored(name, self._revision, state)
             for name, state in self.states.items()
         )
-        return store.Page(store.Listing(found, self._revision), '')
+        return store_data.Page(store_data.Listing(found, self._revision), '')
 
     async def watch(self, kind: str, after: int, wait_s: float) -> Any:
         """Return the changes after a revision, waiting for the first."""
@@ -79,7 +79,7 @@
             if after < self._oldest:
                 raise object_data.CompactedError('history is gone')
             changes = tuple(
-                store.Change(
+                store_data.Change(
                     _stored(event.name, event.revision, event.state),
                     is_gone=event.state is None,
                 )
@@ -87,7 +87,7 @@
                 if event.revision > after
             )
             if changes or loop.time() >= until:
-                return store.Changes(changes, self._revision)
+                return store_data.Changes(changes, self._revision)
             await asyncio.sleep(POLL_S)
 
     async def _reach(self) -> None:
@@ -250,7 +250,7 @@
         world.ever_usable |= usable
 
 
-def _stored(name: str, revision: int, state: str | None) -> store.Stored:
+def _stored(name: str, revision: int, state: str | None) -> store_data.Stored:
     spec = {
         'service': 'pool',
         'address': f'10.0.0.1:{name[1:]}',
@@ -259,4 +259,4 @@
         'slots': 6,
         'state': state or 'ready',
     }
-    return store.Stored(name, revision, spec, None, is_leaving=False)
+    return store_data.Stored(name, revision, spec, None, is_leaving=False)
--- a/beryllug/router/directory.py
+++ b/beryllug/router/directory.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from beryllug.core.routes import routes_data
+from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
 from beryllug.router import (
@@ -156,14 +157,14 @@
         if self.is_ready():
             self._ready.set()
 
-    def _list_tables(self, listed: store.Listing, now: float) -> None:
+    def _list_tables(self, listed: store_data.Listing, now: float) -> None:
         for stored in listed.found:
             if stored.name == store.TABLE:
                 self.take_table_spec(stored.spec, 'store')
 
-    def _change_tables(self, changes: store.Changes, now: float) -> None:
+    def _change_tables(self, changes: store_data.Changes, now: float) -> None:
         present = [each.stored for each in changes.changes if not each.is_gone]
-        self._list_tables(store.Listing(tuple(present), 0), now)
+        self._list_tables(store_data.Listing(tuple(present), 0), now)
 
 
 def _ignore(is_reached: bool, now: float) -> None:
--- a/beryllug/router/directory_test.py
+++ b/beryllug/router/directory_test.py
@@ -6,9 +6,8 @@
 from types import MappingProxyType, SimpleNamespace
 from typing import Any
 
-from beryllug.drivers import store_era
+from beryllug.drivers import store_data, store_era
 from beryllug.kernel import log_lines
-from beryllug.platform import store
 from beryllug.router import directory, order_list, server_list, zone_list
 
 LONG_S = 60.0
@@ -60,7 +59,7 @@
         self.known.take_table_spec(dict(TABLE), 'peer')
 
     def _take_servers(self) -> None:
-        self.servers.listed(store.Listing((), 1), 0)
+        self.servers.listed(store_data.Listing((), 1), 0)
 
 
 if __name__ == '__main__':
--- a/beryllug/router/eligible_test.py
+++ b/beryllug/router/eligible_test.py
@@ -7,8 +7,9 @@
 from beryllug.core.peering import peering_data
 from beryllug.core.placement import permits, returning, servers_data
 from beryllug.core.routes import match, routes_data
+from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
-from beryllug.platform import documents, store
+from beryllug.platform import documents
 from beryllug.router import (
     eligible,
     server_limits,
@@ -163,7 +164,7 @@
         self, cold_ms: dict[str, int], versions: Mapping[str, str] = NO_VERSIONS
     ) -> None:
         found = tuple(
-            store.Stored(
+            store_data.Stored(
                 zone,
                 1,
                 _entry(zone, each) | {'version': versions.get(zone, 'v1')},
@@ -172,7 +173,9 @@
             )
             for zone, each in cold_ms.items()
         )
-        self.listed.listed(store.Listing(found, self.listed.revision + 1), 0)
+        self.listed.listed(
+            store_data.Listing(found, self.listed.revision + 1), 0
+        )
 
     def _found(self, wish: servers_data.Wish, now: float = 0) -> str:
         found, _ = self.eligible.of(wish, now)
--- a/beryllug/router/order_list.py
+++ b/beryllug/router/order_list.py
@@ -7,8 +7,9 @@
 
 from beryllug.core import stamps
 from beryllug.core.canary import canary_data
+from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
-from beryllug.platform import documents, store
+from beryllug.platform import documents
 from beryllug.router import refusals
 
 # Versions that were ordered before the present one and are remembered.
@@ -87,12 +88,12 @@
         for listener in self._listeners:
             listener(order, phase, now)
 
-    def listed(self, listed: store.Listing, now: float) -> None:
+    def listed(self, listed: store_data.Listing, now: float) -> None:
         """Take a whole list of the store."""
         for each in listed.found:
             self.take(each.name, _stored(each), now, is_listed=True)
 
-    def changed(self, changes: store.Changes, now: float) -> None:
+    def changed(self, changes: store_data.Changes, now: float) -> None:
         """Take changes that the store reports."""
         for change in changes.changes:
             if not change.is_gone:
@@ -107,5 +108,5 @@
             replaced.pop(next(iter(replaced)))
 
 
-def _stored(found: store.Stored) -> StoredOrder:
+def _stored(found: store_data.Stored) -> StoredOrder:
     return StoredOrder(found.revision, found.spec, found.status)
--- a/beryllug/router/pool_test.py
+++ b/beryllug/router/pool_test.py
@@ -6,8 +6,8 @@
 
 from beryllug.core import retry_window
 from beryllug.core.placement import backlog, load_sums, servers_data
+from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
-from beryllug.platform import store
 from beryllug.router import (
     eligible,
     pool,
@@ -21,9 +21,9 @@
 NONE: frozenset[str] = frozenset()
 
 
-def _listed(names: tuple[str, ...]) -> store.Listing:
+def _listed(names: tuple[str, ...]) -> store_data.Listing:
     entries = [
-        store.Stored(
+        store_data.Stored(
             name,
             1,
             {
@@ -39,7 +39,7 @@
         )
         for number, name in enumerate(names)
     ]
-    return store.Listing(tuple(entries), 1)
+    return store_data.Listing(tuple(entries), 1)
 
 
 def _wish(
--- a/beryllug/router/server_list.py
+++ b/beryllug/router/server_list.py
@@ -7,8 +7,9 @@
 
 from beryllug.core import stamps
 from beryllug.core.placement import listing, servers_data
+from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
-from beryllug.platform import documents, store
+from beryllug.platform import documents
 from beryllug.router import held_servers, refusals
 
 LostListener = Callable[[str, float], None]
@@ -104,7 +105,7 @@
         """Take when a peer saw the store come back from an outage."""
         self._book.returned_at = max(self._book.returned_at, at)
 
-    def listed(self, found: store.Listing, now: float) -> None:
+    def listed(self, found: store_data.Listing, now: float) -> None:
         """Take a whole list of the store, unless it is of an earlier era."""
         if stamps.is_return(self.revision, found.revision):
             return
@@ -116,7 +117,7 @@
             revision=stamps.shown(found.revision),
         )
 
-    def changed(self, changes: store.Changes, now: float) -> None:
+    def changed(self, changes: store_data.Changes, now: float) -> None:
         """Take changes that the store reports, likewise."""
         if stamps.is_return(self.revision, changes.revision):
             return
--- a/beryllug/router/server_list_test.py
+++ b/beryllug/router/server_list_test.py
@@ -8,8 +8,8 @@
 
 from hypothesis import example, given, settings, strategies
 
+from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
-from beryllug.platform import store
 from beryllug.router import order_list, server_list
 
 DOUBT_S = 1.5
@@ -58,8 +58,8 @@
 )
 
 
-def _stored(name: str, spec: Any, revision: int = 7) -> store.Stored:
-    return store.Stored(name, revision, spec, None, is_leaving=False)
+def _stored(name: str, spec: Any, revision: int = 7) -> store_data.Stored:
+    return store_data.Stored(name, revision, spec, None, is_leaving=False)
 
 
 class ServerListTest(unittest.TestCase):
@@ -158,10 +158,12 @@
         )
         for spec in cases:
             for _ in range(2):
-                found = store.Listing((_stored('pool', spec),), 7)
+                found = store_data.Listing((_stored('pool', spec),), 7)
                 orders.listed(found, NOW)
             self.assertEqual(orders.orders, {})
-        orders.listed(store.Listing((_stored('pool', dict(ORDER)),), 7), NOW)
+        orders.listed(
+            store_data.Listing((_stored('pool', dict(ORDER)),), 7), NOW
+        )
         self.assertEqual(list(orders.orders), ['pool'])
 
     def _check_refused(self, spec: Any) -> None:
@@ -173,11 +175,11 @@
 
     def _take(self, specs: dict[str, Any]) -> None:
         found = tuple(_stored(name, spec) for name, spec in specs.items())
-        self.listed.listed(store.Listing(found, 7), NOW)
+        self.listed.listed(store_data.Listing(found, 7), NOW)
 
     def _change(self, name: str, spec: Any) -> None:
-        change = store.Change(_stored(name, spec), is_gone=False)
-        changes = store.Changes((change,), self.listed.revision + 1)
+        change = store_data.Change(_stored(name, spec), is_gone=False)
+        changes = store_data.Changes((change,), self.listed.revision + 1)
         self.listed.changed(changes, NOW)
 
     def _usable(self) -> list[str]:
--- a/beryllug/router/store_listing.py
+++ b/beryllug/router/store_listing.py
@@ -4,7 +4,7 @@
 import random
 
 from beryllug.core import stamps
-from beryllug.drivers import object_data
+from beryllug.drivers import object_data, store_data
 from beryllug.platform import store
 
 # Seconds before a further page is asked for again, and the parts of them
@@ -36,7 +36,7 @@
 
 async def list_all(
     api: store.Store, kind: str, pause_s: float = 0
-) -> store.Listing:
+) -> store_data.Listing:
     """List the objects of a kind.
 
     The revision is that of the first page: what changes between two pages may
@@ -63,10 +63,12 @@
             raise object_data.CompactedError('a list of two eras')
         found.extend(page.listing.found)
         errors.extend(page.listing.errors)
-    return store.Listing(tuple(found), revision, tuple(errors))
+    return store_data.Listing(tuple(found), revision, tuple(errors))
 
 
-async def _next_page(api: store.Store, kind: str, after: str) -> store.Page:
+async def _next_page(
+    api: store.Store, kind: str, after: str
+) -> store_data.Page:
     """Return a further page, asked for again where it is refused.
 
     Where many list at once, the store refuses some calls of each. Begun anew
--- a/beryllug/router/store_returns_test.py
+++ b/beryllug/router/store_returns_test.py
@@ -5,9 +5,8 @@
 from typing import Any
 
 from beryllug.core import stamps
-from beryllug.drivers import store_era
+from beryllug.drivers import store_data, store_era
 from beryllug.kernel import log_lines
-from beryllug.platform import store
 from beryllug.router import (
     order_list,
     server_list,
@@ -35,13 +34,13 @@
     }
 
 
-def _stored(name: str, state: str, stamped: int) -> store.Stored:
-    return store.Stored(name, stamped, _entry(name, state), None, False)
+def _stored(name: str, state: str, stamped: int) -> store_data.Stored:
+    return store_data.Stored(name, stamped, _entry(name, state), None, False)
 
 
-def _list(states: dict[str, str], stamped: int) -> store.Listing:
+def _list(states: dict[str, str], stamped: int) -> store_data.Listing:
     found = (_stored(name, state, stamped) for name, state in states.items())
-    return store.Listing(tuple(found), stamped)
+    return store_data.Listing(tuple(found), stamped)
 
 
 def _order(target: str) -> dict[str, Any]:
@@ -66,11 +65,13 @@
         self.servers = server_list.ServerList(DOUBT_S, _Silent())
         states = {'stays': 'ready', 'leaves': 'ready', 'goes': 'ready'}
         self.servers.listed(_list(states, OLD - 2), NOW - 20)
-        changes = store.Changes(
+        changes = store_data.Changes(
             (
-                store.Change(_stored('leaves', 'draining', OLD - 1), False),
-                store.Change(_stored('goes', 'ready', OLD), True),
-                store.Change(_stored('new', 'ready', OLD), False),
+                store_data.Change(
+                    _stored('leaves', 'draining', OLD - 1), False
+                ),
+                store_data.Change(_stored('goes', 'ready', OLD), True),
+                store_data.Change(_stored('new', 'ready', OLD), False),
             ),
             OLD,
         )
@@ -91,8 +92,12 @@
             with self.subTest(state):
                 self.setUp()
                 self.servers.listed(self.copy, NOW)
-                change = store.Change(_stored('leaves', state, NEW + 1), False)
-                self.servers.changed(store.Changes((change,), NEW + 1), NOW)
+                change = store_data.Change(
+                    _stored('leaves', state, NEW + 1), False
+                )
+                self.servers.changed(
+                    store_data.Changes((change,), NEW + 1), NOW
+                )
                 self.assertIs('leaves' in self._usable(NOW)[0], listed)
                 self.assertIs('leaves' in self._usable(LATER)[0], listed)
 
@@ -102,8 +107,8 @@
         before = self.servers.revision
         late = _stored('stays', 'draining', OLD + 5)
         self.servers.listed(_list({}, OLD + 5), NOW)
-        change = store.Change(late, is_gone=False)
-        self.servers.changed(store.Changes((change,), OLD + 5), NOW)
+        change = store_data.Change(late, is_gone=False)
+        self.servers.changed(store_data.Changes((change,), OLD + 5), NOW)
         self.servers.take_specs({}, OLD + 5, 'peer', NOW)
         for since in (OLD, OLD + 4):
             delta = server_list.Delta(since, OLD + 5, (('stays', None),))
@@ -173,9 +178,9 @@
 
     def _change(self, steps: Iterable[tuple[bool, int]]) -> None:
         for is_gone, stamped in steps:
-            stored = store.Stored(ZONE, stamped, {}, None, False)
-            change = store.Change(stored, is_gone)
-            self.zones.changed(store.Changes((change,), stamped), NOW)
+            stored = store_data.Stored(ZONE, stamped, {}, None, False)
+            change = store_data.Change(stored, is_gone)
+            self.zones.changed(store_data.Changes((change,), stamped), NOW)
 
 
 class OrdersTest(unittest.TestCase):
@@ -215,8 +220,8 @@
         self.assertGreater(self.orders.revision(), OLD + 2)
 
     def _list(self, spec: Any, stamped: int) -> None:
-        stored = store.Stored('pool', stamped, spec, None, False)
-        self.orders.listed(store.Listing((stored,), stamped), NOW)
+        stored = store_data.Stored('pool', stamped, spec, None, False)
+        self.orders.listed(store_data.Listing((stored,), stamped), NOW)
 
     def _target(self) -> str:
         order = self.orders.orders['pool']
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from beryllug.drivers import object_data
+from beryllug.drivers import object_data, store_data
 from beryllug.kernel import log_lines
 from beryllug.platform import store
 from beryllug.router import refusals, store_listing
@@ -37,8 +37,8 @@
 # lost the store together do not all return in the same moment.
 JITTER = (0.5, 1.5)
 
-Listed = Callable[[store.Listing, float], None]
-Changed = Callable[[store.Changes, float], None]
+Listed = Callable[[store_data.Listing, float], None]
+Changed = Callable[[store_data.Changes, float], None]
 Reached = Callable[[bool, float], None]
 
 
--- a/beryllug/router/zone_list.py
+++ b/beryllug/router/zone_list.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from beryllug.core import stamps
+from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
-from beryllug.platform import store
 
 Listener = Callable[[float], None]
 ReopenedListener = Callable[[str, float], None]
@@ -47,12 +47,12 @@
             'held': sorted(self._held),
         }
 
-    def listed(self, found: store.Listing, now: float) -> None:
+    def listed(self, found: store_data.Listing, now: float) -> None:
         """Take a whole list of the store."""
         names = (each.name for each in found.found)
         self.take(names, found.revision, 'store', now)
 
-    def changed(self, changes: store.Changes, now: float) -> None:
+    def changed(self, changes: store_data.Changes, now: float) -> None:
         """Take changes that the store reports."""
         names = set(self.stated)
         for change in changes.changes:
