Log each name in answers and entries that the adapter does not know

An attempt's line shows the status alone, so 'nobody reads it' could not be told from 'it was outranked'. Now each unknown header of a server's or the store's answer, and each unknown field of an entry of the store, is one name_unread line, once a name, a hundred at most; a gauge and the dump show them too. Server-Leaving and Retry-After are such names on this commit.

pages_test looks for one more metric prefix (stricter). No decision changes.

--- a/beryllug/drivers/http_headers.py
+++ b/beryllug/drivers/http_headers.py
@@ -13,6 +13,22 @@
 LENGTH = 'content-length'
 ENCODING = 'transfer-encoding'
 
+# Headers of answers that ask nothing more of who passes them on, or are read by
+# the HTTP client.
+STANDARD = frozenset(
+    (
+        'cache-control',
+        'connection',
+        'content-encoding',
+        'content-length',
+        'content-type',
+        'date',
+        'keep-alive',
+        'server',
+        'transfer-encoding',
+    )
+)
+
 
 def decode(head: h11.Request | h11.Response) -> http_data.Headers:
     """Decode the fields of a head, repeats joined as the standard allows."""
--- a/beryllug/platform/documents.py
+++ b/beryllug/platform/documents.py
@@ -4,6 +4,7 @@
 """
 
 from enum import StrEnum
+from itertools import chain
 from types import MappingProxyType
 from typing import Annotated, Any
 
@@ -132,6 +133,36 @@
     target: str = ''
 
 
+# Fields that are known and not read: who routes requests needs none of them.
+_PASSED_OVER = frozenset(
+    (
+        'adapters',
+        'health_path',
+        'protocol',
+        'sequence',
+        'stage',
+        'sticky',
+        'tls',
+    )
+)
+_FIELDS = _PASSED_OVER.union(
+    *(
+        struct.__struct_fields__
+        for struct in (_Manifest, _Route, _Service, _Engine, _Limits, _Tenant)
+    ),
+    *(struct.__struct_fields__ for struct in (_Server, _Order)),
+)
+
+
+def unread(spec: Any) -> frozenset[str]:
+    """Return names of fields, also of listed records, that are not known."""
+    if not isinstance(spec, dict):
+        return frozenset()
+    listed = [each for each in spec.values() if isinstance(each, list)]
+    records = [each for each in chain(*listed) if isinstance(each, dict)]
+    return frozenset(spec).union(*records) - _FIELDS
+
+
 def table(spec: Any) -> routes_data.RouteTable:
     """Return the route table of a stored document.
 
--- a/beryllug/platform/names.py
+++ b/beryllug/platform/names.py
@@ -1,5 +1,7 @@
 """Header names and paths of the platform, in lower case as we compare them."""
 
+from beryllug.drivers import http_headers
+
 ATTEMPT = 'beryllug-attempt-id'
 DEADLINE = 'beryllug-deadline-ms'
 EXPECT_INSTANCE = 'beryllug-expect-instance'
@@ -16,6 +18,7 @@
 # "Surely not run": the one answer that permits to send the request again.
 NOT_RUN = 'beryllug-not-executed'
 INSTANCE = 'beryllug-instance-id'
+VERSIONS = 'beryllug-weight-versions'
 # How often the store has returned from an older copy.
 ERA = 'store-era'
 # Requests a second that a server takes from all processes together.
@@ -31,6 +34,11 @@
 BEARER = 'bearer '
 ANY_MODEL = '*'
 
+# Headers of answers that are read, or that only their caller has a use for.
+ANSWER_HEADERS = http_headers.STANDARD.union(
+    (ATTEMPT, CONFIDENCE, ERA, INSTANCE, LIMIT, NOT_RUN, SEAL, VERSIONS)
+)
+
 READY_PATH = '/beryllug/ready'
 OBJECTS_PATH = '/beryllug/objects'
 
--- a/beryllug/platform/requests.py
+++ b/beryllug/platform/requests.py
@@ -77,6 +77,7 @@
         confidence: From 0 to 100, or None.
         limit: Requests a second that the server takes from all processes
             together, as it states them; empty where it names no limit.
+        unread: Names of headers that are not known here.
     """
 
     status: int
@@ -86,6 +87,7 @@
     attempt_id: str
     confidence: int | None
     limit: str = ''
+    unread: frozenset[str] = frozenset()
 
 
 def read(req: http_data.Request) -> Asked:
@@ -148,6 +150,7 @@
         attempt_id=headers.get(names.ATTEMPT, ''),
         confidence=int(confidence) if confidence.isdigit() else None,
         limit=headers.get(names.LIMIT, ''),
+        unread=frozenset(headers) - names.ANSWER_HEADERS,
     )
 
 
--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -6,7 +6,7 @@
 have taken effect, or may do so seconds later.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
@@ -23,7 +23,7 @@
     store_data,
     store_era,
 )
-from beryllug.platform import names
+from beryllug.platform import documents, names
 
 # Seconds over its wait after which a watch is taken for lost.
 WATCH_SLACK_S = 1.5
@@ -76,6 +76,7 @@
     Attributes:
         calls: Calls by what they do.
         eras: The era that its answers tell.
+        on_unread: Told of names in its answers that are not known here.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self._timeout_s = timeout_s
         self.calls: dict[str, int] = {}
         self.eras = store_era.StoreEra()
+        self.on_unread: Callable[[str, Iterable[str]], None] = _pass_over
 
     async def list_page(self, kind: str, after: str = '') -> store_data.Page:
         """List objects of a kind in the order of their names.
@@ -106,6 +108,7 @@
         read, errors = json_decode.each(page.items, _Object)
         era = self.eras.era
         found = tuple(_stored(each, era) for each in read)
+        self._note_unread(kind, found)
         is_last = not page.has_more or not found
         return store_data.Page(
             store_data.Listing(
@@ -140,6 +143,7 @@
             store_data.Change(_stored(event.object, era), event.tombstone)
             for event in read
         )
+        self._note_unread(kind, (change.stored for change in changes))
         revision = stamps.stamp(era, events.at)
         return store_data.Changes(changes, revision, tuple(errors))
 
@@ -202,14 +206,25 @@
         except http_data.BrokenError as exc:
             raise object_data.UncertainError(str(exc)) from exc
         self.eras.answered(incoming.headers.get(names.ERA, ''))
+        self.on_unread('store', incoming.headers.keys() - names.ANSWER_HEADERS)
         _raise_failure(incoming.status, incoming.headers)
         return answer
 
+    def _note_unread(
+        self, kind: str, found: Iterable[store_data.Stored]
+    ) -> None:
+        for stored in found:
+            self.on_unread(kind, documents.unread(stored.spec))
+
     def _refuse_earlier(self, stamp: int) -> None:
         if stamps.era(stamp) < self.eras.era:
             raise object_data.CompactedError('history of an earlier era')
 
 
+def _pass_over(source: str, unread: Iterable[str]) -> None:
+    """Tell nobody of names that are not known."""
+
+
 def _raise_failure(status: int, headers: Mapping[str, str]) -> None:
     if status not in DONE:
         raise _failure(status, headers)
--- a/beryllug/proofs/pages_test.py
+++ b/beryllug/proofs/pages_test.py
@@ -64,8 +64,8 @@
 HTTP_PATH = re.compile(r'(?:/v1|/console)(?:/[A-Za-z/]*)?|/(?:healthz|readyz)')
 EVENT = re.compile(r'event=([a-z_]+(?:%s)?)')
 METRIC = re.compile(
-    'beryllug_(?:process|config|requests_ended|log_lines|zones|servers|store)'
-    '_[a-z_]+'
+    'beryllug_(?:process|config|requests_ended|log_lines|names|zones|servers'
+    '|store)_[a-z_]+'
 )
 SAMPLE = re.compile(
     r"^( +)yield (?:metrics_data\.)?Sample\(\s*'([a-z_]+)'(.*?)^\1\)",
--- a/beryllug/router/dispatch.py
+++ b/beryllug/router/dispatch.py
@@ -91,13 +91,13 @@
     """Sends requests to backend servers.
 
     Attributes:
-        on_head: Told of the head of each answer.
+        listeners: Told of the head of each answer.
     """
 
     def __init__(self, client: http_client.HttpClient) -> None:
         """Bind to the client that keeps the connections."""
         self._client = client
-        self.on_head: Callable[[AnswerHead], None] = _pass_over
+        self.listeners: tuple[Callable[[AnswerHead], None], ...] = ()
 
     async def send(
         self,
@@ -132,9 +132,9 @@
             return Unknown(str(exc))
         head = requests.head_of(incoming.status, incoming.headers)
         if _is_of(call, head):
-            self.on_head(
-                AnswerHead(sending.server, head, sent_at, time.monotonic())
-            )
+            said = AnswerHead(sending.server, head, sent_at, time.monotonic())
+            for listener in self.listeners:
+                listener(said)
         outcome = _judge(call, head)
         if outcome is None:
             return Answered(incoming, head)
@@ -180,7 +180,3 @@
     if is_success and (not head.is_sealed or head.is_encoded):
         return Unknown("the answer is not the server's own")
     return None
-
-
-def _pass_over(said: AnswerHead) -> None:
-    """Tell nobody of a head."""
--- /dev/null
+++ b/beryllug/router/unread_names.py
@@ -0,0 +1,63 @@
+"""Service 'unread_names': names that the platform's adapter does not know.
+
+A header or field that is new in the answers of servers or of the store may
+ask something of this system. It is logged once, so that it does not stay
+unnoticed until it is missed.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+from beryllug.kernel import log_lines, metrics_data
+from beryllug.router import dispatch
+
+# Names that are remembered, and logged, in the life of a process: any server
+# may send any number of them.
+MOST = 100
+# Longest part of a name that is logged.
+MOST_TEXT = 100
+SERVER = 'server'
+
+
+class UnreadNames:
+    """Logs each name once."""
+
+    def __init__(self, lines: log_lines.LineWriter) -> None:
+        """Bind to the log."""
+        self._lines = lines
+        self._seen: set[tuple[str, str]] = set()
+
+    async def start(self) -> None:
+        """Do nothing: it is driven by answers."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the names, by where they stood."""
+        found: dict[str, list[str]] = {}
+        for source, name in sorted(self._seen):
+            found.setdefault(source, []).append(name)
+        return found
+
+    def measure(self) -> Iterable[metrics_data.Sample]:
+        """Return how many names are not known."""
+        yield metrics_data.Sample(
+            'names_unread',
+            len(self._seen),
+            'Names in answers of servers and of the store that are not known.',
+        )
+
+    def heard(self, said: dispatch.AnswerHead) -> None:
+        """Take the head of a server's answer."""
+        if said.head.unread:
+            self.take(SERVER, said.head.unread)
+
+    def take(self, source: str, unread: Iterable[str]) -> None:
+        """Take names that are not known; `source` tells where they stood."""
+        for name in unread:
+            key = (source, name[:MOST_TEXT])
+            if key in self._seen or len(self._seen) >= MOST:
+                continue
+            self._seen.add(key)
+            self._lines.write('name_unread', source=source, name=key[1])
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -37,6 +37,7 @@
     store_returns,
     stream_flow,
     trials,
+    unread_names,
     zone_list,
 )
 
@@ -95,7 +96,9 @@
     told = attempt_log.AttemptLog(lines, known)
     to_servers = http_client.HttpClient(CONNECT_S)
     sender = dispatch.Dispatcher(to_servers)
-    sender.on_head = limits.heard
+    unread = unread_names.UnreadNames(lines)
+    api.on_unread = unread.take
+    sender.listeners = (unread.heard, limits.heard)
     crashes = crash_watch.CrashWatch(lines)
     listed.on_lost = crashes.lost
     listed.on_restarted = lambda before: to_servers.forget(before.address)
@@ -133,6 +136,7 @@
         'judge': judge.Judge(canaries, peers, spread, api, lines),
         'eligible': open_servers,
         'server_limits': limits,
+        'unread_names': unread,
         'pool': servers,
         'trials': canaries,
         'crash_watch': crashes,
