--- a/beryllug/platform/names.py
+++ b/beryllug/platform/names.py
@@ -23,6 +23,8 @@
 ERA = 'store-era'
 # Requests a second that a server takes from all processes together.
 LIMIT = 'server-limit'
+# The server stops soon and wants no new requests.
+LEAVING = 'server-leaving'
 SESSION = 'session'
 LAST_EVENT = 'last-event-id'
 AUTHORIZATION = 'authorization'
--- a/beryllug/proofs/platform/server_limit_test.py
+++ b/beryllug/proofs/platform/server_limit_test.py
@@ -1,13 +1,9 @@
 """Servers that name a limit for all routers together."""
 
-import asyncio
-import time
 import unittest
-from typing import NamedTuple
 
 from beryllug.platform import names
 from beryllug.proofs.platform import site_test
-from beryllug.standins import platform_site
 
 # The bound of the service: requests in some seconds, by the limit.
 WINDOW_S = 4.0
@@ -16,27 +12,12 @@
 # Seconds after a server first named its limit from which the bound holds.
 STABLE_S = 1.0
 PRESSED_S = WINDOW_S + 2 * STABLE_S
-# Seconds between two requests of all callers together.
-PAUSE_S = 0.06
 # Requests that may wait at a server: one that is full refuses for that.
 QUEUE = 1000
 OK = 200
 UNAVAILABLE = 503
 
 
-class _Load(NamedTuple):
-    """Requests of one kind, and the servers that they go to."""
-
-    path: str
-    method: str
-    servers: tuple[str, str]
-
-
-LOADS = (
-    _Load(site_test.LOOKUP, 'GET', ('d1', 'd2')),
-    _Load(site_test.HOLD, 'POST', ('d1', 'd2')),
-    _Load(site_test.DRAFT, 'POST', ('p1', 'p2')),
-)
 LIMITS = (1.0, 1.6, 1.0)
 
 
@@ -52,19 +33,19 @@
 
     async def test_together(self) -> None:
         """Routers that each keep a server's limit alone exceed it together."""
-        for load, per_s in zip(LOADS, LIMITS, strict=True):
+        for load, per_s in zip(site_test.LOADS, LIMITS, strict=True):
             with self.subTest(path=load.path, per_s=per_s):
                 await self._limit(load.servers[:1], per_s)
-                await self._press(load)
+                await self.press(load, PRESSED_S)
                 self._check_bound(load.servers[0], per_s)
                 await self._limit(load.servers[:1], None)
 
     async def test_answered(self) -> None:
         """Callers are refused while a server without a limit has room."""
-        for load in LOADS[1:]:
+        for load in site_test.LOADS[1:]:
             with self.subTest(load.path):
                 await self._limit(load.servers[:1], 1)
-                replies = await self._press(load)
+                replies = await self.press(load, PRESSED_S)
                 statuses = {each.status for each in replies}
                 refused = [
                     line['reason'] for line in self.site.logged('refused')
@@ -79,10 +60,10 @@
         run, with a time to come back.
         """
         per_s = 2.0
-        for load in LOADS[1:]:
+        for load in site_test.LOADS[1:]:
             with self.subTest(load.path):
                 await self._limit(load.servers, per_s)
-                replies = await self._press(load)
+                replies = await self.press(load, PRESSED_S)
                 for instance in load.servers:
                     self._check_bound(instance, per_s)
                 refused = [each for each in replies if each.status != OK]
@@ -94,13 +75,13 @@
 
     async def test_end(self) -> None:
         """A server that names no limit any more is still kept to its last."""
-        load = LOADS[0]
+        load = site_test.LOADS[0]
         await self._limit(load.servers, 1)
-        await self._press(load)
+        await self.press(load, PRESSED_S)
         await self._limit(load.servers, None)
-        await self._press(load)
+        await self.press(load, PRESSED_S)
         before = len(self.site.runners['d1'].arrivals)
-        replies = await self._press(load)
+        replies = await self.press(load, PRESSED_S)
         for each in replies:
             self.assertEqual(each.status, OK)
         arrived = len(self.site.runners['d1'].arrivals) - before
@@ -110,22 +91,14 @@
         self, instances: tuple[str, ...], per_s: float | None
     ) -> None:
         for instance in instances:
-            self.site.runners[instance].limit_per_s = per_s
-
-    async def _press(self, load: _Load) -> list[platform_site.Reply]:
-        """Send requests to all routers in turn; returns the replies."""
-        until = time.monotonic() + PRESSED_S
-        asking: list[asyncio.Task[platform_site.Reply]] = []
-        while time.monotonic() < until:
-            router = self.site.routers[len(asking) % self.routers]
-            asked = self.site.ask(router, load.path, load.method, b'')
-            asking.append(asyncio.create_task(asked))
-            await asyncio.sleep(PAUSE_S)
-        return await asyncio.gather(*asking)
+            runner = self.site.runners[instance]
+            runner.states = runner.states._replace(limit_per_s=per_s)
 
     def _check_bound(self, instance: str, per_s: float) -> None:
         arrivals = self.site.runners[instance].arrivals
-        named = [each.at for each in arrivals if each.limit_per_s == per_s]
+        named = [
+            each.at for each in arrivals if each.answered.limit_per_s == per_s
+        ]
         times = [at for at in named if at >= named[0] + STABLE_S]
         most = max(
             (sum(at <= each < at + WINDOW_S for each in times) for at in times),
--- a/beryllug/proofs/platform/site_test.py
+++ b/beryllug/proofs/platform/site_test.py
@@ -1,18 +1,36 @@
 """What callers get on a calm day and when single things break."""
 
 import asyncio
+import time
 import unittest
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any
+from typing import Any, NamedTuple
 
 from beryllug.platform import names, store
-from beryllug.standins import platform_site
+from beryllug.standins import platform_runner, platform_site
 
 DRAFT = '/draft/roster'
 REPORT = '/report/car'
 HOLD = '/hold/slot'
 LOOKUP = '/lookup/slot'
+# Seconds between two requests of all callers together.
+PAUSE_S = 0.06
+
+
+class Load(NamedTuple):
+    """Requests of one kind, and the servers that they go to."""
+
+    path: str
+    method: str
+    servers: tuple[str, str]
+
+
+LOADS = (
+    Load(LOOKUP, 'GET', ('d1', 'd2')),
+    Load(HOLD, 'POST', ('d1', 'd2')),
+    Load(DRAFT, 'POST', ('p1', 'p2')),
+)
 
 
 class SiteCase(unittest.IsolatedAsyncioTestCase):
@@ -40,6 +58,36 @@
     async def ask(self, path: str, **options: Any) -> platform_site.Reply:
         return await self.site.ask(self.router, path, **options)
 
+    async def press(
+        self, load: Load, seconds: float
+    ) -> list[platform_site.Reply]:
+        """Send requests to all routers in turn; returns the replies."""
+        until = time.monotonic() + seconds
+        asking: list[asyncio.Task[platform_site.Reply]] = []
+        while time.monotonic() < until:
+            router = self.site.routers[len(asking) % self.routers]
+            asked = self.site.ask(router, load.path, load.method, b'')
+            asking.append(asyncio.create_task(asked))
+            await asyncio.sleep(PAUSE_S)
+        return await asyncio.gather(*asking)
+
+    def arrivals(
+        self, instance: str
+    ) -> dict[str, list[platform_runner.Arrival]]:
+        """Return what reached a server, by the router that sent it."""
+        found: dict[str, list[platform_runner.Arrival]] = {
+            router.name: [] for router in self.site.routers
+        }
+        for arrival in self.site.runners[instance].arrivals:
+            found[self.site.asked_of[arrival.attempt_id]].append(arrival)
+        return found
+
+    def busiest(self, *instances: str) -> str:
+        """Return the server that most requests have reached."""
+        return max(
+            instances, key=lambda name: len(self.site.runners[name].arrivals)
+        )
+
     def runs(self, *instances: str) -> list[str]:
         """Return the ids of the requests that ran on some servers."""
         return [
--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -197,9 +197,9 @@
     async def _limit(self, fault: plan.Fault, instance: str) -> None:
         """Let a server name a limit, for longer than it takes to be known."""
         runner = self._made.site.runners[instance]
-        runner.limit_per_s = site.LIMIT_PER_S
+        runner.states = runner.states._replace(limit_per_s=site.LIMIT_PER_S)
         await asyncio.sleep(checks.IN_FORCE_S + checks.LIMIT_S + fault.for_s)
-        runner.limit_per_s = None
+        runner.states = runner.states._replace(limit_per_s=None)
 
     async def _return_cold(self, number: int, instance: str) -> None:
         """Let a server crash; another one is there for it at once, cold."""
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -144,8 +144,8 @@
                 seen.Came(
                     each.at,
                     self.seen.routers[each.attempt_id],
-                    each.limit_per_s,
+                    each.answered.limit_per_s,
                 )
                 for each in runner.arrivals
-                if each.limit_per_s is not None
+                if each.answered.limit_per_s is not None
             ]
--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -72,25 +72,40 @@
     at: float
 
 
+class Statement(NamedTuple):
+    """What a server's answers say of the server itself.
+
+    Attributes:
+        limit_per_s: Limit in requests a second; None for none.
+        is_leaving: Whether it leaves.
+        rest_s: Seconds for which it asks callers to stay away as it refuses
+            their requests; None where it takes them.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
+
+
 class Arrival(NamedTuple):
     """A request that reached the server, run or refused.
 
     Attributes:
         attempt_id: Id of the caller's try.
         at: Monotonic second.
-        limit_per_s: The limit that its answer names, or None.
+        answered: What its answer says of the server.
     """
 
     attempt_id: str
     at: float
-    limit_per_s: float | None
+    answered: Statement
 
 
 class PlatformRunner:
     """A backend server without its sockets.
 
     Attributes:
-        limit_per_s: Limit that its answers name, in requests a second.
+        states: What its answers say of it.
         arrivals: Requests that reached it and were meant for it.
     """
 
@@ -106,7 +121,7 @@
         self.stall_after: int | None = None
         self.is_sealed = True
         self.refused_model = ''
-        self.limit_per_s: float | None = None
+        self.states = Statement()
         self.arrivals: list[Arrival] = []
         self._switches = switches
         self._running = 0
@@ -131,10 +146,9 @@
             await self._refuse(HTTPStatus.MISDIRECTED_REQUEST, answer)
             return
         self.arrivals.append(
-            Arrival(asked.attempt_id, time.monotonic(), self.limit_per_s)
+            Arrival(asked.attempt_id, time.monotonic(), self.states)
         )
-        is_full = self._running >= self.cfg.slots + self.cfg.queue
-        if is_full or (asked.model and asked.model == self.refused_model):
+        if self._is_refused(asked):
             await self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, answer)
             return
         self._running += 1
@@ -143,6 +157,13 @@
         finally:
             self._running -= 1
 
+    def _is_refused(self, asked: requests.Asked) -> bool:
+        is_full = self._running >= self.cfg.slots + self.cfg.queue
+        is_refused_model = bool(asked.model) and (
+            asked.model == self.refused_model
+        )
+        return is_full or is_refused_model or self.states.rest_s is not None
+
     async def _run(
         self,
         req: http_data.Request,
@@ -207,18 +228,25 @@
     async def _refuse(self, status: int, answer: faults.Answer) -> None:
         self.refused += 1
         headers = {names.NOT_RUN: '1', names.INSTANCE: self.cfg.instance}
-        await answer.respond(status, b'', headers | self._named_limit())
+        is_rest = status == HTTPStatus.SERVICE_UNAVAILABLE
+        if is_rest and self.states.rest_s is not None:
+            headers[names.RETRY_AFTER] = str(self.states.rest_s)
+        await answer.respond(status, b'', headers | self._stated())
 
     def _headers(self, asked: requests.Asked) -> dict[str, str]:
         headers = {names.ATTEMPT: asked.attempt_id}
         if self.is_sealed:
             headers[names.SEAL] = f'{self.cfg.instance}.{asked.attempt_id}'
-        return headers | self._named_limit()
-
-    def _named_limit(self) -> dict[str, str]:
-        if self.limit_per_s is None:
-            return {}
-        return {names.LIMIT: str(self.limit_per_s)}
+        return headers | self._stated()
+
+    def _stated(self) -> dict[str, str]:
+        """Return what all answers say of the server itself."""
+        stated = {}
+        if self.states.limit_per_s is not None:
+            stated[names.LIMIT] = str(self.states.limit_per_s)
+        if self.states.is_leaving:
+            stated[names.LEAVING] = '1'
+        return stated
 
 
 def stand_in(cfg: PlatformRunnerCfg) -> party.StandIn:
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -89,7 +89,11 @@
 
 
 class Site:
-    """A deployment that lives as long as one test."""
+    """A deployment that lives as long as one test.
+
+    Attributes:
+        asked_of: Name of the router that each attempt was sent to.
+    """
 
     def __init__(self) -> None:
         """Begin without anything; `open` starts the store."""
@@ -101,6 +105,7 @@
         self.routers: list[Router] = []
         self.lines: list[dict[str, Any]] = []
         self.shown_addresses: dict[str, str] = {}
+        self.asked_of: dict[str, str] = {}
         self._inis: dict[str, str] = {}
         self._zones: dict[str, str] = {}
         self._client = http_client.HttpClient()
@@ -243,7 +248,9 @@
             body: The body.
             headers: Headers that differ from the usual, with underscores.
         """
-        sent = caller_headers(path, f'try-{next(self._numbers):06}')
+        attempt_id = f'try-{next(self._numbers):06}'
+        self.asked_of[attempt_id] = router.name
+        sent = caller_headers(path, attempt_id)
         changed = {
             name.replace('_', '-'): text for name, text in headers.items()
         }
