site_test.test_resumed: let the first server alone cut its stream

The first cut is due after 10 ms and the stream goes on at once, so the second server often cut as well, as it was told to, and a request has three attempts. Now the second server is told before the first has cut: events are 100 ms apart.

--- a/beryllug/proofs/platform/site_test.py
+++ b/beryllug/proofs/platform/site_test.py
@@ -14,6 +14,8 @@
 REPORT = '/report/car'
 HOLD = '/hold/slot'
 LOOKUP = '/lookup/slot'
+# Seconds between events, many times those between two looks at a server.
+SLOW_EVENT_S = 0.1
 # Seconds between two requests of all callers together.
 PAUSE_S = 0.06
 
@@ -403,13 +405,14 @@
         second server is asked for what comes after the last whole event.
         """
         for instance in ('p1', 'p2'):
-            self.site.runners[instance].cut_after = 3
+            runner = self.site.runners[instance]
+            runner.cut_after = 3
+            runner.cfg = runner.cfg._replace(event_s=SLOW_EVENT_S)
         task = asyncio.create_task(self.ask(DRAFT, method='POST'))
         while not self.runs('p1', 'p2'):
             await asyncio.sleep(platform_site.POLL_S)
-        await asyncio.sleep(platform_site.POLL_S)
-        for instance in ('p1', 'p2'):
-            self.site.runners[instance].cut_after = None
+        second = 'p2' if self.runs('p1') else 'p1'
+        self.site.runners[second].cut_after = None
         reply = await task
         self.assertEqual(reply.status, 200)
         for number in range(1, 6):
