DRAIN: believe a server that states in its answers that it leaves

Callers saw streams cut and run again elsewhere (0.3 to 2.4 s later) at a server that was about to stop, and the server got requests 2.2 to 4.8 s after it had told its sender.

Cause: a server's word in its answers was read by nobody. That it leaves was known from its entry in the store alone, which was away for twelve seconds. The class: a server states something of itself in an answer, and nothing reads it (LIMIT was the first).

Change: the head's statements are decoded in one table into typed records (core/placement/statements) and pass through one service (router/statements) to who acts on them; limits now come that way too. That a server leaves is kept with the list of servers: it outranks the entry, before and after, also one of an older copy of the store; it holds for that start of the server and is forgotten a minute after its entry has gone. Such a server whose entry goes has left, and is not taken for lost. All processes are told at once, and later ones in questions and answers.

Ruled out: entries, peers or answers that overtake one another outrank the word (it was never read: name_unread tells it); repeats or resumed streams alone (lookups with one attempt show it).

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -202,6 +202,8 @@
             or an answer, some of those that the sender knows.
         claim: Asks for a permit.
         permit: Answers a claim.
+        leaving: Servers that have just stated that they leave; in a question
+            or an answer, some of those that the sender knows.
     """
 
     name: str
@@ -228,6 +230,7 @@
     limits: tuple[LimitNews, ...] = ()
     claim: Claim | None = None
     permit: Permit | None = None
+    leaving: tuple[str, ...] = ()
 
 
 class Digest(NamedTuple):
--- a/beryllug/core/placement/listing.py
+++ b/beryllug/core/placement/listing.py
@@ -9,6 +9,7 @@
 is another incarnation: the one before is gone, without a doubt.
 """
 
+import math
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -20,6 +21,9 @@
 # Names whose latest start is remembered: several times those of a fleet, for
 # entries that come late after a server is gone.
 MOST_BIRTHS = 50000
+# Seconds for which a server that states that it leaves is remembered once its
+# entry is gone, or while it has none yet; it stops within seconds.
+LEAVING_S = 60.0
 # Instances that have gone and are remembered: those of some minutes.
 MOST_DEPARTED = 1000
 
@@ -48,6 +52,8 @@
         doubted: Dropped ones.
         births: The latest start that each name has stated.
         departed: Instances that have left or were lost, the latest ones.
+        leaving: Until when each instance that has stated that it leaves is
+            remembered.
         was_away: Whether the store has not answered the last call.
         returned_at: When the store last answered after it had not.
     """
@@ -57,6 +63,7 @@
     doubted: dict[str, Doubt] = field(default_factory=dict)
     births: dict[str, int] = field(default_factory=dict)
     departed: dict[str, None] = field(default_factory=dict)
+    leaving: dict[str, float] = field(default_factory=dict)
     was_away: bool = False
     returned_at: float = float('-inf')
 
@@ -88,6 +95,29 @@
     store_answered(book, now)
 
 
+def states_leaving(book: Book, instance: str, now: float) -> bool:
+    """Take that a server states that it leaves; returns whether it is new.
+
+    That holds whatever its entry says, before or after: a server that leaves
+    may not reach the store, or the store may have lost its word.
+    """
+    is_listed = any(
+        server.instance == instance for server in book.servers.values()
+    )
+    is_new = instance not in book.leaving
+    book.leaving[instance] = math.inf if is_listed else now + LEAVING_S
+    return is_new
+
+
+def forget_leaving(book: Book, now: float) -> None:
+    """Forget servers whose entry has been gone for long."""
+    book.leaving = {
+        instance: until
+        for instance, until in book.leaving.items()
+        if until > now
+    }
+
+
 def is_contradicted(book: Book, server: servers_data.Server) -> bool:
     """Tell whether an entry of an older copy denies that a server leaves."""
     if server.instance in book.departed:
@@ -143,7 +173,9 @@
     server = book.servers.pop(name, None)
     if server is None:
         return None
-    if server.state is servers_data.State.LEAVING:
+    if book.leaving.get(server.instance) == math.inf:
+        book.leaving[server.instance] = now + LEAVING_S
+    if takes_none(book, server):
         _departs(book, server)
         return None
     returns_until = book.returned_at + RETURN_S
@@ -156,6 +188,12 @@
     return server
 
 
+def takes_none(book: Book, server: servers_data.Server) -> bool:
+    """Tell whether a server takes no new work: by its entry, or its answers."""
+    is_leaving = server.state is servers_data.State.LEAVING
+    return is_leaving or server.instance in book.leaving
+
+
 def usable(
     book: Book, now: float
 ) -> tuple[list[servers_data.Server], list[servers_data.Server]]:
@@ -176,12 +214,13 @@
     listed = [
         server
         for server in book.servers.values()
-        if server.state is servers_data.State.READY
+        if not takes_none(book, server)
     ]
     doubted = [
         doubt.server
         for doubt in book.doubted.values()
         if doubt.server.address not in reused
+        and not takes_none(book, doubt.server)
     ]
     return listed, doubted
 
--- a/beryllug/core/placement/listing_test.py
+++ b/beryllug/core/placement/listing_test.py
@@ -122,5 +122,58 @@
         self.assertEqual(doubted, [])
 
 
+class LeavingTest(unittest.TestCase):
+    """A server states in its answers that it leaves."""
+
+    def setUp(self) -> None:
+        self.book = listing.Book(doubt_s=1.5)
+        listing.put(self.book, _server('s1'))
+        listing.put(self.book, _server('s2', port=2))
+        self.assertTrue(listing.states_leaving(self.book, 's1', 0))
+
+    def test_outranks_entry(self) -> None:
+        """An entry that still says ready brings a leaving server back."""
+        self.assertEqual(self._taking(1), ['s2'])
+        listing.put(self.book, _server('s1', State.LEAVING))
+        listing.put(self.book, _server('s1'))
+        self.assertEqual(self._taking(1), ['s2'])
+        self.assertFalse(listing.states_leaving(self.book, 's1', 2))
+        listing.forget_leaving(self.book, 1000)
+        self.assertEqual(self._taking(1000), ['s2'])
+
+    def test_gone(self) -> None:
+        """A leaving server whose entry goes counts as lost, or is doubted."""
+        self.assertIsNone(listing.drop(self.book, 's1', 3))
+        self.assertEqual(self._taking(3), ['s2'])
+        listing.put(self.book, _server('s1'))
+        self.assertEqual(self._taking(4), ['s2'])
+
+    def test_doubted(self) -> None:
+        """A server is doubted, and its word that it leaves comes then."""
+        listing.drop(self.book, 's2', 3)
+        self.assertEqual(self._taking(3), ['s2'])
+        listing.states_leaving(self.book, 's2', 3.5)
+        self.assertEqual(self._taking(3.5), [])
+
+    def test_started_again(self) -> None:
+        """A server that starts again under its id is taken for leaving."""
+        again = _server('s1')._replace(born=5)
+        listing.put(self.book, again)
+        self.assertEqual(self._taking(1), ['s1', 's2'])
+
+    def test_forgotten(self) -> None:
+        """What is known of servers that are gone grows without end."""
+        listing.drop(self.book, 's1', 3)
+        listing.states_leaving(self.book, 'unlisted', 3)
+        listing.forget_leaving(self.book, 3 + listing.LEAVING_S / 2)
+        self.assertEqual(len(self.book.leaving), 2)
+        listing.forget_leaving(self.book, 3 + listing.LEAVING_S)
+        self.assertEqual(self.book.leaving, {})
+
+    def _taking(self, now: float) -> list[str]:
+        listed, doubted = listing.usable(self.book, now)
+        return sorted(each.name for each in (*listed, *doubted))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/beryllug/drivers/json_decode.py
+++ b/beryllug/drivers/json_decode.py
@@ -1,5 +1,6 @@
 """Reads JSON of others into records, also where a part of it can't be read."""
 
+import itertools
 from collections.abc import Iterable
 from typing import Any
 
@@ -39,3 +40,13 @@
         except (msgspec.MsgspecError, RecursionError, UnicodeError) as exc:
             errors.append(f'{exc}: {bytes(entry[:SHOWN_BYTES])!r}')
     return found, errors
+
+
+def field_names(decoded: Any) -> frozenset[str]:
+    """Return the names of an object's fields, and of objects in its lists."""
+    if not isinstance(decoded, dict):
+        return frozenset()
+    listed = (each for each in decoded.values() if isinstance(each, list))
+    inner = itertools.chain.from_iterable(listed)
+    records = (each for each in inner if isinstance(each, dict))
+    return frozenset(decoded).union(*records)
--- a/beryllug/platform/documents.py
+++ b/beryllug/platform/documents.py
@@ -4,7 +4,6 @@
 """
 
 from enum import StrEnum
-from itertools import chain
 from types import MappingProxyType
 from typing import Annotated, Any
 
@@ -13,6 +12,7 @@
 from beryllug.core.canary import canary_data
 from beryllug.core.placement import servers_data
 from beryllug.core.routes import routes_data
+from beryllug.drivers import json_decode
 
 MS = 1000
 WHOLE = 1.0
@@ -155,12 +155,8 @@
 
 
 def unread(spec: Any) -> frozenset[str]:
-    """Return names of fields, also of listed records, that are not known."""
-    if not isinstance(spec, dict):
-        return frozenset()
-    listed = [each for each in spec.values() if isinstance(each, list)]
-    records = [each for each in chain(*listed) if isinstance(each, dict)]
-    return frozenset(spec).union(*records) - _FIELDS
+    """Return names of fields that are not known."""
+    return json_decode.field_names(spec) - _FIELDS
 
 
 def table(spec: Any) -> routes_data.RouteTable:
--- a/beryllug/platform/names.py
+++ b/beryllug/platform/names.py
@@ -36,10 +36,11 @@
 BEARER = 'bearer '
 ANY_MODEL = '*'
 
+# What a server states of itself, in the order of `statements.Texts`.
+STATED = (LIMIT, LEAVING)
 # Headers of answers that are read, or that only their caller has a use for.
-ANSWER_HEADERS = http_headers.STANDARD.union(
-    (ATTEMPT, CONFIDENCE, ERA, INSTANCE, LIMIT, NOT_RUN, SEAL, VERSIONS)
-)
+_READ = (ATTEMPT, CONFIDENCE, ERA, INSTANCE, NOT_RUN, SEAL, VERSIONS)
+ANSWER_HEADERS = http_headers.STANDARD.union(_READ, STATED)
 
 READY_PATH = '/beryllug/ready'
 OBJECTS_PATH = '/beryllug/objects'
--- a/beryllug/platform/requests.py
+++ b/beryllug/platform/requests.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
-from beryllug.core.placement import servers_data
+from beryllug.core.placement import servers_data, statements
 from beryllug.drivers import http_data
 from beryllug.platform import names
 
@@ -75,8 +75,7 @@
         is_encoded: Whether the body is not the server's own.
         attempt_id: Id of the request that it answers, or empty.
         confidence: From 0 to 100, or None.
-        limit: Requests a second that the server takes from all processes
-            together, as it states them; empty where it names no limit.
+        stated: What it states of the server.
         unread: Names of headers that are not known here.
     """
 
@@ -86,7 +85,7 @@
     is_encoded: bool
     attempt_id: str
     confidence: int | None
-    limit: str = ''
+    stated: statements.Texts = statements.Texts()
     unread: frozenset[str] = frozenset()
 
 
@@ -149,7 +148,9 @@
         is_encoded=names.CONTENT_ENCODING in headers,
         attempt_id=headers.get(names.ATTEMPT, ''),
         confidence=int(confidence) if confidence.isdigit() else None,
-        limit=headers.get(names.LIMIT, ''),
+        stated=statements.Texts(
+            *(headers.get(name, '') for name in names.STATED)
+        ),
         unread=frozenset(headers) - names.ANSWER_HEADERS,
     )
 
--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -207,7 +207,8 @@
             raise object_data.UncertainError(str(exc)) from exc
         self.eras.answered(incoming.headers.get(names.ERA, ''))
         self.on_unread('store', incoming.headers.keys() - names.ANSWER_HEADERS)
-        _raise_failure(incoming.status, incoming.headers)
+        if incoming.status not in DONE:
+            raise _failure(incoming.status, incoming.headers)
         return answer
 
     def _note_unread(
@@ -225,11 +226,6 @@
     """Tell nobody of names that are not known."""
 
 
-def _raise_failure(status: int, headers: Mapping[str, str]) -> None:
-    if status not in DONE:
-        raise _failure(status, headers)
-
-
 def _failure(
     status: int, headers: Mapping[str, str]
 ) -> object_data.ObjectApiError:
--- a/beryllug/router/claims_test.py
+++ b/beryllug/router/claims_test.py
@@ -16,9 +16,16 @@
 from beryllug.core import settings_data
 from beryllug.core.peering import members, peering_data
 from beryllug.core.placement import fleet_size, servers_data
+from beryllug.core.placement import statements as statements_data
 from beryllug.kernel import log_lines
 from beryllug.platform import requests
-from beryllug.router import claims, dispatch, server_limits
+from beryllug.router import (
+    claims,
+    dispatch,
+    server_limits,
+    server_list,
+    statements,
+)
 
 SERVER = servers_data.Server(
     'i', 'pool', '10.0.0.1:80', 'a', 'v1', 8, servers_data.State.READY
@@ -55,7 +62,11 @@
     def __init__(self, name: str, fleet: '_Fleet') -> None:
         self.name = name
         self.members = members.Members(name)
-        self.limits = server_limits.ServerLimits(name, _Silent())
+        lines = _Silent()
+        self.limits = server_limits.ServerLimits(name, lines)
+        self.statements = statements.Statements(
+            name, server_list.ServerList(1, lines), self.limits, lines
+        )
         self.size = fleet_size.FleetSize()
         cfg: Any = settings_data.Router(
             listen='',
@@ -197,8 +208,9 @@
         self.came.append(_Arrival(sent_at, process.name, self.per_s))
         limit = '' if self.per_s is None else str(self.per_s)
         await asyncio.sleep(ANSWER_S)
-        head = requests.Head(200, True, False, False, '', None, limit)
-        process.limits.heard(
+        texts = statements_data.Texts(limit)
+        head = requests.Head(200, True, False, False, '', None, texts)
+        process.statements.heard(
             dispatch.AnswerHead(SERVER, head, sent_at, time.monotonic())
         )
 
--- a/beryllug/router/server_limits.py
+++ b/beryllug/router/server_limits.py
@@ -12,7 +12,6 @@
 from beryllug.core.peering import peering_data
 from beryllug.core.placement import permits, server_limits, servers_data
 from beryllug.kernel import log_lines, metrics_data
-from beryllug.router import dispatch, refusals
 
 # Limits in a message of nothing else, and in one with other things, of some 40
 # bytes each.
@@ -46,7 +45,6 @@
         self.known = server_limits.Limits()
         self._changed: set[str] = set()
         self._lines = lines
-        self._refusals = refusals.Refusals('server_limit_unreadable', lines)
         self._rng = random.Random(name)
 
     async def start(self) -> None:
@@ -82,20 +80,15 @@
         """Return the seconds for which a server takes no more from here."""
         return permits.refused_s(self.permits, instance, now)
 
-    def heard(self, said: dispatch.AnswerHead) -> None:
-        """Take what the head of an answer says of its server's limit."""
-        instance = said.server.instance
-        text = said.head.limit
-        if text:
-            per_s = server_limits.read(text)
-            if per_s is None:
-                self._refusals.refused(instance, text)
-                return
-            self._hear(
-                instance, server_limits.Observation(per_s, said.heard_at)
-            )
-        elif said.head.is_sealed:
-            self._hear(instance, server_limits.Observation(None, said.sent_at))
+    def hear(self, instance: str, seen: server_limits.Observation) -> None:
+        """Take what an answer says of its server's limit."""
+        before = self.per_s(instance)
+        if not server_limits.take(self.known, instance, seen):
+            return
+        self._log(instance, before, ANSWER)
+        if before is None or seen.per_s is None:
+            self._changed.add(instance)
+            self.on_changed()
 
     def take(
         self, told: Iterable[peering_data.LimitNews], source: str, now: float
@@ -146,15 +139,6 @@
         limited = server_limits.limited(self.known)
         permits.forget(self.permits, limited, now)
 
-    def _hear(self, instance: str, seen: server_limits.Observation) -> None:
-        before = self.per_s(instance)
-        if not server_limits.take(self.known, instance, seen):
-            return
-        self._log(instance, before, ANSWER)
-        if before is None or seen.per_s is None:
-            self._changed.add(instance)
-            self.on_changed()
-
     def _log(self, instance: str, before: float | None, source: str) -> None:
         self._lines.write(
             'server_limit',
--- a/beryllug/router/server_list.py
+++ b/beryllug/router/server_list.py
@@ -10,7 +10,7 @@
 from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents
-from beryllug.router import held_servers, refusals
+from beryllug.router import held_servers, leaving_servers, refusals
 
 LostListener = Callable[[str, float], None]
 RestartListener = Callable[[servers_data.Server], None]
@@ -39,6 +39,7 @@
         is_cut_off: Whether the store did not answer the last call.
         specs: The sound entries by name, for peers.
         revision: Stamp of the store that the list is of.
+        leaving: Those that state in their answers that they leave.
         on_known: Told when there is a list.
         on_lost: Told of each server that is gone without having said so.
         on_restarted: Told of each incarnation that another one of the same
@@ -59,6 +60,7 @@
         self.revision = 0
         self._held = held_servers.HeldServers(lines)
         self._book = listing.Book(doubt_s)
+        self.leaving = leaving_servers.LeavingServers(self._book, lines)
         self._lines = lines
         self._listeners: list[Callable[[Delta], None]] = []
         self._refusals = refusals.Refusals('server_refused', lines)
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -26,6 +26,7 @@
     pool,
     probes,
     rollout_state,
+    statements,
     store_news,
     trials,
 )
@@ -40,6 +41,7 @@
     pool: pool.Pool
     trials: trials.Trials
     crashes: crash_watch.CrashWatch
+    statements: statements.Statements
 
 
 class Sharing:
@@ -80,8 +82,10 @@
             self._notes.send,
         )
         self._limits.claim = self._claims.claim
-        self._limits.on_changed = self._tell_limits
-        self._limits_told_at = float('-inf')
+        self._statements = decided.statements
+        self._limits.on_changed = self._tell_statements
+        self._statements.on_changed = self._tell_statements
+        self._stated_at = float('-inf')
         self._task: asyncio.Task[None] | None = None
         peers.ask = self._ask
         peers.roster.on_gone = lambda name: self._tell_all(_gone(name, cfg))
@@ -136,7 +140,7 @@
             ever = members.count_ever(known)
             fleet_size.count(self._pool.eligible.size, present, ever, now)
             self._forget_limits(now)
-            self._tell_limits()
+            self._tell_statements()
             self._known.zones.settle(now)
             await self._news.follow_or_not(now)
             self._news.tell()
@@ -151,7 +155,10 @@
     def _stated(self, now: float) -> peering_data.Note:
         """Return a note of what this process knows, for one other."""
         stated = self._news.relayed(self._news.stated(), now)
-        return stated._replace(limits=self._limits.recent(now))
+        return stated._replace(
+            limits=self._limits.recent(now),
+            leaving=self._statements.recent(now),
+        )
 
     def _tell_all(self, note: peering_data.Note) -> None:
         known = self._peers.members.known.values()
@@ -188,18 +195,20 @@
             listed, doubted = self._known.servers.usable(now)
             self._limits.forget(itertools.chain(listed, doubted), now)
 
-    def _tell_limits(self) -> None:
-        """Tell all of limits that began or ended, at most once a round.
+    def _tell_statements(self) -> None:
+        """Tell all what servers have stated of themselves, once a round.
 
         A server whose answers name a limit by turns is told of no more often.
         """
         now = time.monotonic()
-        if now - self._limits_told_at < fleet_loads.PERIOD_S:
+        if now - self._stated_at < fleet_loads.PERIOD_S:
             return
-        told = self._limits.changed(now)
-        if told:
-            self._limits_told_at = now
-            self._tell_all(self._note()._replace(limits=told))
+        limits = self._limits.changed(now)
+        leaving = self._statements.changed()
+        if limits or leaving:
+            self._stated_at = now
+            note = self._note()
+            self._tell_all(note._replace(limits=limits, leaving=leaving))
 
     def _take(self, note: peering_data.Note) -> None:
         now = time.monotonic()
@@ -218,6 +227,7 @@
         self._trials.pins.take(note.running)
         self._crashes.take(note.losses, now)
         self._claims.take(note, now)
+        self._statements.take(note, now)
         self._trials.take_phases(note.rollouts, note.name, now)
         self._news.take(note, now)
         if note.asks:
--- /dev/null
+++ b/beryllug/router/statements.py
@@ -0,0 +1,117 @@
+"""Service 'statements': what backend servers state of themselves in answers.
+
+All that the head of an answer says of its server passes here: to the limits,
+or to the list of servers. Other processes are told where it concerns them.
+"""
+
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from beryllug.core.peering import peering_data
+from beryllug.core.placement import server_limits as limits_data
+from beryllug.core.placement import servers_data, statements
+from beryllug.kernel import log_lines, metrics_data
+from beryllug.router import dispatch, refusals, server_limits, server_list
+
+# Instances in a message of nothing else, and in one with other things, of some
+# 30 bytes each.
+MOST_CHANGED = 20
+MOST_SOME = 6
+ANSWER = 'answer'
+
+
+class Statements:
+    """Takes statements of servers, and tells them to other processes.
+
+    Attributes:
+        on_changed: Told that there is something to tell other processes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        listed: server_list.ServerList,
+        limits: server_limits.ServerLimits,
+        lines: log_lines.LineWriter,
+    ) -> None:
+        """Bind to those who act on statements.
+
+        Args:
+            name: Name of the process.
+            listed: The list of servers.
+            limits: The limits that servers state.
+            lines: Takes log lines.
+        """
+        self.on_changed: Callable[[], None] = _pass_over
+        self._limits = limits
+        self._refusals = refusals.Refusals('server_statement_unreadable', lines)
+        self._leaving = listed.leaving
+        self._changed: set[str] = set()
+        self._rng = random.Random(name)
+
+    async def start(self) -> None:
+        """Do nothing: it is driven by answers and by notes."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing: it holds no socket and no task."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the servers that have stated that they leave."""
+        return {'leaving': self._leaving.listed(time.monotonic())}
+
+    def measure(self) -> Iterable[metrics_data.Sample]:
+        """Return how many servers have stated that they leave."""
+        yield metrics_data.Sample(
+            'servers_leaving',
+            len(self._leaving.listed(time.monotonic())),
+            'Listed backend servers that have stated that they leave.',
+        )
+
+    def heard(self, said: dispatch.AnswerHead) -> None:
+        """Take what the head of an answer states of its server."""
+        found = statements.read(said.head.stated, is_sealed=said.head.is_sealed)
+        for statement in found:
+            self._take(statement, said)
+
+    def take(self, note: peering_data.Note, now: float) -> None:
+        """Take what another process has heard of servers."""
+        for instance in note.leaving:
+            self._leaving.heard(instance, note.name, now)
+
+    def changed(self) -> tuple[str, ...]:
+        """Return servers that began to leave since this was last asked."""
+        told = sorted(self._changed)[:MOST_CHANGED]
+        self._changed.difference_update(told)
+        return tuple(told)
+
+    def recent(self, now: float) -> tuple[str, ...]:
+        """Return some servers that leave, to tell a peer."""
+        known = self._leaving.listed(now)
+        return tuple(self._rng.sample(known, min(MOST_SOME, len(known))))
+
+    def _take(
+        self, statement: statements.Statement, said: dispatch.AnswerHead
+    ) -> None:
+        server = said.server
+        match statement:
+            case statements.RateLimit(None):
+                seen = limits_data.Observation(None, said.sent_at)
+                self._limits.hear(server.instance, seen)
+            case statements.RateLimit(per_s):
+                seen = limits_data.Observation(per_s, said.heard_at)
+                self._limits.hear(server.instance, seen)
+            case statements.Leaving():
+                self._leave(server, said.heard_at)
+            case statements.Unreadable(what, text):
+                self._refusals.refused(f'{server.instance} {what}', text)
+
+    def _leave(self, server: servers_data.Server, now: float) -> None:
+        if self._leaving.heard(server.instance, ANSWER, now):
+            self._changed.add(server.instance)
+            self.on_changed()
+
+
+def _pass_over() -> None:
+    """Tell nobody."""
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -34,6 +34,7 @@
     server_limits,
     server_list,
     sharing,
+    statements,
     store_returns,
     stream_flow,
     trials,
@@ -98,7 +99,8 @@
     sender = dispatch.Dispatcher(to_servers)
     unread = unread_names.UnreadNames(lines)
     api.on_unread = unread.take
-    sender.listeners = (unread.heard, limits.heard)
+    stated = statements.Statements(settings.process.name, listed, limits, lines)
+    sender.listeners = (unread.heard, stated.heard)
     crashes = crash_watch.CrashWatch(lines)
     listed.on_lost = crashes.lost
     listed.on_restarted = lambda before: to_servers.forget(before.address)
@@ -115,7 +117,7 @@
     )
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
-    decided = sharing.Decided(servers, canaries, crashes)
+    decided = sharing.Decided(servers, canaries, crashes, stated)
     spread = sharing.Sharing(cfg, zone, peers, known, decided, keys)
     operators_api = ops.Operators(
         settings.operators,
@@ -136,6 +138,7 @@
         'judge': judge.Judge(canaries, peers, spread, api, lines),
         'eligible': open_servers,
         'server_limits': limits,
+        'statements': stated,
         'unread_names': unread,
         'pool': servers,
         'trials': canaries,
