BUDGET: leave a server alone for as long as its refusal asks

Cause: the Retry-After of a server's 503 was read by nobody, so it was a refusal like any other and the next request could go there at once.

Change: a third record of core/placement/statements, BackOff. Until its time is over, the server takes no attempt of this process: first ones, repeats, resumed streams and larger models are all chosen from what is eligible, and what waited for a permit is checked again. It is asked of one process and not told. Each refusal holds by itself, so the latest end counts; a session does not leave its version for it. Where all servers are left alone the caller is refused at once, with the time at which the first takes requests again.

Numbers that can't be read are logged (server_statement_unreadable) and change nothing; an hour is the most.

Ruled out: only repeats or larger models break it (six of eight arrivals were first ones); all servers rest (two did not).

--- a/beryllug/core/placement/returning.py
+++ b/beryllug/core/placement/returning.py
@@ -24,6 +24,7 @@
     EVACUATED = auto()
     COLD = auto()
     LIMITED = auto()
+    BACKING_OFF = auto()
     NO_TABLE = auto()
     STOPPING = auto()
 
@@ -55,6 +56,7 @@
         Cause.EVACUATED: 3.0,
         Cause.COLD: 1.0,
         Cause.LIMITED: 1.0,
+        Cause.BACKING_OFF: 1.0,
         Cause.NO_TABLE: 1.4,
         Cause.STOPPING: 0.1,
     }
@@ -70,6 +72,7 @@
         Cause.EVACUATED: 'the zones of all backend servers are evacuated',
         Cause.COLD: 'all backend servers have just started',
         Cause.LIMITED: 'all backend servers are at their rate limit',
+        Cause.BACKING_OFF: 'all backend servers have refused for some time',
     }
 )
 # Part of a caller's time beyond the least, and most seconds, for which a
--- a/beryllug/core/placement/statements_test.py
+++ b/beryllug/core/placement/statements_test.py
@@ -4,6 +4,7 @@
 
 from beryllug.core.placement import statements
 
+BackOff = statements.BackOff
 Leaving = statements.Leaving
 RateLimit = statements.RateLimit
 Unreadable = statements.Unreadable
@@ -28,7 +29,9 @@
         for text, found in table:
             with self.subTest(text):
                 texts = statements.Texts(leaving=text)
-                self.assertEqual(statements.read(texts, is_sealed=False), found)
+                self.assertEqual(
+                    statements.read(texts, 200, is_sealed=False), found
+                )
 
     def test_limit(self) -> None:
         """An answer that is not the server's ends the server's limit."""
@@ -41,7 +44,38 @@
         for text, is_sealed, found in table:
             with self.subTest(text=text, is_sealed=is_sealed):
                 texts = statements.Texts(limit=text)
-                read = statements.read(texts, is_sealed=is_sealed)
+                read = statements.read(texts, 200, is_sealed=is_sealed)
+                self.assertEqual(read, found)
+
+    def test_back_off(self) -> None:
+        """A time that can't be read, or is huge, is lost or kept for ever."""
+        most_s = statements.MOST_BACK_OFF_S
+        table: tuple[tuple[int, str, Found], ...] = (
+            (503, '3', (BackOff(3),)),
+            (429, '3', (BackOff(3),)),
+            (503, '0.25', (BackOff(0.25),)),
+            (503, '1, 2', (BackOff(2),)),
+            (503, '0', (BackOff(0),)),
+            (503, '1e300', (BackOff(most_s),)),
+            (503, '', ()),
+            (500, '3', ()),
+            (200, '3', ()),
+            *(
+                (503, text, (Unreadable('retry-after', text),))
+                for text in (
+                    '-1',
+                    'nan',
+                    'inf',
+                    'soon',
+                    '1 s',
+                    'Fri, 31 Dec 1999 23:59:59 GMT',
+                )
+            ),
+        )
+        for status, text, found in table:
+            with self.subTest(status=status, text=text):
+                texts = statements.Texts(retry_after=text)
+                read = statements.read(texts, status, is_sealed=False)
                 self.assertEqual(read, found)
 
 
--- a/beryllug/platform/names.py
+++ b/beryllug/platform/names.py
@@ -37,7 +37,7 @@
 ANY_MODEL = '*'
 
 # What a server states of itself, in the order of `statements.Texts`.
-STATED = (LIMIT, LEAVING)
+STATED = (LIMIT, LEAVING, RETRY_AFTER)
 # Headers of answers that are read, or that only their caller has a use for.
 _READ = (ATTEMPT, CONFIDENCE, ERA, INSTANCE, NOT_RUN, SEAL, VERSIONS)
 ANSWER_HEADERS = http_headers.STANDARD.union(_READ, STATED)
--- a/beryllug/router/claims_test.py
+++ b/beryllug/router/claims_test.py
@@ -22,9 +22,11 @@
 from beryllug.router import (
     claims,
     dispatch,
+    eligible,
     server_limits,
     server_list,
     statements,
+    zone_list,
 )
 
 SERVER = servers_data.Server(
@@ -64,9 +66,14 @@
         self.members = members.Members(name)
         lines = _Silent()
         self.limits = server_limits.ServerLimits(name, lines)
-        self.statements = statements.Statements(
-            name, server_list.ServerList(1, lines), self.limits, lines
+        listed = server_list.ServerList(1, lines)
+        servers = eligible.Eligible(
+            listed,
+            zone_list.ZoneList(lines),
+            eligible.Place(name, 'a', {}),
+            self.limits,
         )
+        self.statements = statements.Statements(name, listed, servers, lines)
         self.size = fleet_size.FleetSize()
         cfg: Any = settings_data.Router(
             listen='',
--- a/beryllug/router/eligible.py
+++ b/beryllug/router/eligible.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from beryllug.core.placement import (
+    backoffs,
     choose,
     cold,
     returning,
@@ -43,6 +44,7 @@
 
     Attributes:
         limits: The limits that servers name.
+        backoffs: Servers that want no request of this process for a while.
         size: The size of the fleet, by which bounds are divided.
     """
 
@@ -55,6 +57,7 @@
     ) -> None:
         """Bind to the listed servers, evacuated zones and limits."""
         self.limits = limits
+        self.backoffs = backoffs.Backoffs()
         self._known = known
         self._zones = zones
         self._regions = place.regions
@@ -97,7 +100,8 @@
         """Tell whether a server is listed and takes requests as before."""
         listed, doubted = self._known.usable(now)
         is_listed = server in listed or server in doubted
-        return is_listed and self._takes(server, wish, now)
+        is_kept_off = backoffs.left_s(self.backoffs, server.instance, now) > 0
+        return is_listed and not is_kept_off and self._takes(server, wish, now)
 
     def sent(self, instance: str, now: float) -> None:
         """Count a request that is sent to a server."""
@@ -113,6 +117,13 @@
             each for each in same if _is_inside(self._regions, each, wish)
         ]
         present = {each.instance for each in inside if self._is_open(each)}
+        backed_off_s = {
+            instance: backoffs.left_s(self.backoffs, instance, now)
+            for instance in present
+        }
+        due_s = list(backed_off_s.values())
+        if due_s and min(due_s) > 0:
+            return returning.Lack(returning.Cause.BACKING_OFF, min(due_s))
         if not same or not wish.excluded.isdisjoint(present):
             return returning.Lack(returning.Cause.NO_SERVER)
         if not inside:
@@ -120,7 +131,7 @@
         if not present:
             return returning.Lack(returning.Cause.EVACUATED)
         due_s = [
-            self.limits.refused_s(instance, now)
+            max(self.limits.refused_s(instance, now), backed_off_s[instance])
             for instance in present
             if self.limits.per_s(instance) is not None
         ]
@@ -164,12 +175,12 @@
         not take their place: a session would leave its version.
         """
         taking = [each for each in servers if self._takes(each, wish, now)]
-        if not self.limits.known.observed:
+        if not self.limits.known.observed and not self.backoffs.until:
             return taking
         held = {
             each.instance
             for each in taking
-            if _is_held(self.limits, each.instance, wish, now)
+            if _is_held(self, each.instance, wish, now)
         }
         if not held:
             return taking
@@ -223,16 +234,15 @@
 
 
 def _is_held(
-    limits: server_limits.ServerLimits,
-    instance: str,
-    wish: servers_data.Wish,
-    now: float,
+    servers: Eligible, instance: str, wish: servers_data.Wish, now: float
 ) -> bool:
-    """Tell whether a server's limit leaves no room for a request."""
-    is_limited = limits.per_s(instance) is not None
+    """Tell whether a server has stated that it takes no more now."""
+    if backoffs.left_s(servers.backoffs, instance, now) > 0:
+        return True
+    is_limited = servers.limits.per_s(instance) is not None
     if wish.without_limit and is_limited:
         return True
-    return is_limited and limits.refused_s(instance, now) > 0
+    return is_limited and servers.limits.refused_s(instance, now) > 0
 
 
 def _is_inside(
--- a/beryllug/router/eligible_test.py
+++ b/beryllug/router/eligible_test.py
@@ -5,7 +5,12 @@
 from types import MappingProxyType
 
 from beryllug.core.peering import peering_data
-from beryllug.core.placement import permits, returning, servers_data
+from beryllug.core.placement import (
+    backoffs,
+    permits,
+    returning,
+    servers_data,
+)
 from beryllug.core.routes import match, routes_data
 from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
@@ -145,6 +150,42 @@
         self.assertIs(lack.cause, returning.Cause.LIMITED)
         self.assertEqual(lack.due_s, 0.4)
 
+    def test_backing_off(self) -> None:
+        """A server that wants nothing for some seconds is sent requests."""
+        self._list(dict.fromkeys('abcd', 0), {'c': 'v2'})
+        backoffs.back_off(self.eligible.backoffs, 'c', 3, 0)
+        of_v2 = _wish()._replace(versions=frozenset(('v2',)))
+        table: tuple[tuple[servers_data.Wish, float, str], ...] = (
+            (_wish(), 0, 'abd'),
+            (_wish()._replace(without_limit=True), 2.9, 'abd'),
+            (_wish(), 3, 'abcd'),
+            # A session does not leave its version for that.
+            (of_v2, 1, ''),
+            (of_v2, 3, 'abcd'),
+        )
+        for wish, now, names in table:
+            with self.subTest(wish=wish, now=now):
+                self.assertEqual(self._found(wish, now=now), names)
+        listed, _ = self.listed.usable(0)
+        server = next(each for each in listed if each.name == 'c')
+        for now, takes in ((2.9, False), (3, True)):
+            self.assertIs(
+                self.eligible.still_takes(server, _wish(), now), takes
+            )
+
+    def test_all_backing_off(self) -> None:
+        """Callers are not told when the first server wants requests again."""
+        for instance, seconds in zip('abcd', (3, 2, 4, 5), strict=True):
+            backoffs.back_off(self.eligible.backoffs, instance, seconds, 0)
+        for now, excluded, cause, due_s in (
+            (0, (), returning.Cause.BACKING_OFF, 2),
+            (1.5, ('b',), returning.Cause.BACKING_OFF, 0.5),
+            (2, ('b',), returning.Cause.NO_SERVER, None),
+        ):
+            with self.subTest(now):
+                lack = self.eligible.lack(_wish(excluded=excluded), now)
+                self.assertEqual((lack.cause, lack.due_s), (cause, due_s))
+
     def test_old_word(self) -> None:
         """A peer's older set of evacuated zones changes nothing."""
         for names, revision, evacuated in (
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -140,6 +140,7 @@
             ever = members.count_ever(known)
             fleet_size.count(self._pool.eligible.size, present, ever, now)
             self._forget_limits(now)
+            self._statements.forget(now)
             self._tell_statements()
             self._known.zones.settle(now)
             await self._news.follow_or_not(now)
--- a/beryllug/router/statements.py
+++ b/beryllug/router/statements.py
@@ -1,7 +1,8 @@
 """Service 'statements': what backend servers state of themselves in answers.
 
-All that the head of an answer says of its server passes here: to the limits,
-or to the list of servers. Other processes are told where it concerns them.
+All that the head of an answer says of its server passes here to who acts on it:
+the limits, the list of servers, or the choice of one. Other processes are told
+where it concerns them.
 """
 
 import random
@@ -11,9 +12,9 @@
 
 from beryllug.core.peering import peering_data
 from beryllug.core.placement import server_limits as limits_data
-from beryllug.core.placement import servers_data, statements
+from beryllug.core.placement import backoffs, servers_data, statements
 from beryllug.kernel import log_lines, metrics_data
-from beryllug.router import dispatch, refusals, server_limits, server_list
+from beryllug.router import dispatch, eligible, refusals, server_list
 
 # Instances in a message of nothing else, and in one with other things, of some
 # 30 bytes each.
@@ -33,7 +34,7 @@
         self,
         name: str,
         listed: server_list.ServerList,
-        limits: server_limits.ServerLimits,
+        servers: eligible.Eligible,
         lines: log_lines.LineWriter,
     ) -> None:
         """Bind to those who act on statements.
@@ -41,11 +42,13 @@
         Args:
             name: Name of the process.
             listed: The list of servers.
-            limits: The limits that servers state.
+            servers: Which of them take requests.
             lines: Takes log lines.
         """
         self.on_changed: Callable[[], None] = _pass_over
-        self._limits = limits
+        self._limits = servers.limits
+        self._backoffs = servers.backoffs
+        self._lines = lines
         self._refusals = refusals.Refusals('server_statement_unreadable', lines)
         self._leaving = listed.leaving
         self._changed: set[str] = set()
@@ -58,20 +61,36 @@
         """Do nothing: it holds no socket and no task."""
 
     def dump(self) -> dict[str, Any]:
-        """Return the servers that have stated that they leave."""
-        return {'leaving': self._leaving.listed(time.monotonic())}
+        """Return servers that leave, and for how long some want nothing."""
+        now = time.monotonic()
+        return {
+            'leaving': self._leaving.listed(now),
+            'backing_off_s': {
+                instance: round(until - now, 2)
+                for instance, until in self._backoffs.until.items()
+                if until > now
+            },
+        }
 
     def measure(self) -> Iterable[metrics_data.Sample]:
-        """Return how many servers have stated that they leave."""
+        """Return how many servers leave, and how many want nothing now."""
+        now = time.monotonic()
         yield metrics_data.Sample(
             'servers_leaving',
-            len(self._leaving.listed(time.monotonic())),
+            len(self._leaving.listed(now)),
             'Listed backend servers that have stated that they leave.',
         )
+        yield metrics_data.Sample(
+            'servers_backing_off',
+            sum(until > now for until in self._backoffs.until.values()),
+            'Backend servers that this process sends nothing for a while.',
+        )
 
     def heard(self, said: dispatch.AnswerHead) -> None:
         """Take what the head of an answer states of its server."""
-        found = statements.read(said.head.stated, is_sealed=said.head.is_sealed)
+        found = statements.read(
+            said.head.stated, said.head.status, is_sealed=said.head.is_sealed
+        )
         for statement in found:
             self._take(statement, said)
 
@@ -80,6 +99,11 @@
         for instance in note.leaving:
             self._leaving.heard(instance, note.name, now)
 
+    def forget(self, now: float) -> None:
+        """Forget what is over."""
+        if self._backoffs.until:
+            backoffs.forget(self._backoffs, now)
+
     def changed(self) -> tuple[str, ...]:
         """Return servers that began to leave since this was last asked."""
         told = sorted(self._changed)[:MOST_CHANGED]
@@ -104,9 +128,19 @@
                 self._limits.hear(server.instance, seen)
             case statements.Leaving():
                 self._leave(server, said.heard_at)
+            case statements.BackOff(seconds):
+                self._back_off(server, seconds, said.heard_at)
             case statements.Unreadable(what, text):
                 self._refusals.refused(f'{server.instance} {what}', text)
 
+    def _back_off(
+        self, server: servers_data.Server, seconds: float, now: float
+    ) -> None:
+        if backoffs.back_off(self._backoffs, server.instance, seconds, now):
+            self._lines.write(
+                'server_backoff', instance=server.instance, seconds=seconds
+            )
+
     def _leave(self, server: servers_data.Server, now: float) -> None:
         if self._leaving.heard(server.instance, ANSWER, now):
             self._changed.add(server.instance)
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -99,7 +99,9 @@
     sender = dispatch.Dispatcher(to_servers)
     unread = unread_names.UnreadNames(lines)
     api.on_unread = unread.take
-    stated = statements.Statements(settings.process.name, listed, limits, lines)
+    stated = statements.Statements(
+        settings.process.name, listed, open_servers, lines
+    )
     sender.listeners = (unread.heard, stated.heard)
     crashes = crash_watch.CrashWatch(lines)
     listed.on_lost = crashes.lost
--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -78,13 +78,13 @@
     Attributes:
         limit_per_s: Limit in requests a second; None for none.
         is_leaving: Whether it leaves.
-        rest_s: Seconds for which it asks callers to stay away as it refuses
+        retry_after_s: Seconds after which callers may come back, as it refuses
             their requests; None where it takes them.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
-    rest_s: float | None = None
+    retry_after_s: float | None = None
 
 
 class Arrival(NamedTuple):
@@ -162,7 +162,9 @@
         is_refused_model = bool(asked.model) and (
             asked.model == self.refused_model
         )
-        return is_full or is_refused_model or self.states.rest_s is not None
+        return (
+            is_full or is_refused_model or self.states.retry_after_s is not None
+        )
 
     async def _run(
         self,
@@ -228,9 +230,9 @@
     async def _refuse(self, status: int, answer: faults.Answer) -> None:
         self.refused += 1
         headers = {names.NOT_RUN: '1', names.INSTANCE: self.cfg.instance}
-        is_rest = status == HTTPStatus.SERVICE_UNAVAILABLE
-        if is_rest and self.states.rest_s is not None:
-            headers[names.RETRY_AFTER] = str(self.states.rest_s)
+        is_unavailable = status == HTTPStatus.SERVICE_UNAVAILABLE
+        if is_unavailable and self.states.retry_after_s is not None:
+            headers[names.RETRY_AFTER] = str(self.states.retry_after_s)
         await answer.respond(status, b'', headers | self._stated())
 
     def _headers(self, asked: requests.Asked) -> dict[str, str]:
--- a/beryllug/standins/server_rules.py
+++ b/beryllug/standins/server_rules.py
@@ -10,9 +10,9 @@
 from beryllug.standins import platform_runner
 
 # Seconds after a refusal in which requests may still be under way, and the
-# requests that a router may send to a server within the rest of its time.
+# requests that a router may send to a server before it may come back.
 UNDER_WAY_S = 0.5
-MOST_IN_REST = 2
+MOST_IN_BACKOFF = 2
 
 
 class Breach(NamedTuple):
@@ -46,25 +46,25 @@
     return breaches
 
 
-def during_rest(
+def during_backoff(
     arrivals: Sequence[platform_runner.Arrival],
 ) -> list[Breach]:
-    """Return requests beyond those that may come while a server rests.
+    """Return requests beyond those that may come before the time to come back.
 
     Args:
         arrivals: What one router sent, in its order.
     """
     breaches: dict[str, Breach] = {}
     for said in arrivals:
-        rest_s = said.answered.rest_s
-        if rest_s is None:
+        retry_after_s = said.answered.retry_after_s
+        if retry_after_s is None:
             continue
         came = [
             each
             for each in arrivals
-            if said.at + UNDER_WAY_S < each.at < said.at + rest_s
+            if said.at + UNDER_WAY_S < each.at < said.at + retry_after_s
         ]
-        for each in came[MOST_IN_REST:]:
+        for each in came[MOST_IN_BACKOFF:]:
             breach = Breach(each.attempt_id, each.at - said.at)
             breaches.setdefault(each.attempt_id, breach)
     return list(breaches.values())
