Back-offs: where no other server is left, send each one request in its time

A server that is full for a moment asks each process that it refuses for seconds, and the request goes on to its like, which ask the same: callers are then refused by a process whose servers are idle again. The bound is two requests in the time asked for.

--- a/beryllug/router/eligible.py
+++ b/beryllug/router/eligible.py
@@ -89,10 +89,13 @@
     ) -> tuple[Servers, Servers]:
         """Return the listed servers for an attempt, and the doubted ones."""
         listed, doubted = self._known.usable(now)
-        return (
+        found = (
             self._open(listed, wish, now),
             self._open(doubted, wish, now),
         )
+        if any(found) or not self.backoffs.asked:
+            return found
+        return self._probed(listed, wish, now), []
 
     def still_takes(
         self, server: servers_data.Server, wish: servers_data.Wish, now: float
@@ -106,6 +109,7 @@
     def sent(self, instance: str, now: float) -> None:
         """Count a request that is sent to a server."""
         cold.sent(self._cold, instance, now)
+        backoffs.sent(self.backoffs, instance, now)
 
     def lack(self, wish: servers_data.Wish, now: float) -> returning.Lack:
         """Return why there is no server for an attempt."""
@@ -116,7 +120,11 @@
         inside = [
             each for each in same if _is_inside(self._regions, each, wish)
         ]
-        present = {each.instance for each in inside if self._is_open(each)}
+        present = {
+            each.instance
+            for each in inside
+            if each.zone not in self._zones.evacuated
+        }
         backed_off_s = {
             instance: backoffs.left_s(self.backoffs, instance, now)
             for instance in present
@@ -175,7 +183,7 @@
         not take their place: a session would leave its version.
         """
         taking = [each for each in servers if self._takes(each, wish, now)]
-        if not self.limits.known.observed and not self.backoffs.until:
+        if not self.limits.known.observed and not self.backoffs.asked:
             return taking
         held = {
             each.instance
@@ -187,13 +195,30 @@
         fitting = choose.fitting(taking, wish)
         return [each for each in fitting if each.instance not in held]
 
+    def _probed(
+        self, servers: Servers, wish: servers_data.Wish, now: float
+    ) -> Servers:
+        """Return those that are left alone and may be sent one request.
+
+        None where an answer of a smaller model would be dropped for it.
+        """
+        if wish.without_limit:
+            return []
+        taking = [each for each in servers if self._takes(each, wish, now)]
+        return [
+            each
+            for each in choose.fitting(taking, wish)
+            if backoffs.may_probe(self.backoffs, each.instance, now)
+            and not self.limits.refused_s(each.instance, now)
+        ]
+
     def _takes(
         self, server: servers_data.Server, wish: servers_data.Wish, now: float
     ) -> bool:
         """Tell whether a server takes a request of this process now."""
         return (
             server.service == wish.service
-            and self._is_open(server)
+            and server.zone not in self._zones.evacuated
             and _is_inside(self._regions, server, wish)
             and cold.may_send(
                 self._cold,
@@ -203,9 +228,6 @@
             )
         )
 
-    def _is_open(self, server: servers_data.Server) -> bool:
-        return server.zone not in self._zones.evacuated
-
     def _listed(self, server: servers_data.Server, now: float) -> None:
         cold.becomes_cold(self._cold, server.instance, server.cold_s, now)
 
--- a/beryllug/router/statements.py
+++ b/beryllug/router/statements.py
@@ -66,9 +66,8 @@
         return {
             'leaving': self._leaving.listed(now),
             'backing_off_s': {
-                instance: round(until - now, 2)
-                for instance, until in self._backoffs.until.items()
-                if until > now
+                instance: round(left_s, 2)
+                for instance, left_s in self._backing_off_s(now).items()
             },
         }
 
@@ -82,7 +81,7 @@
         )
         yield metrics_data.Sample(
             'servers_backing_off',
-            sum(until > now for until in self._backoffs.until.values()),
+            len(self._backing_off_s(now)),
             'Backend servers that this process sends nothing for a while.',
         )
 
@@ -101,7 +100,7 @@
 
     def forget(self, now: float) -> None:
         """Forget what is over."""
-        if self._backoffs.until:
+        if self._backoffs.asked:
             backoffs.forget(self._backoffs, now)
 
     def changed(self) -> tuple[str, ...]:
@@ -141,6 +140,9 @@
                 'server_backoff', instance=server.instance, seconds=seconds
             )
 
+    def _backing_off_s(self, now: float) -> dict[str, float]:
+        return backoffs.backing_off_s(self._backoffs, now)
+
     def _leave(self, server: servers_data.Server, now: float) -> None:
         if self._leaving.heard(server.instance, ANSWER, now):
             self._changed.add(server.instance)
