--- a/beryllug/soak/checks.py
+++ b/beryllug/soak/checks.py
@@ -11,7 +11,7 @@
 
 from beryllug.platform import names
 from beryllug.soak import callers, seen, site
-from beryllug.standins import platform_site
+from beryllug.standins import platform_site, server_rules
 
 ONCE = ('/hold/', '/report/')
 PROMISES = frozenset((408, 421, 429, 503))
@@ -172,6 +172,27 @@
                 break
 
 
+def left_alone(found: seen.Seen) -> Iterator[str]:
+    """No router sends requests to a server that told it that it leaves.
+
+    Nothing but a restart or a freeze of that router is an excuse.
+    """
+    for (instance, router), came in found.arrivals.items():
+        whats = frozenset((freeze_of(router), restart_of(router)))
+        for breach in server_rules.after_leaving(came, IN_FORCE_S):
+            if not found.is_troubled(whats, breach.said_at, breach.at):
+                yield f'{breach.attempt_id} came to {instance}, which left'
+
+
+def backed_off(found: seen.Seen) -> Iterator[str]:
+    """No router sends much to a server that refused it for a while."""
+    for (instance, router), came in found.arrivals.items():
+        whats = frozenset((router, restart_of(router)))
+        for breach in server_rules.during_backoff(came):
+            if not found.is_troubled(whats, breach.said_at, breach.at):
+                yield f'{breach.attempt_id} came too soon to {instance}'
+
+
 def not_cut(found: seen.Seen) -> Iterator[str]:
     """No request breaks off but by a kill, a freeze, a server or its link.
 
@@ -242,6 +263,8 @@
     evacuated,
     cold,
     limited,
+    left_alone,
+    backed_off,
     not_cut,
     answered_in_time,
     rolled_out,
@@ -263,6 +286,11 @@
     return f'{router} restarts'
 
 
+def freeze_of(router: str) -> str:
+    """Return what names the freezes of a router among the troubles."""
+    return f'{router} freezes'
+
+
 def _is_excused(found: seen.Seen, came: seen.Came) -> bool:
     whats = frozenset((came.router, restart_of(came.router)))
     return found.is_troubled(whats, came.at - BEFORE_S, came.at)
--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -8,7 +8,11 @@
 
 from beryllug.platform import store
 from beryllug.soak import checks, plan, seen, site
-from beryllug.standins import platform_site, platform_store
+from beryllug.standins import (
+    platform_runner,
+    platform_site,
+    platform_store,
+)
 
 Kind = plan.Kind
 # Seconds that a process is gone before it starts again.
@@ -22,6 +26,9 @@
 DELAY_S = 0.08
 SLOW_S = 0.3
 SHARE = 0.4
+# What servers state: a limit, or that they want nothing for some seconds.
+LIMITED = platform_runner.Statement(limit_per_s=site.LIMIT_PER_S)
+REFUSING = platform_runner.Statement(retry_after_s=2.0)
 # A roll-out: seconds in which it is to be done, its version, and the share
 # of a bad one's answers that fail.
 ROLLOUT = 'rollout'
@@ -78,7 +85,8 @@
             case Kind.RELOAD:
                 running.signal(router.name, signal.SIGHUP)
             case Kind.FREEZE:
-                async with self._trouble(router.name):
+                freeze = checks.freeze_of(router.name)
+                async with self._trouble(router.name, freeze):
                     running.freeze(router.name)
                     await asyncio.sleep(fault.for_s)
                     running.thaw(router.name)
@@ -172,21 +180,30 @@
         try:
             match fault.kind:
                 case Kind.SERVER_LEAVES:
+                    self._made.put_entry(fault.target, instance, 'draining')
+                    self._made.seen.left_at[instance] = time.monotonic()
+                    await self._leave(fault.target, instance)
+                case Kind.SERVER_STATES_LEAVING:
                     await self._leave(fault.target, instance)
                 case Kind.SERVER_COLD:
                     await self._return_cold(fault.target, instance)
                 case Kind.SERVER_LIMITED:
-                    await self._limit(fault, instance)
+                    # Longer than it takes to be known.
+                    seconds = checks.IN_FORCE_S + checks.LIMIT_S + fault.for_s
+                    await self._state(instance, seconds, LIMITED)
+                case Kind.SERVER_BACKS_OFF:
+                    await self._state(instance, fault.for_s, REFUSING)
                 case _:
                     await self._break(fault, instance)
         finally:
             self._busy.discard(instance)
 
     async def _leave(self, number: int, instance: str) -> None:
+        """Let a server say that it leaves; its entry may still say ready."""
         made = self._made
+        runner = made.site.runners[instance]
+        runner.states = runner.states._replace(is_leaving=True)
         made.present[number] = await made.add_server(number)
-        made.site.list_runner(made.service(number), instance, 'draining')
-        made.seen.left_at[instance] = time.monotonic()
         await asyncio.sleep(checks.IN_FORCE_S + LINGER_S)
         made.site.store_party.drop(store.SERVERS, instance)
         await asyncio.sleep(LINGER_S)
@@ -194,12 +211,17 @@
         async with self._trouble(checks.SERVERS):
             made.put_faults(instance, refuse=True)
 
-    async def _limit(self, fault: plan.Fault, instance: str) -> None:
-        """Let a server name a limit, for longer than it takes to be known."""
+    async def _state(
+        self,
+        instance: str,
+        seconds: float,
+        states: platform_runner.Statement,
+    ) -> None:
+        """Let a server's answers state something of it for a while."""
         runner = self._made.site.runners[instance]
-        runner.states = runner.states._replace(limit_per_s=site.LIMIT_PER_S)
-        await asyncio.sleep(checks.IN_FORCE_S + checks.LIMIT_S + fault.for_s)
-        runner.states = runner.states._replace(limit_per_s=None)
+        runner.states = states
+        await asyncio.sleep(seconds)
+        runner.states = platform_runner.Statement()
 
     async def _return_cold(self, number: int, instance: str) -> None:
         """Let a server crash; another one is there for it at once, cold."""
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -38,6 +38,8 @@
     SERVER_FAR = 'server_far'
     SERVER_COLD = 'server_cold'
     SERVER_LIMITED = 'server_limited'
+    SERVER_STATES_LEAVING = 'server_states_leaving'
+    SERVER_BACKS_OFF = 'server_backs_off'
     TABLE = 'table'
     KEY = 'key'
     GOOD_VERSION = 'good_version'
--- a/beryllug/soak/seen.py
+++ b/beryllug/soak/seen.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from beryllug.standins import platform_runner
+
 
 class Sent(NamedTuple):
     """A request of a caller, and what came of it.
@@ -112,6 +114,7 @@
         routers: Router that took each request, by attempt id.
         limited: Requests that reached servers while they named a limit, by
             instance.
+        arrivals: Requests that reached each server, by instance and router.
     """
 
     sent: list[Sent] = field(default_factory=list)
@@ -125,6 +128,9 @@
     cold_until: dict[str, float] = field(default_factory=dict)
     routers: dict[str, str] = field(default_factory=dict)
     limited: dict[str, list[Came]] = field(default_factory=dict)
+    arrivals: dict[tuple[str, str], list[platform_runner.Arrival]] = field(
+        default_factory=dict
+    )
 
     def is_troubled(
         self, whats: frozenset[str], began_at: float, ended_at: float
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -116,6 +116,10 @@
         self.site.list_runner(service, instance, cold_ms=round(cold_s * MS))
         return instance
 
+    def put_entry(self, number: int, instance: str, state: str) -> None:
+        """Write the entry of a server in a place."""
+        self.site.list_runner(self.service(number), instance, state)
+
     def put_faults(self, instance: str, **given: object) -> None:
         """Set the fault switches of a server."""
         self.site.stand_ins[instance].put_faults(**given)
@@ -140,6 +144,10 @@
                     run.attempt_id, instance, run.at, run.account, run.headers
                 )
                 self.seen.runs.setdefault(run.attempt_id, []).append(ran)
+            for arrival in runner.arrivals:
+                router = self.seen.routers[arrival.attempt_id]
+                key = (instance, router)
+                self.seen.arrivals.setdefault(key, []).append(arrival)
             self.seen.limited[instance] = [
                 seen.Came(
                     each.at,
--- a/beryllug/standins/server_rules.py
+++ b/beryllug/standins/server_rules.py
@@ -20,11 +20,13 @@
 
     Attributes:
         attempt_id: Its id.
-        after_s: Seconds since the server had said so.
+        said_at: Monotonic second at which the server had said so.
+        at: Monotonic second at which it came.
     """
 
     attempt_id: str
-    after_s: float
+    said_at: float
+    at: float
 
 
 def after_leaving(
@@ -40,7 +42,7 @@
     breaches = []
     for each in arrivals:
         if each.at > said_at + drain_s:
-            breaches.append(Breach(each.attempt_id, each.at - said_at))
+            breaches.append(Breach(each.attempt_id, said_at, each.at))
         if each.answered.is_leaving:
             said_at = min(said_at, each.at)
     return breaches
@@ -65,6 +67,6 @@
             if said.at + UNDER_WAY_S < each.at < said.at + retry_after_s
         ]
         for each in came[MOST_IN_BACKOFF:]:
-            breach = Breach(each.attempt_id, each.at - said.at)
+            breach = Breach(each.attempt_id, said.at, each.at)
             breaches.setdefault(each.attempt_id, breach)
     return list(breaches.values())
