--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -27,8 +27,9 @@
 SLOW_S = 0.3
 SHARE = 0.4
 # What servers state: a limit, or that they want nothing for some seconds.
+BACKOFF_S = 2.0
 LIMITED = platform_runner.Statement(limit_per_s=site.LIMIT_PER_S)
-REFUSING = platform_runner.Statement(retry_after_s=2.0)
+REFUSING = platform_runner.Statement(retry_after_s=BACKOFF_S)
 # A roll-out: seconds in which it is to be done, its version, and the share
 # of a bad one's answers that fail.
 ROLLOUT = 'rollout'
