--- a/beryllug/core/peering/standing_test.py
+++ b/beryllug/core/peering/standing_test.py
@@ -121,20 +121,6 @@
         alone = members.Members('one')
         self.assertTrue(standing.must_watch(standing.Standing(), alone, 0))
 
-    def _settle(self, now: float) -> set[str]:
-        """Let the chosen few watch, and return them."""
-        for state in self.states.values():
-            for name in NAMES:
-                standing.heard(state, name, now - 1)
-        _watching(self.fleet, self.states, now)
-        for state in self.states.values():
-            state.watching.clear()
-        chosen = members.ranked(self.fleet['p0'], standing.SUBJECT)[:3]
-        for state in self.states.values():
-            for name in chosen:
-                standing.heard(state, name, now)
-        return set(chosen)
-
     def test_silent(self) -> None:
         """Those for whom the store fell silent are waited for as before."""
         _watching(self.fleet, self.states, 0)
@@ -154,6 +140,20 @@
             standing.heard(self.states['p0'], name, 1)
         self.assertEqual(standing.watching(self.states['p0'], 1), first)
 
+    def _settle(self, now: float) -> set[str]:
+        """Let the chosen few watch, and return them."""
+        for state in self.states.values():
+            for name in NAMES:
+                standing.heard(state, name, now - 1)
+        _watching(self.fleet, self.states, now)
+        for state in self.states.values():
+            state.watching.clear()
+        chosen = members.ranked(self.fleet['p0'], standing.SUBJECT)[:3]
+        for state in self.states.values():
+            for name in chosen:
+                standing.heard(state, name, now)
+        return set(chosen)
+
 
 if __name__ == '__main__':
     unittest.main()
