--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -19,7 +19,7 @@
 CONNECT_S = 2.0
 # Seconds by which a timer is late where the process stood still, and the tries
 # to connect of one that does so again and again.
-HELD_UP_S = 0.05
+HELD_UP_S = 0.01
 MOST_CONNECTS = 3
 IDLE_S = 30.0
 MAX_KEPT = 64
