--- a/beryllug/core/placement/listing.py
+++ b/beryllug/core/placement/listing.py
@@ -101,12 +101,13 @@
     That holds whatever its entry says, before or after: a server that leaves
     may not reach the store, or the store may have lost its word.
     """
-    is_listed = any(
-        server.instance == instance for server in book.servers.values()
-    )
-    is_new = instance not in book.leaving
-    book.leaving[instance] = math.inf if is_listed else now + LEAVING_S
-    return is_new
+    until = book.leaving.get(instance)
+    if until != math.inf:
+        is_listed = any(
+            server.instance == instance for server in book.servers.values()
+        )
+        book.leaving[instance] = math.inf if is_listed else now + LEAVING_S
+    return until is None
 
 
 def forget_leaving(book: Book, now: float) -> None:
