--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -26,8 +26,9 @@
 DELAY_S = 0.08
 SLOW_S = 0.3
 SHARE = 0.4
-# What servers state: a limit, or that they want nothing for some seconds.
+# Seconds for which a server that refuses wants nothing.
 BACKOFF_S = 2.0
+# What servers state for a while.
 LIMITED = platform_runner.Statement(limit_per_s=site.LIMIT_PER_S)
 REFUSING = platform_runner.Statement(retry_after_s=BACKOFF_S)
 # A roll-out: seconds in which it is to be done, its version, and the share
