--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -270,7 +270,9 @@
     ) -> _Connection:
         connect_s = min(self._connect_s, timeout_s or self._connect_s)
         loop = asyncio.get_running_loop()
-        for _ in range(MOST_CONNECTS):
+        # Where the caller's own time is over, nothing may be sent any more.
+        tries = MOST_CONNECTS if timeout_s is None else 1
+        for _ in range(tries):
             deadline = loop.time() + connect_s
             try:
                 async with asyncio.timeout_at(deadline):
--- a/beryllug/drivers/http_client_test.py
+++ b/beryllug/drivers/http_client_test.py
@@ -174,6 +174,18 @@
                 time.sleep(STALL_S)
                 self.assertEqual(await asking, b'a')
 
+    async def test_out_of_time(self) -> None:
+        """A request is sent though its caller's time ended on connecting."""
+        address = await self.serve(self._failing(FAILURES[4]))
+        asking = asyncio.create_task(
+            self.client.call(address, ASK, timeout_s=STALL_S / 2)
+        )
+        await asyncio.sleep(0)
+        time.sleep(STALL_S)
+        with self.assertRaises(http_data.NotSentError):
+            await asking
+        self.assertEqual(self.received, b'')
+
     async def test_unreachable(self) -> None:
         """A server that takes no connection is tried for longer than it may."""
         self.client = http_client.HttpClient(connect_s=STALL_S / 2)
