crashes: a server that was looked at too late counts as lost

Cause: an entry tells a crash from a cut connection by whether the server refuses a new one. Where the entry stands still for longer than the server takes to start again, the server answers, counts as living, and no suspicion is raised; the next resend goes to the next server.

A look counts from the last time when the loop ran before the break was noticed, or from the dispatch. A server that answers a look 0.3 s later or more is reported like a lost one; its requests are tried once more, alone. It is not ejected and not counted as a crash in a roll-out's evidence. Only where the server cut the connection: a caller that leaves puts nobody under suspicion.

The role router is untouched: it knows a lost server by its entry.

--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -59,12 +59,18 @@
         self._complete = False
         self._closed = False
         self._arrived = True
+        self._cut = False
 
     @property
     def is_whole(self) -> bool:
         """Tell whether the body was read to its end."""
         return self._complete
 
+    @property
+    def is_cut(self) -> bool:
+        """Tell whether the connection broke before the body's end."""
+        return self._cut
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives, joining what came in one read.
 
@@ -89,6 +95,7 @@
         try:
             return await self._next_chunk()
         except (OSError, h11.RemoteProtocolError) as exc:
+            self._cut = True
             raise http_data.BrokenError(str(exc)) from exc
 
     async def read(self) -> bytes:
--- a/beryllug/entry/attempts.py
+++ b/beryllug/entry/attempts.py
@@ -19,7 +19,14 @@
     view_data,
 )
 from beryllug.drivers import engine, http_client, http_data
-from beryllug.entry import call_data, crashes, probe, routing, trials
+from beryllug.entry import (
+    call_data,
+    crashes,
+    liveness,
+    probe,
+    routing,
+    trials,
+)
 
 SERVER_ERROR = 500
 RETRY_AFTER_S = 1.0
@@ -109,7 +116,8 @@
         if opened.incoming.is_whole:
             self._crashes.ended(call, attempt, answered=True)
         else:
-            self._crashes.watch(call, attempt, running)
+            cut = opened.incoming.is_cut
+            self._crashes.watch(call, attempt, running, cut=cut)
 
     async def _try(
         self,
@@ -183,11 +191,13 @@
                 return Opened(incoming, attempt, time.monotonic())
             await _drop(incoming)
             failure = outcome
-        crashed = await self._note_failure(call, attempt, failure)
+        found = await self._note_failure(call, attempt, failure)
         if retry.ran_for_sure_not(failure):
             order.probe.drop()
         else:
-            order.probe.end(evidence_book.Answer(failed=True, crashed=crashed))
+            gone = found is liveness.Found.GONE
+            order.probe.end(evidence_book.Answer(failed=True, crashed=gone))
+        crashed = found is not liveness.Found.LIVES
         return _Failed(failure, attempt.server.server_id, crashed)
 
     async def _note_failure(
@@ -195,8 +205,8 @@
         call: call_data.Call,
         attempt: routing.Attempt,
         failure: retry.Failure,
-    ) -> bool:
-        """Tell what is to be learnt; returns whether the server was lost."""
+    ) -> liveness.Found:
+        """Tell what is to be learnt; returns what became of the server."""
         now = time.monotonic()
         if failure is not retry.Failure.DECLINED:
             self._routing.failed(attempt, now)
@@ -204,16 +214,16 @@
         self._routing.end(call, attempt, now)
         match failure:
             case retry.Failure.BROKEN:
-                gone = await self._crashes.suspect(call, attempt, running)
-                if gone:
+                found = await self._crashes.suspect(call, attempt, running)
+                if found is liveness.Found.GONE:
                     self._routing.failed(attempt, now, gone=True)
-                return gone
+                return found
             case retry.Failure.TIMED_OUT:
                 # A host that lost its power says nothing at all.
                 self._crashes.watch(call, attempt, running)
             case _:
                 self._crashes.ended(call, attempt, answered=False)
-        return False
+        return liveness.Found.LIVES
 
     async def _wait_or_refuse(
         self,
--- a/beryllug/entry/crashes.py
+++ b/beryllug/entry/crashes.py
@@ -10,7 +10,7 @@
 import os
 import time
 from collections.abc import Coroutine, Sequence
-from typing import Any
+from typing import Any, Protocol
 
 from absl import logging
 
@@ -29,9 +29,18 @@
 # one for its peers.
 REPORT_S = 2.0
 ID_BYTES = 8
+# Seconds that a server takes at least to start again after a crash.
+RESTART_S = 0.3
 RETRY_AFTER_S = 1.0
 
 
+class Ticks(Protocol):
+    """What the service needs of the clock of this process."""
+
+    def ran_before(self, noticed: float) -> float:
+        """Return the last time when an event had not yet happened."""
+
+
 class Crashes:
     """Service 'crashes' of an entry process.
 
@@ -45,15 +54,17 @@
         calls: control_calls.ControlCalls,
         link: control_link.ControlLink,
         client: http_client.HttpClient,
+        ticks: Ticks,
     ) -> None:
-        """Bind the link to control and the client for probes."""
+        """Bind the link to control, the client for probes and the clock."""
         self.known = suspicions.Suspicions(link)
         self._entry = entry
         self._calls = calls
         self._client = client
-        self._counts = {'reported': 0, 'trials': 0}
+        self._ticks = ticks
+        self._counts = {'reported': 0, 'unknown': 0, 'trials': 0}
         self._watched: set[str] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
         """Do nothing: it works when it is called."""
@@ -114,18 +125,14 @@
         call: call_data.Call,
         attempt: routing.Attempt,
         fingerprints: Sequence[str],
-    ) -> bool:
-        """Report a crash if the server of a broken attempt is gone.
+    ) -> liveness.Found:
+        """Report a crash if the server of an attempt that it cut is gone.
 
-        Returns:
-            Whether it is gone.
+        One that this process looked for too late may have crashed and
+        started again: it is reported, too, or a request that crashes servers
+        would go on to the next one.
         """
-        gone = await liveness.is_gone(self._client, attempt.server.address)
-        if gone:
-            await self._report(call, attempt, fingerprints)
-        else:
-            self.ended(call, attempt, answered=False)
-        return gone
+        return await self._inspect(call, attempt, fingerprints, cut=True)
 
     def ended(
         self, call: call_data.Call, attempt: routing.Attempt, *, answered: bool
@@ -159,28 +166,63 @@
         call: call_data.Call,
         attempt: routing.Attempt,
         fingerprints: Sequence[str],
+        *,
+        cut: bool = False,
     ) -> None:
         """Look after an answer that broke off whether its server lives.
 
         One look at a time for a server: callers that go away cut answers
         off too, and each would else cost the server a connection.
+
+        Args:
+            call: The call.
+            attempt: The attempt that did not end well.
+            fingerprints: Of the requests of this process on its server.
+            cut: The server's side closed the connection.
         """
         server_id = attempt.server.server_id
         if server_id in self._watched and not attempt.trial_id:
             return
         self._watched.add(server_id)
-        self._spawn(self._watch(call, attempt, tuple(fingerprints)))
+        looking = self._inspect(call, attempt, tuple(fingerprints), cut=cut)
+        self._spawn(looking).add_done_callback(
+            lambda _: self._watched.discard(server_id)
+        )
 
-    async def _watch(
+    async def _inspect(
         self,
         call: call_data.Call,
         attempt: routing.Attempt,
         fingerprints: Sequence[str],
-    ) -> None:
-        try:
-            await self.suspect(call, attempt, fingerprints)
-        finally:
-            self._watched.discard(attempt.server.server_id)
+        *,
+        cut: bool,
+    ) -> liveness.Found:
+        found = await self._look(attempt, cut=cut)
+        if found is liveness.Found.LIVES:
+            self.ended(call, attempt, answered=False)
+        else:
+            await self._report(call, attempt, fingerprints)
+        return found
+
+    async def _look(
+        self, attempt: routing.Attempt, *, cut: bool
+    ) -> liveness.Found:
+        since = _ran_after(self._ticks, attempt.started)
+        look = await liveness.look(self._client, attempt.server.address)
+        if look.gone:
+            return liveness.Found.GONE
+        # The process may have stood still before the look, and within it.
+        held_s = time.monotonic() - _ran_after(self._ticks, look.at)
+        unseen_s = look.at - since + held_s
+        if not cut or unseen_s < RESTART_S:
+            return liveness.Found.LIVES
+        self._counts['unknown'] += 1
+        logging.warning(
+            'event=server_seen_late server=%s unseen_s=%.3f',
+            attempt.server.server_id,
+            unseen_s,
+        )
+        return liveness.Found.UNKNOWN
 
     async def _report(
         self,
@@ -210,12 +252,18 @@
         except rpc.RpcError as exc:
             logging.warning('event=trial_end_not_told error=%s', exc)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def new_trial() -> str:
     """Return the id of a trial."""
     return os.urandom(ID_BYTES).hex()
+
+
+def _ran_after(ticks: Ticks, earliest: float) -> float:
+    """Return when this process last ran before now, not before a second."""
+    return max(earliest, ticks.ran_before(time.monotonic()))
--- /dev/null
+++ b/beryllug/entry/crashes_test.py
@@ -0,0 +1,137 @@
+"""What is taken for the loss of a server whose connection broke."""
+
+import asyncio
+import time
+import unittest
+from typing import Any, NamedTuple, cast
+
+from beryllug.core import rpc_data, view_data
+from beryllug.drivers import http_data
+from beryllug.entry import (
+    control_link,
+    crashes,
+    delivery_test,
+    liveness,
+    routing,
+)
+
+SERVER = view_data.BackendServer(
+    's0', '127.0.0.1:9', 'zone-1', 'booking', view_data.ServerState.LIVE
+)
+Found = liveness.Found
+
+
+class _Calls:
+    """A control process that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[Any] = []
+
+    async def call(self, method: Any, message: Any, timeout_s: float) -> Any:
+        self.told.append(message)
+
+
+class _Process:
+    """Reaches a server that answers or refuses, and stands still at times."""
+
+    def __init__(self, case: 'Case') -> None:
+        self._case = case
+        self._ago_s = case.ago_s
+
+    async def call(self, address: str, outgoing: http_data.Outgoing) -> None:
+        await asyncio.sleep(self._case.answers_s)
+        self._ago_s = self._case.within_s
+        if self._case.refuses:
+            raise http_data.NotSentError('refused')
+
+    def ran_before(self, noticed: float) -> float:
+        return noticed - self._ago_s
+
+
+class Case(NamedTuple):
+    """A connection that broke.
+
+    Attributes:
+        title: Its name.
+        found: What is to be concluded.
+        ago_s: Seconds since the process last ran before it noticed.
+        sent_s: Seconds since the request was sent.
+        refuses: The server refuses connections.
+        within_s: Seconds since the process last ran before the look ended.
+        answers_s: Seconds until the server answers.
+    """
+
+    title: str
+    found: Found
+    ago_s: float = 0.1
+    sent_s: float = 5.0
+    refuses: bool = False
+    within_s: float = 0.05
+    answers_s: float = 0.0
+
+
+CASES = (
+    Case('seen at once, it answers', Found.LIVES),
+    Case('seen at once, it refuses', Found.GONE, refuses=True),
+    Case('seen late, it answers', Found.UNKNOWN, ago_s=0.8),
+    Case('seen late, it refuses', Found.GONE, ago_s=0.8, refuses=True),
+    Case('stalled in the look', Found.UNKNOWN, within_s=0.4, answers_s=0.4),
+    Case('the server answers late', Found.LIVES, answers_s=0.4),
+    Case('sent after the stall', Found.LIVES, ago_s=0.8, sent_s=0.1),
+)
+
+
+class CrashesTest(unittest.IsolatedAsyncioTestCase):
+    """An entry process between a server and a control process."""
+
+    async def test_cut(self) -> None:
+        """A server that restarted before it was looked at counts as lost."""
+        for case in CASES:
+            with self.subTest(case.title):
+                calls = _Calls()
+                reports = _reports(calls, case)
+                call, attempt = _attempt(case)
+                found = await reports.suspect(call, attempt, ('a:bad',))
+                self.assertEqual(found, case.found)
+                self.assertEqual(
+                    _lost(calls), [] if found is Found.LIVES else ['s0']
+                )
+
+    async def test_streams(self) -> None:
+        """A caller that leaves a stream puts nobody under suspicion."""
+        for title, cut in (('the server cut it', True), ('left', False)):
+            for case in CASES:
+                with self.subTest(title, case=case.title):
+                    calls = _Calls()
+                    reports = _reports(calls, case)
+                    call, attempt = _attempt(case)
+                    reports.watch(call, attempt, ('a:bad',), cut=cut)
+                    await reports.stop(0)
+                    known = case.refuses or cut
+                    lost = known and case.found is not Found.LIVES
+                    self.assertEqual(_lost(calls), ['s0'] if lost else [])
+
+
+def _reports(calls: _Calls, case: Case) -> crashes.Crashes:
+    ask = rpc_data.ViewAsk('e', 'zone-1')
+    link = control_link.ControlLink(ask, cast('Any', None), cast('Any', calls))
+    process = cast('Any', _Process(case))
+    return crashes.Crashes('e', cast('Any', calls), link, process, process)
+
+
+def _attempt(case: Case) -> tuple[Any, routing.Attempt]:
+    call = delivery_test.make_call('bad', repeatable=False, within_s=1.0)
+    sent_at = time.monotonic() - case.sent_s
+    return call, routing.Attempt(SERVER, 'booking', None, sent_at, 0.0)
+
+
+def _lost(calls: _Calls) -> list[str]:
+    return [
+        told.server_id
+        for told in calls.told
+        if isinstance(told, rpc_data.CrashReport)
+    ]
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/entry/liveness.py
+++ b/beryllug/entry/liveness.py
@@ -1,6 +1,9 @@
 """Find out whether a backend server whose connection broke is gone."""
 
 import asyncio
+import enum
+import time
+from typing import NamedTuple
 
 from beryllug.drivers import http_client, http_data
 
@@ -12,23 +15,45 @@
 PROBE = http_data.Outgoing('GET', '/v1/load', {}, fresh=True)
 
 
-async def is_gone(client: http_client.HttpClient, address: str) -> bool:
-    """Tell whether a server refuses connections.
+class Found(enum.Enum):
+    """What is known of a server whose connection broke."""
+
+    LIVES = 'lives'
+    GONE = 'gone'
+    # It answers, but may have been lost and started again.
+    UNKNOWN = 'unknown'
+
+
+class Look(NamedTuple):
+    """What a look at a server showed.
+
+    Attributes:
+        gone: It refuses connections.
+        at: Monotonic second of the probe that showed it.
+    """
+
+    gone: bool
+    at: float
+
+
+async def look(client: http_client.HttpClient, address: str) -> Look:
+    """Look whether a server refuses connections.
 
     One that accepts and says nothing is frozen and not lost. One that was
-    restarted before it is asked is taken to have lived.
+    restarted before it is asked cannot be told from one that lived.
     """
     for _ in range(PROBES):
+        at = time.monotonic()
         try:
             async with asyncio.timeout(PROBE_S):
                 await client.call(address, PROBE)
         except http_data.NotSentError:
-            return True
+            return Look(gone=True, at=at)
         except http_data.BrokenError:
             # Cut as the server goes down, before its port is closed.
             await asyncio.sleep(PROBE_GAP_S)
         except TimeoutError:
-            return False
+            break
         else:
-            return False
-    return False
+            break
+    return Look(gone=False, at=at)
--- a/beryllug/entry/trials_test.py
+++ b/beryllug/entry/trials_test.py
@@ -20,6 +20,7 @@
     routing,
     trials,
 )
+from beryllug.kernel import ticks
 
 POOL = 'booking'
 PICK = balance_data.Pick(POOL)
@@ -51,7 +52,9 @@
         calls = cast('Any', self.calls)
         self.link = control_link.ControlLink(ask, cast('Any', None), calls)
         self.routing = routing.Routing('e', ZONE, self.link)
-        self.crashes = crashes.Crashes('e', calls, self.link, calls)
+        self.crashes = crashes.Crashes(
+            'e', calls, self.link, calls, ticks.Ticks()
+        )
         self.trials = trials.Trials(self.routing, self.crashes)
 
     async def test_ordinary(self) -> None:
--- a/beryllug/proofs/mutations.py
+++ b/beryllug/proofs/mutations.py
@@ -214,6 +214,12 @@
         ),
         'proofs.suspects_test',
     ),
+    Mutation(
+        'crash: a server that is looked at late counts as living',
+        'entry/crashes.py',
+        (('if not cut or unseen_s < RESTART_S:', 'if True:'),),
+        'proofs.suspects_test',
+    ),
     Mutation(
         'crash: retries of its victims draw on the budget',
         'core/retry.py',
--- a/beryllug/proofs/suspects_test.py
+++ b/beryllug/proofs/suspects_test.py
@@ -36,6 +36,10 @@
 INNOCENT_TOKENS = 40
 TOKEN_S = 0.01
 MORE_SERVERS = 3
+# Seconds for which a process stands still, longer than a restart takes.
+STALL_S = 0.8
+POLL_S = 0.001
+ASKED = (fleet_settings.entry_name(0), fleet_settings.entry_name(1))
 
 Step = Callable[[scenario.Running], Awaitable[None]]
 
@@ -137,15 +141,30 @@
         It may have run, so its caller is told "unknown" and it is not tried
         again under its key. Under new keys it is tried once, then refused.
         """
-        fleet = harness.Fleet(sample.plan())
+        await self._send_holds(harness.Fleet(sample.plan()), {})
+
+    async def test_hold_seen_late(self) -> None:
+        """An entry that stands still while a server restarts suspects it."""
+        for title, still in (
+            ('at the first loss', {1: ASKED[0]}),
+            ('at the loss of the trial', {2: ASKED[1]}),
+            ('at both', {1: ASKED[0], 2: ASKED[1]}),
+        ):
+            with self.subTest(title):
+                await self._send_holds(harness.Fleet(sample.plan()), still)
+
+    async def _send_holds(
+        self, fleet: harness.Fleet, still: dict[int, str]
+    ) -> None:
         who = caller.Caller(sample.LARGE_KEY)
+        stopping = asyncio.create_task(_stop_at_crashes(fleet, still))
         try:
-            await self._send_holds(who, fleet)
+            await self._check_holds(who, fleet)
         finally:
-            await who.close()
-            await fleet.stop()
+            stopping.cancel()
+            await asyncio.gather(who.close(), fleet.stop())
 
-    async def _send_holds(
+    async def _check_holds(
         self, who: caller.Caller, fleet: harness.Fleet
     ) -> None:
         await fleet.start()
@@ -308,6 +327,16 @@
     )
 
 
+async def _stop_at_crashes(fleet: harness.Fleet, still: dict[int, str]) -> None:
+    """Let an entry process stand still at the crashes of these numbers."""
+    for crash, name in sorted(still.items()):
+        while _lost(fleet) < crash:
+            await asyncio.sleep(POLL_S)
+        fleet.processes.freeze(name)
+        await asyncio.sleep(STALL_S)
+        fleet.processes.thaw(name)
+
+
 def _lost(fleet: harness.Fleet) -> int:
     return sum(made.crashes for made in fleet.servers.values())
 
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -58,7 +58,7 @@
     routing,
     sessions,
 )
-from beryllug.kernel import ops, registry
+from beryllug.kernel import ops, registry, ticks
 
 PLATFORM_S = 2.0
 ENGINE_S = 2.0
@@ -106,7 +106,8 @@
     link = control_link.ControlLink(ask, cfg, calls)
     rows = outbox.Outbox(calls)
     routes = routing.Routing(name, settings.process.zone, link)
-    crash_reports = crashes.Crashes(name, calls, link, client)
+    ticking = ticks.Ticks()
+    crash_reports = crashes.Crashes(name, calls, link, client, ticking)
     rater = rating.HttpRater(client, cfg.rating) if cfg.rating else None
     rated = ratings.Ratings(rater)
     wired = parts.Parts(
@@ -140,6 +141,7 @@
         {},
     )
     services.register('operators', operators_api)
+    services.register('ticks', ticking)
     services.register('control_link', link)
     services.register('outbox', rows)
     services.register('answers', wired.answers)
