Held servers: a later list of the same era ends nothing that is held

What callers saw: nothing yet; found on reading. For ten seconds after the store returned from a copy, a server that was known to leave or to be gone is held against the copy's entry. A second whole list within that time (a peer's list after a lost note, a list after a 410) put the same entry in force again: requests went to a server that leaves.

Cause: entries were held only as the first list of an era was taken; a later one of the same era compared with the list alone, where a held entry is missing or differs.

Evidence: store_returns_test.test_listed_again red before (the second list made 'leaves' and 'goes' usable), green now.

Change: every whole list passes by what is held. An entry that equals the one that is held stays held; one that differs was written since and counts; one that is missing there is held no more. HeldServers is bound to the book.

Ruled out: a held list by revision (the copy's entries come again under each later revision of the era).

--- a/beryllug/router/held_servers.py
+++ b/beryllug/router/held_servers.py
@@ -17,28 +17,38 @@
         entries: The entries by name.
     """
 
-    def __init__(self, lines: log_lines.LineWriter) -> None:
-        """Begin without any."""
+    def __init__(self, book: listing.Book, lines: log_lines.LineWriter) -> None:
+        """Bind to the list; none are held."""
         self.entries: dict[str, servers_data.Server] = {}
         self._until = 0.0
+        self._book = book
         self._lines = lines
 
-    def hold(
-        self,
-        book: listing.Book,
-        servers: Iterable[servers_data.Server],
-        now: float,
-    ) -> list[servers_data.Server]:
-        """Hold entries of a new era, and return the others."""
+    def hold(self, servers: Iterable[servers_data.Server], now: float) -> None:
+        """Hold entries of a list that is the first of a new era."""
         self._until = now + stamps.HELD_S
-        listed = list(servers)
+        self._put(
+            server
+            for server in servers
+            if listing.is_contradicted(self._book, server)
+        )
+
+    def believed(
+        self, servers: Iterable[servers_data.Server]
+    ) -> list[servers_data.Server]:
+        """Return the entries of a whole list that are not held.
+
+        One that differs from the entry that is held was written since.
+        """
+        listed = {server.name: server for server in servers}
         self.entries = {
-            server.name: server
-            for server in listed
-            if listing.is_contradicted(book, server)
+            name: held
+            for name, held in self.entries.items()
+            if listed.get(name) == held
         }
-        self._lines.write('servers_held', held=sorted(self.entries))
-        return [each for each in listed if each.name not in self.entries]
+        return [
+            each for each in listed.values() if each.name not in self.entries
+        ]
 
     def changed(self, name: str) -> None:
         """Take that a server has written its entry again."""
@@ -51,3 +61,7 @@
         released = list(self.entries.values())
         self.entries.clear()
         return released
+
+    def _put(self, held: Iterable[servers_data.Server]) -> None:
+        self.entries = {server.name: server for server in held}
+        self._lines.write('servers_held', held=sorted(self.entries))
--- a/beryllug/router/server_list.py
+++ b/beryllug/router/server_list.py
@@ -39,6 +39,7 @@
         is_cut_off: Whether the store did not answer the last call.
         specs: The sound entries by name, for peers.
         revision: Stamp of the store that the list is of.
+        held: Entries of an older copy that are not believed yet.
         leaving: Those that state in their answers that they leave.
         on_known: Told when there is a list.
         on_lost: Told of each server that is gone without having said so.
@@ -58,8 +59,8 @@
         self.is_cut_off = False
         self.specs: dict[str, Any] = {}
         self.revision = 0
-        self._held = held_servers.HeldServers(lines)
         self._book = listing.Book(doubt_s)
+        self.held = held_servers.HeldServers(self._book, lines)
         self.leaving = leaving_servers.LeavingServers(self._book, lines)
         self._lines = lines
         self._listeners: list[Callable[[Delta], None]] = []
@@ -77,7 +78,7 @@
         self, now: float
     ) -> tuple[list[servers_data.Server], list[servers_data.Server]]:
         """Return the listed servers that take work, and the doubted ones."""
-        for server in self._held.release(now):
+        for server in self.held.release(now):
             self._put(server, 'held', now)
         return listing.usable(self._book, now)
 
@@ -89,7 +90,7 @@
         """Return the listed and the doubted servers."""
         return {
             'revision': stamps.shown(self.revision),
-            'held': sorted(self._held.entries),
+            'held': sorted(self.held.entries),
             'is_cut_off': self.is_cut_off,
             'listed': sorted(self._book.servers),
             'doubted': sorted(self._book.doubted),
@@ -168,7 +169,7 @@
 
     def _apply(self, delta: Delta, source: str, now: float) -> None:
         for name, spec in delta.entries:
-            self._held.changed(name)
+            self.held.changed(name)
             server = None if spec is None else self._read(name, spec)
             if server is not None:
                 self._put(server, source, now)
@@ -223,7 +224,8 @@
         listed = {server.name for server in servers}
         if stamps.is_return(revision, self.revision):
             listing.store_returned(self._book, now)
-            servers = self._held.hold(self._book, servers, now)
+            self.held.hold(servers, now)
+        servers = self.held.believed(servers)
         gone = [name for name in self._book.servers if name not in listed]
         for name in gone:
             self._drop(name, source, now)
@@ -231,7 +233,7 @@
             if self._book.servers.get(server.name) != server:
                 self._put(server, source, now)
         # Peers are handed what the store says, and hold what they know.
-        for held in self._held.entries.values():
+        for held in self.held.entries.values():
             self.specs[held.name] = documents.server_spec(held)
         self.revision = revision
         self.is_known = True
--- a/beryllug/router/store_returns_test.py
+++ b/beryllug/router/store_returns_test.py
@@ -34,16 +34,16 @@
     }
 
 
-def _stored(name: str, state: str, stamped: int) -> store_data.Stored:
+def stored(name: str, state: str, stamped: int) -> store_data.Stored:
     return store_data.Stored(name, stamped, _entry(name, state), None, False)
 
 
 def _list(states: dict[str, str], stamped: int) -> store_data.Listing:
-    found = (_stored(name, state, stamped) for name, state in states.items())
+    found = (stored(name, state, stamped) for name, state in states.items())
     return store_data.Listing(tuple(found), stamped)
 
 
-def _order(target: str) -> dict[str, Any]:
+def order_of(target: str) -> dict[str, Any]:
     return {'service': 'pool', 'target': target, 'duration_s': 12}
 
 
@@ -67,11 +67,9 @@
         self.servers.listed(_list(states, OLD - 2), NOW - 20)
         changes = store_data.Changes(
             (
-                store_data.Change(
-                    _stored('leaves', 'draining', OLD - 1), False
-                ),
-                store_data.Change(_stored('goes', 'ready', OLD), True),
-                store_data.Change(_stored('new', 'ready', OLD), False),
+                store_data.Change(stored('leaves', 'draining', OLD - 1), False),
+                store_data.Change(stored('goes', 'ready', OLD), True),
+                store_data.Change(stored('new', 'ready', OLD), False),
             ),
             OLD,
         )
@@ -93,7 +91,7 @@
                 self.setUp()
                 self.servers.listed(self.copy, NOW)
                 change = store_data.Change(
-                    _stored('leaves', state, NEW + 1), False
+                    stored('leaves', state, NEW + 1), False
                 )
                 self.servers.changed(
                     store_data.Changes((change,), NEW + 1), NOW
@@ -105,7 +103,7 @@
         """Words of before the return come late, and count."""
         self.servers.listed(self.copy, NOW)
         before = self.servers.revision
-        late = _stored('stays', 'draining', OLD + 5)
+        late = stored('stays', 'draining', OLD + 5)
         self.servers.listed(_list({}, OLD + 5), NOW)
         change = store_data.Change(late, is_gone=False)
         self.servers.changed(store_data.Changes((change,), OLD + 5), NOW)
@@ -128,6 +126,18 @@
         )
         self.assertEqual(self._usable(NOW), ({'stays'}, {'new'}))
 
+    def test_listed_again(self) -> None:
+        """A second list of the copy, or of a peer, ends what is held."""
+        specs = {each.name: each.spec for each in self.copy.found}
+        self.servers.listed(self.copy, NOW)
+        for number in (1, 2):
+            self.servers.take_specs(specs, NEW + number, 'peer', NOW)
+            self.assertEqual(self._usable(NOW)[0], {'stays'})
+        specs['goes'] = _entry('goes', 'ready') | {'slots': 5}
+        self.servers.take_specs(specs, NEW + 3, 'peer', NOW)
+        self.assertEqual(self._usable(NOW)[0], {'stays', 'goes'})
+        self.assertEqual(self._usable(LATER)[0], {'stays', 'goes', 'leaves'})
+
     def test_hands_on(self) -> None:
         """A peer is told of a server's leaving for ever: it was held here."""
         self.servers.listed(self.copy, NOW)
@@ -189,17 +199,17 @@
     def setUp(self) -> None:
         self.orders = order_list.OrderList(_Silent())
         for number, target in enumerate(('v2', 'v3')):
-            self._list(_order(target), OLD + number)
+            self._list(order_of(target), OLD + number)
 
     def test_copy(self) -> None:
         """An order that was replaced is taken from the copy."""
         table: tuple[tuple[Any, str], ...] = (
-            (_order('v2'), 'v3'),
-            (_order('v3'), 'v3'),
-            (_order('v4'), 'v4'),
+            (order_of('v2'), 'v3'),
+            (order_of('v3'), 'v3'),
+            (order_of('v4'), 'v4'),
             ([], 'v3'),
             ('v2', 'v3'),
-            (_order('v2') | {'target': []}, 'v3'),
+            (order_of('v2') | {'target': []}, 'v3'),
         )
         for spec, target in table:
             with self.subTest(spec):
@@ -209,14 +219,14 @@
 
     def test_other_time(self) -> None:
         """An order whose time was changed counts as replaced by itself."""
-        self._list(_order('v3') | {'duration_s': 9}, OLD + 2)
-        self._list(_order('v3'), NEW)
+        self._list(order_of('v3') | {'duration_s': 9}, OLD + 2)
+        self._list(order_of('v3'), NEW)
         self.assertGreater(self.orders.revision(), OLD + 2)
 
     def test_ordered_again(self) -> None:
         """A version that is ordered once more counts as replaced."""
-        self._list(_order('v2'), OLD + 2)
-        self._list(_order('v2'), NEW)
+        self._list(order_of('v2'), OLD + 2)
+        self._list(order_of('v2'), NEW)
         self.assertGreater(self.orders.revision(), OLD + 2)
 
     def _list(self, spec: Any, stamped: int) -> None:
