Peers: a process that starts after a return of the store is told what holds

What callers saw: for up to ten seconds a process that started after the store had returned from a copy sent requests to servers that leave or are gone, and to an evacuated zone, and tried an order again that had been replaced. All older processes hold these against the copy.

Cause: for a new process the copy's list is its first one, so it sees no return; peers hand on what the store says.

Change: the answer to a comparison carries what is held (incarnations, zones, orders with the versions that they replaced) and for how long still; nothing where nothing is held. It comes with the first calls of a start, and with each later one in these ten seconds.

Another way: handing on the held lists instead of the store's. A held entry could then not be told from one that was written again, and a process that has listed the copy itself would ask nobody for an older list.

Cost: no byte in calm but an empty tuple a digest (some 5 bytes); in the ten seconds some 20 bytes a held server a call, two calls a second a process. Worked out, not measured.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -4,7 +4,7 @@
 with a default.
 """
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from beryllug.core.canary import canary_data, sessions
 from beryllug.core.placement import crashers, load_sums
@@ -236,6 +236,41 @@
     has_lost_store: bool = False
 
 
+class HeldOrder(NamedTuple):
+    """A roll-out order that the store replaced by an older one of a copy.
+
+    Attributes:
+        revision: Stamp of the order.
+        spec: The order as it was stored.
+        status: Its status, likewise.
+        replaced: Versions that were ordered before it.
+    """
+
+    revision: int
+    spec: Any
+    status: Any
+    replaced: tuple[str, ...]
+
+
+class Held(NamedTuple):
+    """What holds against the word of a store that returned from a copy.
+
+    Attributes:
+        left_s: Seconds for which it still holds.
+        instances: Servers that were known to leave, or to be gone.
+        zones: Evacuated availability zones that the store does not name.
+        orders: Roll-out orders by name, as JSON.
+    """
+
+    left_s: float = 0
+    instances: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    orders: bytes = b''
+
+
+NOTHING_HELD = Held()
+
+
 class Digest(NamedTuple):
     """What a process tells when it calls a peer, and what it is answered.
 
@@ -257,6 +292,7 @@
         zone: Availability zone of the sender.
         followers: Who follows the store, as the sender has heard; in an answer.
         evacuated: The evacuated availability zones.
+        held: What holds against the store's word; in an answer.
     """
 
     name: str
@@ -273,3 +309,4 @@
     zone: str = ''
     followers: tuple[Follower, ...] = ()
     evacuated: tuple[str, ...] = ()
+    held: Held = NOTHING_HELD
--- a/beryllug/core/placement/listing.py
+++ b/beryllug/core/placement/listing.py
@@ -189,6 +189,11 @@
     return server
 
 
+def withhold(book: Book, name: str) -> servers_data.Server | None:
+    """Take an entry out of the list, without a doubt of its server."""
+    return book.servers.pop(name, None)
+
+
 def takes_none(book: Book, server: servers_data.Server) -> bool:
     """Tell whether a server takes no new work: by its entry, or its answers."""
     is_leaving = server.state is servers_data.State.LEAVING
--- a/beryllug/proofs/platform/returns_test.py
+++ b/beryllug/proofs/platform/returns_test.py
@@ -150,6 +150,27 @@
         for phase in self._phases():
             self.assertIs(phase, canary_data.Phase.ROLLED_BACK)
 
+    async def test_started_after(self) -> None:
+        """A process that starts after a return believes the older copy."""
+        self.party.put(store.ROLLOUTS, platform_site.POOL, dict(ORDER))
+        await self._until(self._is_current)
+        copy = self.party.copy()
+        self.party.put(store.EVACUATIONS, FAR, {})
+        self.site.list_runner(platform_site.DESK, 'd1', 'draining')
+        self.party.drop(store.SERVERS, 'p1')
+        later = dict(ORDER) | {'target': 'v3'}
+        self.party.put(store.ROLLOUTS, platform_site.POOL, later)
+        await self._until(self._is_current)
+        await self._return(copy)
+        late = await self.site.add_router()
+        await self.site.until_ready(late)
+        known = _directory(late)
+        await asyncio.sleep(CURRENT_S)
+        self.assertEqual(known.zones.evacuated, {FAR})
+        self.assertTrue(self._usable(known).isdisjoint({'d1', 'p1'}))
+        order = known.orders.orders[platform_site.POOL]
+        self.assertEqual(order.spec['target'], 'v3')
+
     async def test_twice(self) -> None:
         """Two returns one right after the other leave the routers apart."""
         copy = self.party.copy()
--- /dev/null
+++ b/beryllug/router/held_knowledge_test.py
@@ -0,0 +1,175 @@
+"""What a process that starts after a return of the store learns of before."""
+
+import types
+import unittest
+from collections.abc import Mapping
+from typing import Any
+
+from beryllug.core import stamps
+from beryllug.core.peering import peering_data
+from beryllug.drivers import store_data, store_era
+from beryllug.kernel import log_lines
+from beryllug.router import (
+    directory,
+    knowledge,
+    order_list,
+    server_list,
+    store_returns_test,
+    zone_list,
+)
+
+ZONE = 'b'
+OLD = stamps.stamp(1, 50)
+NEW = stamps.stamp(2, 20)
+NOW = 100.0
+# Seconds between the return and the start of the other process.
+STARTED_S = 6.0
+ENDS = NOW + stamps.HELD_S
+DIGEST = peering_data.Digest('one', '127.0.0.1:1', '127.0.0.1:2')
+COPY = types.MappingProxyType(
+    {'stays': 'ready', 'leaves': 'ready', 'goes': 'ready'}
+)
+
+
+class _Quiet(log_lines.LineWriter):
+    """Writes nothing."""
+
+    def __init__(self) -> None:
+        """Open nothing."""
+
+    def write(self, event: str, **fields: object) -> None:
+        """Pass a line over."""
+
+
+class HeldTest(unittest.TestCase):
+    """One process that saw the return, and one that starts after it."""
+
+    def setUp(self) -> None:
+        """Let the first one know what the copy lacks."""
+        self.one = _known()
+        self.one.servers.listed(_servers(COPY, OLD - 3), 0)
+        changes = (_left('leaves', 'draining', OLD - 1), _gone('goes', OLD))
+        self.one.servers.changed(store_data.Changes(changes, OLD), 0)
+        self.one.zones.take((ZONE,), OLD, 'store', 0)
+        for number, target in enumerate(('v2', 'v3')):
+            self.one.orders.listed(_orders(target, OLD + number), 0)
+        _list_copy(self.one, NOW)
+        self.other = _known()
+
+    def test_told(self) -> None:
+        """Who starts late takes the copy for what holds, or for too long."""
+        start = NOW + STARTED_S
+        for title, before in (
+            ('nothing is known yet', False),
+            ('the store was listed', True),
+        ):
+            with self.subTest(title):
+                self.other = _known()
+                if before:
+                    _list_copy(self.other, start)
+                self._tell(start)
+                self._assert_held(start)
+                _list_copy(self.other, start)
+                self._assert_held(start)
+                self._tell(ENDS + 0.1)
+                self._assert_copy(ENDS + 0.1)
+
+    def test_written_again(self) -> None:
+        """A peer that is behind undoes what was written since the return."""
+        start = NOW + STARTED_S
+        _list_copy(self.other, start)
+        changes = (_left('leaves', 'ready', NEW + 1),)
+        self.other.servers.changed(store_data.Changes(changes, NEW + 1), start)
+        self.other.zones.take((ZONE,), NEW + 1, 'store', start)
+        self.other.zones.take((), NEW + 2, 'store', start)
+        written = store_data.Change(_orders('v2', NEW + 1).found[0], False)
+        self.other.orders.changed(
+            store_data.Changes((written,), NEW + 1), start
+        )
+        self._tell(start)
+        self.assertEqual(_usable(self.other, start), set(COPY))
+        self.assertEqual(self.other.zones.evacuated, set())
+        self.assertEqual(_target(self.other), 'v2')
+
+    def test_calm(self) -> None:
+        """Where nothing has returned, or all is over, digests grow."""
+        for known, now in ((_known(), NOW), (self.one, ENDS + 0.1)):
+            digest = knowledge.Knowledge(known).complete(
+                DIGEST, peering_data.NOTHING_KNOWN, now
+            )
+            self.assertEqual(digest.held, peering_data.NOTHING_HELD)
+
+    def _tell(self, now: float) -> None:
+        given = knowledge.Knowledge(self.one)
+        taken = knowledge.Knowledge(self.other)
+        mine = DIGEST._replace(
+            versions=given.versions(), evacuated=given.evacuated()
+        )
+        taken.take(given.complete(mine, taken.versions(), now), now)
+
+    def _assert_held(self, now: float) -> None:
+        self.assertEqual(_usable(self.other, now), {'stays'})
+        self.assertEqual(self.other.zones.evacuated, {ZONE})
+        self.assertEqual(_target(self.other), 'v3')
+
+    def _assert_copy(self, now: float) -> None:
+        self.other.zones.settle(now)
+        self.assertEqual(_usable(self.other, now), set(COPY))
+        self.assertEqual(self.other.zones.evacuated, set())
+
+
+def _known() -> directory.Directory:
+    api: Any = types.SimpleNamespace(eras=store_era.StoreEra())
+    lines = _Quiet()
+    return directory.Directory(
+        api,
+        server_list.ServerList(1, lines),
+        order_list.OrderList(lines),
+        zone_list.ZoneList(lines),
+        lines,
+    )
+
+
+def _list_copy(known: directory.Directory, now: float) -> None:
+    known.servers.listed(_servers(COPY, NEW), now)
+    known.zones.take((), NEW, 'store', now)
+    known.orders.listed(_orders('v2', NEW), now)
+
+
+def _servers(states: Mapping[str, str], stamped: int) -> store_data.Listing:
+    found = (
+        store_returns_test.stored(name, state, stamped)
+        for name, state in states.items()
+    )
+    return store_data.Listing(tuple(found), stamped)
+
+
+def _left(name: str, state: str, stamped: int) -> store_data.Change:
+    found = store_returns_test.stored(name, state, stamped)
+    return store_data.Change(found, is_gone=False)
+
+
+def _gone(name: str, stamped: int) -> store_data.Change:
+    found = store_returns_test.stored(name, 'ready', stamped)
+    return store_data.Change(found, is_gone=True)
+
+
+def _orders(target: str, stamped: int) -> store_data.Listing:
+    spec = store_returns_test.order_of(target)
+    stored = store_data.Stored('pool', stamped, spec, None, False)
+    return store_data.Listing((stored,), stamped)
+
+
+def _usable(known: directory.Directory, now: float) -> set[str]:
+    listed, _ = known.servers.usable(now)
+    return {server.name for server in listed}
+
+
+def _target(known: directory.Directory) -> str:
+    order = known.orders.orders['pool']
+    target: str = order.spec['target']
+    return target
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/router/held_servers.py
+++ b/beryllug/router/held_servers.py
@@ -50,6 +50,33 @@
             each for each in listed.values() if each.name not in self.entries
         ]
 
+    def take(self, instances: Iterable[str], left_s: float, now: float) -> None:
+        """Hold entries that a process, whose list is no older, holds.
+
+        Args:
+            instances: The servers.
+            left_s: Seconds for which the other process still holds them.
+            now: The present second.
+        """
+        told = set(instances)
+        found = [
+            server
+            for server in self._book.servers.values()
+            if server.instance in told
+        ]
+        if not found:
+            return
+        if self._until <= now:
+            self._until = now + left_s
+        for server in found:
+            listing.withhold(self._book, server.name)
+        self._put([*self.entries.values(), *found])
+
+    def told(self, now: float) -> tuple[float, tuple[str, ...]]:
+        """Return for how many seconds which servers are still held."""
+        held = (server.instance for server in self.entries.values())
+        return max(0, self._until - now), tuple(held)
+
     def changed(self, name: str) -> None:
         """Take that a server has written its entry again."""
         self.entries.pop(name, None)
--- a/beryllug/router/knowledge.py
+++ b/beryllug/router/knowledge.py
@@ -67,7 +67,8 @@
         calls of the store.
         """
         digest = digest._replace(
-            followers=standing.followers(self.standing, now)
+            followers=standing.followers(self.standing, now),
+            held=self._held(now),
         )
         own = digest.versions
         known = self._known
@@ -104,6 +105,41 @@
             for name, stored in orders.items():
                 known.orders.take(name, stored, now)
 
+        self._take_held(digest, now)
+
+    def _held(self, now: float) -> peering_data.Held:
+        """Return what holds against the store, for one that has just started.
+
+        It sees a list of the copy as its first one, and no return.
+        """
+        known = self._known
+        left_s, instances = known.servers.held.told(now)
+        if not left_s:
+            return peering_data.NOTHING_HELD
+        era = stamps.era(known.servers.revision)
+        return peering_data.Held(
+            left_s,
+            instances,
+            known.zones.held(),
+            _encode(known.orders.held(era)),
+        )
+
+    def _take_held(self, digest: peering_data.Digest, now: float) -> None:
+        held = digest.held
+        if not held.left_s:
+            return
+        # A peer with an older list may hold what was written again since.
+        own = self.versions()
+        known = self._known
+        if digest.versions.servers >= own.servers:
+            known.servers.held.take(held.instances, held.left_s, now)
+        if digest.versions.zones >= own.zones:
+            known.zones.take_held(held.zones, held.left_s, now)
+        orders = msgspec.json.decode(
+            held.orders, type=dict[str, peering_data.HeldOrder]
+        )
+        known.orders.take_held(orders, now)
+
     def _packed_servers(self, revision: int) -> bytes:
         """Return the list of servers, packed once for all that ask for it.
 
--- a/beryllug/router/order_list.py
+++ b/beryllug/router/order_list.py
@@ -1,12 +1,13 @@
 """The roll-out orders that this process knows, as they stand in the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import msgspec
 
 from beryllug.core import stamps
 from beryllug.core.canary import canary_data
+from beryllug.core.peering import peering_data
 from beryllug.drivers import store_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents
@@ -38,6 +39,8 @@
         self._refusals = refusals.Refusals('order_refused', lines)
         self._listeners: list[Listener] = []
         self._replaced: dict[str, dict[str, None]] = {}
+        # Orders that are known from a list, which may be that of a copy.
+        self._listed: set[str] = set()
 
     def on_order(self, listener: Listener) -> None:
         """Tell of each order and each change of its status."""
@@ -85,9 +88,37 @@
         spec = documents.order_spec(order)
         status = documents.order_status(order.target, phase)
         self.orders[name] = StoredOrder(stored.revision, spec, status)
+        self._listed.discard(name)
+        if is_listed:
+            self._listed.add(name)
         for listener in self._listeners:
             listener(order, phase, now)
 
+    def held(self, era: int) -> dict[str, peering_data.HeldOrder]:
+        """Return the orders of before an era that are still in force."""
+        return {
+            name: peering_data.HeldOrder(
+                *order, tuple(self._replaced.get(name, ()))
+            )
+            for name, order in self.orders.items()
+            if stamps.era(order.revision) < era
+        }
+
+    def take_held(
+        self, held: Mapping[str, peering_data.HeldOrder], now: float
+    ) -> None:
+        """Take what a peer holds against the list of an older copy."""
+        for name, order in held.items():
+            known = self.orders.get(name)
+            if known is not None:
+                is_old = known.spec['target'] in order.replaced
+                if name not in self._listed or not is_old:
+                    continue
+                self.orders.pop(name)
+            self._replaced[name] = dict.fromkeys(order.replaced)
+            stored = StoredOrder(order.revision, order.spec, order.status)
+            self.take(name, stored, now)
+
     def listed(self, listed: store_data.Listing, now: float) -> None:
         """Take a whole list of the store."""
         for each in listed.found:
--- a/beryllug/router/zone_list.py
+++ b/beryllug/router/zone_list.py
@@ -80,6 +80,18 @@
         self.stated = frozenset(names)
         self._put_in_force(source, now)
 
+    def take_held(
+        self, names: Iterable[str], left_s: float, now: float
+    ) -> None:
+        """Take what a peer, whose list is no older, holds against the store."""
+        for name in names:
+            self._held.setdefault(name, now + left_s)
+        self._put_in_force('held', now)
+
+    def held(self) -> tuple[str, ...]:
+        """Return the zones that are evacuated against the store's word."""
+        return tuple(sorted(self._held))
+
     def settle(self, now: float) -> None:
         """Let go of zones that were held for long enough."""
         if self._held:
