Orders: what a peer holds is remembered also where its order is known already

A process that knows nothing takes the peer's order with the digest first; that the order had replaced another was then not noted, and the copy's list brought the older order back.

Change: the replaced versions are noted also where the held order is the one that is known. Green now, with returns_test and knowledge_test; red again with the noting, the peer's age or the order's origin taken out.

--- a/beryllug/router/order_list.py
+++ b/beryllug/router/order_list.py
@@ -110,11 +110,11 @@
         """Take what a peer holds against the list of an older copy."""
         for name, order in held.items():
             known = self.orders.get(name)
-            if known is not None:
-                is_old = known.spec['target'] in order.replaced
-                if name not in self._listed or not is_old:
-                    continue
+            target = known.spec['target'] if known else order.spec['target']
+            if target in order.replaced and name in self._listed:
                 self.orders.pop(name)
+            elif target != order.spec['target']:
+                continue
             self._replaced[name] = dict.fromkeys(order.replaced)
             stored = StoredOrder(order.revision, order.spec, order.status)
             self.take(name, stored, now)
