suspects: a peer whose connection waits to try again is told all the same

Cause: a kept connection to a control process that started a moment later, or returned, waits up to a second before it tries again; until then each call fails at once. The report of a loss told such a peer in vain, passed the error over without a line, and was answered: the peer's entries did not know, and the peer itself learnt it seconds later. The catch-all that hid it was gather(return_exceptions=True) in suspects_spread.

Change: a call that ends UNAVAILABLE drops the connection and tries once more on a new one; what fails then is logged with the peer. A peer that is gone costs a refused connect more, some milliseconds.

Ruled out: waiting for the connection (a second for each report while a seed is down), a shorter longest wait (the default of all calls).

--- a/beryllug/control/suspects_spread.py
+++ b/beryllug/control/suspects_spread.py
@@ -19,6 +19,9 @@
 SPREAD_S = 1.0
 ASK_S = 0.3
 WAVE = 32
+# Calls until a peer counts as not reached.
+TRIES = 2
+UNAVAILABLE = 'UNAVAILABLE'
 
 
 class Others(Protocol):
@@ -49,7 +52,7 @@
         name: str,
         others: Others,
         members: Members,
-        calls: rpc_peers.Caller,
+        calls: rpc_peers.RedialingCaller,
     ) -> None:
         """Bind the neighbours and the connections to them."""
         self._name = name
@@ -110,16 +113,27 @@
         self, addresses: Sequence[str], message: suspects_data.Notes
     ) -> tuple[suspects_data.Note, ...]:
         replies = await asyncio.gather(
-            *(
-                self._calls.call(
+            *(self._tell_one(address, message) for address in addresses)
+        )
+        return tuple(note for reply in replies for note in reply.notes)
+
+    async def _tell_one(
+        self, address: str, message: suspects_data.Notes
+    ) -> suspects_data.Notes:
+        failure = ''
+        for _ in range(TRIES):
+            try:
+                return await self._calls.call(
                     address, methods.TELL_SUSPECTS, message, SPREAD_S
                 )
-                for address in addresses
-            ),
-            return_exceptions=True,
+            except rpc.RpcError as exc:
+                failure = str(exc)
+                if exc.code != UNAVAILABLE:
+                    break
+                # After a peer's start or return a kept connection waits up to
+                # a second before it tries to connect again.
+                await self._calls.drop(address)
+        logging.warning(
+            'event=suspects_not_told peer=%s error=%s', address, failure
         )
-        notes: list[suspects_data.Note] = []
-        for reply in replies:
-            if isinstance(reply, suspects_data.Notes):
-                notes.extend(reply.notes)
-        return tuple(notes)
+        return suspects_data.Notes()
--- a/beryllug/control/suspects_test.py
+++ b/beryllug/control/suspects_test.py
@@ -12,6 +12,7 @@
     suspects_store,
 )
 from beryllug.core import rpc_data, suspects_data
+from beryllug.drivers import rpc
 
 
 Verdict = suspects_data.Verdict
@@ -58,13 +59,42 @@
         self._network.handlers[self._address, method.name] = handler
 
 
+class _Network(nodes_test.Network):
+    """Kept connections to peers that started later fail for a while.
+
+    Attributes:
+        stale: Addresses whose kept connection does not try again yet.
+        dropped: Connections that were closed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stale: set[str] = set()
+        self.dropped = 0
+
+    async def call(
+        self,
+        address: str,
+        method: rpc.Method[rpc.Ask, rpc.Reply],
+        ask: rpc.Ask,
+        timeout_s: float,
+    ) -> rpc.Reply:
+        if address in self.stale:
+            raise rpc.RpcError('UNAVAILABLE', 'failed to connect')
+        return await super().call(address, method, ask, timeout_s)
+
+    async def drop(self, address: str) -> None:
+        self.stale.discard(address)
+        self.dropped += 1
+
+
 class SuspectsTest(unittest.IsolatedAsyncioTestCase):
     """Three processes on a fake network with a fake platform."""
 
     async def asyncSetUp(self) -> None:
         """Start them; a report is always of the present."""
         self.report = REPORT._replace(at=2e9)
-        self.network = nodes_test.Network()
+        self.network = _Network()
         self.members = nodes_test.Members()
         self.store = fake_platform_test.Store()
         self.views: dict[str, _View] = {}
@@ -113,6 +143,16 @@
         await self.nodes['1'].report(self.report)
         self.assertEqual(self.known(), list(NAMES))
 
+    async def test_stale_connections(self) -> None:
+        """A peer that started a moment ago is not told before the answer."""
+        self.network.stale = {_address('2'), _address('3')}
+        await self.nodes['1'].report(self.report)
+        self.assertEqual(self.known(), list(NAMES))
+        self.network.silent.add(_address('3'))
+        self.network.dropped = 0
+        await self.nodes['1'].report(self.report)
+        self.assertEqual(self.network.dropped, suspects_spread.TRIES)
+
     async def test_missed(self) -> None:
         """A process that can't be reached learns it at the next rounds."""
         self.network.silent.add(_address('3'))
--- a/beryllug/drivers/rpc_peers.py
+++ b/beryllug/drivers/rpc_peers.py
@@ -24,6 +24,13 @@
         """
 
 
+class RedialingCaller(Caller, Protocol):
+    """A caller whose connections can be made anew."""
+
+    async def drop(self, address: str) -> None:
+        """Close the connection to a peer; the next call makes a new one."""
+
+
 class Peers:
     """Clients by address; the least recently used is closed beyond a bound.
 
