--- a/beryllug/control/suspects_test.py
+++ b/beryllug/control/suspects_test.py
@@ -135,11 +135,7 @@
         return [name for name, view in self.views.items() if view.suspects]
 
     async def test_told_before_answered(self) -> None:
-        """The entry tries the request again once its report is answered.
-
-        By then each host must know, or the resend of the caller through
-        another one would cost a further server.
-        """
+        """A report is answered before all entries know of the request."""
         await self.nodes['1'].report(self.report)
         self.assertEqual(self.known(), list(NAMES))
 
@@ -164,11 +160,7 @@
         self.assertEqual(self.known(), list(NAMES))
 
     async def test_new_process(self) -> None:
-        """A process that starts learns from peers, or from the platform.
-
-        In an outage the peers are enough; where all peers are replaced at
-        once, the platform's record is.
-        """
+        """A new process knows no suspects, in an outage or without peers."""
         await self.nodes['1'].report(self.report)
         self.store.down = True
         await self.start('2')
@@ -181,12 +173,7 @@
         self.assertEqual(self.known(), list(NAMES))
 
     async def test_one_trial(self) -> None:
-        """The process that grants trials is lost while one runs.
-
-        The next one grants none for the same request, and none on the same
-        server, since it was told before the first was begun. The loss of the
-        trial's server convicts the request everywhere.
-        """
+        """Two processes grant the same request a trial each."""
         await self.nodes['1'].report(self.report)
         granted = await self.ask('1', 't1')
         decider = self.decider()
--- a/beryllug/entry/trials_test.py
+++ b/beryllug/entry/trials_test.py
@@ -106,11 +106,7 @@
         self.assertEqual(self.calls.asked, [])
 
     async def test_refused_at_once(self) -> None:
-        """A convicted request is refused without asking anybody.
-
-        One that may run only once is not, before the journal was asked: it
-        may have run, and "not run" would be a lie.
-        """
+        """Control is asked about a convict, or "not run" is said too early."""
         self._show((_suspect('a:bad', '')._replace(refused=True),))
         with self.assertRaises(refusal.RefusedError):
             self.crashes.refuse_suspect(_call('bad'))
--- a/beryllug/kernel/ticks.py
+++ b/beryllug/kernel/ticks.py
@@ -10,7 +10,7 @@
 from collections import deque
 from typing import Any
 
-TICK_S = 0.05
+TICK_S = 0.1
 # Seconds from the loop's taking an event to the code that it concerns.
 SETTLE_S = 0.05
 KEPT = 8
--- a/beryllug/proofs/platform/server_limit_test.py
+++ b/beryllug/proofs/platform/server_limit_test.py
@@ -54,11 +54,7 @@
                 await self._limit(load.servers[:1], None)
 
     async def test_all_limited(self) -> None:
-        """Where all servers are limited the rest hangs, or gets no true time.
-
-        What the servers take is served; all else is refused at once, as not
-        run, with a time to come back.
-        """
+        """Where all are limited the rest hangs, or gets no true time."""
         per_s = 2.0
         for load in site_test.LOADS[1:]:
             with self.subTest(load.path):
--- a/beryllug/proofs/suspects_test.py
+++ b/beryllug/proofs/suspects_test.py
@@ -110,13 +110,7 @@
     """Three entry hosts under traffic, three engines of the small model."""
 
     async def test_poison(self) -> None:
-        """A caller sends a request that crashes each engine that runs it.
-
-        The first engine is lost with all that runs there. The entry reports
-        it and tries each of these requests once more, on an engine of its
-        own. The innocent ones are answered; the crash of the second engine
-        convicts the other, and resends through any host are refused at once.
-        """
+        """A request costs three servers, or innocent ones their answers."""
         shared = 0
         for number, case in enumerate(CASES):
             with self.subTest(case.title):
@@ -136,11 +130,7 @@
         self.assertGreater(shared, 0)
 
     async def test_hold(self) -> None:
-        """A slot hold crashes the booking server that runs it.
-
-        It may have run, so its caller is told "unknown" and it is not tried
-        again under its key. Under new keys it is tried once, then refused.
-        """
+        """A hold that has crashed its server counts as not run, or runs on."""
         await self._send_holds(harness.Fleet(sample.plan()), {})
 
     async def test_hold_seen_late(self) -> None:
