answer_timeouts: a stall of this process is not taken for a server's silence

Callers saw: 504 for a lookup whose server answered, 503 "no connection within 0.3 s", streams resumed elsewhere and requests run twice, after the process was paused for longer than one of its timers.

Cause: asyncio runs a due timer in the turn in which the socket becomes readable, and the cancellation wins. Of 29 timers only connects allowed for it.

Ruled out: a slow server. It answered the next request, and the same stall without load makes the tests red every time.

Two ways were considered: only one more turn of the loop, or the time that the process ran. The first leaves a server nothing if the pause fell between the connect and the write of the request, so the second was built; the first holds at a request's own deadline, where what has arrived is still delivered.

Logs that were missing: stalled_ms of attempts, process_stalled, no_server (why no further server was asked), permit_refused (who was asked, whether an answer came); the recorder of tests names the process and the time of a line.

--- a/beryllug/control/promises.py
+++ b/beryllug/control/promises.py
@@ -8,7 +8,7 @@
 
 from beryllug.control import candidate_calls, background_tasks, lease_outage
 from beryllug.core import lease_data, outage, outage_data
-from beryllug.drivers import methods, object_api, object_data
+from beryllug.drivers import answer_timeouts, methods, object_api, object_data
 
 PROBE_KEY = 'beryllug/leases/probe'
 PROBE_TIMEOUT_S = 0.5
@@ -153,7 +153,7 @@
 
     async def _reaches_platform(self) -> bool:
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
+            async with answer_timeouts.AnswerTimeouts().within(PROBE_TIMEOUT_S):
                 await self._api.read(PROBE_KEY)
         except (object_data.ObjectApiError, TimeoutError):
             return False
--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -14,13 +14,14 @@
 import h11
 import msgspec
 
-from beryllug.drivers import http_data, http_headers, http_link
+from beryllug.drivers import (
+    answer_timeouts,
+    http_data,
+    http_headers,
+    http_link,
+)
 
 CONNECT_TIMEOUT_S = 2.0
-# A connect timeout that fires this many seconds late was caused by a stall of
-# this process, not by the server; the connect is then tried again.
-STALL_THRESHOLD_S = 0.01
-MAX_CONNECT_ATTEMPTS = 3
 IDLE_S = 30.0
 MAX_IDLE_PER_ADDRESS = 64
 HOST = 'host'
@@ -157,9 +158,19 @@
 class HttpClient:
     """Sends requests; pools idle connections by address."""
 
-    def __init__(self, connect_s: float = CONNECT_TIMEOUT_S) -> None:
-        """Create a client without connections."""
+    def __init__(
+        self,
+        connect_s: float = CONNECT_TIMEOUT_S,
+        timeouts: answer_timeouts.AnswerTimeouts | None = None,
+    ) -> None:
+        """Create a client without connections.
+
+        Args:
+            connect_s: Timeout of a connect in seconds.
+            timeouts: Creates timeouts by the stalls of this process.
+        """
         self._connect_s = connect_s
+        self._timeouts = timeouts or answer_timeouts.AnswerTimeouts()
         self._idle: dict[str, dict[http_link.Link, _Connection]] = {}
 
     @property
@@ -212,7 +223,7 @@
         deadline = _deadline(timeout_s)
         incoming = await self.request(address, outgoing, timeout_s)
         try:
-            async with asyncio.timeout_at(deadline):
+            async with self._timeouts.until(deadline):
                 body = await incoming.read()
         except TimeoutError as exc:
             raise http_data.BrokenError(f'{address}: timeout') from exc
@@ -277,22 +288,22 @@
     ) -> _Connection:
         connect_s = min(self._connect_s, timeout_s or self._connect_s)
         loop = asyncio.get_running_loop()
-        # With a timeout of the caller's, a retry could send after it expired.
-        attempts = MAX_CONNECT_ATTEMPTS if timeout_s is None else 1
-        for _ in range(attempts):
-            deadline = loop.time() + connect_s
-            try:
-                async with asyncio.timeout_at(deadline):
-                    return await _open_connection(address)
-            except TimeoutError:
-                # A timer that fires late means that this process stalled.
-                if loop.time() < deadline + STALL_THRESHOLD_S:
-                    break
-            except OSError as exc:
-                raise http_data.NotSentError(f'{address}: {exc}') from exc
-        raise http_data.NotSentError(
-            f'{address}: no connection within {connect_s} s'
-        )
+        now = loop.time()
+        latest = answer_timeouts.NEVER if timeout_s is None else now + timeout_s
+        try:
+            async with self._timeouts.until(now + connect_s, latest):
+                conn = await _open_connection(address)
+        except TimeoutError as exc:
+            raise http_data.NotSentError(
+                f'{address}: no connection within {connect_s} s'
+            ) from exc
+        except OSError as exc:
+            raise http_data.NotSentError(f'{address}: {exc}') from exc
+        # A request must not be sent after its caller's timeout has expired.
+        if loop.time() >= latest:
+            conn.link.abort()
+            raise http_data.NotSentError(f'{address}: connected too late')
+        return conn
 
     async def _exchange(
         self,
@@ -305,9 +316,7 @@
         if link.transport.is_closing():
             raise http_data.NotSentError(f'{link.address}: closed at once')
         try:
-            if deadline is None:
-                return await self._send(conn, payload)
-            async with asyncio.timeout_at(deadline):
+            async with self._timeouts.until(deadline):
                 return await self._send(conn, payload)
         except (OSError, TimeoutError, h11.RemoteProtocolError) as exc:
             raise http_data.BrokenError(f'{link.address}: {exc!r}') from exc
--- a/beryllug/drivers/http_client_test.py
+++ b/beryllug/drivers/http_client_test.py
@@ -21,6 +21,8 @@
 CALLERS = 32
 # Seconds for which the process is blocked.
 STALL_S = 0.2
+# Seconds that a server works on a request.
+WORK_S = 0.01
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -174,6 +176,23 @@
                 time.sleep(STALL_S)
                 self.assertEqual(await calling, b'a')
 
+    async def test_late_timer(self) -> None:
+        """A stall of this process is not taken for a server's silence.
+
+        The timer is due while the answer arrives, before the loop runs again.
+        """
+        for timeout_s in (STALL_S / 2, STALL_S / 4):
+            with self.subTest(timeout_s=timeout_s):
+                has_read = asyncio.Event()
+                address = await self.serve(_answer_late(has_read))
+                calling = asyncio.create_task(
+                    self.client.call(address, ASK, timeout_s=timeout_s)
+                )
+                await has_read.wait()
+                time.sleep(STALL_S)
+                _, body = await calling
+                self.assertEqual(body, b'a')
+
     async def test_out_of_time(self) -> None:
         """A request whose timeout expired while connecting is not sent."""
         address = await self.serve(self._fail_at(FAILURES[4]))
@@ -383,6 +402,18 @@
     writer.write(_with_length(tag))
 
 
+def _answer_late(has_read: asyncio.Event) -> Serve:
+    async def serve(  # noqa: WPS430
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        tag = await _read_tag(reader)
+        has_read.set()
+        await asyncio.sleep(WORK_S)
+        writer.write(_with_length(tag))
+
+    return serve
+
+
 async def _read_tag(reader: asyncio.StreamReader) -> bytes:
     raw = await reader.readuntil(b'body')
     found = TAG.search(raw)
--- a/beryllug/entry/attempts.py
+++ b/beryllug/entry/attempts.py
@@ -18,7 +18,7 @@
     retry,
     view_data,
 )
-from beryllug.drivers import engine, http_client, http_data
+from beryllug.drivers import answer_timeouts, engine, http_client, http_data
 from beryllug.entry import (
     call_data,
     crashes,
@@ -179,7 +179,7 @@
         self, call: call_data.Call, order: AttemptSpec, attempt: routing.Attempt
     ) -> Opened | _Failed:
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with answer_timeouts.at_deadline(call.deadline):
                 incoming = await order.send(attempt.server)
         except http_data.NotSentError:
             failure = retry.Failure.NOT_SENT
--- a/beryllug/entry/control_calls.py
+++ b/beryllug/entry/control_calls.py
@@ -5,14 +5,13 @@
 request id, by which the owner of a shard detects a duplicate.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 from typing import TypeVar
 
 from absl import logging
 
 from beryllug.core import rpc_data
-from beryllug.drivers import fleet_key, methods, rpc
+from beryllug.drivers import answer_timeouts, fleet_key, methods, rpc
 
 Ask = TypeVar('Ask')
 Reply = TypeVar('Reply')
@@ -31,6 +30,7 @@
         """Create the clients, which connect on the first call."""
         self._clients = [rpc.RpcClient(address, keys) for address in addresses]
         self._current = 0
+        self._timeouts = answer_timeouts.AnswerTimeouts()
 
     @property
     def address(self) -> str:
@@ -64,7 +64,7 @@
         stream = client.stream(methods.WATCH_VIEW, request)
         try:
             while True:
-                async with asyncio.timeout(STREAM_SILENCE_TIMEOUT_S):
+                async with self._timeouts.within(STREAM_SILENCE_TIMEOUT_S):
                     update = await anext(stream, None)
                 if update is None:
                     break
--- a/beryllug/entry/delivery.py
+++ b/beryllug/entry/delivery.py
@@ -5,11 +5,15 @@
 rely on the journal.
 """
 
-import asyncio
 import time
 
 from beryllug.core import journal_data
-from beryllug.drivers import engine_stream, http_client, http_server
+from beryllug.drivers import (
+    answer_timeouts,
+    engine_stream,
+    http_client,
+    http_server,
+)
 from beryllug.entry import call_data, headers
 
 END_MARKER = b'data: [DONE]'
@@ -64,7 +68,7 @@
             BrokenError: The engine closed the stream early.
             TimeoutError: The deadline passed.
         """
-        async with asyncio.timeout_at(self._call.deadline):
+        async with answer_timeouts.at_deadline(self._call.deadline):
             async for chunk in incoming.chunks():
                 await self._send(self._hold_back_end(chunk))
                 if self.is_abandoned:
@@ -115,7 +119,7 @@
         BrokenError: The server closed the connection early.
         TimeoutError: The deadline passed.
     """
-    async with asyncio.timeout_at(call.deadline):
+    async with answer_timeouts.at_deadline(call.deadline):
         return await incoming.read()
 
 
--- a/beryllug/entry/recovery.py
+++ b/beryllug/entry/recovery.py
@@ -6,12 +6,15 @@
 second time.
 """
 
-import asyncio
-
 from absl import logging
 
 from beryllug.core import config_data, journal_data, request_id, rpc_data
-from beryllug.drivers import engine_stream, http_client, http_data
+from beryllug.drivers import (
+    answer_timeouts,
+    engine_stream,
+    http_client,
+    http_data,
+)
 from beryllug.entry import chat_bill, chat_data, headers, flow_dependencies
 
 OK = 200
@@ -79,7 +82,7 @@
         if incoming is None:
             return None
         try:
-            async with asyncio.timeout_at(deadline):
+            async with answer_timeouts.at_deadline(deadline):
                 body = await incoming.read()
         except (http_data.BrokenError, TimeoutError):
             return None
--- a/beryllug/kernel/ticks_test.py
+++ b/beryllug/kernel/ticks_test.py
@@ -35,6 +35,27 @@
                 )
                 self.assertGreaterEqual(ran_at, least)
 
+    async def test_stalled_s(self) -> None:
+        """A stall is counted from the time since which it matters, once."""
+        service = ticks.Ticks()
+        lengths: list[float] = []
+        service.on_stall = lengths.append
+        began = time.monotonic()
+        self.assertEqual(service.stalled_s(began, began + 1), 0)
+        await service.start()
+        await asyncio.sleep(2 * ticks.TICK_S)
+        time.sleep(STALL_S)
+        during = service.stalled_s(began, time.monotonic())
+        await asyncio.sleep(2 * ticks.TICK_S)
+        now = time.monotonic()
+        after = service.stalled_s(began, now)
+        later = service.stalled_s(now, now)
+        await service.stop(0)
+        for stalled_s in (during, after, *lengths):
+            self.assertGreaterEqual(stalled_s, STALL_S - SLACK_S)
+            self.assertLess(stalled_s, STALL_S + ticks.TICK_S + SLACK_S)
+        self.assertEqual((later, len(lengths)), (0, 1))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/beryllug/router/attempt_log.py
+++ b/beryllug/router/attempt_log.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from beryllug.core import stamps
-from beryllug.core.placement import servers_data
+from beryllug.core.placement import retry_delay, servers_data
+from beryllug.drivers import answer_timeouts
 from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import call as call_data, directory, dispatch
 
@@ -24,11 +25,21 @@
     """Service 'requests': logs and counts the results of requests."""
 
     def __init__(
-        self, lines: log_lines.LineWriter, known: directory.Directory
+        self,
+        lines: log_lines.LineWriter,
+        known: directory.Directory,
+        stalled_s: answer_timeouts.StalledS,
     ) -> None:
-        """Bind to the log writer, and to the directory for table versions."""
+        """Bind to the log writer and to what lines refer to.
+
+        Args:
+            lines: Writes log lines.
+            known: Tells the versions of the table and of the server list.
+            stalled_s: Tells the stalls of this process.
+        """
         self._lines = lines
         self._known = known
+        self._stalled_s = stalled_s
         self.statuses: dict[tuple[str, int], int] = {}
         self._times: dict[str, metrics_data.Histogram] = {}
 
@@ -80,19 +91,41 @@
         took_s: float,
         **fields: object,
     ) -> None:
-        """Log one attempt: server, its version, outcome and duration."""
+        """Log one attempt: server, its version, outcome and duration.
+
+        `stalled_ms` tells how long this process stalled during the attempt.
+        """
+        now = time.monotonic()
+        stalled_s = self._stalled_s(now - took_s, now)
+        if stalled_s:
+            fields['stalled_ms'] = round(stalled_s * MS, 1)
         self._lines.write(
             'attempt',
             id=call.asked.attempt_id,
             server=server.instance,
             software=server.version,
             servers=stamps.format_stamp(self._known.servers.revision),
-            left_ms=round((call.deadline - time.monotonic()) * MS),
+            left_ms=round((call.deadline - now) * MS),
             came=_format_outcome(outcome),
             took_ms=round(took_s * MS, 1),
             **fields,
         )
 
+    def no_server(
+        self,
+        call: call_data.Call,
+        failure: retry_delay.PlacementFailure,
+        excluded: Iterable[str],
+    ) -> None:
+        """Log that there is no server for an attempt, and why."""
+        self._lines.write(
+            'no_server',
+            id=call.asked.attempt_id,
+            cause=retry_delay.REASONS[failure.cause],
+            due_s=failure.due_s,
+            excluded=sorted(excluded),
+        )
+
     def answered(
         self, call: call_data.Call, status: int, **fields: object
     ) -> None:
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -10,7 +10,8 @@
 
 from beryllug.core.placement import backlog, retry_delay, servers_data
 from beryllug.core.routes import match
-from beryllug.router import call as call_data, dispatch, pool, trials
+from beryllug.router import attempt_log, dispatch, pool, trials
+from beryllug.router import call as call_data
 
 # A request is retried after at most this many unreachable servers, which don't
 # count as attempts.
@@ -76,12 +77,16 @@
 
 
 def record_no_server(
-    call: call_data.Call, progress: Progress, servers: pool.Pool
+    call: call_data.Call,
+    progress: Progress,
+    servers: pool.Pool,
+    log: attempt_log.AttemptLog,
 ) -> None:
     """Record that there is no server for an attempt."""
     progress.unavailability = servers.eligible.unavailability(
         criteria(call, progress), time.monotonic()
     )
+    log.no_server(call, progress.unavailability, progress.excluded)
     if not progress.reason:
         progress.reason = retry_delay.REASONS[progress.unavailability.cause]
 
--- a/beryllug/router/claims.py
+++ b/beryllug/router/claims.py
@@ -48,13 +48,14 @@
     async def claim(self, instance: str) -> bool:
         """Return whether a request may be sent to a limited server now."""
         coordinator = members.ranked(self._peers.members, instance)[0]
+        wait_s: float | None
         if coordinator == self._peers.members.name:
             wait_s = self._grant(instance, time.monotonic())
         else:
             wait_s = await self._request_permit(coordinator, instance)
-        if wait_s <= 0:
+        if wait_s is not None and wait_s <= 0:
             return True
-        permits.refuse(self._limits.permits, instance, wait_s, time.monotonic())
+        self._limits.permit_refused(instance, coordinator, wait_s)
         return False
 
     def handle_note(self, note: peering_data.PeerNote, now: float) -> None:
@@ -68,7 +69,10 @@
             if pending is not None and not pending.done():
                 pending.set_result(note.permit)
 
-    async def _request_permit(self, coordinator: str, instance: str) -> float:
+    async def _request_permit(
+        self, coordinator: str, instance: str
+    ) -> float | None:
+        """Return the coordinator's answer in seconds; None if none came."""
         known = self._peers.members.known[coordinator]
         now = time.monotonic()
         self._last_number += 1
@@ -80,11 +84,11 @@
         self._pending[number] = pending
         self._send((known.notes,), self._note()._replace(claim=claim))
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            async with self._peers.timeouts.within(ANSWER_TIMEOUT_S):
                 return (await pending).wait_s
         except TimeoutError:
             self._peers.contact(coordinator)
-            return permits.AGAIN_S
+            return None
         finally:
             self._pending.pop(number, None)
 
--- a/beryllug/router/claims_test.py
+++ b/beryllug/router/claims_test.py
@@ -17,6 +17,7 @@
 from beryllug.core.peering import members, peering_data
 from beryllug.core.placement import fleet_size, servers_data
 from beryllug.core.placement import server_headers as statements_data
+from beryllug.drivers import answer_timeouts
 from beryllug.kernel import log_lines
 from beryllug.platform import requests
 from beryllug.router import (
@@ -64,6 +65,7 @@
     def __init__(self, name: str, fleet: '_Fleet') -> None:
         self.name = name
         self.members = members.Members(name)
+        self.timeouts = answer_timeouts.AnswerTimeouts()
         lines = _NullWriter()
         self.limits = server_limits.ServerLimits(name, lines)
         listed = server_list.ServerList(1, lines)
--- a/beryllug/router/dispatch.py
+++ b/beryllug/router/dispatch.py
@@ -13,10 +13,12 @@
 from typing import NamedTuple
 
 from beryllug.core.placement import servers_data
-from beryllug.drivers import http_client, http_data
+from beryllug.drivers import answer_timeouts, http_client, http_data
 from beryllug.platform import requests
 from beryllug.router import call as call_data
 
+# Timeout for the short body of a refusal.
+DISCARD_TIMEOUT_S = 1.0
 CLIENT_ERROR = 400
 SERVER_ERROR = 500
 OK = 200
@@ -94,9 +96,14 @@
         listeners: Called with the head of each answer.
     """
 
-    def __init__(self, client: http_client.HttpClient) -> None:
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        timeouts: answer_timeouts.AnswerTimeouts,
+    ) -> None:
         """Bind to the client that owns the connections."""
         self._client = client
+        self._timeouts = timeouts
         self.listeners: tuple[Callable[[AnswerHead], None], ...] = ()
 
     async def send(
@@ -119,7 +126,7 @@
         outgoing = requests.outgoing(call.req, sending, fresh=fresh)
         sent_at = time.monotonic()
         try:
-            async with asyncio.timeout(wait_s):
+            async with self._timeouts.within(wait_s, call.deadline):
                 incoming = await self._client.request(
                     sending.server.address, outgoing
                 )
@@ -153,7 +160,7 @@
     """Read the short body of a refusal, to keep the connection usable."""
     try:
         if isinstance(outcome, NotRun):
-            async with asyncio.timeout(1):
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
                 await incoming.read()
     except (TimeoutError, http_data.BrokenError):
         return
--- a/beryllug/router/flow_parts.py
+++ b/beryllug/router/flow_parts.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from beryllug.drivers import answer_timeouts
 from beryllug.router import attempt_log, crash_watch, dispatch, pool, trials
 
 
@@ -14,6 +15,7 @@
         trials: Chooses versions and counts their answers.
         log: Logs the results of requests.
         crashes: Records broken connections and successful answers.
+        timeouts: Creates timeouts by the stalls of this process.
     """
 
     pool: pool.Pool
@@ -21,3 +23,4 @@
     trials: trials.Trials
     log: attempt_log.AttemptLog
     crashes: crash_watch.CrashWatch
+    timeouts: answer_timeouts.AnswerTimeouts
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -12,7 +12,12 @@
 
 from beryllug.core import settings_data
 from beryllug.core.peering import members, peering_data
-from beryllug.drivers import router_methods, rpc, rpc_peers
+from beryllug.drivers import (
+    answer_timeouts,
+    router_methods,
+    rpc,
+    rpc_peers,
+)
 from beryllug.kernel import log_lines
 from beryllug.router import store_exchange, rollout_state, roster, trials
 
@@ -40,6 +45,8 @@
 RECONNECT_PERIOD_S = 5.0
 # Failed calls after which a process counts as gone.
 MAX_CALL_ATTEMPTS = 2
+# Maximum number of failed calls that do not count, since this process stalled.
+MAX_STALLED_CALLS = 2
 # Processes that judge a roll-out; the second is the standby of the first.
 JUDGES = 2
 
@@ -53,6 +60,7 @@
         contact: Contacts a known process: by a call, or by a probe once the
             service 'sharing' has set it.
         store_exchange: The store data of this process.
+        timeouts: Creates timeouts by the stalls of this process.
     """
 
     def __init__(
@@ -65,6 +73,7 @@
         lines: log_lines.LineWriter,
     ) -> None:
         """Bind to the data that is exchanged."""
+        self.timeouts = answer_timeouts.AnswerTimeouts()
         self.roster = roster.Roster(process.name, lines)
         self.members = self.roster.members
         self.contact: Callable[[str], None] = self._call_peer
@@ -116,13 +125,20 @@
         """Exchange digests with a peer, after a bounded random delay."""
         if max_delay_s:
             await asyncio.sleep(max_delay_s * self._rng.random())
-        for _ in range(MAX_CALL_ATTEMPTS):
+        failures = 0
+        for _ in range(MAX_CALL_ATTEMPTS + MAX_STALLED_CALLS):
+            called_at = time.monotonic()
             reply = await self._try_compare(address)
             if reply is not None:
                 self.roster.reached()
                 self._apply_digest(reply)
                 return
-        self.roster.drop_unreachable(address)
+            # A peer is not at fault if this process was late to its answer.
+            now = time.monotonic()
+            failures += not self.timeouts.stalled_s(called_at, now)
+            if failures == MAX_CALL_ATTEMPTS:
+                self.roster.drop_unreachable(address)
+                return
 
     def call_later(self, address: str) -> None:
         """Exchange digests with a process in a background task."""
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -4,7 +4,6 @@
 that may run twice is retried without its caller noticing.
 """
 
-import asyncio
 import time
 from dataclasses import dataclass
 
@@ -44,6 +43,7 @@
         self._trials = parts.trials
         self._log = parts.log
         self._crashes = parts.crashes
+        self._timeouts = parts.timeouts
 
     async def serve(
         self, call: call_data.Call, exchange: http_server.Exchange
@@ -59,7 +59,7 @@
         while True:
             choice = await self._pool.choose(attempts.criteria(call, progress))
             if choice is None:
-                attempts.record_no_server(call, progress, self._pool)
+                attempts.record_no_server(call, progress, self._pool, self._log)
                 break
             outcome = await self._attempt(call, choice, progress)
             if isinstance(outcome, _FullAnswer) and not self._is_failure(
@@ -118,7 +118,7 @@
         )
         wait_s = self._wait_s(call, progress, left_s)
         try:
-            async with asyncio.timeout(wait_s):
+            async with self._timeouts.within(wait_s, call.deadline):
                 outcome = await self._sender.send(call, sending, wait_s)
                 if not isinstance(outcome, dispatch.Answered):
                     return outcome
--- a/beryllug/router/probes.py
+++ b/beryllug/router/probes.py
@@ -12,6 +12,7 @@
 
 from beryllug.core import settings_data
 from beryllug.core.peering import members, peering_data
+from beryllug.drivers import answer_timeouts
 from beryllug.router import peering, rollout_state, trials
 
 # Seconds after which a probe counts as lost and the process is called: a
@@ -27,6 +28,13 @@
     at: float
 
 
+def _waited_s(
+    pending: _PendingProbe, stalled_s: answer_timeouts.StalledS, now: float
+) -> float:
+    """Return for how long a probe is unanswered, without own stalls."""
+    return now - pending.at - stalled_s(pending.at, now)
+
+
 class Probes:
     """Sends and answers probes, and calls processes that do not answer."""
 
@@ -93,10 +101,11 @@
 
     def call_overdue(self, now: float) -> None:
         """Call the processes whose answer is overdue."""
+        stalled_s = self._peers.timeouts.stalled_s
         expired = [
             number
             for number, pending in self._pending.items()
-            if now - pending.at > ANSWER_TIMEOUT_S
+            if _waited_s(pending, stalled_s, now) > ANSWER_TIMEOUT_S
         ]
         for number in expired:
             name = self._pending.pop(number).name
--- a/beryllug/router/probes_test.py
+++ b/beryllug/router/probes_test.py
@@ -6,6 +6,7 @@
 
 from beryllug.core import settings_data
 from beryllug.core.peering import members, peering_data
+from beryllug.drivers import answer_timeouts
 from beryllug.kernel import log_lines
 from beryllug.router import probes, roster
 
@@ -17,6 +18,7 @@
         self.roster = roster.Roster(name, log_lines.LineWriter(1))
         self.members = self.roster.members
         self.called: list[str] = []
+        self.timeouts = answer_timeouts.AnswerTimeouts()
 
     def call_later(self, address: str) -> None:
         self.called.append(address)
--- a/beryllug/router/server_limits.py
+++ b/beryllug/router/server_limits.py
@@ -122,6 +122,26 @@
         ago_s = round(now - seen.at, 3)
         return peering_data.RateLimitReport(instance, seen.per_s, ago_s)
 
+    def permit_refused(
+        self, instance: str, coordinator: str, wait_s: float | None
+    ) -> None:
+        """Record that a request to a server was not permitted.
+
+        Args:
+            instance: The server.
+            coordinator: The process that was asked.
+            wait_s: Seconds until the next permit; None if it did not answer.
+        """
+        again_s = permits.AGAIN_S if wait_s is None else wait_s
+        permits.refuse(self.permits, instance, again_s, time.monotonic())
+        self._lines.write(
+            'permit_refused',
+            server=instance,
+            coordinator=coordinator,
+            answered=wait_s is not None,
+            again_s=round(again_s, 3),
+        )
+
     def pop_changed(
         self, now: float
     ) -> tuple[peering_data.RateLimitReport, ...]:
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -6,11 +6,15 @@
 sent, if its route permits that.
 """
 
-import asyncio
 import time
 
 from beryllug.core.placement import backlog, escalation, suspicion
-from beryllug.drivers import event_split, http_data, http_server
+from beryllug.drivers import (
+    answer_timeouts,
+    event_split,
+    http_data,
+    http_server,
+)
 from beryllug.platform import requests
 from beryllug.router import (
     attempts,
@@ -33,6 +37,7 @@
         self._trials = parts.trials
         self._log = parts.log
         self._crashes = parts.crashes
+        self._timeouts = parts.timeouts
         self._larger = larger.LargerModel(parts.pool)
 
     async def serve(
@@ -59,7 +64,9 @@
                 )
             )
             if choice is None:
-                attempts.record_no_server(call, stream.progress, self._pool)
+                attempts.record_no_server(
+                    call, stream.progress, self._pool, self._log
+                )
                 break
             outcome = await self._attempt(call, choice, stream, exchange)
             match outcome:
@@ -192,7 +199,7 @@
         self._pool.answer_started(choice)
         stream.head_s = time.monotonic() - choice.started_at
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with answer_timeouts.at_deadline(call.deadline):
                 return await self._relay(call, stream, outcome, exchange)
         except TimeoutError:
             return dispatch.TimedOut('the stream did not end in time')
@@ -221,9 +228,8 @@
             return stream_state.Larger(len(call.route.models) - 1)
         splitter = event_split.EventSplitter()
         while True:
-            async with asyncio.timeout(
-                stream_state.stall_timeout_s(call, stream)
-            ):
+            stall_timeout_s = stream_state.stall_timeout_s(call, stream)
+            async with self._timeouts.within(stall_timeout_s, call.deadline):
                 chunk = await incoming.next_chunk()
             if not chunk:
                 break
--- a/beryllug/scripts/compose.py
+++ b/beryllug/scripts/compose.py
@@ -27,6 +27,7 @@
 )
 from beryllug.core import cascade_data, lease_data, rpc_data, settings_data
 from beryllug.drivers import (
+    answer_timeouts,
     rpc_peers,
     engine,
     fleet_key,
@@ -100,13 +101,14 @@
     # Includes an id of this start of the process, since requests opened by an
     # earlier start are no longer running.
     instance_id = f'{name}/{_boot_id()}'
-    client = http_client.HttpClient()
+    ticker = ticks.Ticks()
+    timeouts = answer_timeouts.AnswerTimeouts(ticker.stalled_s)
+    client = http_client.HttpClient(timeouts=timeouts)
     calls = control_calls.ControlCalls(cfg.controls, keys)
     view_request = rpc_data.ViewRequest(instance_id, settings.process.zone)
     link = control_link.ControlLink(view_request, cfg, calls)
     row_sink = outbox.Outbox(calls)
     routes = routing.Routing(name, settings.process.zone, link)
-    ticker = ticks.Ticks()
     crash_reports = crashes.Crashes(name, calls, link, client, ticker)
     rater = rating.HttpRater(client, cfg.rating) if cfg.rating else None
     rating_service = ratings.Ratings(rater)
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -10,13 +10,14 @@
 from beryllug.core import retry_window, settings_data
 from beryllug.core.canary import canary_data
 from beryllug.drivers import (
+    answer_timeouts,
     fleet_key,
     http_client,
     rpc,
     rpc_endpoint,
     rpc_peers,
 )
-from beryllug.kernel import log_lines, ops, registry
+from beryllug.kernel import log_lines, ops, registry, ticks
 from beryllug.platform import store
 from beryllug.router import (
     attempt_log,
@@ -70,9 +71,13 @@
         listener: Socket that already listens for callers, or None.
     """
     services = registry.Registry()
-    store_api = store.Store(
-        http_client.HttpClient(), cfg.store, STORE_TIMEOUT_S
+    ticker = ticks.Ticks()
+    ticker.on_stall = lambda seconds: lines.write(
+        'process_stalled', for_s=round(seconds, 3)
     )
+    timeouts = answer_timeouts.AnswerTimeouts(ticker.stalled_s)
+    store_client = http_client.HttpClient(timeouts=timeouts)
+    store_api = store.Store(store_client, cfg.store, STORE_TIMEOUT_S)
     doubt_s = cfg.drain_ms / MS_PER_S * DOUBT_FRACTION
     backend_list = server_list.ServerList(doubt_s, lines)
     orders = order_list.OrderList(lines)
@@ -101,9 +106,11 @@
         lines,
     )
     orders.on_order(canaries.apply_order)
-    request_log = attempt_log.AttemptLog(lines, store_directory)
-    backend_client = http_client.HttpClient(CONNECT_TIMEOUT_S)
-    sender = dispatch.Dispatcher(backend_client)
+    request_log = attempt_log.AttemptLog(
+        lines, store_directory, timeouts.stalled_s
+    )
+    backend_client = http_client.HttpClient(CONNECT_TIMEOUT_S, timeouts)
+    sender = dispatch.Dispatcher(backend_client, timeouts)
     unread_log = unread_names.UnreadNames(lines)
     store_api.on_unread = unread_log.take
     server_statements = statements.Statements(
@@ -116,7 +123,7 @@
         old_server.address
     )
     parts = flow_parts.FlowParts(
-        servers, sender, canaries, request_log, crashes
+        servers, sender, canaries, request_log, crashes, timeouts
     )
     flows = caller_server.Flows(
         plain_flow.PlainFlow(parts), stream_flow.StreamFlow(parts), crashes
@@ -130,6 +137,7 @@
     peers = peering.Peering(
         settings.process, cfg, calls, shared_knowledge, canaries, lines
     )
+    peers.timeouts = timeouts
     rpc_server = rpc.RpcServer(keys)
     peers.serve(rpc_server)
     local_decisions = sharing.RequestServices(
@@ -146,6 +154,7 @@
         are_metrics_open=True,
     )
     in_order: dict[str, registry.Service] = {
+        'ticks': ticker,
         'operators': operators_api,
         'requests': request_log,
         'directory': store_directory,
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -8,6 +8,7 @@
 import contextlib
 import itertools
 import os
+import time
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any, NamedTuple
@@ -196,7 +197,9 @@
         cfg = process_settings.router
         assert cfg is not None
         services = compose_router.compose(
-            process_settings, cfg, _LogRecorder(self.log_records)
+            process_settings,
+            cfg,
+            _LogRecorder(process_settings.process.name, self.log_records),
         )
         await services.start()
         router = Router(process_settings.process.name, cfg, services)
@@ -302,14 +305,22 @@
 
 
 class _LogRecorder(log_lines.LineWriter):
-    """Records log lines for tests."""
+    """Records log lines of one process, with its name and the time."""
 
-    def __init__(self, records: list[dict[str, Any]]) -> None:
+    def __init__(self, name: str, records: list[dict[str, Any]]) -> None:
         super().__init__(os.open(os.devnull, os.O_WRONLY))
+        self._name = name
         self._records = records
 
     def write(self, event: str, **fields: Any) -> None:
-        self._records.append({'event': event, **fields})
+        self._records.append(
+            {
+                'at': round(time.monotonic(), 3),
+                'process': self._name,
+                'event': event,
+                **fields,
+            }
+        )
 
 
 def _route(prefix: str, kind: str, service: str) -> dict[str, Any]:
