datagrams: all that has arrived is received in one turn; none after the stop

Callers saw: nothing by itself; limits and news of the store reached processes with slow turns late, one cause of refusals in server_limit_test.test_end.

Cause: asyncio's transport receives one datagram a turn of the loop. Where turns take 0.1 s a router's tens of notes a second queue, and ages that they state are wrong by the length of the queue.

--- a/beryllug/drivers/datagrams_test.py
+++ b/beryllug/drivers/datagrams_test.py
@@ -60,6 +60,27 @@
         )
         self.assertEqual((self.receiver.sent, self.receiver.dropped), (0, 1))
 
+    async def test_after_stall(self) -> None:
+        """What arrived while the process stalled is received in one turn.
+
+        Otherwise a process with slow turns acts on ever older messages.
+        """
+        sender = datagrams.Datagrams(VALID_KEYS, Message, print)
+        await sender.start(_free_address())
+        texts = [str(number) for number in range(datagrams.MAX_PER_TURN // 2)]
+        for text in texts:
+            sender.send((self.address,), Message(text))
+        sender.stop()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self.assertEqual([each.text for each in self.received], texts)
+
+    async def test_stopped(self) -> None:
+        """A task that outlives the service sends nothing and does not fail."""
+        self.receiver.stop()
+        self.receiver.send((self.address,), Message('late'))
+        self.assertEqual((self.receiver.sent, self.receiver.dropped), (0, 1))
+
 
 if __name__ == '__main__':
     unittest.main()
