claims: a limit that ended during a stall does not come back by old notes

Callers saw: 503 "all backend servers are at their rate limit", or one server idle, after servers had withdrawn their limits; one of the faults behind server_limit_test.test_end.

Cause: a note states the age of an observation as of its sending. One that waits in the socket of a stalled process looks younger than the end that was learnt meanwhile, is taken, and goes on to others with permits and claims.

Ruled out: that the server states it again, its answers carry no limit.

Why it works: since all that has arrived is received in one turn, a note waited for no longer than this process stalled, which ticks tells.

--- a/beryllug/router/claims.py
+++ b/beryllug/router/claims.py
@@ -17,6 +17,8 @@
 # Timeout for the answer to a claim: ten round trips between zones, or one turn
 # of the event loop in a busy process.
 ANSWER_TIMEOUT_S = 0.05
+# Seconds within which a note was sent if this process did not stall.
+MAX_QUEUED_S = 2.0
 Send = Callable[[Iterable[str], peering_data.PeerNote], None]
 
 
@@ -60,11 +62,17 @@
 
     def handle_note(self, note: peering_data.PeerNote, now: float) -> None:
         """Process the limits, claims and permits of a received note."""
-        self._limits.merge_observations(note.limits, note.name, now)
+        # While this process stalled, the note waited for it. Without this, a
+        # limit that ended meanwhile would look younger than its end.
+        stalled_s = self._peers.timeouts.stalled_s(now - MAX_QUEUED_S, now)
+        sent_at = now - stalled_s
+        self._limits.merge_observations(note.limits, note.name, sent_at)
         if note.claim is not None:
-            self._answer_claim(note, note.claim, now)
+            self._answer_claim(note, note.claim, sent_at, now)
         if note.permit is not None:
-            self._limits.merge_observation(note.permit.limit, note.name, now)
+            self._limits.merge_observation(
+                note.permit.limit, note.name, sent_at
+            )
             pending = self._pending.pop(note.permit.number, None)
             if pending is not None and not pending.done():
                 pending.set_result(note.permit)
@@ -96,10 +104,11 @@
         self,
         note: peering_data.PeerNote,
         claim: peering_data.PermitRequest,
+        sent_at: float,
         now: float,
     ) -> None:
         instance = claim.limit.instance
-        self._limits.merge_observation(claim.limit, note.name, now)
+        self._limits.merge_observation(claim.limit, note.name, sent_at)
         coordinator = members.ranked(self._peers.members, instance)[0]
         wait_s = permits.AGAIN_S
         if coordinator == self._peers.members.name:
--- a/beryllug/router/claims_test.py
+++ b/beryllug/router/claims_test.py
@@ -17,6 +17,7 @@
 from beryllug.core.peering import members, peering_data
 from beryllug.core.placement import fleet_size, servers_data
 from beryllug.core.placement import server_headers as statements_data
+from beryllug.core.placement import server_limits as limits_data
 from beryllug.drivers import answer_timeouts
 from beryllug.kernel import log_lines
 from beryllug.platform import requests
@@ -43,6 +44,7 @@
 ANSWER_DELAY_S = 0.03
 MESSAGE_DELAY_S = 0.002
 ROUND_S = 0.25
+STALL_S = 1.0
 # Minimum part of the limit that the fleet uses under sufficient load.
 MIN_UTILIZATION = 0.7
 
@@ -380,6 +382,34 @@
                 await fleet.generate_load(30, 2)
                 self.assertEqual(fleet.refused, 0)
 
+    async def test_after_stall(self) -> None:
+        """A limit that ended during a stall must not come back by old notes.
+
+        The note was sent before the limit ended and waited for this process.
+        """
+        instance = SERVER.instance
+        fleet = _Fleet(2, 1.0)
+        process = fleet.processes['p0']
+        now = time.monotonic()
+        process.limits.observe(
+            instance, limits_data.Observation(1.0, now - STALL_S)
+        )
+        process.limits.observe(
+            instance, limits_data.Observation(None, now - STALL_S / 2)
+        )
+        process.timeouts = answer_timeouts.AnswerTimeouts(_stalled)
+        report = peering_data.RateLimitReport(instance, 1.0, 0)
+        claim = peering_data.PermitRequest(1, report)
+        permit = peering_data.Permit(1, 0, report)
+        note = peering_data.PeerNote('p1', 'p1', notes='p1')
+        for waiting in (
+            note._replace(limits=(report,)),
+            note._replace(claim=claim),
+            note._replace(permit=permit),
+        ):
+            process.claims.handle_note(waiting, now)
+            self.assertIsNone(process.limits.per_s(instance))
+
     async def _run_scenario(
         self, size: int, per_s: float, scenario: Scenario
     ) -> _Fleet:
@@ -392,5 +422,9 @@
         return fleet
 
 
+def _stalled(since: float, now: float) -> float:
+    return STALL_S
+
+
 if __name__ == '__main__':
     main()
