server_limits: the end of a limit is told again to processes that missed it

Cause: the end was told once, in one datagram. Probes and their answers repeat limits that stand, never ends. A router that missed it kept the limit; the one that permits requests asks nobody and went on to permit itself one a second.

Evidence: eight lines that the limit began, seven that it ended; the router without one refuses.

--- a/beryllug/core/placement/server_limits.py
+++ b/beryllug/core/placement/server_limits.py
@@ -29,10 +29,12 @@
     Attributes:
         per_s: Requests a second; None where it states no limit.
         at: Monotonic second.
+        since: Monotonic second since which nothing else was observed.
     """
 
     per_s: float | None
     at: float
+    since: float = float('inf')
 
 
 @dataclass(slots=True)
@@ -57,14 +59,14 @@
     Older observations and the end of an unknown limit are ignored.
     """
     before = limits.observed.get(instance)
-    if before is None:
-        if observation.per_s is not None:
-            limits.observed[instance] = observation
-        return observation.per_s is not None
-    if observation.at <= before.at:
+    if before is None and observation.per_s is None:
         return False
-    limits.observed[instance] = observation
-    return observation.per_s != before.per_s
+    if before is not None and observation.at <= before.at:
+        return False
+    has_changed = before is None or observation.per_s != before.per_s
+    since = observation.at if before is None or has_changed else before.since
+    limits.observed[instance] = observation._replace(since=since)
+    return has_changed
 
 
 def take_remote(
@@ -92,6 +94,20 @@
     )
 
 
+def recent(limits: Limits, now: float) -> list[str]:
+    """Return the servers whose observation is sent to other processes.
+
+    The end of a limit is sent as long as another process may still send that
+    limit: one that missed the first message would keep the limit, and refuse
+    requests that the server would accept.
+    """
+    return sorted(
+        instance
+        for instance, observation in limits.observed.items()
+        if now - _recent_at(observation) < ENDED_S
+    )
+
+
 def forget(limits: Limits, listed: frozenset[str], now: float) -> None:
     """Remove limits that ended long ago or whose servers are gone."""
     limits.observed = {
@@ -106,3 +122,10 @@
     if observation.per_s is None:
         return ENDED_S
     return math.inf if is_listed else UNLISTED_RETENTION_S
+
+
+def _recent_at(observation: Observation) -> float:
+    """Return when a limit was last observed, or when it was seen to end."""
+    if observation.per_s is None:
+        return observation.since
+    return observation.at
--- a/beryllug/core/placement/server_limits_test.py
+++ b/beryllug/core/placement/server_limits_test.py
@@ -88,6 +88,26 @@
             server_limits.take_remote(limits, 'i', seen)
             self.assertEqual(server_limits.per_s(limits, 'i'), per_s)
 
+    def test_recent(self) -> None:
+        """The end of a limit is sent on, as one that missed it keeps it."""
+        limits = server_limits.Limits()
+        server_limits.take(limits, 'limited', Observation(2, 5))
+        for instance in ('ended', 'answers since'):
+            server_limits.take(limits, instance, Observation(2, 0))
+            server_limits.take(limits, instance, Observation(None, 5))
+        for at in (6, 15, 24):
+            server_limits.take(limits, 'answers since', Observation(None, at))
+        every = {'limited', 'ended', 'answers since'}
+        table: tuple[tuple[float, set[str]], ...] = (
+            (6, every),
+            (14, every),
+            (5 + server_limits.ENDED_S, set()),
+        )
+        for now, expected in table:
+            with self.subTest(now=now):
+                recent = server_limits.recent(limits, now)
+                self.assertEqual(set(recent), expected)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/beryllug/proofs/platform/server_limit_test.py
+++ b/beryllug/proofs/platform/server_limit_test.py
@@ -1,9 +1,14 @@
 """Servers that state a request limit for all routers together."""
 
-import unittest
+import asyncio
+import time
+from unittest import main, mock
 
+from beryllug.core import rendezvous
 from beryllug.platform import names
 from beryllug.proofs.platform import site_test
+from beryllug.router import server_limits
+from beryllug.standins import platform_site
 
 # Maximum requests in a window: the factor and slack over the limit.
 WINDOW_S = 4.0
@@ -12,6 +17,10 @@
 # Seconds after a server first states its limit until the bound applies.
 STABLE_S = 1.0
 LOAD_S = WINDOW_S + 2 * STABLE_S
+# Seconds in which one router misses messages, and in which it has to learn what
+# it missed: the users' bound on the time until a stable state is known.
+LOST_S = 4.0
+LEARN_S = 3.0
 # Long queue, so that servers do not refuse requests for being full.
 QUEUE = 1000
 OK = 200
@@ -89,11 +98,7 @@
     async def _set_limit(
         self, instances: tuple[str, ...], per_s: float | None
     ) -> None:
-        for instance in instances:
-            runner = self.site.runners[instance]
-            runner.reported_status = runner.reported_status._replace(
-                limit_per_s=per_s
-            )
+        set_limit(self.site, instances, per_s)
 
     def _check_bound(self, instance: str, per_s: float) -> None:
         arrivals = self.site.runners[instance].received_requests
@@ -108,5 +113,69 @@
         self.assertLessEqual(most, LIMIT_FACTOR * per_s * WINDOW_S + SLACK)
 
 
+class LostMessageTest(site_test.SiteCase):
+    """One router misses the messages that the limits of servers end."""
+
+    routers = 3
+
+    async def test_end(self) -> None:
+        """The router that permits requests learns that a limit has ended.
+
+        It would keep the limit, and refuse requests that the server accepts,
+        until it happened to send one itself.
+        """
+        load = site_test.LOADS[0]
+        instance = load.servers[0]
+        set_limit(self.site, load.servers, 1)
+        await self.send_load(load, STABLE_S)
+        limits = self._coordinator_limits(instance)
+        with mock.patch.object(limits, 'merge_observations'):
+            set_limit(self.site, load.servers, None)
+            await self._ask_others(limits, LOST_S)
+        self.assertIn(instance, limits.dump())
+        async with asyncio.timeout(LEARN_S):
+            while instance in limits.dump():
+                await asyncio.sleep(platform_site.POLL_S)
+
+    def _coordinator_limits(self, instance: str) -> server_limits.ServerLimits:
+        """Return the limits of the router that permits requests to a server."""
+        names_by_rank = rendezvous.order(
+            instance, [router.name for router in self.site.routers]
+        )
+        first = next(
+            router
+            for router in self.site.routers
+            if router.name == names_by_rank[0]
+        )
+        return first.services.find('server_limits', server_limits.ServerLimits)
+
+    async def _ask_others(
+        self, limits: server_limits.ServerLimits, seconds: float
+    ) -> None:
+        """Send requests through all routers but one, whose limits are given."""
+        others = [
+            router
+            for router in self.site.routers
+            if router.services.find('server_limits', server_limits.ServerLimits)
+            is not limits
+        ]
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            for router in others:
+                await self.site.ask(router, site_test.LOOKUP)
+            await asyncio.sleep(site_test.REQUEST_INTERVAL_S)
+
+
+def set_limit(
+    site: platform_site.Site, instances: tuple[str, ...], per_s: float | None
+) -> None:
+    """Make servers state a limit in requests a second, or none."""
+    for instance in instances:
+        runner = site.runners[instance]
+        runner.reported_status = runner.reported_status._replace(
+            limit_per_s=per_s
+        )
+
+
 if __name__ == '__main__':
-    unittest.main()
+    main()
--- a/beryllug/router/server_limits.py
+++ b/beryllug/router/server_limits.py
@@ -153,12 +153,8 @@
     def sample_recent(
         self, now: float
     ) -> tuple[peering_data.RateLimitReport, ...]:
-        """Return some recently observed limits, to send to a peer."""
-        known = [
-            instance
-            for instance in sorted(server_limits.limited(self.known))
-            if now - self.known.observed[instance].at < server_limits.ENDED_S
-        ]
+        """Return some recent limits and ends of limits, to send to a peer."""
+        known = server_limits.recent(self.known, now)
         chosen = self._rng.sample(known, min(MAX_RECENT, len(known)))
         return tuple(self.observation(each, now) for each in chosen)
 
