--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -206,6 +206,8 @@
             or its answer, some of those known to the sender.
         has_lost_store: Whether it was watching the store, which has just
             stopped answering it.
+        table: The stored route table as compressed JSON, if it has just come
+            into force at the sender and is short.
     """
 
     name: str
@@ -234,6 +236,7 @@
     permit: Permit | None = None
     leaving: tuple[str, ...] = ()
     has_lost_store: bool = False
+    table: bytes = b''
 
 
 class HeldOrder(NamedTuple):
--- a/beryllug/core/peering/watcher_election.py
+++ b/beryllug/core/peering/watcher_election.py
@@ -6,6 +6,7 @@
 learn. A process that knows of no watcher watches the store itself.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -140,8 +141,25 @@
     standing: WatcherState, known: members.Members, now: float
 ) -> bool:
     """Return whether this process should watch the store itself."""
+    return watch_due_at(standing, known, now) <= now
+
+
+def watch_due_at(
+    standing: WatcherState, known: members.Members, now: float
+) -> float:
+    """Return from when this process should watch the store itself.
+
+    Args:
+        standing: What this process knows about the watchers.
+        known: The known processes.
+        now: The current time in seconds.
+
+    Returns:
+        A time in seconds, unless other news comes before; infinite if there
+        are enough watchers.
+    """
     if now < standing.waits_until:
-        return False
+        return standing.waits_until
     watchers = watching(standing, now)
     others = watchers - {known.name}
     if len(others) >= WATCHERS:
@@ -152,17 +170,19 @@
     preferred = ranking[: ranking.index(known.name)]
     preferred_watchers = sum(name in watchers for name in preferred)
     if preferred_watchers >= WATCHERS:
-        return False
+        return math.inf
     if known.name in watchers:
-        return True
+        return now
     # A preferred process may not watch because the store rejects it or because
     # it is gone. It is skipped after a short delay; without the delay all
     # others would list the whole store at once.
-    too_few_s = (
-        0 if standing.too_few_since is None else now - standing.too_few_since
-    )
+    too_few_since = now
+    if standing.too_few_since is not None:
+        too_few_since = standing.too_few_since
     skipped = len(preferred) - preferred_watchers
     skipped_late = max(skipped - MAX_SKIPPED_WITHOUT_DELAY, 0)
     return (
-        too_few_s >= SKIP_DELAY_S * skipped + EXTRA_SKIP_DELAY_S * skipped_late
+        too_few_since
+        + SKIP_DELAY_S * skipped
+        + EXTRA_SKIP_DELAY_S * skipped_late
     )
--- a/beryllug/router/store_exchange.py
+++ b/beryllug/router/store_exchange.py
@@ -73,7 +73,7 @@
         own = digest.versions
         known = self._known
         if asked.table < own.table:
-            digest = digest._replace(table=self._compressed_table(own.table))
+            digest = digest._replace(table=self.compressed_table())
         if asked.servers < own.servers:
             digest = digest._replace(
                 servers=self._compressed_servers(own.servers)
@@ -91,8 +91,7 @@
             digest.evacuated, digest.versions.zones, digest.name, now
         )
         if digest.table:
-            table = _decode(zlib.decompress(digest.table))
-            known.take_table_spec(table, digest.name)
+            self.take_table(digest.table, digest.name)
         if digest.servers:
             known.servers.apply_specs(
                 _decode(zlib.decompress(digest.servers)),
@@ -109,6 +108,19 @@
 
         self._apply_held(digest, now)
 
+    def take_table(self, compressed: bytes, source: str) -> None:
+        """Put a compressed route table of a peer in force, if it is newer."""
+        spec = _decode(zlib.decompress(compressed))
+        self._known.take_table_spec(spec, source)
+
+    def compressed_table(self) -> bytes:
+        """Return the route table, compressed once for all requests."""
+        version = self.versions().table
+        if self._table_cache[0] != version:
+            raw = _encode(self._known.table_spec)
+            self._table_cache = (version, zlib.compress(raw, LEVEL))
+        return self._table_cache[1]
+
     def _held(self, now: float) -> peering_data.HeldState:
         """Return what is held against the store, for a newly started process.
 
@@ -155,13 +167,6 @@
             self._servers_cache = (revision, zlib.compress(raw, LEVEL))
         return self._servers_cache[1]
 
-    def _compressed_table(self, version: int) -> bytes:
-        """Return the route table, compressed once for all requests."""
-        if self._table_cache[0] != version:
-            raw = _encode(self._known.table_spec)
-            self._table_cache = (version, zlib.compress(raw, LEVEL))
-        return self._table_cache[1]
-
 
 def _encode(document: Any) -> bytes:
     return msgspec.json.encode(document)
--- a/beryllug/router/store_news.py
+++ b/beryllug/router/store_news.py
@@ -9,7 +9,6 @@
 second, even while nothing changes.
 """
 
-import asyncio
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -25,13 +24,17 @@
     watcher_election,
 )
 from beryllug.core.placement import backlog
-from beryllug.router import directory, peering, server_list, store_listing
+from beryllug.router import (
+    catch_up,
+    directory,
+    peering,
+    server_list,
+    store_following,
+    store_listing,
+)
 
-# Seconds between two calls to a peer with newer data, and the part of a second
-# over which a fleet's calls to the few that have it are spread.
-CATCH_UP_PERIOD_S = 0.3
-SPREAD_S = 0.15
-# Bytes of changes that fit a note beside its other fields.
+# Bytes of changes, or of a route table, that fit a note beside its other
+# fields.
 MAX_ENTRIES_BYTES = 1000
 
 Send = Callable[[Iterable[str], peering_data.PeerNote], None]
@@ -41,6 +44,9 @@
     """Decides whether to follow the store, and spreads the data.
 
     The service that sends the notes owns it.
+
+    Attributes:
+        catch_up: Fetches the data that this process lacks.
     """
 
     def __init__(
@@ -61,10 +67,12 @@
         self.standing = self._exchange.standing
         self._send = send
         self._rng = random.Random(peers.members.name)
-        self._caught_up_at = 0.0
-        self._calls: set[asyncio.Task[None]] = set()
+        self.catch_up = catch_up.CatchUp(peers)
+        self._following = store_following.StoreFollowing(
+            self.standing, self._members, known
+        )
         known.servers.on_changes(self._publish_delta)
-        known.on_table(lambda _: self._publish(self.own_state_note()))
+        known.on_table(lambda _: self._publish_table())
         known.orders.on_order(lambda *_: self._publish(self.own_state_note()))
         known.zones.on_changed(lambda _: self._publish(self.own_state_note()))
         known.liveness.on_unresponsive = self._broadcast_store_lost
@@ -82,20 +90,13 @@
         )
 
     def stop(self) -> None:
-        """Cancel the calls to peers."""
-        for task in self._calls:
-            task.cancel()
+        """Cancel the calls to peers, and start no more watches."""
+        self.catch_up.stop()
+        self._following.stop()
 
     async def update_following(self, now: float) -> None:
         """Follow the store, if this process should."""
-        if self._known.is_current():
-            watcher_election.record_watcher(
-                self.standing, self._members.name, now
-            )
-        should_follow = watcher_election.must_watch(
-            self.standing, self._members, now
-        )
-        await self._known.update_following(should_follow=should_follow)
+        await self._following.update(now)
 
     def announce(self) -> None:
         """Announce that this process follows the store, if it does."""
@@ -134,7 +135,7 @@
         if note.is_watching:
             watcher_election.record_watcher(self.standing, note.name, now)
         if note.has_lost_store:
-            watcher_election.record_store_silence(self.standing, note.name, now)
+            self._following.record_store_silence(note.name, now)
         watcher_election.record_watchers(self.standing, note.followers, now)
         if note.versions == peering_data.NOTHING_KNOWN:
             return
@@ -142,23 +143,34 @@
         self._known.zones.take(
             note.evacuated, note.versions.zones, note.name, now
         )
+        if note.table:
+            self._exchange.take_table(note.table, note.name)
         servers = self._known.servers
         servers.peer_store_recovered(now - note.returned_ago_s)
         if note.entries:
             self._apply_changes(note, now)
         if self._exchange.is_behind(note.versions):
-            self._catch_up(self._catch_up_address(note, now), now)
+            self.catch_up.start(note, self._catch_up_address(note, now), now)
 
     def _broadcast_store_lost(self) -> None:
         """Tell all processes that the store no longer answers this one."""
         name = self._members.name
-        watcher_election.record_store_silence(
-            self.standing, name, time.monotonic()
-        )
+        self._following.record_store_silence(name, time.monotonic())
         known = self._members.known.values()
         note = self.own_state_note()._replace(has_lost_store=True)
         self._send((each.notes for each in known), note)
 
+    def _publish_table(self) -> None:
+        """Send the route table that has just come into force.
+
+        With a short one the receivers need no call to fetch it.
+        """
+        table = self._exchange.compressed_table()
+        note = self.own_state_note()
+        if len(table) <= MAX_ENTRIES_BYTES:
+            note = note._replace(table=table)
+        self._publish(note)
+
     def _publish_delta(self, delta: server_list.Delta) -> None:
         """Send changes of the servers that came from the store."""
         entries = msgspec.json.encode(delta.entries)
@@ -207,8 +219,11 @@
         It is not always the sender of the first note: all others would ask it
         alone, and its link would carry the route table to each of them. After a
         note of a process that follows the store, any of those is asked; after
-        one of an aggregator of the zone, any aggregator of the zone.
+        one of an aggregator of the zone, any aggregator of the zone. In a small
+        fleet it is, since others may not have the data yet.
         """
+        if catch_up.is_small(self._members):
+            return note.address
         names: list[str] = []
         near = self._zone_aggregators()
         if note.is_watching:
@@ -218,17 +233,6 @@
         found = members.addresses(self._members, names)
         return self._rng.choice(found or [note.address])
 
-    def _catch_up(self, address: str, now: float) -> None:
-        if now - self._caught_up_at < CATCH_UP_PERIOD_S:
-            return
-        self._caught_up_at = now
-        max_delay_s = 0.0
-        if len(self._members.known) > members.MAX_PEERS_PER_MESSAGE:
-            max_delay_s = SPREAD_S
-        task = asyncio.create_task(self._peers.compare(address, max_delay_s))
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
-
     def _zone_aggregators(self) -> list[str]:
         return aggregation.aggregators(self._members, self._zone, self._zone)
 
--- a/beryllug/router/store_news_test.py
+++ b/beryllug/router/store_news_test.py
@@ -1,6 +1,7 @@
 """Tests of how store data spreads through a fleet."""
 
 import unittest
+import uuid
 from collections.abc import Iterable
 from types import MappingProxyType
 from typing import Any
@@ -16,6 +17,7 @@
 )
 from beryllug.drivers import store_era
 from beryllug.kernel import log_lines
+from beryllug.platform import documents
 from beryllug.router import (
     store_exchange,
     server_list,
@@ -25,6 +27,8 @@
 )
 
 ZONES = 5
+# Client accounts whose keys do not fit a datagram.
+MANY_TENANTS = 100
 ENTRY = MappingProxyType(
     {
         'service': 'pool',
@@ -45,6 +49,8 @@
         self.servers = server_list.ServerList(1, lines)
         self.servers.apply_specs({}, 5, 'p9', 0)
         self.table: Any = None
+        self.table_spec: Any = None
+        self._listener: Any = None
         self.eras = store_era.StoreEra()
         self.orders = self
         self.zones = zone_list.ZoneList(lines)
@@ -57,7 +63,16 @@
         return self._is_current
 
     def on_table(self, listener: Any) -> None:
-        """Have no table."""
+        self._listener = listener
+
+    def put_in_force(self, spec: dict[str, Any]) -> None:
+        """Put a table in force as if it came from the store."""
+        self.take_table_spec(spec, 'store')
+
+    def take_table_spec(self, spec: Any, source: str) -> None:
+        self.table = documents.table(spec)
+        self.table_spec = spec
+        self._listener(self.table)
 
     def on_order(self, listener: Any) -> None:
         """Have no orders."""
@@ -79,7 +94,7 @@
         self.store_exchange = shared
         self.asked: list[str] = []
 
-    async def compare(self, address: str, max_delay_s: float) -> None:
+    async def compare(self, address: str, max_delay_s: float = 0) -> None:
         self.asked.append(address)
 
 
@@ -126,6 +141,15 @@
     return aggregation.aggregators(known, zone, 'z0')
 
 
+def _table(tenants: int) -> dict[str, Any]:
+    """Return a route table with a number of client accounts."""
+    accounts = [
+        {'name': f'tenant-{number}', 'api_keys': [uuid.uuid4().hex]}
+        for number in range(tenants)
+    ]
+    return {'version': 3, 'routes': [], 'services': [], 'tenants': accounts}
+
+
 def _change(revision: int, sender: str = 'p9') -> peering_data.PeerNote:
     """Return the note of a process that has seen a new server."""
     return peering_data.PeerNote(
@@ -219,6 +243,26 @@
                 asked = set(process.peers.asked)
                 self.assertEqual(asked, {f'{name}:1' for name in expected})
 
+    async def test_table(self) -> None:
+        """A short table comes into force with the push, a long one by a call.
+
+        A call to a busy process takes part of the time within which a change
+        has to be in force everywhere.
+        """
+        for tenants, is_pushed in ((1, True), (MANY_TENANTS, False)):
+            with self.subTest(tenants=tenants):
+                follower = _Process('p7', is_current=True)
+                follower.known.put_in_force(_table(tenants))
+                note = follower.sent[-1][1]
+                self.assertEqual(bool(note.table), is_pushed)
+                member = _Process('p1')
+                member.news.handle_note(note, 100)
+                self.assertEqual(member.known.table_spec is not None, is_pushed)
+                self.assertEqual(
+                    bool(member.news.catch_up.calls), not is_pushed
+                )
+                await _wait_for_calls(member)
+
     async def test_relayed(self) -> None:
         """A process that gets only totals learns from them who follows.
 
@@ -252,7 +296,7 @@
 
 async def _wait_for_calls(process: _Process) -> None:
     """Wait for the calls, which are spread over part of a second."""
-    for task in tuple(process.news._calls):  # noqa: SLF001
+    for task in tuple(process.news.catch_up.calls):
         await task
 
 
