run_all: what a module that does not end has printed, and where it hangs

A module that ran for 600 s was killed and its output lost: answers_test beside load on could not be told to be slow or to hang. Now its output goes to a file, each test is named as it begins, and it is aborted with the stacks of its threads. run_all_test.test_timeout: the function is new, so it was red for want of it.

--- a/beryllug/proofs/run_all.py
+++ b/beryllug/proofs/run_all.py
@@ -10,10 +10,12 @@
 
 import asyncio
 import re
+import signal
 import sys
+import tempfile
 from collections.abc import Sequence
 from pathlib import Path
-from typing import NamedTuple
+from typing import BinaryIO, NamedTuple
 
 PACKAGE = 'beryllug'
 MAX_PARALLEL = 4
@@ -70,30 +72,48 @@
     module: str, root: Path, semaphore: asyncio.Semaphore
 ) -> ModuleResult:
     async with semaphore:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'unittest',
-            module,
-            cwd=root,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        try:
-            raw, _ = await asyncio.wait_for(process.communicate(), TIMEOUT_S)
-        except TimeoutError:
-            process.kill()
-            raw = b'timed out'
-    module_result = parse_result(
-        module,
-        raw.decode(errors='replace'),
-        process.returncode,
-        _read_known_red(),
-    )
+        with tempfile.TemporaryFile() as log:
+            code = await run_process(
+                ('-m', 'unittest', '-v', module), root, log, TIMEOUT_S
+            )
+            log.seek(0)
+            output = log.read().decode(errors='replace')
+    module_result = parse_result(module, output, code, _read_known_red())
     _print_result(module_result)
     return module_result
 
 
+async def run_process(
+    arguments: Sequence[str], root: Path, log: BinaryIO, timeout_s: float
+) -> int | None:
+    """Run the interpreter, and abort it after some time.
+
+    Args:
+        arguments: Its arguments.
+        root: Its working directory.
+        log: File for its output; if it is aborted, with the stack of each of
+            its threads.
+        timeout_s: Seconds until it is aborted.
+
+    Returns:
+        Its exit code.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-X',
+        'faulthandler',
+        *arguments,
+        cwd=root,
+        stdout=log,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    try:
+        return await asyncio.wait_for(process.wait(), timeout_s)
+    except TimeoutError:
+        process.send_signal(signal.SIGABRT)
+        return await process.wait()
+
+
 def parse_result(
     module: str, output: str, code: int | None, allowed: frozenset[str]
 ) -> ModuleResult:
--- a/beryllug/proofs/run_all_test.py
+++ b/beryllug/proofs/run_all_test.py
@@ -1,6 +1,8 @@
 """Tests of the evaluation of a module's run."""
 
+import tempfile
 import unittest
+from pathlib import Path
 
 from beryllug.proofs import run_all
 
@@ -8,6 +10,8 @@
 OTHER = 'beryllug.a_test.ATest.test_other'
 OK = 'Ran 3 tests in 1s\n\nOK\n'
 ROW = 'FAIL: test_x ({0}) [row 1]\nFAIL: test_x ({0}) [row 2]\n'
+HANG = 'print("test_a ... ", flush=True); import time; time.sleep(60)'
+TIMEOUT_S = 1.0
 CASES: tuple[tuple[str, str, int, int, int], ...] = (
     ('all pass', OK, 0, 0, 0),
     ('known red', f'{ROW.format(KNOWN)}Ran 3 tests', 1, 0, 1),
@@ -39,5 +43,21 @@
                 self.assertEqual(counts, (failed, known))
 
 
+class RunProcessTest(unittest.IsolatedAsyncioTestCase):
+    """A test module that does not end."""
+
+    async def test_timeout(self) -> None:
+        """What it printed, and where it hangs, is not lost with it."""
+        with tempfile.TemporaryFile() as log:
+            code = await run_all.run_process(
+                ('-c', HANG), Path.cwd(), log, TIMEOUT_S
+            )
+            log.seek(0)
+            output = log.read()
+        self.assertNotEqual(code, 0)
+        self.assertIn(b'test_a ... ', output)
+        self.assertIn(b'Current thread', output)
+
+
 if __name__ == '__main__':
     unittest.main()
