--- a/beryllug/proofs/platform/server_limit_test.py
+++ b/beryllug/proofs/platform/server_limit_test.py
@@ -17,8 +17,8 @@
 # Seconds after a server first states its limit until the bound applies.
 STABLE_S = 1.0
 LOAD_S = WINDOW_S + 2 * STABLE_S
-# Seconds in which one router misses messages, and in which it has to learn what
-# it missed: the users' bound on the time until a stable state is known.
+# Seconds in which one router misses messages, and after which it must know what
+# it missed, as of any change that has been stable for so long.
 LOST_S = 4.0
 LEARN_S = 3.0
 # Long queue, so that servers do not refuse requests for being full.
