--- a/beryllug/proofs/scenario.py
+++ b/beryllug/proofs/scenario.py
@@ -70,9 +70,9 @@
     await deployment.fleet.start()
     deployment.traffic.start()
     try:
-        await deployment.traffic.wait_for_requests(WARM_UP_REQUESTS)
+        await _wait_for_requests(deployment)
         await case.fault(deployment)
-        await deployment.traffic.wait_for_requests(WARM_UP_REQUESTS)
+        await _wait_for_requests(deployment)
     finally:
         sent = await deployment.traffic.stop()
     await settle(deployment.fleet)
@@ -81,6 +81,22 @@
     return invariants.check(deployment.fleet, sent, case.document)
 
 
+async def _wait_for_requests(deployment: Deployment) -> None:
+    """Wait until some more requests have completed.
+
+    Raises:
+        TimeoutError: They did not in time; the message contains the end of each
+            process's log.
+    """
+    try:
+        await deployment.traffic.wait_for_requests(WARM_UP_REQUESTS)
+    except TimeoutError as exc:
+        processes = deployment.fleet.processes
+        logs = [f'{name}: {processes.log(name)}' for name in processes.names()]
+        completed = len(deployment.traffic.sent)
+        raise TimeoutError('\n'.join((f'{completed=}', *logs))) from exc
+
+
 async def settle(fleet: harness.Fleet) -> None:
     """Wait until every entry process has written its rows to the journal."""
 
