Tests: one line says which failure each new test guards against

Cause: eight tests of the late timers, datagrams, limits and tables told their story in docstrings of several lines; it stands in the commits and postmortems. Change: docstrings only, no check, bound or number.

--- a/beryllug/drivers/datagrams_test.py
+++ b/beryllug/drivers/datagrams_test.py
@@ -61,10 +61,7 @@
         self.assertEqual((self.receiver.sent, self.receiver.dropped), (0, 1))
 
     async def test_after_stall(self) -> None:
-        """What arrived while the process stalled is received in one turn.
-
-        Otherwise a process with slow turns acts on ever older messages.
-        """
+        """What arrived while the process stalled is received in one turn."""
         sender = datagrams.Datagrams(VALID_KEYS, Message, print)
         await sender.start(_free_address())
         texts = [str(number) for number in range(datagrams.MAX_PER_TURN // 2)]
--- a/beryllug/drivers/http_client_test.py
+++ b/beryllug/drivers/http_client_test.py
@@ -177,10 +177,7 @@
                 self.assertEqual(await calling, b'a')
 
     async def test_late_timer(self) -> None:
-        """A stall of this process is not taken for a server's silence.
-
-        The timer is due while the answer arrives, before the loop runs again.
-        """
+        """A stall of this process is not taken for a server's silence."""
         for timeout_s in (STALL_S / 2, STALL_S / 4):
             with self.subTest(timeout_s=timeout_s):
                 has_read = asyncio.Event()
--- a/beryllug/proofs/platform/server_limit_test.py
+++ b/beryllug/proofs/platform/server_limit_test.py
@@ -119,11 +119,7 @@
     routers = 3
 
     async def test_end(self) -> None:
-        """The router that permits requests learns that a limit has ended.
-
-        It would keep the limit, and refuse requests that the server accepts,
-        until it happened to send one itself.
-        """
+        """The router that permits requests learns that a limit has ended."""
         load = site_test.LOADS[0]
         instance = load.servers[0]
         set_limit(self.site, load.servers, 1)
--- a/beryllug/proofs/platform/stall_test.py
+++ b/beryllug/proofs/platform/stall_test.py
@@ -50,11 +50,7 @@
     """One router; stalls of the event loop of the test itself."""
 
     async def test_request(self) -> None:
-        """A stall of the router is not taken for a fault of a server.
-
-        Otherwise its callers get errors or wait for a second run, although the
-        first server has answered.
-        """
+        """A stall of the router is not taken for a fault of a server."""
         for instance in ('d1', 'd2', 'p1', 'p2'):
             runner = self.site.runners[instance]
             runner.cfg = runner.cfg._replace(work_s=WORK_S, event_s=WORK_S)
@@ -104,11 +100,7 @@
     routers = 3
 
     async def test_idle(self) -> None:
-        """Routers that stall neither lose one another nor the store.
-
-        Otherwise each stall costs the store new lists and watches, and the
-        fleet's bounds are divided by too few processes.
-        """
+        """Routers that stall neither lose one another nor the store."""
         self.site.store_stand_in.put_faults(answer_delay_s=WORK_S)
         await asyncio.sleep(SETTLE_S)
         for _ in range(3):
--- a/beryllug/router/catch_up_test.py
+++ b/beryllug/router/catch_up_test.py
@@ -74,11 +74,7 @@
     """One process that lacks a route table."""
 
     async def test_calls(self) -> None:
-        """A table that is pushed arrives with the push, not a round later.
-
-        The process that is called to spread the load may lack it as well, and
-        further pushes come within the period in which no new series begins.
-        """
+        """A table that is pushed arrives with the push, not a round later."""
         for case in CASES:
             with self.subTest(case.title):
                 double = _Peers(case.tables)
--- a/beryllug/router/claims_test.py
+++ b/beryllug/router/claims_test.py
@@ -383,10 +383,7 @@
                 self.assertEqual(fleet.refused, 0)
 
     async def test_after_stall(self) -> None:
-        """A limit that ended during a stall must not come back by old notes.
-
-        The note was sent before the limit ended and waited for this process.
-        """
+        """A limit that ended during a stall must not come back by old notes."""
         instance = SERVER.instance
         fleet = _Fleet(2, 1.0)
         process = fleet.processes['p0']
--- a/beryllug/router/store_news_test.py
+++ b/beryllug/router/store_news_test.py
@@ -244,11 +244,7 @@
                 self.assertEqual(asked, {f'{name}:1' for name in expected})
 
     async def test_table(self) -> None:
-        """A short table comes into force with the push, a long one by a call.
-
-        A call to a busy process takes part of the time within which a change
-        has to be in force everywhere.
-        """
+        """A short table comes with the push, a long one by a call."""
         for tenants, is_pushed in ((1, True), (MANY_TENANTS, False)):
             with self.subTest(tenants=tenants):
                 follower = _Process('p7', is_current=True)
