judge: log each write of a verdict, with rank, revision and times

A write of a roll-out's result that succeeded left no line when the phase was known before, as it is after a return of the store; a refused one named neither the revision nor the process's rank. So lines could not tell a first judge that was refused from a standby that wrote too early.

verdict_stored is new; verdict_not_stored has revision, rank, due_s (from when the result was due here to the write) and took_s in addition. Nothing is decided otherwise.

--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -11,6 +11,7 @@
 import time
 from typing import Any
 
+from beryllug.core import stamps
 from beryllug.core.canary import canary_data, plan, verdict
 from beryllug.drivers import object_data
 from beryllug.kernel import log_lines
@@ -100,21 +101,30 @@
     ) -> None:
         service = rollout.order.service
         due_since = self._due_since.setdefault(service, now)
-        rank = peering.JUDGES - 1
-        if self._peers.is_judge(service, 0):
-            rank = 0
-        elif not self._peers.is_judge(service, rank):
-            # Both judges may be gone; any process then takes over.
-            rank = peering.JUDGES
-        if now - due_since < rank * TAKEOVER_DELAY_S:
+        if now - due_since < self._rank(service) * TAKEOVER_DELAY_S:
             return
         if await self._write(rollout, phase):
             self._due_since.pop(service, None)
 
+    def _rank(self, service: str) -> int:
+        """Return the rank of this process; `JUDGES` if it is no judge.
+
+        Both judges may be gone, so any process takes over in the end.
+        """
+        return next(
+            (
+                rank
+                for rank in range(peering.JUDGES)
+                if self._peers.is_judge(service, rank)
+            ),
+            peering.JUDGES,
+        )
+
     async def _write(
         self, rollout: rollout_state.Rollout, phase: canary_data.Phase
     ) -> bool:
         order = rollout.order
+        began_at = time.monotonic()
         try:
             await self._api.set_status(
                 store.ROLLOUTS,
@@ -125,13 +135,35 @@
         except object_data.ObjectApiError as exc:
             # After a conflict, the watch on the store delivers the stored
             # verdict.
-            self._lines.write(
-                'verdict_not_stored', service=order.service, error=str(exc)
-            )
+            self._log_write(rollout, phase, began_at, exc)
             return False
+        self._log_write(rollout, phase, began_at)
         self._trials.settle(rollout, phase, 'stored')
         return True
 
+    def _log_write(
+        self,
+        rollout: rollout_state.Rollout,
+        phase: canary_data.Phase,
+        began_at: float,
+        exc: object_data.ObjectApiError | None = None,
+    ) -> None:
+        """Log who wrote a verdict, on which revision of the order, and when."""
+        order = rollout.order
+        due_since = self._due_since.get(order.service, began_at)
+        now = time.monotonic()
+        self._lines.write(
+            'verdict_not_stored' if exc else 'verdict_stored',
+            service=order.service,
+            target=order.target,
+            phase=phase.value,
+            revision=stamps.format_stamp(order.revision),
+            rank=self._rank(order.service),
+            due_s=round(began_at - due_since, 3),
+            took_s=round(now - began_at, 3),
+            **({'error': str(exc)} if exc else {}),
+        )
+
     def _log(
         self,
         rollout: rollout_state.Rollout,
