judge: wait for the judges in each roll-out of a service, not only in the first

What callers saw: nothing; the store got the result of a service's second roll-out from all processes at once, of which all but one were refused.

Cause: the time since which a verdict is due was kept by service and forgotten only by the process whose write was accepted. All others kept the time of the first roll-out, so in the next one the wait for the judges was long over at the first look.

Found by reading the code for returns_test.test_verdict; it is not the cause of that one, whose service has one order.

Change: the time is kept with the revision of the order that the write is conditional on. The line of a write takes its revision from the order that was written, also if a newer one came meanwhile.

--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 from beryllug.core import stamps
 from beryllug.core.canary import canary_data, plan, verdict
@@ -29,6 +29,18 @@
 TAKEOVER_DELAY_S = 0.2
 
 
+class _Due(NamedTuple):
+    """A verdict that is due.
+
+    Attributes:
+        revision: Revision of the order that it is written on.
+        since: Monotonic second since which it is due here.
+    """
+
+    revision: int
+    since: float
+
+
 class Judge:
     """Writes the results of rollouts to the store."""
 
@@ -46,7 +58,7 @@
         self._notes = notes
         self._api = api
         self._lines = lines
-        self._due_since: dict[str, float] = {}
+        self._due: dict[str, _Due] = {}
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -61,7 +73,7 @@
 
     def dump(self) -> dict[str, Any]:
         """Return since when each verdict that is not yet stored is due."""
-        return dict(self._due_since)
+        return {service: each.since for service, each in self._due.items()}
 
     async def _run(self) -> None:
         while True:
@@ -100,11 +112,15 @@
         now: float,
     ) -> None:
         service = rollout.order.service
-        due_since = self._due_since.setdefault(service, now)
-        if now - due_since < self._rank(service) * TAKEOVER_DELAY_S:
+        due = self._due.get(service)
+        if due is None or due.revision != rollout.order.revision:
+            # Another process may have written the verdict of the previous one.
+            due = _Due(rollout.order.revision, now)
+            self._due[service] = due
+        if now - due.since < self._rank(service) * TAKEOVER_DELAY_S:
             return
         if await self._write(rollout, phase):
-            self._due_since.pop(service, None)
+            self._due.pop(service, None)
 
     def _rank(self, service: str) -> int:
         """Return the rank of this process; `JUDGES` if it is no judge.
@@ -135,22 +151,21 @@
         except object_data.ObjectApiError as exc:
             # After a conflict, the watch on the store delivers the stored
             # verdict.
-            self._log_write(rollout, phase, began_at, exc)
+            self._log_write(order, phase, began_at, exc)
             return False
-        self._log_write(rollout, phase, began_at)
+        self._log_write(order, phase, began_at)
         self._trials.settle(rollout, phase, 'stored')
         return True
 
     def _log_write(
         self,
-        rollout: rollout_state.Rollout,
+        order: canary_data.Order,
         phase: canary_data.Phase,
         began_at: float,
         exc: object_data.ObjectApiError | None = None,
     ) -> None:
         """Log who wrote a verdict, on which revision of the order, and when."""
-        order = rollout.order
-        due_since = self._due_since.get(order.service, began_at)
+        due = self._due[order.service]
         now = time.monotonic()
         self._lines.write(
             'verdict_not_stored' if exc else 'verdict_stored',
@@ -159,7 +174,7 @@
             phase=phase.value,
             revision=stamps.format_stamp(order.revision),
             rank=self._rank(order.service),
-            due_s=round(began_at - due_since, 3),
+            due_s=round(began_at - due.since, 3),
             took_s=round(now - began_at, 3),
             **({'error': str(exc)} if exc else {}),
         )
