judge: who writes a verdict tells the others, which wait without own stalls

What callers saw: nothing. The store got a second write of one result, which it refused (returns_test.test_verdict: 2 != 1); of a large fleet whose judges are refused, one from each process.

Cause: each process counted its wait for those of lower rank from its own first look at the due verdict, by the clock. A stall used up the wait, and the process wrote in the turn in which it ran again, while the first judge's write was under way or its news were. That the result is stored was heard through the store's watch only. All processes but the judges waited equally long. And after a refusal for an outdated revision a process wrote on it again in each period.

Change: the note about the phase of a roll-out, which goes to all already, also says on which revision of the order its sender has begun to write the result, and on which it is written. It is sent before the first write and after the accepted one. The others wait again from the first note of each writer, at most 0.6 s in all, so a writer that dies or is refused holds nobody up for longer; they write no more once it is written. Waits are counted in checks of 0.05 s: what waits in the sockets is read before the check after a stall, which counts as one like any other. The first four processes after the judges write a check apart. Nobody writes again on a revision that the store refused as outdated. Older processes ignore the new fields and send none; beside them the waits alone are left.

Why it works: a process writes only after four checks in a row of its own loop without news of another writer, however long these take.

Ruled out: a read before each write (a call more, and the first judge's write may be under way as it is answered).

--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -2,17 +2,17 @@
 
 Every process evaluates the evidence it has received. The judges of a rollout,
 chosen by a hash over the live processes, receive all evidence and write the
-verdict to the store. The write succeeds only if the order has not changed
-since, so the second of two writes is refused and that process adopts the stored
-verdict.
+verdict to the store, in the order of `core.canary.verdict_write`. The write
+succeeds only if the order has not changed since, so the second of two writes is
+refused and that process adopts the stored verdict.
 """
 
 import asyncio
 import time
-from typing import Any, NamedTuple
+from typing import Any
 
 from beryllug.core import stamps
-from beryllug.core.canary import canary_data, plan, verdict
+from beryllug.core.canary import canary_data, plan, verdict, verdict_write
 from beryllug.drivers import object_data
 from beryllug.kernel import log_lines
 from beryllug.platform import documents, store
@@ -21,24 +21,6 @@
 # Seconds between two evaluations of each open rollout. A verdict is due in all
 # processes seconds after the evidence for it.
 PERIOD_S = 0.25
-# Seconds that the second judge waits for the first one's verdict, and any other
-# process for the second one's. When the store refused both judges, a process
-# that waited for twice 0.4 s wrote a fifth of a second before the order's time
-# was over, which was too late. If two processes write, the second write is
-# refused.
-TAKEOVER_DELAY_S = 0.2
-
-
-class _Due(NamedTuple):
-    """A verdict that is due.
-
-    Attributes:
-        revision: Revision of the order that it is written on.
-        since: Monotonic second since which it is due here.
-    """
-
-    revision: int
-    since: float
 
 
 class Judge:
@@ -58,7 +40,7 @@
         self._notes = notes
         self._api = api
         self._lines = lines
-        self._due: dict[str, _Due] = {}
+        self._pending: dict[str, verdict_write.PendingWrite] = {}
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -73,18 +55,34 @@
 
     def dump(self) -> dict[str, Any]:
         """Return since when each verdict that is not yet stored is due."""
-        return {service: each.since for service, each in self._due.items()}
+        pending = {
+            rollout.order.service: self._pending.get(rollout.order.service)
+            for rollout in self._trials.rollouts()
+            if not rollout.is_stored
+        }
+        return {
+            service: write.since for service, write in pending.items() if write
+        }
 
     async def _run(self) -> None:
         while True:
             # Without a rollout there is nothing to evaluate, and each iteration
             # wakes the process.
             await self._trials.has_open_rollout.wait()
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(self._pause_s())
             for rollout in list(self._trials.rollouts()):
-                if not rollout.is_stored:
+                if rollout.is_stored:
+                    self._pending.pop(rollout.order.service, None)
+                else:
                     await self._evaluate(rollout)
 
+    def _pause_s(self) -> float:
+        """Return the seconds until the next evaluation."""
+        is_waiting = any(
+            not each.has_written for each in self._pending.values()
+        )
+        return verdict_write.CHECK_S if is_waiting else PERIOD_S
+
     async def _evaluate(self, rollout: rollout_state.Rollout) -> None:
         now = time.monotonic()
         seen = rollout.seen()
@@ -112,35 +110,63 @@
         now: float,
     ) -> None:
         service = rollout.order.service
-        due = self._due.get(service)
-        if due is None or due.revision != rollout.order.revision:
-            # Another process may have written the verdict of the previous one.
-            due = _Due(rollout.order.revision, now)
-            self._due[service] = due
-        if now - due.since < self._rank(service) * TAKEOVER_DELAY_S:
+        if rollout.written_on >= rollout.order.revision:
+            self._pending.pop(service, None)
             return
-        if await self._write(rollout, phase):
-            self._due.pop(service, None)
+        write = self._pending_write(rollout, now)
+        if verdict_write.may_write(write, self._rank(service)):
+            write.has_written = True
+            await self._write(rollout, phase)
+
+    def _pending_write(
+        self, rollout: rollout_state.Rollout, now: float
+    ) -> verdict_write.PendingWrite:
+        """Return the write of a verdict that is due, after one more check."""
+        order = rollout.order
+        writers = rollout_state.count_writers(rollout)
+        write = self._pending.get(order.service)
+        if write is None or write.revision != order.revision:
+            # Another process may have written the verdict of the previous one.
+            write = verdict_write.PendingWrite(order.revision, now, writers)
+            self._pending[order.service] = write
+        else:
+            verdict_write.count_check(write, writers)
+        return write
 
     def _rank(self, service: str) -> int:
-        """Return the rank of this process; `JUDGES` if it is no judge.
-
-        Both judges may be gone, so any process takes over in the end.
-        """
+        """Return the rank of this process, as far as ranks differ."""
         return next(
             (
                 rank
-                for rank in range(peering.JUDGES)
+                for rank in range(verdict_write.RANKS)
                 if self._peers.is_judge(service, rank)
             ),
-            peering.JUDGES,
+            verdict_write.RANKS,
         )
 
     async def _write(
         self, rollout: rollout_state.Rollout, phase: canary_data.Phase
-    ) -> bool:
+    ) -> None:
+        """Write a verdict, and tell the others so before and after."""
         order = rollout.order
         began_at = time.monotonic()
+        if rollout.write_begun_on != order.revision:
+            rollout.write_begun_on = order.revision
+            self._notes.broadcast_phase(rollout, began_at)
+        error = await self._set_status(order, phase)
+        self._log_write(order, phase, began_at, error)
+        if error is None or isinstance(error, object_data.ConflictError):
+            # After a conflict no write on this revision can succeed. The watch
+            # on the store delivers the newer one.
+            rollout.written_on = max(rollout.written_on, order.revision)
+        if error is None:
+            self._trials.settle(rollout, phase, 'stored')
+            self._notes.broadcast_phase(rollout, time.monotonic())
+
+    async def _set_status(
+        self, order: canary_data.Order, phase: canary_data.Phase
+    ) -> object_data.ObjectApiError | None:
+        """Write a verdict; return the error if the store did not accept it."""
         try:
             await self._api.set_status(
                 store.ROLLOUTS,
@@ -149,34 +175,29 @@
                 documents.order_status(order.target, phase),
             )
         except object_data.ObjectApiError as exc:
-            # After a conflict, the watch on the store delivers the stored
-            # verdict.
-            self._log_write(order, phase, began_at, exc)
-            return False
-        self._log_write(order, phase, began_at)
-        self._trials.settle(rollout, phase, 'stored')
-        return True
+            return exc
+        return None
 
     def _log_write(
         self,
         order: canary_data.Order,
         phase: canary_data.Phase,
         began_at: float,
-        exc: object_data.ObjectApiError | None = None,
+        error: object_data.ObjectApiError | None,
     ) -> None:
         """Log who wrote a verdict, on which revision of the order, and when."""
-        due = self._due[order.service]
+        write = self._pending[order.service]
         now = time.monotonic()
         self._lines.write(
-            'verdict_not_stored' if exc else 'verdict_stored',
+            'verdict_not_stored' if error else 'verdict_stored',
             service=order.service,
             target=order.target,
             phase=phase.value,
             revision=stamps.format_stamp(order.revision),
             rank=self._rank(order.service),
-            due_s=round(began_at - due.since, 3),
+            due_s=round(began_at - write.since, 3),
             took_s=round(now - began_at, 3),
-            **({'error': str(exc)} if exc else {}),
+            **({'error': str(error)} if error else {}),
         )
 
     def _log(
--- a/beryllug/router/judge_test.py
+++ b/beryllug/router/judge_test.py
@@ -6,95 +6,208 @@
 from typing import Any
 
 from beryllug.control import virtual_time_test
-from beryllug.core.canary import canary_data
+from beryllug.core.canary import canary_data, verdict_write
 from beryllug.core.peering import peering_data
+from beryllug.drivers import object_data
 from beryllug.kernel import log_lines
-from beryllug.router import judge, peering, pool, rollout_state, trials
+from beryllug.router import judge, pool, rollout_state, trials
 
 ORDER = canary_data.Order('pool', 'v2', 24, 7)
 NEXT_ORDER = canary_data.Order('pool', 'v3', 24, 11)
 BOUNDS = canary_data.Bounds(share=0.15, slack=30, session_s=5)
-PEER = 'peer'
+MESSAGE_DELAY_S = 0.005
+WRITE_S = 0.02
+STALL_S = 0.6
+# Seconds from a write until a process that watches the store tells of it.
+NEWS_S = 0.1
+# Seconds within which a verdict has to be stored if both judges are refused:
+# a roll-out is complete that long before its time is over.
+MAX_TAKEOVER_S = 1.2
+FLEET_SIZE = 80
 Phase = canary_data.Phase
 
 
 class _Store:
-    """Accepts each write, and records the revision it was written on."""
-
-    def __init__(self) -> None:
-        self.written: list[int] = []
-
-    async def set_status(
-        self, kind: str, name: str, revision: int, status: Any
-    ) -> None:
-        """Write the status."""
-        self.written.append(revision)
-
+    """The status of one order; accepts one write, and none of some ranks."""
+
+    def __init__(self, refused: tuple[int, ...] = ()) -> None:
+        self.refused = refused
+        self.fleet: list[_Process] = []
+        self.calls: list[tuple[float, int]] = []
+        self.stored_at: float | None = None
+
+    async def set_status(self, rank: int, revision: int) -> None:
+        """Write the status as the process of a rank."""
+        self.calls.append((time.monotonic(), revision))
+        await asyncio.sleep(WRITE_S)
+        if rank in self.refused:
+            raise object_data.UnavailableError('refused')
+        if self.stored_at is not None:
+            raise object_data.ConflictError(revision + 1)
+        self.stored_at = time.monotonic()
+        asyncio.get_running_loop().call_later(NEWS_S, self._send_news)
+
+    def _send_news(self) -> None:
+        for process in self.fleet:
+            process.order(ORDER._replace(revision=8), Phase.ROLLED_BACK)
+
+
+class _Process:
+    """A process: its judge, its access to the store and to the others."""
+
+    def __init__(self, rank: int, store: _Store) -> None:
+        self.rank = rank
+        self._store = store
+        no_servers: Any = None
+        lines = log_lines.LineWriter(1)
+        self.trials = trials.Trials(
+            pool.Pool(no_servers, 'zone', no_servers), BOUNDS, lines
+        )
+        access: Any = self
+        self.judge = judge.Judge(self.trials, access, access, access, lines)
+        self.order(ORDER, Phase.TRIAL)
 
-class _Peers:
-    """The other processes, which rank before this one or after it."""
+    def order(self, order: canary_data.Order, phase: Phase) -> None:
+        """Tell the process an order with its status in the store."""
+        self.trials.apply_order(order, phase, time.monotonic())
 
-    def __init__(self, rank: int) -> None:
-        self.rank = rank
+    def roll_back(self, order: canary_data.Order) -> None:
+        """Tell the process that a version was found bad."""
+        progress = peering_data.RolloutProgress(
+            order.service, order.target, Phase.ROLLED_BACK, 1
+        )
+        self.trials.apply_phases((progress,), 'peer', time.monotonic())
 
     def is_judge(self, service: str, rank: int) -> bool:
-        """Return whether this process has a rank."""
+        """Return whether the process has a rank."""
         return self.rank == rank
 
+    async def set_status(
+        self, kind: str, name: str, revision: int, status: Any
+    ) -> None:
+        """Write the status of an order."""
+        await self._store.set_status(self.rank, revision)
+
     def broadcast_phase(
         self, rollout: rollout_state.Rollout, now: float
     ) -> None:
-        """Send nothing."""
+        """Send the phase of a roll-out to all others."""
+        progress = rollout_state.phase_reports((rollout,), now)
+        for other in self._store.fleet:
+            if other is not self:
+                asyncio.get_running_loop().call_later(
+                    MESSAGE_DELAY_S,
+                    other.trials.apply_phases,
+                    progress,
+                    f'process-{self.rank}',
+                    now,
+                )
 
 
 class JudgeTest(virtual_time_test.VirtualTimeCase):
-    """One process; what the others do is called by the test."""
-
-    async def asyncSetUp(self) -> None:
-        await super().asyncSetUp()
-        self.store = _Store()
-
-    async def start(self, rank: int) -> None:
-        """Start a process of a rank, which knows an order."""
-        no_servers: Any = None
-        self.trials = trials.Trials(
-            pool.Pool(no_servers, 'zone', no_servers),
-            BOUNDS,
-            log_lines.LineWriter(1),
-        )
-        self.trials.apply_order(ORDER, Phase.TRIAL, time.monotonic())
-        peers: Any = _Peers(rank)
-        api: Any = self.store
-        self.judge = judge.Judge(
-            self.trials, peers, peers, api, log_lines.LineWriter(1)
-        )
-        await self.judge.start()
-        self.addAsyncCleanup(self.judge.stop, 0)
-
-    def roll_back(self, order: canary_data.Order) -> None:
-        """Tell the process that a version was found bad."""
-        progress = peering_data.RolloutProgress(
-            order.service, order.target, Phase.ROLLED_BACK, 1
-        )
-        self.trials.apply_phases((progress,), PEER, time.monotonic())
+    """Processes that find a version bad; all processes stall together."""
+
+    async def start(
+        self, store: _Store, *ranks: int, apart_s: float = 0
+    ) -> list[_Process]:
+        """Start processes, some time apart, that know a bad version."""
+        self.store = store
+        store.fleet.extend(_Process(rank, store) for rank in ranks)
+        for process in store.fleet:
+            process.roll_back(ORDER)
+            await process.judge.start()
+            self.addAsyncCleanup(process.judge.stop, 0)
+            await asyncio.sleep(apart_s)
+        return store.fleet
 
     async def test_next_rollout(self) -> None:
         """A process waits for the judges in each roll-out of a service.
 
         Otherwise all processes write the second result at the same time.
         """
-        await self.start(peering.JUDGES)
-        self.roll_back(ORDER)
+        process = (await self.start(_Store(), verdict_write.JUDGES))[0]
         await asyncio.sleep(judge.PERIOD_S * 1.5)
-        stored = ORDER._replace(revision=8)
-        self.trials.apply_order(stored, Phase.ROLLED_BACK, time.monotonic())
+        process.order(ORDER._replace(revision=8), Phase.ROLLED_BACK)
         await asyncio.sleep(BOUNDS.session_s)
-        self.trials.apply_order(NEXT_ORDER, Phase.TRIAL, time.monotonic())
-        self.roll_back(NEXT_ORDER)
-        await asyncio.sleep(judge.TAKEOVER_DELAY_S + judge.PERIOD_S / 2)
-        self.assertEqual(self.store.written, [])
-        await asyncio.sleep(1)
-        self.assertEqual(self.store.written, [NEXT_ORDER.revision])
+        process.order(NEXT_ORDER, Phase.TRIAL)
+        process.roll_back(NEXT_ORDER)
+        await asyncio.sleep(judge.PERIOD_S * 1.5)
+        self.assertEqual(self.store.calls, [])
+        await asyncio.sleep(MAX_TAKEOVER_S)
+        self.assertEqual(self._revisions(), {NEXT_ORDER.revision})
+
+    async def test_stall(self) -> None:
+        """A stall of a process does not use up its wait for the first judge.
+
+        The store would get a second write, which it refuses.
+        """
+        for rank in range(1, verdict_write.RANKS):
+            with self.subTest(rank=rank):
+                process = (await self.start(_Store(), rank))[0]
+                await asyncio.sleep(judge.PERIOD_S * 1.01)
+                self.clock.now += STALL_S
+                await asyncio.sleep(MESSAGE_DELAY_S)
+                process.order(ORDER._replace(revision=8), Phase.ROLLED_BACK)
+                await asyncio.sleep(MAX_TAKEOVER_S)
+                self.assertEqual(self.store.calls, [])
+
+    async def test_stalls(self) -> None:
+        """A result is written once, whenever all processes stall.
+
+        The store would get further writes, which it refuses.
+        """
+        for step in range(100):
+            with self.subTest(step=step):
+                fleet = await self.start(_Store(), 2, 1, 0, apart_s=0.08)
+                await asyncio.sleep(step * MESSAGE_DELAY_S)
+                self.clock.now += STALL_S
+                await asyncio.sleep(NEWS_S)
+                self.clock.now += STALL_S
+                await asyncio.sleep(MAX_TAKEOVER_S)
+                self.assertEqual(len(self.store.calls), 1, self.store.calls)
+                for process in fleet:
+                    await process.judge.stop(0)
+
+    async def test_large_fleet(self) -> None:
+        """If both judges are refused, few others write, and in time.
+
+        Otherwise the store gets a write from each process of the fleet.
+        """
+        apart_s = judge.PERIOD_S / FLEET_SIZE
+        await self.start(_Store((0, 1)), *range(FLEET_SIZE), apart_s=apart_s)
+        started_at = time.monotonic()
+        await asyncio.sleep(MAX_TAKEOVER_S)
+        assert self.store.stored_at is not None
+        self.assertLess(self.store.stored_at - started_at, MAX_TAKEOVER_S)
+        # The judges write again in each period.
+        judge_calls = 2 * MAX_TAKEOVER_S / judge.PERIOD_S
+        others = len(self.store.calls) - judge_calls
+        self.assertLess(others, verdict_write.RANKS)
+
+    async def test_refused_again(self) -> None:
+        """A process does not write again on an order that has changed.
+
+        The store refuses each of these writes until its news arrive.
+        """
+        store = _Store()
+        store.stored_at = time.monotonic()
+        process = (await self.start(store, 0))[0]
+        await asyncio.sleep(MAX_TAKEOVER_S)
+        self.assertEqual(len(store.calls), 1)
+        process.order(ORDER._replace(revision=9), Phase.TRIAL)
+        await asyncio.sleep(judge.PERIOD_S * 1.5)
+        self.assertEqual(self._revisions(), {ORDER.revision, 9})
+
+    async def test_unavailable(self) -> None:
+        """A judge writes until the store accepts it."""
+        await self.start(_Store((0,)), 0)
+        await asyncio.sleep(MAX_TAKEOVER_S)
+        self.store.refused = ()
+        await asyncio.sleep(judge.PERIOD_S * 1.5)
+        self.assertIsNotNone(self.store.stored_at)
+
+    def _revisions(self) -> set[int]:
+        return {revision for _, revision in self.store.calls}
 
 
 if __name__ == '__main__':
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from beryllug.core import settings_data
+from beryllug.core.canary import verdict_write
 from beryllug.core.peering import members, peering_data
 from beryllug.drivers import (
     answer_timeouts,
@@ -47,8 +48,6 @@
 MAX_CALL_ATTEMPTS = 2
 # Maximum number of failed calls that do not count, since this process stalled.
 MAX_STALLED_CALLS = 2
-# Processes that judge a roll-out; the second is the standby of the first.
-JUDGES = 2
 
 
 class Peering:
@@ -191,7 +190,7 @@
                 rollout.has_unreported_answers = False
                 rollout.reported_at = now
                 order = members.ranked(self.members, rollout.order.service)
-                chosen.extend(order[:JUDGES])
+                chosen.extend(order[: verdict_write.JUDGES])
         return members.addresses(self.members, chosen)
 
     def _reconnect_targets(self, chosen: int, now: float) -> set[str]:
--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -40,6 +40,11 @@
         dither: Random fraction of a request that this process may send on trial
             in addition, so that fractions round up in some processes.
         others_total: The sum of the others' counts; None until it is computed.
+        write_begun_on: Revision of the order on which this process has begun to
+            write the result.
+        written_on: Newest revision of the order on which the result is known
+            to be written, or can't be written any more.
+        writers: The same as `write_begun_on` for other processes, by name.
     """
 
     order: canary_data.Order
@@ -54,6 +59,9 @@
     lowest: dict[str, float] = field(default_factory=dict)
     dither: float = field(default_factory=random.random)
     others_total: canary_data.Tally | None = None
+    write_begun_on: int = 0
+    written_on: int = 0
+    writers: dict[str, int] = field(default_factory=dict)
 
     @property
     def is_open(self) -> bool:
@@ -111,6 +119,8 @@
             each.order.target,
             each.phase,
             round(now - each.started_at, 2),
+            each.write_begun_on,
+            each.written_on,
         )
         for each in rollouts
     )
@@ -144,6 +154,22 @@
     rollout.others_total = None
 
 
+def merge_writes(
+    rollout: Rollout, peer: str, news: peering_data.RolloutProgress
+) -> None:
+    """Record what a peer has written of a rollout's result."""
+    begun_on = max(rollout.writers.get(peer, 0), news.write_begun_on)
+    if begun_on:
+        rollout.writers[peer] = begun_on
+    rollout.written_on = max(rollout.written_on, news.written_on)
+
+
+def count_writers(rollout: Rollout) -> int:
+    """Count the peers that have begun to write the result of the order."""
+    revision = rollout.order.revision
+    return sum(begun_on == revision for begun_on in rollout.writers.values())
+
+
 def _add_answer(
     known: canary_data.Answers, is_good: bool
 ) -> canary_data.Answers:
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -162,6 +162,7 @@
             if known is None:
                 continue
             known.started_at = min(known.started_at, now - news.age_s)
+            rollout_state.merge_writes(known, peer, news)
             if news.phase in PEER_PHASES:
                 self.set_phase(known, news.phase, peer, now)
 
