judge: a standby announces its write one check before it writes

What callers saw: nothing; the store could still get two writes of one result.

Cause: a standby announced its write as it began. If the first judge, which had seen the result late, and the standby became due in the same turn of the loop, or within the time of a message, both wrote before either could hear the other. A router that does not watch the store sees a returned order some tenths of a second after the others, so the first judge may be late without any stall.

Change: verdict_write.next_step says wait, announce or write; all but the first judge write at the next check after the announcement if nobody else has announced by then. The field is named for what it says now.

--- a/beryllug/core/canary/verdict_write.py
+++ b/beryllug/core/canary/verdict_write.py
@@ -2,13 +2,16 @@
 
 All processes reach the verdict, and the store accepts one write of it. They
 write in the order of their ranks for the roll-out: the first at once, each
-other one if those before it have had time to. A process tells the others before
-it writes and when the store has accepted it.
+other one if those before it have had time to. A process announces its write to
+the others, and tells them when the store has accepted it. All but the first
+leave one check between announcement and write, so of two that begin at the same
+moment one hears of the other in time.
 
 Waits are counted in checks, not in seconds. A process that stalls hears nothing
 of the others meanwhile, and a stall of any length counts as one check.
 """
 
+import enum
 from dataclasses import dataclass
 
 # Processes that get all evidence; the second is the standby of the first. Any
@@ -27,17 +30,26 @@
 RANKS = JUDGES + TAKEOVER_CHECKS
 
 
+class Step(enum.Enum):
+    """What a process does at a check of a verdict that is due."""
+
+    WAIT = 'wait'
+    ANNOUNCE = 'announce'
+    WRITE = 'write'
+
+
 @dataclass(slots=True)
 class PendingWrite:
-    """How long this process has left a verdict to others.
+    """How long this process has left the write of a verdict to others.
 
     Attributes:
         revision: Revision of the order that the verdict is written on.
         since: Monotonic second since which it is due here.
-        writers: Number of other processes that have begun to write it.
+        writers: Number of other processes that have announced a write.
         checks: Checks since then.
-        quiet_checks: Checks since the last of these began.
-        has_written: Whether this process has begun to write it.
+        quiet_checks: Checks since the last of these announcements.
+        is_announced: Whether this process has announced its write.
+        has_written: Whether this process has begun to write.
     """
 
     revision: int
@@ -45,11 +57,12 @@
     writers: int
     checks: int = 0
     quiet_checks: int = 0
+    is_announced: bool = False
     has_written: bool = False
 
 
 def count_check(write: PendingWrite, writers: int) -> None:
-    """Count one more check, with the number of writers known by then."""
+    """Count one more check, with the number of announcements known by then."""
     write.checks += 1
     write.quiet_checks += 1
     if writers > write.writers:
@@ -57,21 +70,28 @@
         write.quiet_checks = 0
 
 
-def may_write(write: PendingWrite, rank: int) -> bool:
-    """Return whether it is the turn of this process to write the verdict.
+def next_step(write: PendingWrite, rank: int) -> Step:
+    """Return what this process does at this check.
 
     Args:
         write: How long it has waited.
         rank: Its rank for the roll-out, from 0; `RANKS` for any later one.
     """
-    if write.has_written or write.checks >= MAX_CHECKS:
-        return True
-    is_quiet = not write.writers or write.quiet_checks >= TAKEOVER_CHECKS
-    return is_quiet and write.checks >= _first_check(rank)
+    if write.has_written:
+        return Step.WRITE
+    if not _is_due(write, rank):
+        return Step.WAIT
+    if rank and not write.is_announced:
+        return Step.ANNOUNCE
+    return Step.WRITE
 
 
-def _first_check(rank: int) -> int:
-    """Return the number of checks after which a rank may write."""
+def _is_due(write: PendingWrite, rank: int) -> bool:
+    """Return whether the processes before this one have had time to write."""
+    if write.checks >= MAX_CHECKS:
+        return True
+    is_quiet = not write.writers or write.quiet_checks >= TAKEOVER_CHECKS
     judges_before = min(rank, JUDGES)
     others_before = rank - judges_before
-    return min(judges_before * TAKEOVER_CHECKS + others_before, MAX_CHECKS)
+    min_checks = judges_before * TAKEOVER_CHECKS + others_before
+    return is_quiet and write.checks >= min_checks
--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -36,8 +36,8 @@
         target: The version being rolled out.
         phase: Its phase.
         age_s: Seconds since its order, as far as the sender knows.
-        write_begun_on: Revision of the order on which the sender has begun to
-            write the result; 0 for none.
+        announced_on: Revision of the order on which the sender is about to
+            write the result, or has begun to; 0 for none.
         written_on: Newest revision of the order on which the result is known
             to be written; 0 for none.
     """
@@ -46,7 +46,7 @@
     target: str
     phase: canary_data.Phase
     age_s: float
-    write_begun_on: int = 0
+    announced_on: int = 0
     written_on: int = 0
 
 
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -114,9 +114,14 @@
             self._pending.pop(service, None)
             return
         write = self._pending_write(rollout, now)
-        if verdict_write.may_write(write, self._rank(service)):
-            write.has_written = True
-            await self._write(rollout, phase)
+        match verdict_write.next_step(write, self._rank(service)):
+            case verdict_write.Step.ANNOUNCE:
+                write.is_announced = True
+                self._announce(rollout, now)
+            case verdict_write.Step.WRITE:
+                write.has_written = True
+                self._announce(rollout, now)
+                await self._write(rollout, phase)
 
     def _pending_write(
         self, rollout: rollout_state.Rollout, now: float
@@ -144,15 +149,18 @@
             verdict_write.RANKS,
         )
 
+    def _announce(self, rollout: rollout_state.Rollout, now: float) -> None:
+        """Tell the others, once, that this process writes a verdict."""
+        if rollout.announced_on != rollout.order.revision:
+            rollout.announced_on = rollout.order.revision
+            self._notes.broadcast_phase(rollout, now)
+
     async def _write(
         self, rollout: rollout_state.Rollout, phase: canary_data.Phase
     ) -> None:
-        """Write a verdict, and tell the others so before and after."""
+        """Write a verdict, and tell the others once it is stored."""
         order = rollout.order
         began_at = time.monotonic()
-        if rollout.write_begun_on != order.revision:
-            rollout.write_begun_on = order.revision
-            self._notes.broadcast_phase(rollout, began_at)
         error = await self._set_status(order, phase)
         self._log_write(order, phase, began_at, error)
         if error is None or isinstance(error, object_data.ConflictError):
--- a/beryllug/router/judge_test.py
+++ b/beryllug/router/judge_test.py
@@ -113,11 +113,11 @@
         """Start processes, some time apart, that know a bad version."""
         self.store = store
         store.fleet.extend(_Process(rank, store) for rank in ranks)
-        for process in store.fleet:
+        for number, process in enumerate(store.fleet):
+            await asyncio.sleep(apart_s if number else 0)
             process.roll_back(ORDER)
             await process.judge.start()
             self.addAsyncCleanup(process.judge.stop, 0)
-            await asyncio.sleep(apart_s)
         return store.fleet
 
     async def test_next_rollout(self) -> None:
@@ -168,6 +168,21 @@
                 for process in fleet:
                     await process.judge.stop(0)
 
+    async def test_same_turn(self) -> None:
+        """A late first judge and its standby do not both write after a stall.
+
+        Both are due in the same turn of the loop, before either can hear.
+        """
+        for step in range(100):
+            with self.subTest(step=step):
+                fleet = await self.start(_Store(), 1, 0, apart_s=0.25)
+                await asyncio.sleep(step * MESSAGE_DELAY_S)
+                self.clock.now += STALL_S
+                await asyncio.sleep(MAX_TAKEOVER_S)
+                self.assertEqual(len(self.store.calls), 1, self.store.calls)
+                for process in fleet:
+                    await process.judge.stop(0)
+
     async def test_large_fleet(self) -> None:
         """If both judges are refused, few others write, and in time.
 
--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -40,11 +40,11 @@
         dither: Random fraction of a request that this process may send on trial
             in addition, so that fractions round up in some processes.
         others_total: The sum of the others' counts; None until it is computed.
-        write_begun_on: Revision of the order on which this process has begun to
-            write the result.
+        announced_on: Revision of the order on which this process has announced
+            that it writes the result.
         written_on: Newest revision of the order on which the result is known
             to be written, or can't be written any more.
-        writers: The same as `write_begun_on` for other processes, by name.
+        writers: The same as `announced_on` for other processes, by name.
     """
 
     order: canary_data.Order
@@ -59,7 +59,7 @@
     lowest: dict[str, float] = field(default_factory=dict)
     dither: float = field(default_factory=random.random)
     others_total: canary_data.Tally | None = None
-    write_begun_on: int = 0
+    announced_on: int = 0
     written_on: int = 0
     writers: dict[str, int] = field(default_factory=dict)
 
@@ -119,7 +119,7 @@
             each.order.target,
             each.phase,
             round(now - each.started_at, 2),
-            each.write_begun_on,
+            each.announced_on,
             each.written_on,
         )
         for each in rollouts
@@ -157,17 +157,19 @@
 def merge_writes(
     rollout: Rollout, peer: str, news: peering_data.RolloutProgress
 ) -> None:
-    """Record what a peer has written of a rollout's result."""
-    begun_on = max(rollout.writers.get(peer, 0), news.write_begun_on)
-    if begun_on:
-        rollout.writers[peer] = begun_on
+    """Record the writes of a rollout's result that a peer tells of."""
+    announced_on = max(rollout.writers.get(peer, 0), news.announced_on)
+    if announced_on:
+        rollout.writers[peer] = announced_on
     rollout.written_on = max(rollout.written_on, news.written_on)
 
 
 def count_writers(rollout: Rollout) -> int:
-    """Count the peers that have begun to write the result of the order."""
+    """Count the peers that have announced a write on the present order."""
     revision = rollout.order.revision
-    return sum(begun_on == revision for begun_on in rollout.writers.values())
+    return sum(
+        announced_on == revision for announced_on in rollout.writers.values()
+    )
 
 
 def _add_answer(
