held_servers: a peer's word does not replace an entry that is held already

What callers saw: after the store was restored from an older copy, a router could send requests to a server that was leaving (returns_test.test_in_force, once in 10 runs with a stalling loop: d1 usable at one router).

Cause: a process that holds the copy's entry of a leaving server was told by a peer that it holds the same, and put its own last entry, which says that the server is leaving, in the place of the copy's. At the next full list of the copy the two differed, which counts as written since the restore, so the server was listed as ready. It needs two full lists at one process, as when its watch is lost again.

Evidence: held_knowledge_test.test_told_what_is_held, two processes that saw the restore compare, and one lists the copy again; red every time before ('leaves' usable), green now. That the one red run of test_in_force was this is inferred from its symptom (d1, and not p1, which had gone): the run kept no lines.

Change: what is held already stays as it is.

--- a/beryllug/router/held_knowledge_test.py
+++ b/beryllug/router/held_knowledge_test.py
@@ -51,15 +51,7 @@
     def setUp(self) -> None:
         """Give the first process data that the restored copy lacks."""
         self.one = _known()
-        self.one.servers.listed(_servers(COPY, OLD - 3), 0)
-        changes = (
-            _state_change('leaves', 'draining', OLD - 1),
-            _removal('goes', OLD),
-        )
-        self.one.servers.changed(store_data.Changes(changes, OLD), 0)
-        self.one.zones.take((ZONE,), OLD, 'store', 0)
-        for number, target in enumerate(('v2', 'v3')):
-            self.one.orders.listed(_orders(target, OLD + number), 0)
+        _list_before(self.one)
         _list_copy(self.one, NOW)
         self.other = _known()
 
@@ -85,6 +77,18 @@
                 self._exchange(HOLD_ENDS + 0.1)
                 self._assert_copy(HOLD_ENDS + 0.1)
 
+    def test_told_what_is_held(self) -> None:
+        """Processes that saw the restore hold the same after they compared.
+
+        Otherwise a further list of the copy puts a leaving server back to work.
+        """
+        _list_before(self.other)
+        _list_copy(self.other, NOW)
+        self._exchange(NOW)
+        self._assert_held(NOW)
+        _list_copy(self.other, NOW)
+        self._assert_held(NOW)
+
     def test_written_again(self) -> None:
         """What was written since the restore wins over a peer that is behind.
 
@@ -144,6 +148,19 @@
     )
 
 
+def _list_before(known: directory.Directory) -> None:
+    """List what the copy has, and then what it lacks."""
+    known.servers.listed(_servers(COPY, OLD - 3), 0)
+    changes = (
+        _state_change('leaves', 'draining', OLD - 1),
+        _removal('goes', OLD),
+    )
+    known.servers.changed(store_data.Changes(changes, OLD), 0)
+    known.zones.take((ZONE,), OLD, 'store', 0)
+    for number, target in enumerate(('v2', 'v3')):
+        known.orders.listed(_orders(target, OLD + number), 0)
+
+
 def _list_copy(known: directory.Directory, now: float) -> None:
     known.servers.listed(_servers(COPY, NEW), now)
     known.zones.take((), NEW, 'store', now)
--- a/beryllug/router/held_servers.py
+++ b/beryllug/router/held_servers.py
@@ -59,6 +59,9 @@
     ) -> None:
         """Hold the entries that a peer holds, whose list is no older.
 
+        Those that are held already stay as they are: their entries are the ones
+        of the restored store, by which a later one is known to be newer.
+
         Args:
             instances: The servers.
             left_s: Seconds for which the peer still holds them.
@@ -69,6 +72,7 @@
             server
             for server in self._book.servers.values()
             if server.instance in peer_instances
+            and server.name not in self.entries
         ]
         if not found:
             return
