answers_test: a failed request says why, with the entry process's log

test_cancelled_beside_others is in KNOWN-RED with one broken connection of a caller. Its output had the status only: the caller dropped the error's text, and nothing was kept of the entry process, so a connection that was closed while idle could not be told from a response that was cut or a process that died.

Change: the caller of the proofs keeps the text; the assertion prints it and the end of the log. No check differs.

--- a/beryllug/proofs/answers_test.py
+++ b/beryllug/proofs/answers_test.py
@@ -155,7 +155,9 @@
                 reply = await sending
             except asyncio.CancelledError:
                 continue
-            self.assertEqual(reply.status, harness.OK, reply)
+            self.assertEqual(
+                reply.status, harness.OK, (reply, self._entry_log(reply))
+            )
             self.assertTrue(
                 invariants.is_complete_response(reply, prompt), reply
             )
@@ -163,6 +165,17 @@
         await client.close()
         return complete, REQUESTS_PER_CALLER - complete
 
+    def _entry_log(self, reply: caller.Reply) -> str:
+        """Return the end of the entry process's log if a request failed."""
+        if reply.status == harness.OK:
+            return ''
+        processes = self.fleet.processes
+        return '\n'.join(
+            processes.log(name)
+            for name in processes.names()
+            if name.startswith('entry')
+        )
+
     async def _read_slowly(self) -> bytes:
         body = json.dumps(
             {
--- a/beryllug/standins/caller.py
+++ b/beryllug/standins/caller.py
@@ -16,12 +16,14 @@
         headers: Header values by lower-case name.
         body: The complete body.
         broken: Whether the connection failed after a byte was written.
+        reason: Why there is no response; empty if there is one.
     """
 
     status: int
     headers: dict[str, str]
     body: bytes
     broken: bool = False
+    reason: str = ''
 
     def error(self) -> dict[str, Any]:
         """Return the error object of the body; empty if there is none."""
@@ -67,10 +69,10 @@
         )
         try:
             incoming, read = await self._client.call(address, outgoing)
-        except http_data.NotSentError:
-            return Reply(0, {}, b'')
-        except http_data.BrokenError:
-            return Reply(0, {}, b'', broken=True)
+        except http_data.NotSentError as exc:
+            return Reply(0, {}, b'', reason=str(exc))
+        except http_data.BrokenError as exc:
+            return Reply(0, {}, b'', broken=True, reason=str(exc))
         return Reply(incoming.status, incoming.headers, read)
 
     async def chat(
