--- a/beryllug/router/held_knowledge_test.py
+++ b/beryllug/router/held_knowledge_test.py
@@ -78,10 +78,7 @@
                 self._assert_copy(HOLD_ENDS + 0.1)
 
     def test_told_what_is_held(self) -> None:
-        """Processes that saw the restore hold the same after they compared.
-
-        Otherwise a further list of the copy puts a leaving server back to work.
-        """
+        """After peers compared, a leaving server was put back to work."""
         _list_before(self.other)
         _list_copy(self.other, NOW)
         self._exchange(NOW)
--- a/beryllug/router/judge_test.py
+++ b/beryllug/router/judge_test.py
@@ -121,10 +121,7 @@
         return store.fleet
 
     async def test_next_rollout(self) -> None:
-        """A process waits for the judges in each roll-out of a service.
-
-        Otherwise all processes write the second result at the same time.
-        """
+        """All processes wrote the result of a service's second roll-out."""
         process = (await self.start(_Store(), verdict_write.JUDGES))[0]
         await asyncio.sleep(judge.PERIOD_S * 1.5)
         process.order(ORDER._replace(revision=8), Phase.ROLLED_BACK)
@@ -137,10 +134,7 @@
         self.assertEqual(self._revisions(), {NEXT_ORDER.revision})
 
     async def test_stall(self) -> None:
-        """A stall of a process does not use up its wait for the first judge.
-
-        The store would get a second write, which it refuses.
-        """
+        """A stall used up the wait for the first judge, and two wrote."""
         for rank in range(1, verdict_write.RANKS):
             with self.subTest(rank=rank):
                 process = (await self.start(_Store(), rank))[0]
@@ -152,10 +146,7 @@
                 self.assertEqual(self.store.calls, [])
 
     async def test_stalls(self) -> None:
-        """A result is written once, whenever all processes stall.
-
-        The store would get further writes, which it refuses.
-        """
+        """Processes that all stalled wrote one result several times."""
         for step in range(100):
             with self.subTest(step=step):
                 fleet = await self.start(_Store(), 2, 1, 0, apart_s=0.08)
@@ -169,10 +160,7 @@
                     await process.judge.stop(0)
 
     async def test_same_turn(self) -> None:
-        """A late first judge and its standby do not both write after a stall.
-
-        Both are due in the same turn of the loop, before either can hear.
-        """
+        """A late first judge and its standby wrote in the same turn."""
         for step in range(100):
             with self.subTest(step=step):
                 fleet = await self.start(_Store(), 1, 0, apart_s=0.25)
@@ -184,10 +172,7 @@
                     await process.judge.stop(0)
 
     async def test_large_fleet(self) -> None:
-        """If both judges are refused, few others write, and in time.
-
-        Otherwise the store gets a write from each process of the fleet.
-        """
+        """With both judges refused, all others of a fleet wrote at once."""
         apart_s = judge.PERIOD_S / FLEET_SIZE
         await self.start(_Store((0, 1)), *range(FLEET_SIZE), apart_s=apart_s)
         started_at = time.monotonic()
@@ -200,10 +185,7 @@
         self.assertLess(others, verdict_write.RANKS)
 
     async def test_refused_again(self) -> None:
-        """A process does not write again on an order that has changed.
-
-        The store refuses each of these writes until its news arrive.
-        """
+        """A process wrote again and again on an order that had changed."""
         store = _Store()
         store.stored_at = time.monotonic()
         process = (await self.start(store, 0))[0]
--- a/beryllug/router/store_returns_test.py
+++ b/beryllug/router/store_returns_test.py
@@ -94,10 +94,7 @@
         )
 
     def test_dropped_after_outage(self) -> None:
-        """A server whose entry was dropped after an outage is not listed.
-
-        It may be healthy, so it is doubted while it is held, as it was before.
-        """
+        """The copy listed a server again that had gone after an outage."""
         for ago_s, doubted in ((1, {'stays'}), (5, set())):
             with self.subTest(ago_s=ago_s):
                 self.setUp()
