--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 from beryllug.core.placement import poison_requests, servers_data
-from beryllug.kernel import log_lines
+from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import call as call_data
 
 DIGEST_BYTES = 8
+# Decimal places of seconds in log lines.
+SECONDS_PLACES = 3
 
 
 class CrashWatch:
@@ -23,6 +25,7 @@
         """Start without known losses."""
         self.state = poison_requests.Crashers()
         self._lines = lines
+        self._counts = {'lost': 0, 'refused': 0, 'cleared': 0}
 
     async def start(self) -> None:
         """Do nothing: the service is driven by requests and lost servers."""
@@ -37,6 +40,18 @@
             for fingerprint, known in self.state.losses.items()
         }
 
+    def measure(self) -> Iterable[metrics_data.Sample]:
+        """Return counts of losses, of refusals and of losses forgotten."""
+        for what, count in self._counts.items():
+            yield metrics_data.Sample(
+                'crash_suspicions',
+                count,
+                'Servers lost under a request, requests refused for that, '
+                'requests cleared by an answer.',
+                metrics_data.Kind.COUNTER,
+                {'what': what},
+            )
+
     def check(self, call: call_data.Call) -> None:
         """Check that a request is not one under which servers were lost.
 
@@ -46,8 +61,16 @@
         if not self.state.losses:
             return
         now = time.monotonic()
-        left_s = poison_requests.refused_s(self.state, _fingerprint(call), now)
+        fingerprint = _fingerprint(call)
+        left_s = poison_requests.refused_s(self.state, fingerprint, now)
         if left_s:
+            self._counts['refused'] += 1
+            self._lines.write(
+                'suspect_refused',
+                id=call.asked.attempt_id,
+                fingerprint=fingerprint,
+                servers=sorted(self.state.losses[fingerprint]),
+            )
             raise call_data.RefusedError(
                 call_data.UNAVAILABLE,
                 'backend servers were lost while this request ran',
@@ -58,25 +81,55 @@
         self, call: call_data.Call, server: servers_data.Server
     ) -> None:
         """Record that a request's connection to a server broke."""
-        loss = poison_requests.Loss(_fingerprint(call), server.instance)
+        fingerprint = _fingerprint(call)
+        loss = poison_requests.Loss(fingerprint, server.instance)
         poison_requests.broke(self.state, loss, time.monotonic())
+        self._lines.write(
+            'connection_broke_under',
+            id=call.asked.attempt_id,
+            instance=server.instance,
+            fingerprint=fingerprint,
+        )
+
+    def answered(
+        self, call: call_data.Call, *, is_discarded: bool = False
+    ) -> None:
+        """Record a successful answer to a request.
 
-    def answered(self, call: call_data.Call) -> None:
-        """Record a successful answer to a request."""
-        if self.state.losses:
-            poison_requests.answered(self.state, _fingerprint(call))
+        Args:
+            call: The request.
+            is_discarded: Whether a larger model is asked instead.
+        """
+        if not self.state.losses:
+            return
+        fingerprint = _fingerprint(call)
+        known = self.state.losses.get(fingerprint)
+        if known:
+            self._counts['cleared'] += 1
+            self._lines.write(
+                'suspect_cleared',
+                id=call.asked.attempt_id,
+                fingerprint=fingerprint,
+                servers=sorted(known),
+                is_discarded=is_discarded,
+            )
+        poison_requests.answered(self.state, fingerprint)
 
     def record_lost_server(self, instance: str, now: float) -> None:
         """Record that a server is gone without having announced it."""
+        broken = self.state.broken.get(instance, {})
         for loss in poison_requests.record_server_lost(
             self.state, instance, now
         ):
             known = self.state.losses[loss.fingerprint]
+            broke_ago_s = now - broken[loss.fingerprint]
+            self._counts['lost'] += 1
             self._lines.write(
                 'server_lost_under',
                 instance=instance,
                 fingerprint=loss.fingerprint,
                 servers=len(known),
+                broke_ago_s=round(broke_ago_s, SECONDS_PLACES),
             )
 
     def merge_losses(
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -280,7 +280,10 @@
         match outcome:
             case stream_state.Done() | stream_state.Larger():
                 self._pool.succeeded(choice)
-                self._crashes.answered(call)
+                self._crashes.answered(
+                    call,
+                    is_discarded=isinstance(outcome, stream_state.Larger),
+                )
                 self._record_length(call, stream)
                 took = stream_state.answer_timings(call, stream, choice)
                 self._trials.count_answer(call, choice, is_good=True, took=took)
