--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -44,7 +44,7 @@
         """Return counts of losses, of refusals and of losses forgotten."""
         for what, count in self._counts.items():
             yield metrics_data.Sample(
-                'crash_suspicions',
+                'server_crash_suspicions',
                 count,
                 'Servers lost under a request, requests refused for that, '
                 'requests cleared by an answer.',
