poison_test: a request that crashes its servers is sent on after the third

Streams that crash before a head, after it, after an event, after a head of little confidence; lookups and holds; a router that starts later. The bound is the three servers that PROOFS promises.

--- /dev/null
+++ b/beryllug/proofs/platform/poison_test.py
@@ -0,0 +1,180 @@
+"""A request that crashes each server that runs it."""
+
+import asyncio
+import collections
+import itertools
+import time
+import unittest
+from typing import NamedTuple
+
+from beryllug.drivers import http_data
+from beryllug.proofs.platform import site_test
+from beryllug.standins import (
+    crashing_servers,
+    platform_runner,
+    platform_site,
+)
+
+ROUTERS = 3
+SERVERS = 6
+# Servers that such a request may cost.
+MAX_CRASHES = 3
+# Seconds for which requests are sent: several times as long as the store takes
+# to remove the entry of a crashed server.
+DAY_S = 9.0
+BAD_INTERVAL_S = 0.6
+SOUND_INTERVAL_S = 0.15
+# Seconds after which a caller sends a request again that has failed, once.
+RETRY_S = 0.2
+OK = 200
+UNAVAILABLE = 503
+Stage = crashing_servers.Stage
+
+
+class Row(NamedTuple):
+    """One kind of request, and how its servers crash."""
+
+    path: str
+    method: str
+    service: str
+    stage: Stage = Stage.NO_HEAD
+    after_s: float = 0.1
+
+
+STREAMS = (
+    Row(site_test.DRAFT, 'POST', platform_site.POOL),
+    Row(site_test.DRAFT, 'POST', platform_site.POOL, Stage.HEAD),
+    Row(site_test.DRAFT, 'POST', platform_site.POOL, Stage.EVENT),
+    Row(site_test.DRAFT, 'POST', platform_site.POOL, Stage.UNSURE_HEAD),
+    Row(site_test.DRAFT, 'POST', platform_site.POOL, Stage.EVENT, 0.4),
+    Row(site_test.REPORT, 'POST', platform_site.POOL, Stage.EVENT),
+)
+PLAIN = (
+    Row(site_test.LOOKUP, 'POST', platform_site.DESK),
+    Row(site_test.HOLD, 'POST', platform_site.DESK),
+)
+
+
+class Play:
+    """A site whose routers receive the bad request and sound ones.
+
+    Attributes:
+        statuses: Statuses of the callers' last tries, by body.
+    """
+
+    def __init__(self, row: Row, entry_s: float | None = 3.6) -> None:
+        """Create the site; `open` starts it."""
+        self.site = platform_site.Site()
+        self.row = row
+        self.servers = crashing_servers.CrashingServers(
+            self.site,
+            row.service,
+            crashing_servers.Crash(row.stage, row.after_s, entry_s),
+        )
+        self.statuses: dict[bytes, collections.Counter[int]] = (
+            collections.defaultdict(collections.Counter)
+        )
+        self._turns = itertools.count()
+
+    async def open(self) -> None:
+        """Start servers and routers."""
+        await self.site.open()
+        for _ in range(SERVERS):
+            await self.servers.add()
+        for _ in range(ROUTERS):
+            await self.site.until_ready(await self.site.add_router())
+
+    async def close(self) -> None:
+        """Stop all."""
+        await self.servers.stop()
+        await self.site.close()
+
+    async def send(self, seconds: float) -> None:
+        """Send sound requests, and the bad one again and again."""
+        end = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._send_bad(end))
+            while time.monotonic() < end:
+                body = b'sound %d' % next(self._turns)
+                tasks.create_task(self._call(body))
+                await asyncio.sleep(SOUND_INTERVAL_S)
+
+    async def ask(self, router: platform_site.Router, body: bytes) -> int:
+        """Send a request once; returns its status, 0 if it is cut off."""
+        try:
+            reply = await self.site.ask(
+                router, self.row.path, self.row.method, body
+            )
+        except (http_data.BrokenError, http_data.NotSentError):
+            return 0
+        return reply.status
+
+    async def _send_bad(self, end: float) -> None:
+        while time.monotonic() < end:
+            await self._call(platform_runner.BAD)
+            await asyncio.sleep(BAD_INTERVAL_S)
+
+    async def _call(self, body: bytes) -> None:
+        """Send a request as a caller does that tries twice."""
+        status = 0
+        for _ in range(2):
+            routers = self.site.routers
+            status = await self.ask(
+                routers[next(self._turns) % len(routers)], body
+            )
+            if status == OK:
+                break
+            await asyncio.sleep(RETRY_S)
+        self.statuses[body][status] += 1
+
+
+class PoisonTest(unittest.IsolatedAsyncioTestCase):
+    """The servers that one request crashes, and the callers beside it."""
+
+    async def test_streams(self) -> None:
+        """A prompt that crashes its runners is sent on after the third."""
+        await self._play_all(STREAMS)
+
+    async def test_plain(self) -> None:
+        """A lookup or a hold that crashes its servers is sent on."""
+        await self._play_all(PLAIN)
+
+    async def test_late_router(self) -> None:
+        """A router that starts later sends on what the others refuse."""
+        play = Play(STREAMS[2])
+        await play.open()
+        await play.send(DAY_S)
+        before = len(play.servers.arrivals)
+        router = await play.site.add_router()
+        await play.site.until_ready(router)
+        statuses = {await play.ask(router, platform_runner.BAD)}
+        await play.close()
+        self.assertEqual(len(play.servers.arrivals), before)
+        self.assertEqual(statuses, {UNAVAILABLE})
+
+    async def _play_all(self, rows: tuple[Row, ...]) -> None:
+        plays = [Play(row) for row in rows]
+        await asyncio.gather(*(self._play(play) for play in plays))
+        for play in plays:
+            with self.subTest(play.row):
+                self._check(play)
+
+    async def _play(self, play: Play) -> None:
+        await play.open()
+        await play.send(DAY_S)
+        await play.close()
+
+    def _check(self, play: Play) -> None:
+        self.assertLessEqual(len(play.servers.crashes), MAX_CRASHES)
+        sound = collections.Counter[int]()
+        for body, statuses in play.statuses.items():
+            if body != platform_runner.BAD:
+                sound += statuses
+        # A hold, or a report whose stream has begun, runs once at most: those
+        # that a crash cuts off are lost.
+        if play.row.path in {site_test.LOOKUP, site_test.DRAFT}:
+            self.assertEqual(set(sound), {OK}, sound)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -11,7 +11,7 @@
 import asyncio
 import time
 import zlib
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -23,6 +23,8 @@
 PERCENT = 100
 FULL_CONFIDENCE = 100
 SMALL_CONFIDENT_PERCENT = 54
+BAD = b'bad'
+RunBad = Callable[[requests.RequestHeaders, faults.Response], Awaitable[None]]
 
 
 class PlatformRunnerCfg(NamedTuple):
@@ -128,6 +130,7 @@
         self.refused_model = ''
         self.reported_status = ServerStatus()
         self.received_requests: list[ReceivedRequest] = []
+        self._run_bad: RunBad | None = None
         self._falls: list[float] = []
         self._turned_away: list[float] = []
         self._injector = injector
@@ -172,10 +175,24 @@
             return
         self._running += 1
         try:
-            await self._run(req, parsed, response)
+            if self._run_bad is not None and req.body == BAD:
+                await self._run_bad(parsed, response)
+            else:
+                await self._run(req, parsed, response)
         finally:
             self._running -= 1
 
+    def set_bad_run(self, run_bad: RunBad) -> None:
+        """Set how a request with the body `BAD` is run."""
+        self._run_bad = run_bad
+
+    def headers(self, parsed: requests.RequestHeaders) -> dict[str, str]:
+        """Return the headers of an answer."""
+        headers = {names.ATTEMPT: parsed.attempt_id}
+        if self.is_sealed:
+            headers[names.SEAL] = f'{self.cfg.instance}.{parsed.attempt_id}'
+        return headers | self._status_headers()
+
     def _is_refused(self, parsed: requests.RequestHeaders) -> bool:
         is_full = self._running >= self.cfg.slots + self.cfg.queue
         if is_full:
@@ -218,14 +235,14 @@
         )
         if self._injector.should_inject(self.cfg.error_rate):
             await response.respond(
-                HTTPStatus.INTERNAL_SERVER_ERROR, b'', self._headers(parsed)
+                HTTPStatus.INTERNAL_SERVER_ERROR, b'', self.headers(parsed)
             )
         elif parsed.model:
             await self._stream(parsed, response)
         else:
             await asyncio.sleep(self.cfg.work_s)
             body = f'{req.method} {req.target}'.encode() + req.body
-            await response.respond(HTTPStatus.OK, body, self._headers(parsed))
+            await response.respond(HTTPStatus.OK, body, self.headers(parsed))
         self.completed_attempts.append(parsed.attempt_id)
 
     async def _prefill(self, parsed: requests.RequestHeaders) -> None:
@@ -242,7 +259,7 @@
     async def _stream(
         self, parsed: requests.RequestHeaders, response: faults.Response
     ) -> None:
-        headers = self._headers(parsed)
+        headers = self.headers(parsed)
         headers[names.CONTENT_TYPE] = names.EVENT_STREAM
         headers[names.CONFIDENCE] = str(_confidence(parsed))
         first = int(parsed.last_event or 0) + 1
@@ -267,12 +284,6 @@
             headers[names.RETRY_AFTER] = str(self.reported_status.retry_after_s)
         await response.respond(status, b'', headers | self._status_headers())
 
-    def _headers(self, parsed: requests.RequestHeaders) -> dict[str, str]:
-        headers = {names.ATTEMPT: parsed.attempt_id}
-        if self.is_sealed:
-            headers[names.SEAL] = f'{self.cfg.instance}.{parsed.attempt_id}'
-        return headers | self._status_headers()
-
     def _status_headers(self) -> dict[str, str]:
         """Return the headers that report the server status."""
         reported = {}
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -155,13 +155,14 @@
         zone: str = ZONE,
         *,
         is_listed: bool = True,
+        port: int = 0,
         **options: Any,
     ) -> platform_runner.PlatformRunner:
         """Start a backend server and, by default, list it."""
         self._zones[instance] = zone
         cfg = platform_runner.PlatformRunnerCfg(instance, **options)
         stand_in = platform_runner.stand_in(cfg)
-        await stand_in.start(self._hosts[0])
+        await stand_in.start(self._hosts[0], port)
         self.stand_ins[instance] = stand_in
         runner = stand_in.service_behaviour
         assert isinstance(runner, platform_runner.PlatformRunner)
