crash_watch: a server that refuses connections under a broken request is lost

Callers saw their streams end with one model runner after the other.

The process whose connection broke asks the server for another one before it sends the request on; if it gets none, directly or through a peer, the server is lost. All requests that broke off there share one check. It takes the place of the check that only the last attempt made (uncount_terminated_server). Servers that are known to leave are no losses. Losses are told to peers at once, not with the next of four rounds a second.

--- a/beryllug/core/placement/listing.py
+++ b/beryllug/core/placement/listing.py
@@ -222,6 +222,16 @@
     return is_leaving or server.instance in book.leaving
 
 
+def is_departing(book: ServerListing, instance: str) -> bool:
+    """Tell whether a server is known to stop, or to have stopped."""
+    if instance in book.departed or instance in book.leaving:
+        return True
+    return any(
+        server.instance == instance and is_draining(book, server)
+        for server in book.servers.values()
+    )
+
+
 def usable(
     book: ServerListing, now: float
 ) -> tuple[list[servers_data.Server], list[servers_data.Server]]:
--- a/beryllug/core/placement/poison_requests.py
+++ b/beryllug/core/placement/poison_requests.py
@@ -5,8 +5,9 @@
 connections and keep running. A server loss is therefore attributed to a request
 only if its connection broke there and the server was lost within seconds, and
 the request is refused after three such losses without a successful answer in
-between. Processes report losses to one another; the order of reports does not
-matter.
+between. A server is lost if it refuses connections then, if its entry is
+dropped, or if a peer says so. Processes report losses to one another; the order
+of reports does not matter.
 
 The product's own entry point uses `core.suspects` instead, where each request
 has a record and a control process decides who may retry it.
@@ -14,10 +15,10 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-# Seconds between a broken connection and the detection that its server is gone:
-# the platform drops an entry after three missed heartbeats of 1.2 s.
+# Seconds between a broken connection and the latest detection that its server
+# is gone: the platform drops an entry after three missed heartbeats of 1.2 s.
 DETECTED_WITHIN_S = 6.0
 # Server losses after which a request is refused. A harmless request that shared
 # its server with a crashing one is rarely affected three times.
@@ -41,12 +42,14 @@
 
     Attributes:
         broken: Requests whose connection broke, by instance, with the second.
+        lost: Servers that were lost, with the second.
         losses: Lost servers by request fingerprint, with the second of the
             loss.
         untold: Losses that are not reported to peers yet.
     """
 
     broken: dict[str, dict[str, float]] = field(default_factory=dict)
+    lost: dict[str, float] = field(default_factory=dict)
     losses: dict[str, dict[str, float]] = field(default_factory=dict)
     untold: list[Loss] = field(default_factory=list)
 
@@ -59,10 +62,17 @@
     _trim(state.broken)
 
 
+def is_lost(state: Crashers, instance: str) -> bool:
+    """Return whether a server is known to be lost."""
+    return instance in state.lost
+
+
 def record_server_lost(
     state: Crashers, instance: str, now: float
 ) -> list[Loss]:
     """Record that a server is gone; returns the attributed losses."""
+    state.lost.setdefault(instance, now)
+    _trim(state.lost)
     at_server = state.broken.pop(instance, {})
     found = [
         Loss(fingerprint, instance)
@@ -77,9 +87,11 @@
 def take(state: Crashers, reported: Iterable[Loss], now: float) -> None:
     """Record losses, found by this process or reported by a peer."""
     for fingerprint, instance in reported:
+        state.lost.setdefault(instance, now)
         known = state.losses.pop(fingerprint, {})
         known.setdefault(instance, now)
         state.losses[fingerprint] = known
+    _trim(state.lost)
     _trim(state.losses)
 
 
@@ -103,6 +115,6 @@
     return max(max(lost_at.values()) + REFUSED_S - now, 0)
 
 
-def _trim(known: dict[str, dict[str, float]]) -> None:
+def _trim(known: dict[str, Any]) -> None:
     while len(known) > MAX_TRACKED:
         known.pop(next(iter(known)))
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -37,6 +37,7 @@
         unavailability: Why there was no server for a further attempt.
         is_late: Whether the last attempt failed by a timeout.
         terminated: Servers that terminated while they ran the request.
+        is_server_gone: Whether the server of the last attempt has terminated.
         was_discarded: Whether an answer of a smaller model was discarded; the
             request has then run, and may still be retried.
     """
@@ -52,6 +53,7 @@
     )
     is_late: bool = False
     terminated: int = 0
+    is_server_gone: bool = False
     was_discarded: bool = False
 
 
@@ -112,12 +114,10 @@
             progress.is_late = True
 
 
-async def uncount_terminated_server(
+def uncount_terminated_server(
     call: call_data.Call,
     progress: Progress,
-    server: servers_data.Server,
     failed: dispatch.Outcome,
-    sender: dispatch.Dispatcher,
 ) -> None:
     """Don't count the last attempt if its server terminated during it.
 
@@ -130,10 +130,7 @@
     is_broken = isinstance(failed, dispatch.Unknown)
     if not (is_last and is_broken and call.route.is_repeatable):
         return
-    if (
-        progress.terminated < MAX_TERMINATED_SERVERS
-        and await sender.is_unreachable(server)
-    ):
+    if progress.is_server_gone and progress.terminated < MAX_TERMINATED_SERVERS:
         progress.terminated += 1
         progress.counted_attempts -= 1
 
--- a/beryllug/router/attempts_test.py
+++ b/beryllug/router/attempts_test.py
@@ -1,6 +1,5 @@
 """Tests of the retry decision and of the final error."""
 
-import asyncio
 import unittest
 from typing import Any
 
@@ -37,16 +36,6 @@
         return True
 
 
-class _Sender:
-    """A dispatcher that reports whether the last server is unreachable."""
-
-    def __init__(self, *, is_unreachable: bool) -> None:
-        self._is_unreachable = is_unreachable
-
-    async def is_unreachable(self, server: Any) -> bool:
-        return self._is_unreachable
-
-
 def _call(route: routes_data.Route) -> call_data.Call:
     asked = requests.RequestHeaders(
         'try', '', 20, '*', True, '', 0, 100, 50, '', ''
@@ -124,15 +113,13 @@
         )
         for (
             title,
-            is_unreachable,
+            is_server_gone,
             is_resumable,
             terminated,
             counted_attempts,
         ) in table:
             with self.subTest(title):
                 outcome = dispatch.Unknown('closed')
-                sender: Any = _Sender(is_unreachable=is_unreachable)
-                server: Any = None
                 call = _call(
                     ROUTE._replace(is_resumable=is_resumable, max_attempts=3)
                 )
@@ -140,12 +127,9 @@
                     trials.VersionChoice(),
                     counted_attempts=3,
                     terminated=terminated,
+                    is_server_gone=is_server_gone,
                 )
-                asyncio.run(
-                    attempts.uncount_terminated_server(
-                        call, progress, server, outcome, sender
-                    )
-                )
+                attempts.uncount_terminated_server(call, progress, outcome)
                 self.assertEqual(progress.counted_attempts, counted_attempts)
 
 
--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -1,13 +1,15 @@
 """Service 'crash_watch': refuses requests that crash their servers."""
 
+import asyncio
 import hashlib
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from beryllug.core.placement import poison_requests, servers_data
 from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import call as call_data
+from beryllug.router import dispatch, leaving_servers
 
 DIGEST_BYTES = 8
 # Decimal places of seconds in log lines.
@@ -19,19 +21,37 @@
 
     Attributes:
         state: Losses that this process and its peers have seen.
+        on_lost: Called when there is a loss to report to peers.
     """
 
-    def __init__(self, lines: log_lines.LineWriter) -> None:
-        """Start without known losses."""
+    def __init__(
+        self,
+        sender: dispatch.Dispatcher,
+        leaving: leaving_servers.LeavingServers,
+        lines: log_lines.LineWriter,
+    ) -> None:
+        """Start without known losses.
+
+        Args:
+            sender: Tells whether a server can be reached.
+            leaving: Tells which servers stop as planned.
+            lines: Writes log lines.
+        """
         self.state = poison_requests.Crashers()
+        self.on_lost: Callable[[], None] = _ignore
+        self._sender = sender
+        self._leaving = leaving
         self._lines = lines
+        self._checks: dict[str, asyncio.Task[bool]] = {}
         self._counts = {'lost': 0, 'refused': 0, 'cleared': 0}
 
     async def start(self) -> None:
         """Do nothing: the service is driven by requests and lost servers."""
 
     async def stop(self, grace_s: float) -> None:
-        """Do nothing: the service holds no socket and no task."""
+        """Cancel the checks of servers."""
+        for check in self._checks.values():
+            check.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Return the lost servers by request fingerprint."""
@@ -77,10 +97,17 @@
                 left_s,
             )
 
-    def connection_broke(
+    async def connection_broke(
         self, call: call_data.Call, server: servers_data.Server
-    ) -> None:
-        """Record that a request's connection to a server broke."""
+    ) -> bool:
+        """Record that a request's connection to a server broke.
+
+        The server is asked for another connection before the request is sent
+        to the next one.
+
+        Returns:
+            Whether the server is gone.
+        """
         fingerprint = _fingerprint(call)
         loss = poison_requests.Loss(fingerprint, server.instance)
         poison_requests.broke(self.state, loss, time.monotonic())
@@ -90,6 +117,11 @@
             instance=server.instance,
             fingerprint=fingerprint,
         )
+        instance = server.instance
+        if poison_requests.is_lost(self.state, instance):
+            self.record_lost_server(instance, time.monotonic())
+            return True
+        return await self._is_gone(server)
 
     def answered(
         self, call: call_data.Call, *, is_discarded: bool = False
@@ -131,6 +163,8 @@
                 servers=len(known),
                 broke_ago_s=round(broke_ago_s, SECONDS_PLACES),
             )
+        if self.state.untold:
+            self.on_lost()
 
     def merge_losses(
         self, told: Iterable[poison_requests.Loss], now: float
@@ -138,6 +172,26 @@
         """Merge losses that a peer has seen."""
         poison_requests.take(self.state, told, now)
 
+    async def _is_gone(self, server: servers_data.Server) -> bool:
+        """Check once for all requests that broke off at a server together."""
+        instance = server.instance
+        check = self._checks.get(instance)
+        if check is None:
+            check = asyncio.create_task(self._check(server))
+            self._checks[instance] = check
+            check.add_done_callback(lambda _: self._checks.pop(instance))
+        return await asyncio.shield(check)
+
+    async def _check(self, server: servers_data.Server) -> bool:
+        is_gone = await self._sender.is_unreachable(server)
+        if is_gone and not self._leaving.is_departing(server.instance):
+            self.record_lost_server(server.instance, time.monotonic())
+        return is_gone
+
+
+def _ignore() -> None:
+    """Default of `on_lost`."""
+
 
 def _fingerprint(call: call_data.Call) -> str:
     """Return a digest that is the same when a request is sent again."""
--- a/beryllug/router/leaving_servers.py
+++ b/beryllug/router/leaving_servers.py
@@ -16,6 +16,10 @@
         self._book = book
         self._lines = lines
 
+    def is_departing(self, instance: str) -> bool:
+        """Return whether a server is known to stop, or to have stopped."""
+        return listing.is_departing(self._book, instance)
+
     def record_leaving(self, instance: str, source: str, now: float) -> bool:
         """Record that a server is leaving; returns whether that is new.
 
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -83,9 +83,7 @@
                     f'the server failed: {outcome.status}'
                 )
             attempts.record_failure(progress, choice, outcome)
-            await attempts.uncount_terminated_server(
-                call, progress, choice.server, outcome, self._sender
-            )
+            attempts.uncount_terminated_server(call, progress, outcome)
             now = time.monotonic()
             if not attempts.may_retry(call, progress, self._pool, now):
                 break
@@ -123,6 +121,9 @@
             )
         else:
             self._log.attempt(call, choice.server, outcome, took_s)
+        progress.is_server_gone = isinstance(
+            outcome, dispatch.Unknown
+        ) and await self._crashes.connection_broke(call, choice.server)
         return outcome
 
     async def _send(
@@ -185,9 +186,6 @@
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
                     self._pool.failed(choice, is_gone=True)
-            case dispatch.Unknown():
-                self._crashes.connection_broke(call, choice.server)
-                self._pool.failed(choice)
             case _:
                 self._pool.failed(choice)
 
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -89,6 +89,9 @@
         self._statements.on_changed = self._broadcast_statements
         self._statements.on_full = self._broadcast_full
         self._statements_sent_at = float('-inf')
+        self._crashes.on_lost = lambda: self._broadcast(
+            _losses_note(self._new_note(), self._crashes)
+        )
         self._task: asyncio.Task[None] | None = None
         peers.contact = self._send_probe
         peers.roster.on_gone = lambda name: self._broadcast(
@@ -191,16 +194,12 @@
         )
 
     def _broadcast_events(self) -> None:
-        """Send lost servers, and sessions that a roll-out may select."""
+        """Send sessions that a roll-out may select."""
         running = sessions.tell(
             self._trials.pins.sessions, MAX_SESSIONS_PER_NOTE
         )
-        losses = poison_requests.pop_unreported(self._crashes.state)
-        if running or losses:
-            note = self._new_note()
-            self._broadcast(
-                note._replace(running=tuple(running), losses=losses)
-            )
+        if running:
+            self._broadcast(self._new_note()._replace(running=tuple(running)))
 
     def _forget_limits(self, now: float) -> None:
         # Going through all servers four times a second would cost a large fleet
@@ -266,6 +265,14 @@
             return note._replace(total=payload)
 
 
+def _losses_note(
+    note: peering_data.PeerNote, crashes: crash_watch.CrashWatch
+) -> peering_data.PeerNote:
+    """Return a note with the servers lost under requests since the last one."""
+    losses = poison_requests.pop_unreported(crashes.state)
+    return note._replace(losses=losses)
+
+
 def _gone_note(name: str, cfg: settings_data.Router) -> peering_data.PeerNote:
     """Return the note that a process is gone, or that this one stops."""
     return peering_data.PeerNote(name, cfg.peer_listen, gone=(name,))
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -92,9 +92,7 @@
                     failure = outcome
                     outcome = dispatch.Unknown(f'the server failed: {status}')
             attempts.record_failure(stream.progress, choice, outcome)
-            await attempts.uncount_terminated_server(
-                call, stream.progress, choice.server, outcome, self._sender
-            )
+            attempts.uncount_terminated_server(call, stream.progress, outcome)
             stream.size = stream_state.next_size(stream, outcome)
             now = time.monotonic()
             if not attempts.may_retry(call, stream.progress, self._pool, now):
@@ -174,6 +172,9 @@
             reused=stream.is_reused,
             via=stream.via,
         )
+        stream.progress.is_server_gone = isinstance(
+            outcome, dispatch.Unknown
+        ) and await self._crashes.connection_broke(call, choice.server)
         return outcome
 
     async def _send(
@@ -295,9 +296,6 @@
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
                     self._pool.failed(choice, is_gone=True)
-            case dispatch.Unknown():
-                self._crashes.connection_broke(call, choice.server)
-                self._pool.failed(choice)
             case _:
                 self._pool.failed(choice)
 
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -122,7 +122,7 @@
         settings.process.name, backend_list, eligible_servers, lines
     )
     sender.listeners = (unread_log.heard, server_statements.apply_answer)
-    crashes = crash_watch.CrashWatch(lines)
+    crashes = crash_watch.CrashWatch(sender, backend_list.leaving, lines)
     backend_list.on_lost = crashes.record_lost_server
     paths.listed = lambda: server_list.addresses(backend_list, time.monotonic())
     paths.verdicts.on_cut = cut_links.CutLinks(
