attempt_servers: a request is checked before each attempt, not on arrival only

Both flows take the server of each attempt from one place, which asks first. A request that is refused there ends as other failed ones do: 502 or cut off if it may have run, else 503.

--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -12,6 +12,7 @@
 from beryllug.router import dispatch, leaving_servers
 
 DIGEST_BYTES = 8
+LOST = 'backend servers were lost while this request ran'
 # Decimal places of seconds in log lines.
 SECONDS_PLACES = 3
 
@@ -78,8 +79,14 @@
         Raises:
             RefusedError: It is refused for now; it has not run.
         """
+        left_s = self.refused_s(call)
+        if left_s:
+            raise call_data.RefusedError(call_data.UNAVAILABLE, LOST, left_s)
+
+    def refused_s(self, call: call_data.Call) -> float:
+        """Return the seconds for which a request is refused; 0 if it is not."""
         if not self.state.losses:
-            return
+            return 0
         now = time.monotonic()
         fingerprint = _fingerprint(call)
         left_s = poison_requests.refused_s(self.state, fingerprint, now)
@@ -91,11 +98,7 @@
                 fingerprint=fingerprint,
                 servers=sorted(self.state.losses[fingerprint]),
             )
-            raise call_data.RefusedError(
-                call_data.UNAVAILABLE,
-                'backend servers were lost while this request ran',
-                left_s,
-            )
+        return left_s
 
     async def connection_broke(
         self, call: call_data.Call, server: servers_data.Server
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -11,6 +11,7 @@
 from beryllug.drivers import http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import (
+    attempt_servers,
     attempts,
     dispatch,
     flow_parts,
@@ -53,6 +54,7 @@
         self._trials = parts.trials
         self._log = parts.log
         self._crashes = parts.crashes
+        self._servers = attempt_servers.AttemptServers(parts)
         self._timeouts = parts.timeouts
 
     async def serve(
@@ -67,9 +69,8 @@
         progress = attempts.Progress(self._trials.choose_versions(call))
         failure: _FullAnswer | None = None
         while True:
-            choice = await self._pool.choose(attempts.criteria(call, progress))
+            choice = await self._servers.choose(call, progress)
             if choice is None:
-                attempts.record_no_server(call, progress, self._pool, self._log)
                 break
             outcome = await self._attempt(call, choice, progress)
             if isinstance(outcome, _FullAnswer) and not self._is_failure(
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -17,6 +17,7 @@
 )
 from beryllug.platform import requests
 from beryllug.router import (
+    attempt_servers,
     attempts,
     dispatch,
     flow_parts,
@@ -37,6 +38,7 @@
         self._trials = parts.trials
         self._log = parts.log
         self._crashes = parts.crashes
+        self._servers = attempt_servers.AttemptServers(parts)
         self._timeouts = parts.timeouts
         self._larger = larger.LargerModel(parts.pool)
 
@@ -56,17 +58,10 @@
         self._check_time_left(call, stream)
         failure: stream_state.Failure | None = None
         while True:
-            choice = await self._pool.choose(
-                attempts.criteria(
-                    call,
-                    stream.progress,
-                    stream_state.prompt(call, stream.size),
-                )
+            choice = await self._servers.choose(
+                call, stream.progress, stream_state.prompt(call, stream.size)
             )
             if choice is None:
-                attempts.record_no_server(
-                    call, stream.progress, self._pool, self._log
-                )
                 break
             outcome = await self._attempt(call, choice, stream, exchange)
             match outcome:
