poison_requests: a discarded answer clears nothing, and may be what crashes

Only an answer that is delivered to its end clears a request. A run whose answer is discarded is kept like one that broke off: if its server is lost within seconds, it is a loss. The servers of discarded answers are checked when another server is lost under the same request; a failed connect to a server, or a peer's word, attributes what has run there. What ended over six seconds ago is forgotten, so a server that resets connections for hours collects nothing.

--- a/beryllug/core/placement/poison_requests.py
+++ b/beryllug/core/placement/poison_requests.py
@@ -17,8 +17,8 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-# Seconds between a broken connection and the latest detection that its server
-# is gone: the platform drops an entry after three missed heartbeats of 1.2 s.
+# Seconds between the end of a run and the latest detection that its server is
+# gone: the platform drops an entry after three missed heartbeats of 1.2 s.
 DETECTED_WITHIN_S = 6.0
 # Server losses after which a request is refused. A harmless request that shared
 # its server with a crashing one is rarely affected three times.
@@ -41,25 +41,33 @@
     """Server losses that are attributed to requests.
 
     Attributes:
-        broken: Requests whose connection broke, by instance, with the second.
+        ended: Requests that a server ran to no answer, by instance, with the
+            second at which the run ended.
         lost: Servers that were lost, with the second.
         losses: Lost servers by request fingerprint, with the second of the
             loss.
         untold: Losses that are not reported to peers yet.
     """
 
-    broken: dict[str, dict[str, float]] = field(default_factory=dict)
+    ended: dict[str, dict[str, float]] = field(default_factory=dict)
     lost: dict[str, float] = field(default_factory=dict)
     losses: dict[str, dict[str, float]] = field(default_factory=dict)
     untold: list[Loss] = field(default_factory=list)
 
 
-def broke(state: Crashers, loss: Loss, now: float) -> None:
-    """Record that a request's connection to a server broke."""
-    at_server = state.broken.pop(loss.instance, {})
+def run_ended(state: Crashers, loss: Loss, now: float) -> None:
+    """Record that a server has run a request to no answer.
+
+    Its connection broke, or its answer was discarded: a server may crash under
+    what it has begun to run, after its answer is no longer wanted.
+    """
+    at_server = state.ended.pop(loss.instance, {})
+    at_server.pop(loss.fingerprint, None)
     at_server[loss.fingerprint] = now
-    state.broken[loss.instance] = at_server
-    _trim(state.broken)
+    state.ended[loss.instance] = at_server
+    _forget_ended(at_server, now)
+    while _is_outdated(next(iter(state.ended.values())), now):
+        state.ended.pop(next(iter(state.ended)))
 
 
 def is_lost(state: Crashers, instance: str) -> bool:
@@ -73,7 +81,7 @@
     """Record that a server is gone; returns the attributed losses."""
     state.lost.setdefault(instance, now)
     _trim(state.lost)
-    at_server = state.broken.pop(instance, {})
+    at_server = state.ended.pop(instance, {})
     found = [
         Loss(fingerprint, instance)
         for fingerprint, at in at_server.items()
@@ -105,6 +113,8 @@
 def answered(state: Crashers, fingerprint: str) -> None:
     """Record a successful answer: the request does not crash servers."""
     state.losses.pop(fingerprint, None)
+    for at_server in state.ended.values():
+        at_server.pop(fingerprint, None)
 
 
 def refused_s(state: Crashers, fingerprint: str, now: float) -> float:
@@ -115,6 +125,18 @@
     return max(max(lost_at.values()) + REFUSED_S - now, 0)
 
 
+def _forget_ended(at_server: dict[str, float], now: float) -> None:
+    """Forget the first runs of a server while they ended too long ago."""
+    while now - next(iter(at_server.values())) > DETECTED_WITHIN_S:
+        at_server.pop(next(iter(at_server)))
+
+
+def _is_outdated(at_server: dict[str, float], now: float) -> bool:
+    """Return whether all runs of a server ended too long ago."""
+    latest = max(at_server.values(), default=float('-inf'))
+    return now - latest > DETECTED_WITHIN_S
+
+
 def _trim(known: dict[str, Any]) -> None:
     while len(known) > MAX_TRACKED:
         known.pop(next(iter(known)))
--- a/beryllug/core/placement/poison_requests_test.py
+++ b/beryllug/core/placement/poison_requests_test.py
@@ -18,7 +18,7 @@
 
     def crash(self, fingerprint: str, instance: str, now: float) -> None:
         """Break a request's connection, and remove its server soon after."""
-        poison_requests.broke(
+        poison_requests.run_ended(
             self.state, poison_requests.Loss(fingerprint, instance), now
         )
         poison_requests.record_server_lost(self.state, instance, now + 4)
@@ -44,13 +44,13 @@
         """Servers that reset some of their connections are not lost."""
         for number in range(20):
             loss = poison_requests.Loss(GOOD, SERVERS[number % 4])
-            poison_requests.broke(self.state, loss, number)
+            poison_requests.run_ended(self.state, loss, number)
         self.assertEqual(poison_requests.refused_s(self.state, GOOD, 20), 0)
 
     def test_gone_later(self) -> None:
         """A server that leaves long after a reset was not crashed by it."""
         for instance in SERVERS:
-            poison_requests.broke(
+            poison_requests.run_ended(
                 self.state, poison_requests.Loss(GOOD, instance), 0
             )
             poison_requests.record_server_lost(self.state, instance, 30)
@@ -64,11 +64,32 @@
         self.crash(GOOD, SERVERS[2], 5)
         self.assertEqual(poison_requests.refused_s(self.state, GOOD, 9), 0)
 
+    def test_discarded(self) -> None:
+        """An answer that is discarded does not clear the losses before it."""
+        for instance in SERVERS[:2]:
+            self.crash(BAD, instance, 0)
+        discarded = poison_requests.Loss(BAD, SERVERS[2])
+        poison_requests.run_ended(self.state, discarded, 5)
+        poison_requests.record_server_lost(self.state, SERVERS[2], 5.1)
+        self.assertGreater(poison_requests.refused_s(self.state, BAD, 6), 0)
+
+    def test_ended_bounded(self) -> None:
+        """Runs that ended long ago are forgotten, whatever their servers."""
+        for number in range(2 * poison_requests.MAX_TRACKED):
+            for instance in ('i-1', f'i-{number}'):
+                run = poison_requests.Loss(f'request-{number}', instance)
+                poison_requests.run_ended(self.state, run, number)
+        kept = poison_requests.DETECTED_WITHIN_S + 1
+        self.assertLessEqual(len(self.state.ended), kept + 1)
+        self.assertLessEqual(len(self.state.ended['i-1']), kept)
+
     def test_told(self) -> None:
         """Losses at three processes add up, reported once or repeatedly."""
         others = [poison_requests.Crashers() for _ in range(3)]
         for other, instance in zip(others, SERVERS):
-            poison_requests.broke(other, poison_requests.Loss(BAD, instance), 0)
+            poison_requests.run_ended(
+                other, poison_requests.Loss(BAD, instance), 0
+            )
             poison_requests.record_server_lost(other, instance, 1)
             told = poison_requests.pop_unreported(other)
             poison_requests.take(self.state, told, 1)
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -38,8 +38,8 @@
         is_late: Whether the last attempt failed by a timeout.
         terminated: Servers that terminated while they ran the request.
         is_server_gone: Whether the server of the last attempt has terminated.
-        was_discarded: Whether an answer of a smaller model was discarded; the
-            request has then run, and may still be retried.
+        discarded_at: Servers whose answers, of a smaller model, were
+            discarded; the request has then run, and may still be retried.
     """
 
     version_choice: trials.VersionChoice
@@ -54,7 +54,7 @@
     is_late: bool = False
     terminated: int = 0
     is_server_gone: bool = False
-    was_discarded: bool = False
+    discarded_at: tuple[servers_data.Server, ...] = ()
 
 
 def criteria(
@@ -156,7 +156,7 @@
     call: call_data.Call, progress: Progress, now: float
 ) -> call_data.RefusedError:
     """Return the error for a request that no server has answered."""
-    if not progress.may_have_run and not progress.was_discarded:
+    if not progress.may_have_run and not progress.discarded_at:
         return call_data.RefusedError(
             call_data.UNAVAILABLE,
             progress.reason,
--- a/beryllug/router/attempts_test.py
+++ b/beryllug/router/attempts_test.py
@@ -3,6 +3,7 @@
 import unittest
 from typing import Any
 
+from beryllug.core.placement import servers_data
 from beryllug.core.routes import routes_data
 from beryllug.drivers import http_data
 from beryllug.platform import requests
@@ -26,6 +27,11 @@
 )
 
 
+SERVER = servers_data.Server(
+    's-1', 'pool', '10.0.0.1:80', 'a', 'v1', 8, servers_data.State.READY
+)
+
+
 class _Pool:
     """A pool that always permits a repeat."""
 
@@ -58,7 +64,7 @@
             ('refused by a server', {}, False, True, 503),
             (
                 'discarded, then refused',
-                {'was_discarded': True},
+                {'discarded_at': (SERVER,)},
                 False,
                 True,
                 502,
--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -9,7 +9,7 @@
 from beryllug.core.placement import poison_requests, servers_data
 from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import call as call_data
-from beryllug.router import dispatch, leaving_servers
+from beryllug.router import dispatch, leaving_servers, server_checks
 
 DIGEST_BYTES = 8
 LOST = 'backend servers were lost while this request ran'
@@ -43,7 +43,7 @@
         self._sender = sender
         self._leaving = leaving
         self._lines = lines
-        self._checks: dict[str, asyncio.Task[bool]] = {}
+        self._checks = server_checks.ServerChecks(sender)
         self._counts = {'lost': 0, 'refused': 0, 'cleared': 0}
 
     async def start(self) -> None:
@@ -51,8 +51,7 @@
 
     async def stop(self, grace_s: float) -> None:
         """Cancel the checks of servers."""
-        for check in self._checks.values():
-            check.cancel()
+        self._checks.stop()
 
     def dump(self) -> dict[str, Any]:
         """Return the lost servers by request fingerprint."""
@@ -101,41 +100,52 @@
         return left_s
 
     async def connection_broke(
-        self, call: call_data.Call, server: servers_data.Server
+        self,
+        call: call_data.Call,
+        server: servers_data.Server,
+        earlier: Iterable[servers_data.Server] = (),
     ) -> bool:
         """Record that a request's connection to a server broke.
 
         The server is asked for another connection before the request is sent
-        to the next one.
+        to the next one. If it is gone, so may be those whose answers to the
+        request were discarded.
+
+        Args:
+            call: The request.
+            server: The server.
+            earlier: Servers whose answers were discarded.
 
         Returns:
             Whether the server is gone.
         """
-        fingerprint = _fingerprint(call)
-        loss = poison_requests.Loss(fingerprint, server.instance)
-        poison_requests.broke(self.state, loss, time.monotonic())
+        fingerprint = self._run_ended(call, server)
         self._lines.write(
             'connection_broke_under',
             id=call.asked.attempt_id,
             instance=server.instance,
             fingerprint=fingerprint,
         )
-        instance = server.instance
-        if poison_requests.is_lost(self.state, instance):
-            self.record_lost_server(instance, time.monotonic())
-            return True
-        return await self._is_gone(server)
+        is_gone = await self._is_gone(server)
+        if is_gone:
+            await asyncio.gather(*map(self._is_gone, earlier))
+        return is_gone
 
-    def answered(
-        self, call: call_data.Call, *, is_discarded: bool = False
+    def answer_discarded(
+        self, call: call_data.Call, server: servers_data.Server
     ) -> None:
-        """Record a successful answer to a request.
+        """Record that a server's answer was not used.
 
-        Args:
-            call: The request.
-            is_discarded: Whether a larger model is asked instead.
+        The server may still crash under the request, so this is no answer that
+        clears it.
         """
-        if not self.state.losses:
+        self._run_ended(call, server)
+        if poison_requests.is_lost(self.state, server.instance):
+            self.record_lost_server(server.instance, time.monotonic())
+
+    def answered(self, call: call_data.Call) -> None:
+        """Record a successful answer to a request."""
+        if not self.state.losses and not self.state.ended:
             return
         fingerprint = _fingerprint(call)
         known = self.state.losses.get(fingerprint)
@@ -146,25 +156,24 @@
                 id=call.asked.attempt_id,
                 fingerprint=fingerprint,
                 servers=sorted(known),
-                is_discarded=is_discarded,
             )
         poison_requests.answered(self.state, fingerprint)
 
     def record_lost_server(self, instance: str, now: float) -> None:
         """Record that a server is gone without having announced it."""
-        broken = self.state.broken.get(instance, {})
+        ended = self.state.ended.get(instance, {})
         for loss in poison_requests.record_server_lost(
             self.state, instance, now
         ):
             known = self.state.losses[loss.fingerprint]
-            broke_ago_s = now - broken[loss.fingerprint]
+            ended_ago_s = now - ended[loss.fingerprint]
             self._counts['lost'] += 1
             self._lines.write(
                 'server_lost_under',
                 instance=instance,
                 fingerprint=loss.fingerprint,
                 servers=len(known),
-                broke_ago_s=round(broke_ago_s, SECONDS_PLACES),
+                ended_ago_s=round(ended_ago_s, SECONDS_PLACES),
             )
         if self.state.untold:
             self.on_lost()
@@ -172,25 +181,42 @@
     def merge_losses(
         self, told: Iterable[poison_requests.Loss], now: float
     ) -> None:
-        """Merge losses that a peer has seen."""
+        """Merge losses that a peer has seen.
+
+        What this process ran on those servers may have crashed them as well.
+        """
+        told = tuple(told)
         poison_requests.take(self.state, told, now)
+        for loss in told:
+            if loss.instance in self.state.ended:
+                self.record_lost_server(loss.instance, now)
+
+    def unreached(self, server: servers_data.Server) -> None:
+        """Record that no connection to a server could be made."""
+        if server.instance in self.state.ended:
+            self._record_gone(server)
+
+    def _run_ended(
+        self, call: call_data.Call, server: servers_data.Server
+    ) -> str:
+        fingerprint = _fingerprint(call)
+        loss = poison_requests.Loss(fingerprint, server.instance)
+        poison_requests.run_ended(self.state, loss, time.monotonic())
+        return fingerprint
 
     async def _is_gone(self, server: servers_data.Server) -> bool:
-        """Check once for all requests that broke off at a server together."""
-        instance = server.instance
-        check = self._checks.get(instance)
-        if check is None:
-            check = asyncio.create_task(self._check(server))
-            self._checks[instance] = check
-            check.add_done_callback(lambda _: self._checks.pop(instance))
-        return await asyncio.shield(check)
-
-    async def _check(self, server: servers_data.Server) -> bool:
-        is_gone = await self._sender.is_unreachable(server)
-        if is_gone and not self._leaving.is_departing(server.instance):
+        if poison_requests.is_lost(self.state, server.instance):
             self.record_lost_server(server.instance, time.monotonic())
+            return True
+        is_gone = await self._checks.is_gone(server)
+        if is_gone:
+            self._record_gone(server)
         return is_gone
 
+    def _record_gone(self, server: servers_data.Server) -> None:
+        if not self._leaving.is_departing(server.instance):
+            self.record_lost_server(server.instance, time.monotonic())
+
 
 def _ignore() -> None:
     """Default of `on_lost`."""
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -7,7 +7,7 @@
 import time
 from dataclasses import dataclass
 
-from beryllug.core.placement import suspicion
+from beryllug.core.placement import servers_data, suspicion
 from beryllug.drivers import http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import (
@@ -122,9 +122,7 @@
             )
         else:
             self._log.attempt(call, choice.server, outcome, took_s)
-        progress.is_server_gone = isinstance(
-            outcome, dispatch.Unknown
-        ) and await self._crashes.connection_broke(call, choice.server)
+        await self._record_crash(call, choice.server, progress, outcome)
         return outcome
 
     async def _send(
@@ -172,7 +170,6 @@
                 is_good = status < dispatch.SERVER_ERROR
                 if is_good:
                     self._pool.succeeded(choice)
-                    self._crashes.answered(call)
                 elif status != call_data.GATEWAY_TIMEOUT:
                     # At the deadline the request took too long; the server is
                     # not at fault.
@@ -190,6 +187,25 @@
             case _:
                 self._pool.failed(choice)
 
+    async def _record_crash(
+        self,
+        call: call_data.Call,
+        server: servers_data.Server,
+        progress: attempts.Progress,
+        outcome: _FullAnswer | dispatch.Outcome,
+    ) -> None:
+        """Record what an attempt tells of crashes under its request."""
+        progress.is_server_gone = False
+        match outcome:
+            case _FullAnswer(status) if status < dispatch.SERVER_ERROR:
+                self._crashes.answered(call)
+            case dispatch.NotRun(_, is_gone=True):
+                self._crashes.unreached(server)
+            case dispatch.Unknown():
+                progress.is_server_gone = await self._crashes.connection_broke(
+                    call, server
+                )
+
     def _is_failure(self, call: call_data.Call, outcome: _FullAnswer) -> bool:
         return call.route.is_repeatable and (
             outcome.status >= dispatch.SERVER_ERROR
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -8,7 +8,12 @@
 
 import time
 
-from beryllug.core.placement import backlog, escalation, suspicion
+from beryllug.core.placement import (
+    backlog,
+    escalation,
+    servers_data,
+    suspicion,
+)
 from beryllug.drivers import (
     answer_timeouts,
     event_split,
@@ -81,7 +86,6 @@
                 case stream_state.Larger(size):
                     stream.size = size
                     stream.progress.counted_attempts += 1
-                    stream.progress.was_discarded = True
                     continue
                 case stream_state.Failure(status):
                     failure = outcome
@@ -167,9 +171,7 @@
             reused=stream.is_reused,
             via=stream.via,
         )
-        stream.progress.is_server_gone = isinstance(
-            outcome, dispatch.Unknown
-        ) and await self._crashes.connection_broke(call, choice.server)
+        await self._record_crash(call, choice.server, stream, outcome)
         return outcome
 
     async def _send(
@@ -276,10 +278,6 @@
         match outcome:
             case stream_state.Done() | stream_state.Larger():
                 self._pool.succeeded(choice)
-                self._crashes.answered(
-                    call,
-                    is_discarded=isinstance(outcome, stream_state.Larger),
-                )
                 self._record_length(call, stream)
                 took = stream_state.answer_timings(call, stream, choice)
                 self._trials.count_answer(call, choice, is_good=True, took=took)
@@ -294,6 +292,29 @@
             case _:
                 self._pool.failed(choice)
 
+    async def _record_crash(
+        self,
+        call: call_data.Call,
+        server: servers_data.Server,
+        stream: stream_state.Stream,
+        outcome: stream_state.AttemptOutcome,
+    ) -> None:
+        """Record what an attempt tells of crashes under its request."""
+        progress = stream.progress
+        progress.is_server_gone = False
+        match outcome:
+            case stream_state.Done():
+                self._crashes.answered(call)
+            case stream_state.Larger():
+                self._crashes.answer_discarded(call, server)
+                progress.discarded_at += (server,)
+            case dispatch.NotRun(_, is_gone=True):
+                self._crashes.unreached(server)
+            case dispatch.Unknown():
+                progress.is_server_gone = await self._crashes.connection_broke(
+                    call, server, progress.discarded_at
+                )
+
     def _record_length(
         self, call: call_data.Call, stream: stream_state.Stream
     ) -> None:
