poison_requests: suspects are tried one at a time, as at the own entry point

Two faults that were left. A router that starts later knew nothing: losses were told once, as changes, in one datagram that was dropped where it held over some thirty (14 arrivals of a refused request where 11 had sufficed). And a sound prompt that shared its servers with the bad one was refused with it for a minute.

The decisions are those of core.suspects now, which the product's own entry point uses: its table took the place of the counts. What differs is a figure of the table: a request is a suspect after its second lost server, not its first, since no control process grants trials here and all that ran on a lost server are to be sent on at once. A suspect runs as a trial only, one at a time, on a server where no other suspect is tried; a lost trial refuses it, an answer to its end clears it. With two trials on one server neither is refused.

Processes tell all others of changes at once, in datagrams of a bounded size with ages in place of times, and repeat what binds in probes and in the answer to a call, which a process makes as it starts. `losses` goes on as it was, for processes of older releases; theirs are taken without the time.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -186,6 +186,46 @@
     seconds: float
 
 
+class LossReport(NamedTuple):
+    """A server that was lost while a request ran on it.
+
+    Attributes:
+        instance: The server.
+        ago_s: Seconds since the run there ended.
+        trial_id: Trial that ran there; empty for an ordinary run.
+        is_cleared: Whether the request has been answered elsewhere since.
+    """
+
+    instance: str
+    ago_s: float
+    trial_id: str = ''
+    is_cleared: bool = False
+
+
+class TrialReport(NamedTuple):
+    """One run of a suspected request, to test it.
+
+    Attributes:
+        trial_id: Its id.
+        instance: The server.
+        left_s: Seconds until it must have ended; negative if it has.
+        is_ended: Whether it is known to have ended.
+    """
+
+    trial_id: str
+    instance: str
+    left_s: float
+    is_ended: bool = False
+
+
+class SuspectReport(NamedTuple):
+    """What the sender knows of a request under which servers were lost."""
+
+    fingerprint: str
+    losses: tuple[LossReport, ...] = ()
+    trials: tuple[TrialReport, ...] = ()
+
+
 class PeerNote(NamedTuple):
     """A datagram, sent several times a second by each process.
 
@@ -201,7 +241,8 @@
         entries: Changes of the list of backend servers up to its revision,
             as JSON, or empty.
         rollouts: Progress of roll-outs that has just changed.
-        losses: Servers lost while serving requests, since the last datagram.
+        losses: Servers lost while serving requests, for older releases; those
+            of `suspects`.
         gone: Processes that were just found gone, or that are stopping.
         report: Its load at backend servers, for the aggregators of its zone.
         zone_sum: The load of its zone's processes, for other zones.
@@ -228,6 +269,9 @@
             into force at the sender and is short.
         full: Brittle servers that have just turned away a request of the
             sender.
+        suspects: Requests under which servers were lost, as far as that has
+            just changed; in a probe or its answer, some that may not run
+            freely.
     """
 
     name: str
@@ -258,6 +302,7 @@
     has_lost_store: bool = False
     table: bytes = b''
     full: tuple[FullServer, ...] = ()
+    suspects: tuple[SuspectReport, ...] = ()
 
 
 class HeldOrder(NamedTuple):
@@ -318,6 +363,8 @@
             in an answer.
         evacuated: The evacuated availability zones.
         held: State that overrides the store's data; in an answer.
+        suspects: Requests that may not run freely, since servers were lost
+            under them; in an answer.
     """
 
     name: str
@@ -335,3 +382,4 @@
     followers: tuple[WatcherReport, ...] = ()
     evacuated: tuple[str, ...] = ()
     held: HeldState = NOTHING_HELD
+    suspects: tuple[SuspectReport, ...] = ()
--- /dev/null
+++ b/beryllug/core/peering/suspect_reports.py
@@ -0,0 +1,92 @@
+"""Notes on suspected requests as processes send them to one another.
+
+The clocks of two processes differ, so a report states ages and remaining times.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from beryllug.core import suspects_data
+from beryllug.core.peering import peering_data
+from beryllug.core.placement import poison_requests
+
+# Losses and trials in one datagram, at some 40 bytes each, twice for a loss.
+MAX_ITEMS_PER_NOTE = 10
+
+
+def report_of(
+    note: suspects_data.SuspectNote, now: float
+) -> peering_data.SuspectReport:
+    """Return the report of a note."""
+    return peering_data.SuspectReport(
+        note.fingerprint,
+        tuple(
+            peering_data.LossReport(
+                loss.server_id, now - loss.at, loss.trial_id, loss.cleared
+            )
+            for loss in note.losses
+        ),
+        tuple(
+            peering_data.TrialReport(
+                trial.trial_id, trial.server_id, trial.until - now, trial.ended
+            )
+            for trial in note.trials
+        ),
+    )
+
+
+def note_of(
+    report: peering_data.SuspectReport, now: float
+) -> suspects_data.SuspectNote:
+    """Return the note that a report was made of, in the receiver's time."""
+    return suspects_data.SuspectNote(
+        report.fingerprint,
+        tuple(
+            suspects_data.Loss(
+                loss.instance,
+                '',
+                now - loss.ago_s,
+                loss.trial_id,
+                loss.is_cleared,
+            )
+            for loss in report.losses
+        ),
+        tuple(
+            suspects_data.Trial(
+                trial.trial_id,
+                trial.instance,
+                now + trial.left_s,
+                trial.is_ended,
+            )
+            for trial in report.trials
+        ),
+    )
+
+
+def losses_of(
+    reports: Iterable[peering_data.SuspectReport],
+) -> tuple[poison_requests.Loss, ...]:
+    """Return the losses in reports as older releases read them."""
+    return tuple(
+        poison_requests.Loss(report.fingerprint, loss.instance)
+        for report in reports
+        for loss in report.losses
+        if not loss.is_cleared
+    )
+
+
+def split(
+    reports: Iterable[peering_data.SuspectReport],
+) -> Iterator[tuple[peering_data.SuspectReport, ...]]:
+    """Yield reports in groups that each fit into one datagram."""
+    group: list[peering_data.SuspectReport] = []
+    items = 0
+    for report in reports:
+        size = len(report.losses) + len(report.trials)
+        if group and items + size > MAX_ITEMS_PER_NOTE:
+            yield tuple(group)
+            group = []
+            items = 0
+        group.append(report)
+        items += size
+    if group:
+        yield tuple(group)
--- a/beryllug/core/placement/retry_delay.py
+++ b/beryllug/core/placement/retry_delay.py
@@ -28,6 +28,7 @@
     FULL = auto()
     NO_TABLE = auto()
     STOPPING = auto()
+    IN_TRIAL = auto()
 
 
 class PlacementFailure(NamedTuple):
@@ -51,6 +52,7 @@
 # A process without a route table started during a store outage; that lasts for
 # seconds, and a request has already waited for the table before it is refused.
 # Another process takes the requests of one that stops.
+# A trial that does not crash its server begins to answer within one second.
 MOST_S: Mapping[Cause, float] = MappingProxyType(
     {
         Cause.NO_SERVER: 1.0,
@@ -62,6 +64,7 @@
         Cause.FULL: 1.0,
         Cause.NO_TABLE: 1.4,
         Cause.STOPPING: 0.1,
+        Cause.IN_TRIAL: 1.0,
     }
 )
 # Minimum retry-after seconds: otherwise all callers refused at one moment would
--- a/beryllug/core/suspects.py
+++ b/beryllug/core/suspects.py
@@ -1,12 +1,13 @@
 """Decide on requests that may have crashed a backend server.
 
-When a server is lost, all requests that ran on it become suspects. Each may
-be tried again once, on a server where no other trial runs. An answer to the
-trial clears the request, so requests that did not cause the crash are still
-answered. If the trial's server is lost too, the request is refused from then
-on. A poison request therefore costs two servers however often it is sent
-again, plus one for each further copy that already ran when the first server
-was lost; these cannot be known before.
+When a server is lost, all requests that ran on it become suspects, or do so
+with the second one (`Table.suspect_after`). Each may be tried again once, on a
+server where no other trial runs. An answer to the trial clears the request, so
+requests that did not cause the crash are still answered. If the trial's server
+is lost too, the request is refused from then on. A poison request therefore
+costs two or three servers however often it is sent again, plus one for each
+further copy that already ran when it became a suspect; these cannot be known
+before.
 
 A table is a set of notes whose merge is commutative and idempotent, so
 control processes simply send each other the notes they have.
@@ -119,11 +120,22 @@
     )
 
 
-def is_suspect(note: suspects_data.SuspectNote, now: float) -> bool:
-    """Tell whether the request needs a trial before it may run."""
-    return any(
-        not loss.cleared and now < loss.at + SUSPICION_S for loss in note.losses
-    )
+def is_suspect(
+    note: suspects_data.SuspectNote, now: float, suspect_after: int = 1
+) -> bool:
+    """Tell whether the request needs a trial before it may run.
+
+    Args:
+        note: Its note.
+        now: The current second.
+        suspect_after: Lost servers after which it does.
+    """
+    servers = {
+        loss.server_id
+        for loss in note.losses
+        if not loss.cleared and now < loss.at + SUSPICION_S
+    }
+    return len(servers) >= suspect_after
 
 
 def judge(
@@ -147,7 +159,7 @@
     if is_refused(note, now):
         remaining_s = kept_until(note) - now
         return TrialReply(Verdict.REFUSE, retry_after_s=remaining_s)
-    if not is_suspect(note, now):
+    if not is_suspect(note, now, table.suspect_after):
         return TrialReply(Verdict.RUN)
     running = open_trial(note, now)
     if running is not None and running.trial_id == request.trial_id:
@@ -211,7 +223,7 @@
     return tuple(
         _view_suspect(note, now)
         for note in table.notes.values()
-        if is_suspect(note, now) or is_refused(note, now)
+        if is_refused(note, now) or is_suspect(note, now, table.suspect_after)
     )
 
 
--- a/beryllug/core/suspects_data.py
+++ b/beryllug/core/suspects_data.py
@@ -66,9 +66,18 @@
 
 @dataclass(slots=True)
 class Table:
-    """The notes of one process, by fingerprint."""
+    """The notes of one process, by fingerprint.
+
+    Attributes:
+        notes: The notes.
+        suspect_after: Lost servers after which a request is a suspect. With
+            one, a request costs the fewest servers. With more, the others that
+            ran on a lost server are sent on at once; where all that decide are
+            peers, each trial of theirs is told to all.
+    """
 
     notes: dict[str, SuspectNote] = field(default_factory=dict)
+    suspect_after: int = 1
 
 
 class Verdict(StrEnum):
--- a/beryllug/router/attempt_servers.py
+++ b/beryllug/router/attempt_servers.py
@@ -1,9 +1,24 @@
-"""The choice of a server for each attempt of a request."""
+"""The server of each attempt of a request, and what its end tells of it."""
 
-from beryllug.core.placement import backlog
-from beryllug.router import attempts, crash_watch, flow_parts, pool
+import asyncio
+import time
+
+from beryllug.core.placement import backlog, servers_data
+from beryllug.router import (
+    attempts,
+    dispatch,
+    flow_parts,
+    pool,
+    suspect_trials,
+)
 from beryllug.router import call as call_data
 
+# Fraction of the time left, and upper bound in seconds, for which a suspect
+# waits for a server on which no other suspect is tried.
+MAX_WAIT_FRACTION = 0.3
+MAX_WAIT_S = 2.0
+POLL_S = 0.02
+
 
 class AttemptServers:
     """Chooses the servers to which a request is sent in turn."""
@@ -12,6 +27,7 @@
         """Bind to the services of the flow."""
         self._pool = parts.pool
         self._crashes = parts.crashes
+        self._suspects = parts.crashes.suspects
         self._log = parts.log
 
     async def choose(
@@ -25,12 +41,97 @@
         Servers may have been lost under the request since it was accepted, by
         its own attempts or by those of another process.
         """
-        if self._crashes.refused_s(call):
-            progress.reason = crash_watch.LOST
+        progress.trial_id = ''
+        found = self._suspects.suspicion(call)
+        if found.refusal is not None:
+            _refuse(progress, found.refusal)
             return None
+        if found.is_suspect:
+            return await self._choose_for_trial(call, progress, prompt)
         choice = await self._pool.choose(
             attempts.criteria(call, progress, prompt)
         )
         if choice is None:
             attempts.record_no_server(call, progress, self._pool, self._log)
         return choice
+
+    def answered(
+        self, call: call_data.Call, progress: attempts.Progress
+    ) -> None:
+        """Record that an attempt was answered to its end."""
+        self._suspects.answered(call, progress)
+
+    def unused(
+        self,
+        call: call_data.Call,
+        server: servers_data.Server,
+        progress: attempts.Progress,
+    ) -> None:
+        """Record that the answer of an attempt is not used or waited for."""
+        self._crashes.run_ended(call, server, progress)
+        self._suspects.end(call, progress)
+
+    async def failed(
+        self,
+        call: call_data.Call,
+        server: servers_data.Server,
+        progress: attempts.Progress,
+        outcome: dispatch.Outcome,
+    ) -> None:
+        """Record that an attempt failed."""
+        progress.is_server_gone = False
+        match outcome:
+            case dispatch.NotRun(_, is_gone=True):
+                self._crashes.unreached(server)
+            case dispatch.TimedOut():
+                self._crashes.run_ended(call, server, progress)
+            case dispatch.Unknown():
+                await self._crashes.attempt_broke(call, server, progress)
+        self._suspects.end(call, progress)
+
+    async def _choose_for_trial(
+        self,
+        call: call_data.Call,
+        progress: attempts.Progress,
+        prompt: backlog.Prompt | None,
+    ) -> pool.Choice | None:
+        """Return a server without another trial, waiting for one if needed."""
+        wait_s = min(attempts.left_s(call) * MAX_WAIT_FRACTION, MAX_WAIT_S)
+        wait_until = time.monotonic() + wait_s
+        while True:
+            found = self._suspects.suspicion(call)
+            if found.refusal is not None:
+                _refuse(progress, found.refusal)
+                return None
+            choice = await self._try(call, progress, prompt, found)
+            if choice is not None:
+                return choice
+            if time.monotonic() > wait_until:
+                _refuse(progress, self._suspects.refuse_trial(call))
+                return None
+            await asyncio.sleep(POLL_S)
+
+    async def _try(
+        self,
+        call: call_data.Call,
+        progress: attempts.Progress,
+        prompt: backlog.Prompt | None,
+        found: suspect_trials.Suspicion,
+    ) -> pool.Choice | None:
+        choice = await self._pool.choose(
+            attempts.criteria(call, progress, prompt, found.avoided)
+        )
+        if choice is None or self._suspects.begin(
+            call, choice.server, progress
+        ):
+            return choice
+        self._pool.request_ended(choice)
+        return None
+
+
+def _refuse(
+    progress: attempts.Progress, refusal: call_data.RefusedError
+) -> None:
+    """Record why a request is sent to no server."""
+    progress.refusal = refusal
+    progress.reason = refusal.reason
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -21,6 +21,7 @@
 MAX_TERMINATED_SERVERS = 3
 # Remaining seconds below which a further attempt cannot return an answer.
 MIN_REMAINING_S = 0.01
+NO_INSTANCES: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -38,6 +39,9 @@
         is_late: Whether the last attempt failed by a timeout.
         terminated: Servers that terminated while they ran the request.
         is_server_gone: Whether the server of the last attempt has terminated.
+        trial_id: The trial that the last attempt was, since servers were lost
+            under the request; else empty.
+        refusal: Why it is sent to no further server for that reason, or None.
         discarded_at: Servers whose answers, of a smaller model, were
             discarded; the request has then run, and may still be retried.
     """
@@ -54,6 +58,8 @@
     is_late: bool = False
     terminated: int = 0
     is_server_gone: bool = False
+    trial_id: str = ''
+    refusal: call_data.RefusedError | None = None
     discarded_at: tuple[servers_data.Server, ...] = ()
 
 
@@ -61,8 +67,16 @@
     call: call_data.Call,
     progress: Progress,
     prompt: backlog.Prompt | None = None,
+    avoided: frozenset[str] = NO_INSTANCES,
 ) -> servers_data.Requirements:
-    """Return the criteria for choosing the server of the next attempt."""
+    """Return the criteria for choosing the server of the next attempt.
+
+    Args:
+        call: The request.
+        progress: Its progress.
+        prompt: Its prompt, for a model runner.
+        avoided: Instances that it must not be sent to now.
+    """
     version_choice = progress.version_choice
     versions = (
         version_choice.others if progress.excluded else version_choice.versions
@@ -71,7 +85,7 @@
         call.service,
         prompt,
         versions,
-        frozenset(progress.excluded),
+        avoided.union(progress.excluded),
         len(call.req.body),
         call.asked.tokens_out,
         match.regions(call.route, call.account),
@@ -157,6 +171,8 @@
 ) -> call_data.RefusedError:
     """Return the error for a request that no server has answered."""
     if not progress.may_have_run and not progress.discarded_at:
+        if progress.refusal is not None:
+            return progress.refusal
         return call_data.RefusedError(
             call_data.UNAVAILABLE,
             progress.reason,
--- a/beryllug/router/call.py
+++ b/beryllug/router/call.py
@@ -1,5 +1,6 @@
 """A caller's request as the flows of the router handle it."""
 
+import hashlib
 from typing import NamedTuple
 
 from beryllug.core.routes import routes_data
@@ -13,6 +14,7 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
+DIGEST_BYTES = 8
 
 
 class Call(NamedTuple):
@@ -41,6 +43,16 @@
         """Return the name of the client account, or an empty string."""
         return self.account.name if self.account else ''
 
+    @property
+    def fingerprint(self) -> str:
+        """Return a digest that is the same when a request is sent again."""
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (self.req.method, self.req.target, self.account_name):
+            digest.update(part.encode())
+            digest.update(b'\n')
+        digest.update(self.req.body)
+        return digest.hexdigest()
+
 
 class RefusedError(Exception):
     """The router itself answers a request with an error.
--- a/beryllug/router/caller_server.py
+++ b/beryllug/router/caller_server.py
@@ -18,10 +18,10 @@
 from beryllug.platform import requests
 from beryllug.router import (
     attempt_log,
-    crash_watch,
     directory,
     plain_flow,
     stream_flow,
+    suspect_trials,
 )
 from beryllug.router import call as call_data
 
@@ -44,11 +44,11 @@
 
 
 class Flows(NamedTuple):
-    """The flows that serve requests, and the crash check before them."""
+    """The flows that serve requests, and the check before them."""
 
     plain: plain_flow.PlainFlow
     streams: stream_flow.StreamFlow
-    crashes: crash_watch.CrashWatch
+    suspects: suspect_trials.SuspectTrials
 
 
 def _no_relayed() -> int:
@@ -155,7 +155,7 @@
             await _refuse(asked.attempt_id, exc, exchange)
             return
         try:
-            self._flows.crashes.check(call)
+            self._flows.suspects.check(call)
             await self._flow(call).serve(call, exchange)
         except call_data.RefusedError as exc:
             self._log.refused(call, exc.status, exc.reason)
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -48,6 +48,7 @@
 MAX_CALL_ATTEMPTS = 2
 # Maximum number of failed calls that do not count, since this process stalled.
 MAX_STALLED_CALLS = 2
+Suspects = tuple[peering_data.SuspectReport, ...]
 
 
 class Peering:
@@ -60,6 +61,8 @@
             service 'sharing' has set it.
         store_exchange: The store data of this process.
         timeouts: Creates timeouts by the stalls of this process.
+        suspects: Returns what is known of requests that crash servers.
+        on_suspects: Called with what a peer knows of them.
     """
 
     def __init__(
@@ -76,6 +79,8 @@
         self.roster = roster.Roster(process.name, lines)
         self.members = self.roster.members
         self.contact: Callable[[str], None] = self._call_peer
+        self.suspects: Callable[[float], Suspects] = _no_suspects
+        self.on_suspects: Callable[[Suspects, float], None] = _ignore_suspects
         self._cfg = cfg
         self._calls = calls
         self.store_exchange = known
@@ -215,8 +220,11 @@
 
     async def _answer(self, digest: peering_data.Digest) -> peering_data.Digest:
         self._apply_digest(digest)
+        now = time.monotonic()
         return self.store_exchange.add_missing(
-            self._digest(), digest.versions, time.monotonic()
+            self._digest()._replace(suspects=self.suspects(now)),
+            digest.versions,
+            now,
         )
 
     def _digest(self) -> peering_data.Digest:
@@ -247,3 +255,13 @@
         self.roster.merge_peers(digest.peers, now)
         self._trials.apply_digest(digest, now)
         self.store_exchange.apply(digest, now)
+        self.on_suspects(digest.suspects, now)
+
+
+def _no_suspects(now: float) -> Suspects:
+    """Default of `suspects`."""
+    return ()
+
+
+def _ignore_suspects(found: Suspects, now: float) -> None:
+    """Default of `on_suspects`."""
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -4,10 +4,11 @@
 that may run twice is retried without its caller noticing.
 """
 
+import asyncio
 import time
 from dataclasses import dataclass
 
-from beryllug.core.placement import servers_data, suspicion
+from beryllug.core.placement import suspicion
 from beryllug.drivers import http_data, http_server
 from beryllug.platform import requests
 from beryllug.router import (
@@ -53,7 +54,7 @@
         self._sender = parts.sender
         self._trials = parts.trials
         self._log = parts.log
-        self._crashes = parts.crashes
+        self._suspects = parts.crashes.suspects
         self._servers = attempt_servers.AttemptServers(parts)
         self._timeouts = parts.timeouts
 
@@ -107,6 +108,9 @@
         attempt_started = time.monotonic()
         try:
             outcome = await self._send(call, choice, progress)
+        except asyncio.CancelledError:
+            self._servers.unused(call, choice.server, progress)
+            raise
         finally:
             self._pool.request_ended(choice)
         took_s = time.monotonic() - attempt_started
@@ -122,7 +126,15 @@
             )
         else:
             self._log.attempt(call, choice.server, outcome, took_s)
-        await self._record_crash(call, choice.server, progress, outcome)
+        match outcome:
+            case _FullAnswer(status) if status < dispatch.SERVER_ERROR:
+                self._servers.answered(call, progress)
+            case _FullAnswer():
+                self._suspects.end(call, progress)
+            case _:
+                await self._servers.failed(
+                    call, choice.server, progress, outcome
+                )
         return outcome
 
     async def _send(
@@ -187,25 +199,6 @@
             case _:
                 self._pool.failed(choice)
 
-    async def _record_crash(
-        self,
-        call: call_data.Call,
-        server: servers_data.Server,
-        progress: attempts.Progress,
-        outcome: _FullAnswer | dispatch.Outcome,
-    ) -> None:
-        """Record what an attempt tells of crashes under its request."""
-        progress.is_server_gone = False
-        match outcome:
-            case _FullAnswer(status) if status < dispatch.SERVER_ERROR:
-                self._crashes.answered(call)
-            case dispatch.NotRun(_, is_gone=True):
-                self._crashes.unreached(server)
-            case dispatch.Unknown():
-                progress.is_server_gone = await self._crashes.connection_broke(
-                    call, server
-                )
-
     def _is_failure(self, call: call_data.Call, outcome: _FullAnswer) -> bool:
         return call.route.is_repeatable and (
             outcome.status >= dispatch.SERVER_ERROR
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -14,8 +14,8 @@
 
 from beryllug.core import settings_data
 from beryllug.core.canary import sessions
-from beryllug.core.peering import members, peering_data
-from beryllug.core.placement import backlog, poison_requests, fleet_size
+from beryllug.core.peering import members, peering_data, suspect_reports
+from beryllug.core.placement import backlog, fleet_size
 from beryllug.drivers import datagrams, fleet_key
 from beryllug.router import (
     claims,
@@ -28,6 +28,7 @@
     rollout_state,
     statements,
     store_news,
+    suspect_notes,
     trials,
 )
 
@@ -64,7 +65,14 @@
         self._pool = decided.pool
         self._loads = fleet_loads.FleetLoads(zone, peers.members, decided.pool)
         self._trials = decided.trials
-        self._crashes = decided.crashes
+        self._suspects = suspect_notes.SuspectNotes(
+            decided.crashes,
+            lambda reports: self._broadcast(
+                _with_suspects(self._new_note(), reports)
+            ),
+        )
+        peers.on_suspects = self._suspects.handle_reports
+        peers.suspects = self._suspects.recent
         self._notes = datagrams.Datagrams(
             keys, peering_data.PeerNote, self._handle_note
         )
@@ -89,9 +97,6 @@
         self._statements.on_changed = self._broadcast_statements
         self._statements.on_full = self._broadcast_full
         self._statements_sent_at = float('-inf')
-        self._crashes.on_lost = lambda: self._broadcast(
-            _losses_note(self._new_note(), self._crashes)
-        )
         self._task: asyncio.Task[None] | None = None
         peers.contact = self._send_probe
         peers.roster.on_gone = lambda name: self._broadcast(
@@ -169,6 +174,7 @@
         return own_note._replace(
             limits=self._limits.sample_recent(now),
             leaving=self._statements.sample_leaving(now),
+            suspects=self._suspects.sample(now),
         )
 
     def _broadcast(self, note: peering_data.PeerNote) -> None:
@@ -242,7 +248,7 @@
         if note.report is not None or note.zone_sum is not None:
             self._send_loads(self._loads.due_immediately(now), now)
         self._trials.pins.merge_sessions(note.running)
-        self._crashes.merge_losses(note.losses, now)
+        self._suspects.handle_note(note, now)
         self._claims.handle_note(note, now)
         self._statements.handle_note(note, now)
         self._trials.apply_phases(note.rollouts, note.name, now)
@@ -265,12 +271,13 @@
             return note._replace(total=payload)
 
 
-def _losses_note(
-    note: peering_data.PeerNote, crashes: crash_watch.CrashWatch
+def _with_suspects(
+    note: peering_data.PeerNote,
+    reports: tuple[peering_data.SuspectReport, ...],
 ) -> peering_data.PeerNote:
-    """Return a note with the servers lost under requests since the last one."""
-    losses = poison_requests.pop_unreported(crashes.state)
-    return note._replace(losses=losses)
+    """Return a note with reports on requests that crash servers."""
+    losses = suspect_reports.losses_of(reports)
+    return note._replace(suspects=reports, losses=losses)
 
 
 def _gone_note(name: str, cfg: settings_data.Router) -> peering_data.PeerNote:
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -6,14 +6,10 @@
 sent, if its route permits that.
 """
 
+import asyncio
 import time
 
-from beryllug.core.placement import (
-    backlog,
-    escalation,
-    servers_data,
-    suspicion,
-)
+from beryllug.core.placement import backlog, escalation, suspicion
 from beryllug.drivers import (
     answer_timeouts,
     event_split,
@@ -42,7 +38,7 @@
         self._sender = parts.sender
         self._trials = parts.trials
         self._log = parts.log
-        self._crashes = parts.crashes
+        self._suspects = parts.crashes.suspects
         self._servers = attempt_servers.AttemptServers(parts)
         self._timeouts = parts.timeouts
         self._larger = larger.LargerModel(parts.pool)
@@ -147,6 +143,9 @@
         stream.via = ''
         try:
             outcome = await self._send(call, choice, stream, exchange)
+        except asyncio.CancelledError:
+            self._servers.unused(call, choice.server, stream.progress)
+            raise
         finally:
             self._pool.request_ended(choice)
         self._record_outcome(call, choice, stream, outcome)
@@ -171,7 +170,18 @@
             reused=stream.is_reused,
             via=stream.via,
         )
-        await self._record_crash(call, choice.server, stream, outcome)
+        match outcome:
+            case stream_state.Done():
+                self._servers.answered(call, stream.progress)
+            case stream_state.Larger():
+                self._servers.unused(call, choice.server, stream.progress)
+                stream.progress.discarded_at += (choice.server,)
+            case stream_state.Failure():
+                self._suspects.end(call, stream.progress)
+            case _:
+                await self._servers.failed(
+                    call, choice.server, stream.progress, outcome
+                )
         return outcome
 
     async def _send(
@@ -241,7 +251,9 @@
                 break
             events = splitter.feed(chunk)
             if events:
-                await self._forward(stream, events, headers, outcome, exchange)
+                await self._forward(
+                    call, stream, events, headers, outcome, exchange
+                )
         if splitter.has_partial_event or not stream.started:
             return dispatch.Unknown('the stream ended within an event')
         await exchange.finish()
@@ -249,6 +261,7 @@
 
     async def _forward(
         self,
+        call: call_data.Call,
         stream: stream_state.Stream,
         events: list[event_split.Event],
         headers: dict[str, str],
@@ -259,6 +272,8 @@
             stream.started = True
             stream.status = outcome.head.status
             await exchange.start(stream.status, headers)
+        if not stream.events:
+            self._suspects.end(call, stream.progress)
         stream_state.record_events(stream, time.monotonic())
         stream.last_event = events[-1].event_id or stream.last_event
         try:
@@ -292,29 +307,6 @@
             case _:
                 self._pool.failed(choice)
 
-    async def _record_crash(
-        self,
-        call: call_data.Call,
-        server: servers_data.Server,
-        stream: stream_state.Stream,
-        outcome: stream_state.AttemptOutcome,
-    ) -> None:
-        """Record what an attempt tells of crashes under its request."""
-        progress = stream.progress
-        progress.is_server_gone = False
-        match outcome:
-            case stream_state.Done():
-                self._crashes.answered(call)
-            case stream_state.Larger():
-                self._crashes.answer_discarded(call, server)
-                progress.discarded_at += (server,)
-            case dispatch.NotRun(_, is_gone=True):
-                self._crashes.unreached(server)
-            case dispatch.Unknown():
-                progress.is_server_gone = await self._crashes.connection_broke(
-                    call, server, progress.discarded_at
-                )
-
     def _record_length(
         self, call: call_data.Call, stream: stream_state.Stream
     ) -> None:
--- /dev/null
+++ b/beryllug/router/suspect_notes.py
@@ -0,0 +1,93 @@
+"""What processes tell one another of requests that crash servers.
+
+A change is told to all at once, before the request can be sent to the next
+server or to another process. Datagrams get lost and processes start, so what
+keeps requests from running freely is repeated in probes and in the answers to
+calls.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterable
+
+from beryllug.core import suspects
+from beryllug.core.peering import peering_data, suspect_reports
+from beryllug.core.placement import poison_requests
+from beryllug.router import crash_watch
+
+# Reports in a probe and in the answer to a call.
+MAX_IN_PROBE = 3
+MAX_IN_ANSWER = 32
+Reports = tuple[peering_data.SuspectReport, ...]
+
+
+class SuspectNotes:
+    """Sends and handles reports on suspected requests."""
+
+    def __init__(
+        self,
+        crashes: crash_watch.CrashWatch,
+        broadcast: Callable[[Reports], None],
+    ) -> None:
+        """Bind to what is told.
+
+        Args:
+            crashes: Knows the requests.
+            broadcast: Sends reports to all processes, in one datagram.
+        """
+        self._crashes = crashes
+        self._state = crashes.suspects.state
+        self._broadcast = broadcast
+        self._rng = random.Random()
+        self._is_due = False
+        crashes.suspects.on_changed = self._schedule
+
+    def handle_note(self, note: peering_data.PeerNote, now: float) -> None:
+        """Handle what a note tells."""
+        if note.suspects:
+            self.handle_reports(note.suspects, now)
+        elif note.losses:
+            poison_requests.take(self._state, note.losses, now)
+
+    def handle_reports(self, reports: Reports, now: float) -> None:
+        """Handle what another process knows."""
+        self._crashes.merge(
+            (suspect_reports.note_of(report, now) for report in reports), now
+        )
+
+    def sample(self, now: float) -> Reports:
+        """Return some reports for a probe."""
+        known = self._binding(now)
+        return tuple(self._rng.sample(known, min(MAX_IN_PROBE, len(known))))
+
+    def recent(self, now: float) -> Reports:
+        """Return the reports for a process that may know of none."""
+        return tuple(self._binding(now)[-MAX_IN_ANSWER:])
+
+    def _binding(self, now: float) -> list[peering_data.SuspectReport]:
+        """Return reports on requests that may not run freely."""
+        table = self._state.table
+        suspects.expire(table, now)
+        return [
+            suspect_reports.report_of(note, now)
+            for note in table.notes.values()
+            if suspects.is_refused(note, now)
+            or suspects.is_suspect(note, now, table.suspect_after)
+        ]
+
+    def _schedule(self) -> None:
+        """Send in the next turn of the loop what changes in this one."""
+        if not self._is_due:
+            self._is_due = True
+            asyncio.get_running_loop().call_soon(self._send)
+
+    def _send(self) -> None:
+        self._is_due = False
+        now = time.monotonic()
+        changed: Iterable[peering_data.SuspectReport] = (
+            suspect_reports.report_of(note, now)
+            for note in poison_requests.pop_untold(self._state)
+        )
+        for reports in suspect_reports.split(changed):
+            self._broadcast(reports)
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -38,6 +38,7 @@
     pool,
     relay_access,
     relay_peers,
+    server_checks,
     server_limits,
     server_list,
     server_paths,
@@ -45,6 +46,7 @@
     statements,
     store_returns,
     stream_flow,
+    suspect_trials,
     trials,
     unread_names,
     zone_list,
@@ -122,7 +124,13 @@
         settings.process.name, backend_list, eligible_servers, lines
     )
     sender.listeners = (unread_log.heard, server_statements.apply_answer)
-    crashes = crash_watch.CrashWatch(sender, backend_list.leaving, lines)
+    suspects = suspect_trials.SuspectTrials(lines)
+    crashes = crash_watch.CrashWatch(
+        suspects,
+        server_checks.ServerChecks(sender),
+        backend_list.leaving,
+        lines,
+    )
     backend_list.on_lost = crashes.record_lost_server
     paths.listed = lambda: server_list.addresses(backend_list, time.monotonic())
     paths.verdicts.on_cut = cut_links.CutLinks(
@@ -137,7 +145,7 @@
         servers, sender, canaries, request_log, crashes, timeouts
     )
     flows = caller_server.Flows(
-        plain_flow.PlainFlow(parts), stream_flow.StreamFlow(parts), crashes
+        plain_flow.PlainFlow(parts), stream_flow.StreamFlow(parts), suspects
     )
     frontend = caller_server.CallerServer(
         cfg, store_directory, flows, request_log, listener
