waiting_attempts: what waits at a server is withdrawn when it may not run there

Nothing could stop an attempt that was sent.

An attempt that has no head yet ends as soon as its request is refused, or is a suspect and may be sent again; then it is refused or tried like any other. Its server is not at fault, and the request counts as one that may have run.

The stand-in can drop a request whose connection closes, as most model runners do.

--- a/beryllug/proofs/platform/partition_test.py
+++ b/beryllug/proofs/platform/partition_test.py
@@ -34,6 +34,11 @@
 # a stopping router may go on.
 LEAVE_S = 0.5
 GRACE_S = 8.0
+# Cuts of a link that flaps, of each mode, and seconds of one.
+FLAPS = 3
+FLAP_S = 0.4
+# Seconds between events, so that streams are cut off.
+SLOW_EVENT_S = 0.1
 OK = 200
 UNAVAILABLE = 503
 ROUTERS = 6
@@ -80,6 +85,24 @@
         """Callers fail while one router of six reaches the servers."""
         await self._check_cut(ROUTERS - 1, link_cut.Mode.HANG)
 
+    async def test_no_losses(self) -> None:
+        """A link that is cut again and again is taken for crashed servers."""
+        for instance in ('p1', 'p2', *POOLS):
+            runner = self.site.runners[instance]
+            runner.cfg = runner.cfg._replace(event_s=SLOW_EVENT_S)
+        load = asyncio.create_task(self._send_load())
+        await asyncio.sleep(WARM_UP_S)
+        for mode in (link_cut.Mode.RESET, link_cut.Mode.REFUSE) * FLAPS:
+            for router in self.site.routers[:2]:
+                router.link_cut().cut(mode)
+            await asyncio.sleep(FLAP_S)
+            for cut_router in self.site.routers[:2]:
+                cut_router.link_cut().restore()
+            await asyncio.sleep(FLAP_S)
+        await load
+        self.assertNotEqual(self.site.logged('connection_broke_under'), [])
+        self.assertEqual(self.site.logged('server_lost_under'), [])
+
     async def _check_cut(self, count: int, mode: link_cut.Mode) -> None:
         cut_off = self.site.routers[:count]
         load = asyncio.create_task(self._send_load())
--- a/beryllug/proofs/platform/poison_test.py
+++ b/beryllug/proofs/platform/poison_test.py
@@ -4,11 +4,12 @@
 import collections
 import itertools
 import time
-import unittest
-from typing import NamedTuple
+from typing import Any, NamedTuple
+from unittest import IsolatedAsyncioTestCase, main, mock
 
 from beryllug.drivers import http_data
 from beryllug.proofs.platform import site_test
+from beryllug.router import crash_watch
 from beryllug.standins import (
     crashing_servers,
     platform_runner,
@@ -26,6 +27,8 @@
 SOUND_INTERVAL_S = 0.15
 # Seconds after which a caller sends a request again that has failed, once.
 RETRY_S = 0.2
+# Seconds within which a router has exchanged probes with each of the others.
+PROBED_S = 2.5
 OK = 200
 UNAVAILABLE = 503
 Stage = crashing_servers.Stage
@@ -62,14 +65,20 @@
         statuses: Statuses of the callers' last tries, by body.
     """
 
-    def __init__(self, row: Row, entry_s: float | None = 3.6) -> None:
-        """Create the site; `open` starts it."""
+    def __init__(self, row: Row, **options: Any) -> None:
+        """Create the site; `open` starts it.
+
+        Args:
+            row: The requests.
+            options: How the servers crash, beyond what the row says.
+        """
         self.site = platform_site.Site()
         self.row = row
         self.servers = crashing_servers.CrashingServers(
             self.site,
             row.service,
-            crashing_servers.Crash(row.stage, row.after_s, entry_s),
+            crashing_servers.Crash(row.stage, row.after_s, **options),
+            drops_closed=True,
         )
         self.statuses: dict[bytes, collections.Counter[int]] = (
             collections.defaultdict(collections.Counter)
@@ -128,7 +137,7 @@
         self.statuses[body][status] += 1
 
 
-class PoisonTest(unittest.IsolatedAsyncioTestCase):
+class PoisonTest(IsolatedAsyncioTestCase):
     """The servers that one request crashes, and the callers beside it."""
 
     async def test_streams(self) -> None:
@@ -152,6 +161,44 @@
         self.assertEqual(len(play.servers.arrivals), before)
         self.assertEqual(statuses, {UNAVAILABLE})
 
+    async def test_store_away(self) -> None:
+        """No entry is dropped in an outage of the store, so no loss is seen."""
+        play = Play(STREAMS[2], entry_s=None)
+        await play.open()
+        play.site.store_stand_in.put_faults(refuse=True)
+        await play.site.store_stand_in.settle()
+        await play.send(DAY_S / 2)
+        await play.close()
+        self._check(play)
+
+    async def test_waiting_copies(self) -> None:
+        """Copies wait in the queues of other servers as two crash."""
+        play = Play(STREAMS[1], wait_s=1.0)
+        await play.open()
+        routers = itertools.cycle(play.site.routers)
+        async with asyncio.TaskGroup() as tasks:
+            for pause_s in (0, 0, 0.8, 0):
+                await asyncio.sleep(pause_s)
+                tasks.create_task(play.ask(next(routers), platform_runner.BAD))
+        await asyncio.sleep(2 * RETRY_S)
+        await play.close()
+        self.assertLessEqual(len(play.servers.crashes), MAX_CRASHES)
+
+    async def test_lost_note(self) -> None:
+        """A router misses the datagrams by which the others tell of losses."""
+        play = Play(STREAMS[2])
+        await play.open()
+        deaf, *others = play.site.routers
+        watch = deaf.services.find('crash_watch', crash_watch.CrashWatch)
+        with mock.patch.object(watch, 'merge'):
+            for router in itertools.islice(itertools.cycle(others), 3):
+                await play.ask(router, platform_runner.BAD)
+        await asyncio.sleep(PROBED_S)
+        status = await play.ask(deaf, platform_runner.BAD)
+        await play.close()
+        self.assertLessEqual(len(play.servers.crashes), MAX_CRASHES)
+        self.assertEqual(status, UNAVAILABLE)
+
     async def _play_all(self, rows: tuple[Row, ...]) -> None:
         plays = [Play(row) for row in rows]
         await asyncio.gather(*(self._play(play) for play in plays))
@@ -177,4 +224,4 @@
 
 
 if __name__ == '__main__':
-    unittest.main()
+    main()
--- a/beryllug/router/attempt_log.py
+++ b/beryllug/router/attempt_log.py
@@ -193,7 +193,10 @@
             return str(outcome)
         case dispatch.Answered(_, head):
             return str(head.status)
-        case dispatch.NotRun(reason) | dispatch.Unknown(reason):
+        case (
+            dispatch.NotRun(reason)
+            | dispatch.Unknown(reason)
+            | dispatch.TimedOut(reason)
+            | dispatch.Withdrawn(reason)
+        ):
             return f'{type(outcome).__name__}: {reason}'
-        case dispatch.TimedOut(reason):
-            return f'TimedOut: {reason}'
--- a/beryllug/router/attempt_servers.py
+++ b/beryllug/router/attempt_servers.py
@@ -4,6 +4,7 @@
 import time
 
 from beryllug.core.placement import backlog, servers_data
+from beryllug.platform import requests
 from beryllug.router import (
     attempts,
     dispatch,
@@ -26,6 +27,7 @@
     def __init__(self, parts: flow_parts.FlowParts) -> None:
         """Bind to the services of the flow."""
         self._pool = parts.pool
+        self._sender = parts.sender
         self._crashes = parts.crashes
         self._suspects = parts.crashes.suspects
         self._log = parts.log
@@ -55,6 +57,29 @@
             attempts.record_no_server(call, progress, self._pool, self._log)
         return choice
 
+    async def send(
+        self,
+        call: call_data.Call,
+        progress: attempts.Progress,
+        sending: requests.AttemptHeaders,
+        wait_s: float,
+    ) -> dispatch.Outcome:
+        """Send a request and wait for the head of its answer.
+
+        Args:
+            call: The request.
+            progress: Its progress.
+            sending: The destination and the headers that the router sets.
+            wait_s: Timeout in seconds for the head of the answer.
+        """
+        try:
+            async with self._suspects.waiting.wait(call, progress):
+                return await self._sender.send(
+                    call, sending, wait_s, is_retry=bool(progress.excluded)
+                )
+        except TimeoutError:
+            return dispatch.Withdrawn(suspect_trials.LOST)
+
     def answered(
         self, call: call_data.Call, progress: attempts.Progress
     ) -> None:
@@ -83,7 +108,7 @@
         match outcome:
             case dispatch.NotRun(_, is_gone=True):
                 self._crashes.unreached(server)
-            case dispatch.TimedOut():
+            case dispatch.TimedOut() | dispatch.Withdrawn():
                 self._crashes.run_ended(call, server, progress)
             case dispatch.Unknown():
                 await self._crashes.attempt_broke(call, server, progress)
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -117,7 +117,7 @@
             progress.reason = reason
             progress.counted_attempts += not is_gone
             progress.unreachable += is_gone
-        case dispatch.Unknown(reason):
+        case dispatch.Unknown(reason) | dispatch.Withdrawn(reason):
             progress.reason = reason
             progress.counted_attempts += 1
             progress.may_have_run = True
--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -149,6 +149,7 @@
         """
         received = tuple(notes)
         poison_requests.merge(self._state, received, now)
+        self.suspects.withdraw_waiting([each.fingerprint for each in received])
         for note in received:
             for loss in note.losses:
                 if loss.server_id in self._state.ended:
--- a/beryllug/router/dispatch.py
+++ b/beryllug/router/dispatch.py
@@ -70,7 +70,14 @@
     reason: str
 
 
-Outcome = Answered | NotRun | Unknown | TimedOut
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """This process stopped waiting for an answer; the request may have run."""
+
+    reason: str
+
+
+Outcome = Answered | NotRun | Unknown | TimedOut | Withdrawn
 
 
 class AnswerHead(NamedTuple):
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -51,7 +51,6 @@
     def __init__(self, parts: flow_parts.FlowParts) -> None:
         """Bind to the services of the flow."""
         self._pool = parts.pool
-        self._sender = parts.sender
         self._trials = parts.trials
         self._log = parts.log
         self._suspects = parts.crashes.suspects
@@ -150,8 +149,8 @@
         wait_s = self._wait_s(call, progress, left_s)
         try:
             async with self._timeouts.within(wait_s, call.deadline):
-                outcome = await self._sender.send(
-                    call, sending, wait_s, is_retry=bool(progress.excluded)
+                outcome = await self._servers.send(
+                    call, progress, sending, wait_s
                 )
                 if not isinstance(outcome, dispatch.Answered):
                     return outcome
@@ -196,7 +195,7 @@
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
                     self._pool.failed(choice, is_gone=True)
-            case _:
+            case dispatch.Unknown() | dispatch.TimedOut():
                 self._pool.failed(choice)
 
     def _is_failure(self, call: call_data.Call, outcome: _FullAnswer) -> bool:
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -35,7 +35,6 @@
     def __init__(self, parts: flow_parts.FlowParts) -> None:
         """Bind to the services of the flow."""
         self._pool = parts.pool
-        self._sender = parts.sender
         self._trials = parts.trials
         self._log = parts.log
         self._suspects = parts.crashes.suspects
@@ -204,8 +203,8 @@
         wait_s = stream_state.first_event_timeout_s(
             call, stream, choice.first_s + late_s
         )
-        outcome = await self._sender.send(
-            call, sending, wait_s, is_retry=bool(stream.progress.excluded)
+        outcome = await self._servers.send(
+            call, stream.progress, sending, wait_s
         )
         self._larger.record_lateness(call, stream, choice, outcome)
         if not isinstance(outcome, dispatch.Answered):
@@ -304,7 +303,7 @@
             case dispatch.NotRun(_, is_gone):
                 if is_gone:
                     self._pool.failed(choice, is_gone=True)
-            case _:
+            case dispatch.Unknown() | dispatch.TimedOut():
                 self._pool.failed(choice)
 
     def _record_length(
--- a/beryllug/router/suspect_trials.py
+++ b/beryllug/router/suspect_trials.py
@@ -6,7 +6,7 @@
 
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from beryllug.core import suspects_data
@@ -16,7 +16,7 @@
     servers_data,
 )
 from beryllug.kernel import log_lines
-from beryllug.router import attempts
+from beryllug.router import attempts, waiting_attempts
 from beryllug.router import call as call_data
 
 TRIAL_ID_BYTES = 4
@@ -47,6 +47,7 @@
 
     Attributes:
         state: What this process and its peers know of such requests.
+        waiting: The attempts that wait at a server.
         counts: Numbers of what was recorded or decided, for metrics.
         on_changed: Called when there is something to report to peers.
     """
@@ -54,6 +55,7 @@
     def __init__(self, lines: log_lines.LineWriter) -> None:
         """Start without suspects."""
         self.state = poison_requests.Crashers()
+        self.waiting = waiting_attempts.WaitingAttempts()
         self.counts = {'lost': 0, 'refused': 0, 'tried': 0, 'cleared': 0}
         self.on_changed: Callable[[], None] = _ignore
         self._lines = lines
@@ -154,8 +156,34 @@
     def report_changes(self) -> None:
         """Have peers told of what has changed, if anything has."""
         if self.state.untold:
+            self.withdraw_waiting(self.state.untold)
             self.on_changed()
 
+    def withdraw_waiting(self, changed: Collection[str]) -> None:
+        """Withdraw what waits at a server and may not run there any more.
+
+        What a trial of it on another server may clear is withdrawn if it can
+        be sent again then.
+
+        Args:
+            changed: Fingerprints of requests whose note has changed.
+        """
+        now = time.monotonic()
+        refused = {
+            name
+            for name in changed
+            if poison_requests.refused_s(self.state, name, now)
+        }
+        suspected = {
+            name
+            for name in changed
+            if poison_requests.is_suspect(self.state, name, now)
+        }
+        if refused or suspected:
+            self.waiting.withdraw(
+                lambda each: _is_withdrawn(each, refused, suspected)
+            )
+
     def _refuse(
         self, call: call_data.Call, reason: str, retry_after_s: float
     ) -> call_data.RefusedError:
@@ -171,5 +199,19 @@
         )
 
 
+def _is_withdrawn(
+    waiting: waiting_attempts.Waiting, refused: set[str], suspected: set[str]
+) -> bool:
+    fingerprint = waiting.call.fingerprint
+    if fingerprint in refused:
+        return True
+    is_trial = bool(waiting.progress.trial_id)
+    return (
+        fingerprint in suspected
+        and waiting.call.route.is_repeatable
+        and not is_trial
+    )
+
+
 def _ignore() -> None:
     """Default of `on_changed`."""
--- a/beryllug/standins/crashing_servers.py
+++ b/beryllug/standins/crashing_servers.py
@@ -40,6 +40,7 @@
     Attributes:
         stage: How far its answer has come.
         after_s: Seconds from the begin of the run to the crash.
+        wait_s: Seconds that the bad request waits before it runs.
         entry_s: Seconds from the crash until its entry is removed; None if
             the store can't remove it.
         back_s: Seconds from the crash until another server runs at its
@@ -48,6 +49,7 @@
 
     stage: Stage
     after_s: float = 0.1
+    wait_s: float = 0.0
     entry_s: float | None = 3.6
     back_s: float = 3.0
 
@@ -109,6 +111,8 @@
     ) -> None:
         """Run the bad request until its server crashes."""
         self.arrivals.append(time.monotonic())
+        if self._crash.wait_s:
+            await asyncio.sleep(self._crash.wait_s)
         instance = runner.cfg.instance
         self._spawn(self._crash_later(instance))
         stage = self._crash.stage
--- a/beryllug/standins/http_stand_in.py
+++ b/beryllug/standins/http_stand_in.py
@@ -39,9 +39,20 @@
     """Serves one external service until it is stopped."""
 
     def __init__(
-        self, party: Behaviour, injector: faults.FaultInjector
+        self,
+        party: Behaviour,
+        injector: faults.FaultInjector,
+        *,
+        cancel_on_disconnect: bool = False,
     ) -> None:
-        """Store the behaviour and its faults; `start` opens the sockets."""
+        """Store the behaviour and its faults; `start` opens the sockets.
+
+        Args:
+            party: The behaviour.
+            injector: Its faults.
+            cancel_on_disconnect: Whether a request ends with its connection.
+        """
+        self._cancel_on_disconnect = cancel_on_disconnect
         self.service_behaviour = party
         self.injector = injector
         self.address = ''
@@ -115,7 +126,11 @@
             if self._server is not None:
                 return
             host, _, port = self.address.rpartition(':')
-            server = http_server.HttpServer(self._handle, LIMITS)
+            server = http_server.HttpServer(
+                self._handle,
+                LIMITS,
+                cancel_on_disconnect=self._cancel_on_disconnect,
+            )
             bound = await server.start(host, int(port))
             self.address = f'{host}:{bound}'
             self._server = server
--- a/beryllug/standins/platform_runner.py
+++ b/beryllug/standins/platform_runner.py
@@ -43,6 +43,7 @@
         token_s: Prefill seconds per token, for a model with factor 1.
         paces: Prefill time factor by model name; 1 by default.
         error_rate: Fraction of requests that fail.
+        drops_closed: Whether it drops a request when its connection closes.
     """
 
     instance: str
@@ -55,6 +56,7 @@
     token_s: float = 0.000015
     paces: Mapping[str, float] = {}
     error_rate: float = 0.0
+    drops_closed: bool = False
 
 
 class Run(NamedTuple):
@@ -300,7 +302,11 @@
 def stand_in(cfg: PlatformRunnerCfg) -> http_stand_in.StandIn:
     """Create a backend server stand-in; `start` opens its sockets."""
     injector = faults.FaultInjector()
-    return http_stand_in.StandIn(PlatformRunner(cfg, injector), injector)
+    return http_stand_in.StandIn(
+        PlatformRunner(cfg, injector),
+        injector,
+        cancel_on_disconnect=cfg.drops_closed,
+    )
 
 
 def _confidence(parsed: requests.RequestHeaders) -> int:
