poison_requests: what was answered a short time ago is not what crashes a server

A request that many callers send alike, such as a lookup of what all ask about, runs on each server that is lost. As two were lost together it became a suspect, and all but one of its callers were refused until its trial was answered, though a third server answered it all the time.

A server that is lost is not attributed to a request that this process answered to its end in the ten seconds before. A request that crashes each server that runs it is never answered to its end.

poison_requests_test.test_popular; the module, crash_watch_test and poison_test are green.

--- a/beryllug/core/placement/poison_requests.py
+++ b/beryllug/core/placement/poison_requests.py
@@ -24,7 +24,11 @@
 # Server losses after which a request is a suspect. Most requests that share a
 # server with one that crashes it are not on the next one, too.
 SUSPECT_AFTER = 2
+# Seconds after an answer in which a lost server is not attributed to a request.
+# What many callers send alike runs on each server that is lost.
+SOUND_S = 10.0
 MAX_TRACKED = 500
+NEVER = float('-inf')
 
 
 class Loss(NamedTuple):
@@ -64,12 +68,14 @@
 
     Attributes:
         ended: Runs without an answer, by instance and fingerprint.
+        answered: Seconds of the last answers to requests, oldest first.
         lost: Servers that were lost, with the second.
         table: Losses and trials of requests.
         untold: Requests whose note has changed and is not reported to peers.
     """
 
     ended: dict[str, dict[str, EndedRun]] = field(default_factory=dict)
+    answered: dict[str, float] = field(default_factory=dict)
     lost: dict[str, float] = field(default_factory=dict)
     table: suspects_data.Table = field(default_factory=_new_table)
     untold: dict[str, None] = field(default_factory=dict)
@@ -105,6 +111,7 @@
         AttributedLoss(fingerprint, instance, run)
         for fingerprint, run in at_server.items()
         if now - run.at <= DETECTED_WITHIN_S
+        and now - state.answered.get(fingerprint, NEVER) > SOUND_S
     ]
     notes = [_note_of(state, loss, now) for loss in found]
     suspects.merge(state.table, notes, now)
@@ -139,12 +146,17 @@
         suspects.merge(state.table, (note,), now)
 
 
-def answered(state: Crashers, fingerprint: str, trial_id: str) -> int:
+def answered(
+    state: Crashers, fingerprint: str, trial_id: str, now: float
+) -> int:
     """Record a successful answer: the request does not crash servers.
 
     Returns:
         Count of the losses that are cleared by it.
     """
+    state.answered.pop(fingerprint, None)
+    state.answered[fingerprint] = now
+    _trim(state.answered)
     for at_server in state.ended.values():
         at_server.pop(fingerprint, None)
     known = state.table.notes.get(fingerprint)
--- a/beryllug/core/placement/poison_requests_test.py
+++ b/beryllug/core/placement/poison_requests_test.py
@@ -90,12 +90,26 @@
         """A request with a successful answer has not crashed its servers."""
         for instance in SERVERS[:2]:
             self.crash(GOOD, instance, 0)
-        poison_requests.answered(self.state, GOOD, '')
+        poison_requests.answered(self.state, GOOD, '', 4)
         self.assertEqual(begin(self.state, GOOD, SERVERS[2], 5), Verdict.RUN)
         self.crash(GOOD, SERVERS[2], 5)
         self.assertEqual(self.refused_s(GOOD, 9), 0)
         self.assertEqual(begin(self.state, GOOD, 'i-5', 9), Verdict.RUN)
 
+    def test_popular(self) -> None:
+        """What many callers send alike is refused as two servers crash.
+
+        It is answered by a third one all the time.
+        """
+        poison_requests.answered(self.state, GOOD, '', 0)
+        for instance in SERVERS[:2]:
+            self.crash(GOOD, instance, 0)
+        self.assertEqual(begin(self.state, GOOD, 'i-3', 4), Verdict.RUN)
+        later_s = poison_requests.SOUND_S + 1
+        for number in range(2):
+            self.crash(GOOD, f'late-{number}', later_s)
+        self.assertEqual(begin(self.state, GOOD, 'i-3', later_s), Verdict.TRY)
+
     def test_discarded(self) -> None:
         """An answer that is discarded does not clear the losses before it."""
         for instance in SERVERS[:2]:
@@ -120,7 +134,7 @@
         self.assertEqual(begin(self.state, GOOD, 'i-4', 1), Verdict.TRY)
         end_run(self.state, BAD, 'i-3', 2, is_trial=True)
         poison_requests.record_server_lost(self.state, 'i-3', 2)
-        poison_requests.answered(self.state, GOOD, f'{GOOD}-i-4')
+        poison_requests.answered(self.state, GOOD, f'{GOOD}-i-4', 2)
         self.assertGreater(self.refused_s(BAD, 3), 0)
         self.assertEqual(begin(self.state, GOOD, 'i-5', 3), Verdict.RUN)
 
--- a/beryllug/router/suspect_trials.py
+++ b/beryllug/router/suspect_trials.py
@@ -137,11 +137,9 @@
         self, call: call_data.Call, progress: attempts.Progress
     ) -> None:
         """Record that a request was answered to its end."""
-        if not self.state.table.notes and not self.state.ended:
-            return
         fingerprint = call.fingerprint
         cleared = poison_requests.answered(
-            self.state, fingerprint, progress.trial_id
+            self.state, fingerprint, progress.trial_id, time.monotonic()
         )
         if cleared:
             self.counts['cleared'] += 1
