crash_watch: what is told of losses has an age, a bound and an end

- A server that was taken for lost and is not stayed lost for the life of its process: each connection that broke there would have counted as a loss without a check, and peers renewed it with each probe.
- Three whole notes could make a probe too large to be sent, so that its peer would have been called as silent.
Probes repeat only what binds, of two requests (suspect_notes_test.test_probe, test_large).
- The check of a server ended with the caller that had asked for it; it records the loss itself now.
Holds, which are sent to no other server, do not wait for it before their caller gets 502.
- A trial stayed open when its attempt ended by an error of the caller's connection.

--- a/beryllug/core/peering/suspect_reports.py
+++ b/beryllug/core/peering/suspect_reports.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from beryllug.core import suspects_data
+from beryllug.core import suspects, suspects_data
 from beryllug.core.peering import peering_data
 from beryllug.core.placement import poison_requests
 
@@ -34,6 +34,25 @@
     )
 
 
+def binding_part(
+    note: suspects_data.SuspectNote, now: float
+) -> suspects_data.SuspectNote | None:
+    """Return what of a note keeps its request from running freely, if any."""
+    if suspects.is_refused(note, now):
+        lost = tuple(loss for loss in note.losses if loss.trial_id)
+        return note._replace(losses=lost[-1:], trials=())
+    if not suspects.is_suspect(note, now, poison_requests.SUSPECT_AFTER):
+        return None
+    by_server = {
+        loss.server_id: loss for loss in note.losses if not loss.cleared
+    }
+    running = suspects.open_trial(note, now)
+    return note._replace(
+        losses=tuple(by_server.values())[-poison_requests.SUSPECT_AFTER :],
+        trials=(running,) if running else (),
+    )
+
+
 def note_of(
     report: peering_data.SuspectReport, now: float
 ) -> suspects_data.SuspectNote:
--- a/beryllug/core/placement/poison_requests.py
+++ b/beryllug/core/placement/poison_requests.py
@@ -96,9 +96,12 @@
         state.ended.pop(next(iter(state.ended)))
 
 
-def is_lost(state: Crashers, instance: str) -> bool:
-    """Return whether a server is known to be lost."""
-    return instance in state.lost
+def is_lost(state: Crashers, instance: str, now: float) -> bool:
+    """Return whether a server was lost a short time ago.
+
+    After that its entry is dropped, or it was not lost.
+    """
+    return now - state.lost.get(instance, NEVER) <= DETECTED_WITHIN_S
 
 
 def record_server_lost(
@@ -127,7 +130,7 @@
     suspects.merge(state.table, received, now)
     for note in received:
         for loss in note.losses:
-            _set_lost(state, loss.server_id, now)
+            _set_lost(state, loss.server_id, loss.at)
 
 
 def take(state: Crashers, reported: Iterable[Loss], now: float) -> None:
@@ -219,7 +222,8 @@
 
 def avoided(state: Crashers, now: float) -> frozenset[str]:
     """Return the servers that a trial must not run on."""
-    return suspects.trial_servers(state.table, now).union(state.lost)
+    lost = (each for each in state.lost if is_lost(state, each, now))
+    return suspects.trial_servers(state.table, now).union(lost)
 
 
 def pop_untold(state: Crashers) -> list[suspects_data.SuspectNote]:
@@ -249,8 +253,10 @@
     return suspects_data.SuspectNote(found.fingerprint, (loss,))
 
 
-def _set_lost(state: Crashers, instance: str, now: float) -> None:
-    state.lost.setdefault(instance, now)
+def _set_lost(state: Crashers, instance: str, at: float) -> None:
+    """Record when a server was lost: the latest time that is known."""
+    latest = max(state.lost.pop(instance, NEVER), at)
+    state.lost[instance] = latest
     _trim(state.lost)
 
 
--- a/beryllug/core/placement/poison_requests_test.py
+++ b/beryllug/core/placement/poison_requests_test.py
@@ -191,10 +191,23 @@
         loss = suspects_data.Loss('i-1', '', 0)
         note = suspects_data.SuspectNote(GOOD, (loss,))
         poison_requests.merge(self.state, (note,), 0.1)
-        self.assertTrue(poison_requests.is_lost(self.state, 'i-1'))
+        self.assertTrue(poison_requests.is_lost(self.state, 'i-1', 0.1))
         found = poison_requests.record_server_lost(self.state, 'i-1', 0.1)
         self.assertEqual([each.fingerprint for each in found], [BAD])
 
+    def test_alive_again(self) -> None:
+        """A server that was taken for lost, and is not, breaks connections.
+
+        Peers go on telling of the loss; it counts for what ran there then.
+        """
+        end_run(self.state, BAD, 'i-1', 0)
+        poison_requests.record_server_lost(self.state, 'i-1', 0)
+        told = poison_requests.pop_untold(self.state)
+        later_s = poison_requests.DETECTED_WITHIN_S + 1
+        poison_requests.merge(self.state, told, later_s)
+        self.assertFalse(poison_requests.is_lost(self.state, 'i-1', later_s))
+        self.assertNotIn('i-1', poison_requests.avoided(self.state, later_s))
+
     def test_bounded(self) -> None:
         """The tracked losses are bounded; the oldest are removed first."""
         for number in range(2 * poison_requests.MAX_TRACKED):
--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -45,6 +45,7 @@
         self.suspects = suspects
         self._state = suspects.state
         self._checks = checks
+        checks.on_gone = self._record_gone
         self._leaving = leaving
         self._lines = lines
 
@@ -91,6 +92,10 @@
             fingerprint=call.fingerprint,
         )
         self.run_ended(call, server, progress)
+        if not call.route.is_repeatable:
+            # It is sent to no other server, so its caller need not wait.
+            self._checks.begin(server)
+            return
         progress.is_server_gone = await self._is_gone(server)
         if progress.is_server_gone:
             await asyncio.gather(*map(self._is_gone, progress.discarded_at))
@@ -113,7 +118,7 @@
             poison_requests.Loss(fingerprint, instance),
             poison_requests.EndedRun(now, progress.trial_id),
         )
-        if poison_requests.is_lost(self._state, instance):
+        if poison_requests.is_lost(self._state, instance, now):
             self.record_lost_server(instance, now)
 
     def unreached(self, server: servers_data.Server) -> None:
@@ -150,18 +155,16 @@
         received = tuple(notes)
         poison_requests.merge(self._state, received, now)
         self.suspects.withdraw_waiting([each.fingerprint for each in received])
-        for note in received:
-            for loss in note.losses:
-                if loss.server_id in self._state.ended:
-                    self.record_lost_server(loss.server_id, now)
+        lost = {loss.server_id for note in received for loss in note.losses}
+        for instance in lost.intersection(self._state.ended):
+            if poison_requests.is_lost(self._state, instance, now):
+                self.record_lost_server(instance, now)
 
     async def _is_gone(self, server: servers_data.Server) -> bool:
-        if poison_requests.is_lost(self._state, server.instance):
+        now = time.monotonic()
+        if poison_requests.is_lost(self._state, server.instance, now):
             return True
-        is_gone = await self._checks.is_gone(server)
-        if is_gone:
-            self._record_gone(server)
-        return is_gone
+        return await self._checks.is_gone(server)
 
     def _record_gone(self, server: servers_data.Server) -> None:
         if not self._leaving.is_departing(server.instance):
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -4,7 +4,6 @@
 that may run twice is retried without its caller noticing.
 """
 
-import asyncio
 import time
 from dataclasses import dataclass
 
@@ -105,12 +104,12 @@
             self._pool.repeats.count_repeat(call.service)
         self._trials.record_run(call, choice.server.version)
         attempt_started = time.monotonic()
+        outcome = None
         try:
             outcome = await self._send(call, choice, progress)
-        except asyncio.CancelledError:
-            self._servers.unused(call, choice.server, progress)
-            raise
         finally:
+            if outcome is None:
+                self._servers.unused(call, choice.server, progress)
             self._pool.request_ended(choice)
         took_s = time.monotonic() - attempt_started
         self._record_outcome(call, choice, outcome, took_s)
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -6,7 +6,6 @@
 sent, if its route permits that.
 """
 
-import asyncio
 import time
 
 from beryllug.core.placement import backlog, escalation, suspicion
@@ -140,12 +139,12 @@
         stream.events.clear()
         stream.is_reused = None
         stream.via = ''
+        outcome = None
         try:
             outcome = await self._send(call, choice, stream, exchange)
-        except asyncio.CancelledError:
-            self._servers.unused(call, choice.server, stream.progress)
-            raise
         finally:
+            if outcome is None:
+                self._servers.unused(call, choice.server, stream.progress)
             self._pool.request_ended(choice)
         self._record_outcome(call, choice, stream, outcome)
         self._trials.record_run(call, choice.server.version)
--- a/beryllug/router/suspect_notes.py
+++ b/beryllug/router/suspect_notes.py
@@ -16,8 +16,9 @@
 from beryllug.core.placement import poison_requests
 from beryllug.router import crash_watch
 
-# Reports in a probe and in the answer to a call.
-MAX_IN_PROBE = 3
+# Reports in a probe, which leaves room for some 300 bytes, and in the answer to
+# a call.
+MAX_IN_PROBE = 2
 MAX_IN_ANSWER = 32
 Reports = tuple[peering_data.SuspectReport, ...]
 
@@ -67,14 +68,12 @@
 
     def _binding(self, now: float) -> list[peering_data.SuspectReport]:
         """Return reports on requests that may not run freely."""
-        table = self._state.table
-        suspects.expire(table, now)
-        return [
-            suspect_reports.report_of(note, now)
-            for note in table.notes.values()
-            if suspects.is_refused(note, now)
-            or suspects.is_suspect(note, now, table.suspect_after)
-        ]
+        suspects.expire(self._state.table, now)
+        parts = (
+            suspect_reports.binding_part(note, now)
+            for note in self._state.table.notes.values()
+        )
+        return [suspect_reports.report_of(part, now) for part in parts if part]
 
     def _schedule(self) -> None:
         """Send in the next turn of the loop what changes in this one."""
--- /dev/null
+++ b/beryllug/router/suspect_notes_test.py
@@ -0,0 +1,98 @@
+"""Tests of reports on suspected requests between processes."""
+
+import unittest
+
+from beryllug.core import suspects, suspects_data
+from beryllug.core.peering import peering_data, suspect_reports
+from beryllug.drivers import datagrams, wire
+
+# The longest instances: a name and the millisecond of a start.
+INSTANCE = 'i-0123456789@1700000000000'
+TRIAL = 'trial-01'
+# What a signature and the other fields of a note take at most, and what is
+# left in a probe.
+FIXED_BYTES = 300
+PROBE_BYTES = 350
+SENT_AT = 1000.0
+RECEIVED_AT = 5.0
+LOSSES = tuple(
+    suspects_data.Loss(f'{INSTANCE}{number}', '', SENT_AT - number)
+    for number in range(suspects.MAX_LOSSES)
+)
+TRIALS = tuple(
+    suspects_data.Trial(f'{TRIAL}{number}', INSTANCE, SENT_AT + 15)
+    for number in range(suspects.MAX_TRIALS)
+)
+
+
+def _note(number: int) -> suspects_data.SuspectNote:
+    return suspects_data.SuspectNote(f'{number:016}', LOSSES, TRIALS)
+
+
+class ReportsTest(unittest.TestCase):
+    """What a process receives of what another one knows."""
+
+    def test_times(self) -> None:
+        """Two processes count seconds from different moments."""
+        note = _note(1)
+        report = suspect_reports.report_of(note, SENT_AT)
+        received = suspect_reports.note_of(report, RECEIVED_AT)
+        shift_s = RECEIVED_AT - SENT_AT
+        self.assertEqual(
+            [loss.at for loss in received.losses],
+            [loss.at + shift_s for loss in note.losses],
+        )
+        self.assertEqual(
+            [trial.until for trial in received.trials],
+            [trial.until + shift_s for trial in note.trials],
+        )
+
+    def test_large(self) -> None:
+        """A note that is too large for a datagram is sent to nobody."""
+        reports = [
+            suspect_reports.report_of(_note(number), SENT_AT)
+            for number in range(40)
+        ]
+        small = [report._replace(trials=()) for report in reports]
+        groups = list(suspect_reports.split(reports + small))
+        self.assertEqual(sum(map(len, groups)), len(reports) + len(small))
+        for group in groups:
+            note = peering_data.PeerNote(
+                'edge-ahd-a-1',
+                '10.1.64.18:10000',
+                suspects=group,
+                losses=suspect_reports.losses_of(group),
+            )
+            encoded = len(wire.encode(note))
+            self.assertLess(encoded + FIXED_BYTES, datagrams.MAX_DATAGRAM_BYTES)
+
+    def test_probe(self) -> None:
+        """What binds of two requests fits into a probe beside the rest."""
+        refused = _note(1)._replace(
+            losses=(*LOSSES, LOSSES[0]._replace(trial_id=TRIAL))
+        )
+        parts = [
+            suspect_reports.binding_part(note, SENT_AT)
+            for note in (_note(0), refused)
+        ]
+        reports = tuple(
+            suspect_reports.report_of(part, SENT_AT) for part in parts if part
+        )
+        self.assertEqual(len(reports), len(parts))
+        self.assertLess(len(wire.encode(reports)), PROBE_BYTES)
+        received = [
+            suspect_reports.note_of(report, RECEIVED_AT) for report in reports
+        ]
+        self.assertTrue(suspects.is_suspect(received[0], RECEIVED_AT, 2))
+        self.assertTrue(suspects.is_refused(received[1], RECEIVED_AT))
+
+    def test_free(self) -> None:
+        """What runs freely is not repeated."""
+        cleared = tuple(loss._replace(cleared=True) for loss in LOSSES)
+        for losses in ((), LOSSES[:1], cleared):
+            note = _note(1)._replace(losses=losses)
+            self.assertIsNone(suspect_reports.binding_part(note, SENT_AT))
+
+
+if __name__ == '__main__':
+    unittest.main()
