attempt_servers: an attempt does not inherit that an earlier server was gone

A 500 of the last server, after one that had terminated, would not have counted as an attempt. Read in the diff; the attribute is reset with each attempt.

--- a/beryllug/router/attempt_servers.py
+++ b/beryllug/router/attempt_servers.py
@@ -44,6 +44,7 @@
         its own attempts or by those of another process.
         """
         progress.trial_id = ''
+        progress.is_server_gone = False
         found = self._suspects.suspicion(call)
         if found.refusal is not None:
             _refuse(progress, found.refusal)
@@ -104,7 +105,6 @@
         outcome: dispatch.Outcome,
     ) -> None:
         """Record that an attempt failed."""
-        progress.is_server_gone = False
         match outcome:
             case (
                 dispatch.NotRun(is_gone=True)
