soak: a request that crashes its servers, beside the drawn faults

In two of five seeds, drawn apart so that a seed keeps its faults, a prompt is sent every 0.4 s that crashes each model runner that runs it; the runner refuses connections, another one comes after 3 s and the entry goes 3.6 s after the crash. New promise: not more than three arrivals later than three seconds after the third crash, but from routers that were restarted, stopped or cut off meanwhile.

--- a/beryllug/soak/checks.py
+++ b/beryllug/soak/checks.py
@@ -14,6 +14,7 @@
 from beryllug.soak import (
     callers,
     components,
+    crash_checks,
     load_checks,
     observations,
     site,
@@ -298,6 +299,7 @@
     not_cut,
     load_checks.served_while_cut,
     load_checks.not_fallen,
+    crash_checks.not_sent_on,
     answered_in_time,
     rolled_out,
     rolled_out_good,
--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -263,7 +263,7 @@
         )
         deployment.present[number] = await deployment.add_server(number)
         await asyncio.sleep(checks.APPLY_S + EXTRA_RUN_S)
-        deployment.site.store_behaviour.remove(store.SERVERS, instance)
+        deployment.remove_entry(instance)
         await asyncio.sleep(EXTRA_RUN_S)
         # Requests that still run there are past their deadlines.
         async with self._record_fault(components.SERVERS):
@@ -275,7 +275,7 @@
         async with self._record_fault(components.SERVERS):
             deployment.put_faults(instance, refuse=True)
             deployment.server_proxies[instance].reset()
-            deployment.site.store_behaviour.remove(store.SERVERS, instance)
+            deployment.remove_entry(instance)
             deployment.present[number] = await deployment.add_server(
                 number, cold_s=site.COLD_S
             )
--- a/beryllug/soak/observations.py
+++ b/beryllug/soak/observations.py
@@ -116,6 +116,7 @@
             instance.
         arrivals: Requests that reached each server, by instance and router.
         falls: How often each server fell over, by instance.
+        crashes: When servers crashed under the request that crashes them.
     """
 
     sent: list[Sent] = field(default_factory=list)
@@ -132,8 +133,8 @@
     arrivals: dict[tuple[str, str], list[platform_runner.ReceivedRequest]] = (
         field(default_factory=dict)
     )
-
     falls: dict[str, int] = field(default_factory=dict)
+    crashes: list[float] = field(default_factory=list)
 
     def had_fault(
         self, components: frozenset[str], began_at: float, ended_at: float
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -11,6 +11,10 @@
 MAX_DURATION_S = 3.0
 MIN_FAULTS = 6
 MAX_FAULTS = 14
+# Fraction of the seeds with a request that crashes its servers, and seconds
+# within which it is first sent.
+CRASH_REQUEST_FRACTION = 0.4
+LAST_CRASH_START_S = 3.0
 
 
 class Kind(StrEnum):
@@ -118,6 +122,17 @@
     return tuple(sorted(faults))
 
 
+def draw_crash_request(seed: int) -> float | None:
+    """Return from when a request crashes its servers; None if it does not.
+
+    It is drawn apart, so that a seed keeps its faults.
+    """
+    rng = random.Random(f'{seed}/crash request')
+    if rng.random() >= CRASH_REQUEST_FRACTION:
+        return None
+    return round(rng.uniform(0, LAST_CRASH_START_S), 2)
+
+
 def _draw_one(rng: random.Random, sizes: Sizes) -> Fault:
     kind = rng.choice(list(Kind))
     targets = sizes.servers
--- a/beryllug/soak/run.py
+++ b/beryllug/soak/run.py
@@ -10,7 +10,14 @@
 import time
 from typing import NamedTuple
 
-from beryllug.soak import callers, checks, inject, plan, site
+from beryllug.soak import (
+    callers,
+    checks,
+    crash_request,
+    inject,
+    plan,
+    site,
+)
 from beryllug.standins import platform_site
 
 CALLERS = 10
@@ -31,6 +38,7 @@
         faults: The faults that it determined.
         sent: Number of requests whose callers waited for an answer.
         answered: Number of those that were answered with success.
+        crashes: Number of servers that crashed under one request.
         violations: Violated guarantees.
         logs: Last log lines of the routers, by name.
     """
@@ -39,6 +47,7 @@
     faults: tuple[plan.Fault, ...]
     sent: int
     answered: int
+    crashes: int
     violations: list[str]
     logs: dict[str, str]
 
@@ -46,7 +55,8 @@
         """Return the result as one line."""
         return (
             f'seed={self.seed} faults={len(self.faults)} sent={self.sent} '
-            f'answered={self.answered} violations={len(self.violations)}'
+            f'answered={self.answered} crashes={self.crashes} '
+            f'violations={len(self.violations)}'
         )
 
 
@@ -64,7 +74,15 @@
     observed = deployment.seen
     answered = sum(sent.status == checks.SUCCESS for sent in observed.sent)
     violations = checks.violations(observed) + unrecovered
-    return Result(seed, faults, len(observed.sent), answered, violations, logs)
+    return Result(
+        seed,
+        faults,
+        len(observed.sent),
+        answered,
+        len(observed.crashes),
+        violations,
+        logs,
+    )
 
 
 def _logs(deployment: site.SoakSite) -> dict[str, str]:
@@ -80,8 +98,12 @@
     for number in range(CALLERS):
         caller = callers.Caller(f'c{number}', deployment, balancer, seed)
         tasks.append(asyncio.create_task(caller.run()))
+    bad = crash_request.CrashRequest(deployment, balancer, seed)
     try:
-        await _inject_all(deployment, faults)
+        await asyncio.gather(
+            _inject_all(deployment, faults),
+            bad.run(plan.draw_crash_request(seed)),
+        )
         await asyncio.sleep(RECOVERY_S)
         _raise_failures(tasks)
         return await _unrecovered(deployment, balancer, seed)
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -1,11 +1,19 @@
 """The deployment of a soak: router processes behind proxies."""
 
+import contextlib
+import functools
 import time
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
+from beryllug.platform import requests, store
 from beryllug.soak import plan, proxy, observations
-from beryllug.standins import platform_site, processes
+from beryllug.standins import (
+    faults,
+    platform_runner,
+    platform_site,
+    processes,
+)
 
 # Make streams last long enough to be hit by a fault; no time bound depends on
 # these values.
@@ -22,6 +30,15 @@
 COLD_PER_S = 4
 # Requests per second that a server accepts while it states a limit.
 LIMIT_PER_S = 2.0
+RunBad = Callable[
+    [
+        platform_runner.PlatformRunner,
+        requests.RequestHeaders,
+        dict[str, str],
+        faults.Response,
+    ],
+    Awaitable[None],
+]
 
 
 class SoakSite:
@@ -47,6 +64,7 @@
         self.seen = observations.Observations()
         self.version = 1
         self._count = 0
+        self._run_bad: RunBad | None = None
 
     async def open(self) -> None:
         """Start everything, and wait until the routers are ready."""
@@ -99,7 +117,7 @@
         service = self.service(number)
         zone = ZONES[number % len(ZONES)]
         self.seen.zones[instance] = zone
-        await self.site.add_runner(
+        runner = await self.site.add_runner(
             service,
             instance,
             zone,
@@ -108,6 +126,8 @@
             event_s=EVENT_S,
             **options,
         )
+        if self._run_bad is not None:
+            runner.set_bad_run(functools.partial(self._run_bad, runner))
         server_proxy = proxy.Proxy(self.site.stand_ins[instance].address)
         self.site.listed_addresses[instance] = await server_proxy.start(
             '127.0.0.1'
@@ -118,6 +138,17 @@
         self.site.list_runner(service, instance, cold_ms=round(cold_s * MS))
         return instance
 
+    def set_bad_run(self, run_bad: RunBad) -> None:
+        """Set how all servers run a request with the body `BAD`."""
+        self._run_bad = run_bad
+        for runner in self.site.runners.values():
+            runner.set_bad_run(functools.partial(run_bad, runner))
+
+    def remove_entry(self, instance: str) -> None:
+        """Remove the entry of a server, if another fault has not yet."""
+        with contextlib.suppress(KeyError):
+            self.site.store_behaviour.remove(store.SERVERS, instance)
+
     def put_entry(self, number: int, instance: str, state: str) -> None:
         """Write the entry of a server."""
         self.site.list_runner(self.service(number), instance, state)
--- a/beryllug/soak/soak_test.py
+++ b/beryllug/soak/soak_test.py
@@ -33,6 +33,9 @@
             fault.kind for seed in range(60) for fault in plan.draw(seed, sizes)
         }
         self.assertEqual(kinds, set(plan.Kind))
+        crash_requests = [plan.draw_crash_request(seed) for seed in range(60)]
+        self.assertIn(None, crash_requests)
+        self.assertTrue(any(crash_requests))
 
     def test_size(self) -> None:
         """The soak stays under a tenth of the code."""
