partition_test: test_no_losses begins a stream at each router that it cuts

After the first cut a router's connections go through peers until two probes connect, so only what ran at the first cut could break, some one stream a router. Each cut now waits until a stream of each router has begun.

--- a/beryllug/proofs/platform/partition_test.py
+++ b/beryllug/proofs/platform/partition_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from beryllug.core.placement import suspicion
@@ -90,19 +91,44 @@
         for instance in ('p1', 'p2', *POOLS):
             runner = self.site.runners[instance]
             runner.cfg = runner.cfg._replace(event_s=SLOW_EVENT_S)
+        cut_off = self.site.routers[:2]
         load = asyncio.create_task(self._send_load())
         await asyncio.sleep(WARM_UP_S)
         for mode in (link_cut.Mode.RESET, link_cut.Mode.REFUSE) * FLAPS:
-            for router in self.site.routers[:2]:
+            streams = await self._begin_streams(cut_off)
+            for router in cut_off:
                 router.link_cut().cut(mode)
             await asyncio.sleep(FLAP_S)
-            for cut_router in self.site.routers[:2]:
+            for cut_router in cut_off:
                 cut_router.link_cut().restore()
-            await asyncio.sleep(FLAP_S)
+            await asyncio.gather(*streams)
         await load
         self.assertNotEqual(self.site.logged('connection_broke_under'), [])
         self.assertEqual(self.site.logged('server_lost_under'), [])
 
+    async def _begin_streams(
+        self, routers: Sequence[platform_site.Router]
+    ) -> list[asyncio.Task[None]]:
+        """Begin a stream at each of some routers, and wait until they run."""
+        names = {router.name for router in routers}
+        before = frozenset(self.runs('p1', 'p2', *POOLS))
+        draft = next(
+            load for load in site_test.LOADS if load.path == site_test.DRAFT
+        )
+        tasks = [
+            asyncio.create_task(self._attempt(router, draft))
+            for router in routers
+        ]
+        async with asyncio.timeout(platform_site.TIMEOUT_S):
+            while not names <= self._routers_since(before):
+                await asyncio.sleep(platform_site.POLL_S)
+        return tasks
+
+    def _routers_since(self, before: frozenset[str]) -> set[str]:
+        """Return the routers whose streams have begun since some had."""
+        new = before.symmetric_difference(self.runs('p1', 'p2', *POOLS))
+        return {self.site.router_by_attempt[attempt_id] for attempt_id in new}
+
     async def _check_cut(self, count: int, mode: link_cut.Mode) -> None:
         cut_off = self.site.routers[:count]
         load = asyncio.create_task(self._send_load())
