--- a/beryllug/core/placement/poison_requests_test.py
+++ b/beryllug/core/placement/poison_requests_test.py
@@ -97,10 +97,7 @@
         self.assertEqual(begin(self.state, GOOD, 'i-5', 9), Verdict.RUN)
 
     def test_popular(self) -> None:
-        """What many callers send alike is refused as two servers crash.
-
-        It is answered by a third one all the time.
-        """
+        """What a third server answers is refused as two servers crash."""
         poison_requests.answered(self.state, GOOD, '', 0)
         for instance in SERVERS[:2]:
             self.crash(GOOD, instance, 0)
@@ -120,10 +117,7 @@
         self.assertGreater(self.refused_s(BAD, 6), 0)
 
     def test_shared_servers(self) -> None:
-        """A sound request is refused that ran beside one that crashes servers.
-
-        Both lose two servers together; then each is tried on one of its own.
-        """
+        """A sound request is refused with one that crashes its servers."""
         for instance in SERVERS[:2]:
             end_run(self.state, BAD, instance, 0)
             end_run(self.state, GOOD, instance, 0)
@@ -139,10 +133,7 @@
         self.assertEqual(begin(self.state, GOOD, 'i-5', 3), Verdict.RUN)
 
     def test_two_trials(self) -> None:
-        """Two processes try two requests on one server, which is then lost.
-
-        It is not known which of the two crashed it, so neither is refused.
-        """
+        """A request is refused as another one's trial crashes their server."""
         for fingerprint in (BAD, GOOD):
             for instance in SERVERS[:2]:
                 self.crash(fingerprint, instance, 0)
@@ -173,11 +164,7 @@
         self.assertEqual(begin(self.state, BAD, 'i-3', 2), Verdict.TRY)
 
     def test_older_release(self) -> None:
-        """A process of an older release tells of losses without their time.
-
-        It tells of a server once more as its entry is dropped, which must not
-        count as a second loss.
-        """
+        """A loss that an older release repeats counts as a second one."""
         losses = [poison_requests.Loss(BAD, each) for each in SERVERS[:2]]
         poison_requests.take(self.state, losses[:1], 1)
         poison_requests.take(self.state, losses[:1], 9)
@@ -196,10 +183,7 @@
         self.assertEqual([each.fingerprint for each in found], [BAD])
 
     def test_alive_again(self) -> None:
-        """A server that was taken for lost, and is not, breaks connections.
-
-        Peers go on telling of the loss; it counts for what ran there then.
-        """
+        """A server wrongly taken for lost stays so, as peers repeat it."""
         end_run(self.state, BAD, 'i-1', 0)
         poison_requests.record_server_lost(self.state, 'i-1', 0)
         told = poison_requests.pop_untold(self.state)
--- a/beryllug/router/crash_watch_test.py
+++ b/beryllug/router/crash_watch_test.py
@@ -144,10 +144,7 @@
         self.assertTrue(self.suspects.suspicion(call).is_suspect)
 
     async def test_unreached(self) -> None:
-        """A crash that broke no connection shows at other requests only.
-
-        They can't connect to the server, or another one answers at its address.
-        """
+        """A crash that broke no connection shows at other requests only."""
         for outcome, losses in (
             (dispatch.NotRun('no connection', is_gone=True), 1),
             (dispatch.NotRun('421', is_gone=False, is_misdirected=True), 1),
--- a/beryllug/router/trials_test.py
+++ b/beryllug/router/trials_test.py
@@ -117,10 +117,7 @@
                 self.assertEqual(version_choice.others, others)
 
     def test_old_gone(self) -> None:
-        """All old servers crash: an unproven or bad version gets all requests.
-
-        They are back after seconds; if they are not, the service stays in use.
-        """
+        """All old servers crash, and an unproven version gets all requests."""
         for phase in (Phase.TRIAL, Phase.ROLLED_BACK):
             with self.subTest(phase):
                 self.setUp()
