poison_requests_test: test_innocent counts a loss after the answer again

Eased in without a word: its later loss fell into the ten seconds after an answer in which losses are not attributed, so its second half passed for that reason, not because one loss is left of three. It comes after them now, and the count is checked. With the clearing taken out the test is red before and after this commit (its first check); the second half was what had lost its meaning.

--- a/beryllug/core/placement/poison_requests_test.py
+++ b/beryllug/core/placement/poison_requests_test.py
@@ -91,10 +91,16 @@
         for instance in SERVERS[:2]:
             self.crash(GOOD, instance, 0)
         poison_requests.answered(self.state, GOOD, '', 4)
-        self.assertEqual(begin(self.state, GOOD, SERVERS[2], 5), Verdict.RUN)
-        self.crash(GOOD, SERVERS[2], 5)
-        self.assertEqual(self.refused_s(GOOD, 9), 0)
-        self.assertEqual(begin(self.state, GOOD, 'i-5', 9), Verdict.RUN)
+        later_s = 4 + poison_requests.SOUND_S + 1
+        self.assertEqual(
+            begin(self.state, GOOD, SERVERS[2], later_s), Verdict.RUN
+        )
+        self.crash(GOOD, SERVERS[2], later_s)
+        self.assertEqual(poison_requests.lost_count(self.state, GOOD), 1)
+        self.assertEqual(self.refused_s(GOOD, later_s + 4), 0)
+        self.assertEqual(
+            begin(self.state, GOOD, 'i-5', later_s + 4), Verdict.RUN
+        )
 
     def test_popular(self) -> None:
         """What a third server answers is refused as two servers crash."""
