--- a/beryllug/core/canary/plan_test.py
+++ b/beryllug/core/canary/plan_test.py
@@ -129,6 +129,24 @@
     ('ended', Phase.COMPLETE, BAD, plan.Ages(30, 5), Phase.COMPLETE),
 )
 
+# Seven answers, of which five can be compared and two of these are slow.
+UNDECIDED = _tally(
+    {'n1': Answers(4), 'n2': Answers(2, 1)},
+    new_times={'n1': {-8: 2, -2: 1}, 'n2': {-8: 1, -2: 1}},
+)
+UNDECIDED_PHASES = (
+    ('in its time', Phase.TRIAL, plan.Ages(17.9, 17.9), Phase.TRIAL),
+    ('no time left', Phase.TRIAL, plan.Ages(18.5, 18.5), Phase.TRIAL),
+    ('its time is over', Phase.TRIAL, plan.Ages(18.9, 18.9), Phase.ROLLED_BACK),
+    ('full', Phase.FULL, plan.Ages(18.5, 1), Phase.FULL),
+    (
+        'full, its time is over',
+        Phase.FULL,
+        plan.Ages(18.9, 3),
+        Phase.ROLLED_BACK,
+    ),
+)
+
 
 class Load(NamedTuple):
     """Requests for a service during a roll-out.
@@ -208,6 +226,13 @@
                 found = plan.next_phase(ORDER, phase, tally, ages, BOUNDS)
                 self.assertIs(found, expected)
 
+    def test_undecided(self) -> None:
+        """A version is completed though two of five answers are slow."""
+        for title, phase, ages, expected in UNDECIDED_PHASES:
+            with self.subTest(title):
+                found = plan.next_phase(ORDER, phase, UNDECIDED, ages, BOUNDS)
+                self.assertIs(found, expected)
+
     def test_unseen(self) -> None:
         """A version turns bad too late to be noticed.
 
--- a/beryllug/proofs/platform/partition_test.py
+++ b/beryllug/proofs/platform/partition_test.py
@@ -45,6 +45,12 @@
 ROUTERS = 6
 DESKS = ('d3',)
 POOLS = ('p3', 'p4', 'p5')
+# Routers of a zone that is cut off whole, and of another one that is not; the
+# former must be served at least this fraction as often.
+CUT_ZONE_ROUTERS = 7
+OTHER_ZONE_ROUTERS = 2
+OTHER_ZONE = 'b'
+MIN_ZONE_RATIO = 0.9
 
 
 class Attempt(NamedTuple):
@@ -55,10 +61,13 @@
     status: int
 
 
-class PartitionTest(site_test.SiteCase):
-    """Six routers of which some are cut off from all servers."""
+class CutCase(site_test.SiteCase):
+    """Routers of which some are cut off from all servers."""
 
-    routers = ROUTERS
+    min_ratio = MIN_SERVED_RATIO
+    max_failed = MAX_FAILED
+    max_failed_fraction = MAX_FAILED_FRACTION
+    interval_s = INTERVAL_S
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -66,10 +75,85 @@
             await self.site.add_runner(platform_site.DESK, instance)
         for instance in POOLS:
             await self.site.add_runner(platform_site.POOL, instance)
+        await self._add_others()
         for router in self.site.routers:
             router.link_cut()
         self.attempts: list[Attempt] = []
 
+    async def _add_others(self) -> None:
+        """Add no other routers."""
+
+    async def _check_cut(self, count: int, mode: link_cut.Mode) -> None:
+        cut_off = self.site.routers[:count]
+        load = asyncio.create_task(self._send_load())
+        await asyncio.sleep(WARM_UP_S)
+        for router in cut_off:
+            router.link_cut().cut(mode)
+        cut_at = time.monotonic()
+        await asyncio.sleep(STABLE_S + WATCHED_S)
+        for cut_router in cut_off:
+            cut_router.link_cut().restore()
+        ended_at = time.monotonic()
+        await load
+        names = {each.name for each in cut_off}
+        watched = [
+            each
+            for each in self.attempts
+            if cut_at + STABLE_S <= each.at < ended_at
+        ]
+        self._check_served(
+            [each for each in watched if each.router in names],
+            [each for each in watched if each.router not in names],
+        )
+
+    def _check_served(self, cut: list[Attempt], others: list[Attempt]) -> None:
+        failed = [each for each in cut if each.status != OK]
+        requests = len(cut) + len(others)
+        allowed = self.max_failed + self.max_failed_fraction * requests
+        ratio = _served(cut) / _served(others)
+        self.assertTrue(
+            ratio >= self.min_ratio or len(failed) <= allowed,
+            f'{len(failed)} of {len(cut)} failed; {ratio:.2f} as the others',
+        )
+
+    async def _send_load(self) -> None:
+        seconds = WARM_UP_S + STABLE_S + WATCHED_S
+        tasks = [
+            self._send_to(router, seconds, number / len(self.site.routers))
+            for number, router in enumerate(self.site.routers)
+        ]
+        await asyncio.gather(*tasks)
+
+    async def _send_to(
+        self, router: platform_site.Router, seconds: float, phase: float
+    ) -> None:
+        await asyncio.sleep(self.interval_s * phase)
+        tasks = []
+        for number in range(round(seconds / self.interval_s)):
+            load = site_test.LOADS[number % len(site_test.LOADS)]
+            tasks.append(asyncio.create_task(self._attempt(router, load)))
+            await asyncio.sleep(self.interval_s)
+        await asyncio.gather(*tasks)
+
+    async def _attempt(
+        self, router: platform_site.Router, load: site_test.Load
+    ) -> None:
+        at = time.monotonic()
+        try:
+            reply = await self.site.ask(
+                router, load.path, load.method, beryllug_deadline_ms='1500'
+            )
+        except http_data.BrokenError:
+            self.attempts.append(Attempt(router.name, at, 0))
+        else:
+            self.attempts.append(Attempt(router.name, at, reply.status))
+
+
+class PartitionTest(CutCase):
+    """Six routers of which some are cut off from all servers."""
+
+    routers = ROUTERS
+
     async def test_hanging(self) -> None:
         """Callers fail where the connections of a router to servers hang."""
         await self._check_cut(2, link_cut.Mode.HANG)
@@ -129,69 +213,32 @@
         new = before.symmetric_difference(self.runs('p1', 'p2', *POOLS))
         return {self.site.router_by_attempt[attempt_id] for attempt_id in new}
 
-    async def _check_cut(self, count: int, mode: link_cut.Mode) -> None:
-        cut_off = self.site.routers[:count]
-        load = asyncio.create_task(self._send_load())
-        await asyncio.sleep(WARM_UP_S)
-        for router in cut_off:
-            router.link_cut().cut(mode)
-        cut_at = time.monotonic()
-        await asyncio.sleep(STABLE_S + WATCHED_S)
-        for cut_router in cut_off:
-            cut_router.link_cut().restore()
-        ended_at = time.monotonic()
-        await load
-        names = {each.name for each in cut_off}
-        watched = [
-            each
-            for each in self.attempts
-            if cut_at + STABLE_S <= each.at < ended_at
-        ]
-        self._check_served(
-            [each for each in watched if each.router in names],
-            [each for each in watched if each.router not in names],
-        )
 
-    def _check_served(self, cut: list[Attempt], others: list[Attempt]) -> None:
-        failed = [each for each in cut if each.status != OK]
-        allowed = MAX_FAILED + MAX_FAILED_FRACTION * (len(cut) + len(others))
-        ratio = _served(cut) / _served(others)
-        self.assertTrue(
-            ratio >= MIN_SERVED_RATIO or len(failed) <= allowed,
-            f'{len(failed)} of {len(cut)} failed; {ratio:.2f} as the others',
-        )
+class ZoneTest(CutCase):
+    """A zone of which all routers are cut off, and another one."""
 
-    async def _send_load(self) -> None:
-        seconds = WARM_UP_S + STABLE_S + WATCHED_S
-        tasks = [
-            self._send_to(router, seconds, number / ROUTERS)
-            for number, router in enumerate(self.site.routers)
-        ]
-        await asyncio.gather(*tasks)
+    routers = CUT_ZONE_ROUTERS
+    min_ratio = MIN_ZONE_RATIO
+    max_failed = 0
+    max_failed_fraction = 0.0
+    interval_s = 2 * INTERVAL_S
 
-    async def _send_to(
-        self, router: platform_site.Router, seconds: float, phase: float
-    ) -> None:
-        await asyncio.sleep(INTERVAL_S * phase)
-        tasks = []
-        for number in range(round(seconds / INTERVAL_S)):
-            load = site_test.LOADS[number % len(site_test.LOADS)]
-            tasks.append(asyncio.create_task(self._attempt(router, load)))
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*tasks)
+    async def test_hanging(self) -> None:
+        """Callers fail where connections of a whole zone to servers hang."""
+        await self._check_cut(CUT_ZONE_ROUTERS, link_cut.Mode.HANG)
 
-    async def _attempt(
-        self, router: platform_site.Router, load: site_test.Load
-    ) -> None:
-        at = time.monotonic()
-        try:
-            reply = await self.site.ask(
-                router, load.path, load.method, beryllug_deadline_ms='1500'
-            )
-        except http_data.BrokenError:
-            self.attempts.append(Attempt(router.name, at, 0))
-        else:
-            self.attempts.append(Attempt(router.name, at, reply.status))
+    async def test_refused(self) -> None:
+        """Callers fail where new connections of a whole zone are refused."""
+        await self._check_cut(CUT_ZONE_ROUTERS, link_cut.Mode.REFUSE)
+
+    async def test_one_sound(self) -> None:
+        """Callers fail where one router of a zone still reaches servers."""
+        await self._check_cut(CUT_ZONE_ROUTERS - 1, link_cut.Mode.HANG)
+
+    async def _add_others(self) -> None:
+        for _ in range(OTHER_ZONE_ROUTERS):
+            router = await self.site.add_router(zone=OTHER_ZONE)
+            await self.site.until_ready(router)
 
 
 class EffectTest(site_test.SiteCase):
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -204,7 +204,12 @@
         self.store_behaviour.put(store.SERVERS, instance, spec)
 
     async def add_router(self, **settings: Any) -> Router:
-        """Start a router and wait until it is ready."""
+        """Start a router and wait until it is ready.
+
+        Args:
+            settings: `zone`, or settings of the role in addition to the
+                default ones.
+        """
         process_settings = self._settings(**settings)
         cfg = process_settings.router
         assert cfg is not None
@@ -293,7 +298,9 @@
         """Return the log lines of an event."""
         return [line for line in self.log_records if line['event'] == event]
 
-    def _settings(self, **settings: Any) -> settings_data.Settings:
+    def _settings(
+        self, zone: str = ZONE, **settings: Any
+    ) -> settings_data.Settings:
         # Each deployment has its own addresses. With a shared address,
         # another test's connection or datagram took a port between the check
         # that it was free and its use.
@@ -309,7 +316,7 @@
         cfg = settings_data.Router(**(given | settings))
         name = f'router-{next(self._numbers)}'
         process = settings_data.Process(
-            name, settings_data.Role.ROUTER, name, ZONE
+            name, settings_data.Role.ROUTER, name, zone
         )
         operators = settings_data.Operators(next(ports), OPERATOR_KEYS)
         fleet = settings_data.Fleet(FLEET_KEYS)
