Logs: scores and trial requests of a verdict, connects that no peer relayed

The lines of EXPOSURE did not say what was compared with the bounds, nor how many requests were sent on trial; those of RECOVER did not say that peers were asked in vain. A verdict now states both scores and the trial requests; a server that no peer connects to has one line, until one does, and a count of its own. server_paths_test expects that line beside the two others.

--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -46,6 +46,18 @@
 PRIOR_ANSWERS = 10
 
 
+class Scores(NamedTuple):
+    """Log-likelihood ratios of a bad to a sound version.
+
+    Attributes:
+        failures: The ratio by its failures, over all routes.
+        slowness: The ratio by its slow answers, over all routes.
+    """
+
+    failures: float
+    slowness: float
+
+
 class _ErrorRates(NamedTuple):
     """Rates of bad answers told apart by a sequential probability ratio test.
 
@@ -114,6 +126,20 @@
     return _is_version_bad(slowness(tally), SLOWNESS_RATES, NO_SCORES)
 
 
+def scores(tally: canary_data.Tally) -> Scores:
+    """Return what speaks for a bad version, or, below 0, for a sound one."""
+    return Scores(
+        sum(map(FAILURE_RATES.score, failures(tally).values())),
+        sum(map(SLOWNESS_RATES.score, slowness(tally).values())),
+    )
+
+
+def is_good(tally: canary_data.Tally, bounds: Scores) -> bool:
+    """Return whether no score of the new version is above its bound."""
+    seen = scores(tally)
+    return seen.failures <= bounds.failures and seen.slowness <= bounds.slowness
+
+
 def lowest_scores(
     tally: canary_data.Tally, known: Mapping[str, float]
 ) -> dict[str, float]:
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -222,6 +222,11 @@
             age_s=round(time.monotonic() - rollout.started_at, 2),
             judged=verdict.count_new_answers(seen),
             requests=seen.requests,
+            tried=seen.tried,
+            scores={
+                name: round(score, 2)
+                for name, score in verdict.scores(seen)._asdict().items()
+            },
             failures=_counts_by_route(verdict.failures(seen)),
             slowness=_counts_by_route(verdict.slowness(seen)),
         )
--- a/beryllug/router/path_verdicts.py
+++ b/beryllug/router/path_verdicts.py
@@ -26,7 +26,10 @@
         self.state = reachability.Reachability(time.monotonic())
         self.on_cut: Callable[[str | None], None] = _ignore_cut
         self._lines = lines
-        self._connects = {'direct': 0, 'relayed': 0, 'failed': 0}
+        self._connects = dict.fromkeys(
+            ('direct', 'relayed', 'failed', 'not_relayed'), 0
+        )
+        self._unrelayed: set[str] = set()
 
     def dump(self) -> dict[str, Any]:
         """Return which servers can't be connected to directly."""
@@ -70,8 +73,17 @@
     def relayed(self, address: str, now: float) -> None:
         """Record that a peer has connected to a server."""
         self._connects['relayed'] += 1
+        self._unrelayed.discard(address)
         self._apply(reachability.relayed(self.state, address, now))
 
+    def not_relayed(self, address: str, exc: OSError) -> None:
+        """Record that no peer has connected to a server."""
+        self._connects['not_relayed'] += 1
+        self._unrelayed.intersection_update(self.state.failing)
+        if address not in self._unrelayed:
+            self._unrelayed.add(address)
+            self._lines.write('not_relayed', address=address, asked=str(exc))
+
     def connected(self, address: str, now: float) -> None:
         """Record a connect of this process."""
         self._connects['direct'] += 1
--- a/beryllug/router/server_paths.py
+++ b/beryllug/router/server_paths.py
@@ -151,7 +151,11 @@
     async def _relay(self, address: str) -> http_link.Link:
         if self.relays is None:
             raise ConnectionRefusedError('no other process is known')
-        link = await self.relays.open(address)
+        try:
+            link = await self.relays.open(address)
+        except OSError as exc:
+            self.verdicts.not_relayed(address, exc)
+            raise
         self.verdicts.relayed(address, time.monotonic())
         self._probe_cut()
         return link
--- a/beryllug/router/server_paths_test.py
+++ b/beryllug/router/server_paths_test.py
@@ -205,7 +205,8 @@
             self.paths.dial = dial
             await self._via(address)
         self.assertEqual(
-            self.lines.events(), ['server_unreached', 'server_reached']
+            self.lines.events(),
+            ['server_unreached', 'not_relayed', 'server_reached'],
         )
 
     async def _dial_late(self, address: str) -> http_link.Link:
