relay_choice: ask peers of several zones, and remember who did not reach a server

Cause: the witness was chosen among those who share the fault. The three peers that are asked for a connection were all of the own zone; their 502 was not remembered, so they were asked again and again; without a peer that connects no process ever took a link for cut, so none refused to forward. One that hangs took most of the time of all.

Now each of the three is of another zone as far as there are several, the own one first; a peer that did not reach a server is not asked for it again for a second; a zone of which four have failed and none has forwarded since comes after others for five. The next peer is asked when the one before is late by 0.1 s (link_race, which replaces the race of the direct connect as well).

--- a/beryllug/router/relay_peers.py
+++ b/beryllug/router/relay_peers.py
@@ -1,18 +1,37 @@
 """Connections to backend servers through peers that reach them."""
 
+import functools
 import random
 import time
+from collections.abc import Mapping
 
 from beryllug.core.peering import members, relay_choice
 from beryllug.drivers import answer_timeouts, fleet_key, http_link, relay
+from beryllug.router import link_race
 
 # Timeout in seconds of one peer, which itself has less time to connect, and of
 # all that are asked for one connection.
 PEER_TIMEOUT_S = 0.2
 TOTAL_TIMEOUT_S = 0.35
+# Seconds after which a peer that has not answered is late, many round trips.
+PEER_HEAD_START_S = 0.1
 BAD_GATEWAY = 502
 
 
+class NotRelayedError(OSError):
+    """No peer that was asked has connected to a server.
+
+    Attributes:
+        outcomes: What failed, by the address of the peer.
+    """
+
+    def __init__(self, outcomes: Mapping[str, str]) -> None:
+        """Keep what failed."""
+        listed = ', '.join(f'{peer}: {why}' for peer, why in outcomes.items())
+        super().__init__(listed or 'no other process is known')
+        self.outcomes = outcomes
+
+
 class RelayPeers:
     """Opens connections through peers."""
 
@@ -29,34 +48,51 @@
         self._keys = keys
         self._timeouts = timeouts
         self._state = relay_choice.RelayState()
+        self._links = link_race.LinkRace()
         self._rng = random.Random(known.name)
 
     async def open(self, address: str) -> http_link.Link:
-        """Connect to a server through a peer, some of them in turn.
+        """Connect to a server through a peer, the first of some that connects.
 
         Raises:
-            OSError: No peer that was asked has connected to it.
+            NotRelayedError: No peer that was asked has connected to it.
         """
+        target = relay_choice.Target(self._zone, address)
         asked = relay_choice.choose(
-            self._state, self._known, self._zone, time.monotonic(), self._rng
+            self._state, self._known, target, time.monotonic(), self._rng
         )
-        failure = OSError('no other process is known')
-        async with self._timeouts.within(TOTAL_TIMEOUT_S):
-            for peer in asked:
-                try:
-                    return await self._ask(peer, address)
-                except OSError as exc:
-                    failure = exc
-        raise failure
+        outcomes = dict.fromkeys(asked, 'late')
+        ways = [
+            functools.partial(self._try, peer, address, outcomes)
+            for peer in asked
+        ]
+        try:
+            async with self._timeouts.within(TOTAL_TIMEOUT_S):
+                return await self._links.open(ways, PEER_HEAD_START_S)
+        except OSError as exc:
+            raise NotRelayedError(outcomes) from exc
 
-    async def _ask(self, peer: str, address: str) -> http_link.Link:
+    async def _try(
+        self, peer: str, address: str, outcomes: dict[str, str]
+    ) -> http_link.Link:
+        """Ask a peer, and record what becomes of it."""
         try:
-            async with self._timeouts.within(PEER_TIMEOUT_S):
-                return await relay.open_link(peer, address, self._keys)
-        except relay.RefusedError as exc:
-            if exc.status != BAD_GATEWAY:
-                relay_choice.failed(self._state, peer, time.monotonic())
-            raise
-        except OSError:
-            relay_choice.failed(self._state, peer, time.monotonic())
+            link = await self._ask(peer, address)
+        except OSError as exc:
+            outcomes[peer] = str(exc) or type(exc).__name__
+            self._record_failure(peer, address, exc)
             raise
+        relay_choice.forwarded(self._state, peer, time.monotonic())
+        return link
+
+    async def _ask(self, peer: str, address: str) -> http_link.Link:
+        async with self._timeouts.within(PEER_TIMEOUT_S):
+            return await relay.open_link(peer, address, self._keys)
+
+    def _record_failure(self, peer: str, address: str, exc: OSError) -> None:
+        now = time.monotonic()
+        match exc:
+            case relay.RefusedError(status=status) if status == BAD_GATEWAY:
+                relay_choice.unreached(self._state, peer, address, now)
+            case _:
+                relay_choice.failed(self._state, peer, now)
