plan: complete a roll-out only on answers that show its version good

Cause: the step that can't be undone needed no evidence for it. The plan counted the answers and asked only whether they had crossed the bound of a roll-back: not yet shown bad was taken for shown good. A sequential test has two bounds. Now all requests go to a version on scores of -1 and 0 at the most (failures, slowness), which can be taken back, and it is complete at -2 and -1, by the answers of that phase as well: as late as the order allows. What is not complete half of that time before the end is rolled back, so a process that has evidence for a version writes before one that lacks it; such a result is not told before it is stored. Before, it had no result at all. Where no answer has a time, failures decide alone.

--- a/beryllug/core/canary/plan.py
+++ b/beryllug/core/canary/plan.py
@@ -14,6 +14,10 @@
 from beryllug.core import rendezvous
 from beryllug.core.canary import canary_data, verdict
 
+# Scores that a version may have when all requests go to it, which can be taken
+# back, and when it is complete, which can't: the old servers are stopped.
+FULL_BOUNDS = verdict.Scores(failures=-1, slowness=0)
+COMPLETE_BOUNDS = verdict.Scores(failures=-2, slowness=-1)
 # Part of the requests allowed for a bad version that the trial may use; the
 # rest is reserved for the phase in which all requests go to the version. With
 # 0.6, and that phase from 0.63 to 0.8 of the time on, a version that failed
@@ -44,6 +48,10 @@
 # the status has to be there some tenths before the end.
 COMPLETION_LEAD_S = 1.2
 COMPLETION_LEAD_RATIO = 0.06
+# Part of that time before the end at which a roll-out that is not complete is
+# rolled back: if processes differ in what they know, one that has evidence for
+# the version writes first.
+UNPROVEN_LEAD_RATIO = 0.5
 # Seconds before the end at which all requests go to a version at the latest,
 # and the upper limit of that as a part of the ordered time. A bad version may
 # get a tenth of the requests of the ordered time, so it is less if the time is
@@ -56,11 +64,11 @@
 # Seconds before the end at which all requests go to a version at the earliest:
 # enough for the old servers to finish most of their requests.
 MAX_FULL_S = 5.0
-# Answers needed to judge a version. A version that fails three requests in ten
-# gives twelve good answers in a row once in seventy times. Six are enough late
-# in a roll-out, if a service gets too few requests for more.
+# Answers needed to judge a version, and to send all requests to it. A version
+# that fails three requests in ten gives twelve good answers in a row once in
+# seventy times.
 MIN_ANSWERS = 12
-MIN_LATE_ANSWERS = 6
+MIN_FULL_ANSWERS = 6
 
 
 class Ages(NamedTuple):
@@ -93,12 +101,15 @@
     if verdict.is_bad(tally, lowest):
         return canary_data.Phase.ROLLED_BACK
     left_s = order.duration_s - ages.order_s
-    if phase is canary_data.Phase.TRIAL:
-        if _is_proven(order, tally, ages.order_s, bounds):
-            return canary_data.Phase.FULL
-        return phase
-    if left_s <= _completion_lead_s(order) and ages.phase_s >= KNOWN_S:
-        return canary_data.Phase.COMPLETE
+    lead_s = _completion_lead_s(order)
+    is_full = phase is canary_data.Phase.FULL
+    if is_full and left_s <= lead_s and ages.phase_s >= KNOWN_S:
+        if _is_proven(tally):
+            return canary_data.Phase.COMPLETE
+    if left_s <= lead_s * UNPROVEN_LEAD_RATIO:
+        return canary_data.Phase.ROLLED_BACK
+    if not is_full and _may_get_all(order, tally, ages.order_s, bounds):
+        return canary_data.Phase.FULL
     return phase
 
 
@@ -176,20 +187,28 @@
     return min(MIN_FULL_S, order.duration_s * MIN_FULL_RATIO)
 
 
-def _is_proven(
+def _is_proven(tally: canary_data.Tally) -> bool:
+    """Return whether the answers are enough to complete a roll-out."""
+    return verdict.is_good(tally, COMPLETE_BOUNDS)
+
+
+def _may_get_all(
     order: canary_data.Order,
     tally: canary_data.Tally,
     age_s: float,
     bounds: canary_data.Bounds,
 ) -> bool:
-    count = verdict.count_new_answers(tally)
+    """Return whether all requests may go to the version now."""
+    is_enough = verdict.count_new_answers(tally) >= MIN_FULL_ANSWERS
+    if not is_enough or not verdict.is_good(tally, FULL_BOUNDS):
+        return False
     left_s = order.duration_s - age_s
     if left_s <= _min_full_s(order):
-        return count >= MIN_LATE_ANSWERS
+        return True
     max_full_s = min(MAX_FULL_S, order.duration_s * (1 - SESSION_BINDING_RATIO))
-    if left_s > max_full_s or count < MIN_ANSWERS:
-        return False
-    return _keeps_within_bounds(tally, left_s, age_s, bounds)
+    return left_s <= max_full_s and _keeps_within_bounds(
+        tally, left_s, age_s, bounds
+    )
 
 
 def _keeps_within_bounds(
--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -135,9 +135,15 @@
 
 
 def is_good(tally: canary_data.Tally, bounds: Scores) -> bool:
-    """Return whether no score of the new version is above its bound."""
+    """Return whether no score of the new version is above its bound.
+
+    Where no answer of it has a time, its failures alone decide.
+    """
     seen = scores(tally)
-    return seen.failures <= bounds.failures and seen.slowness <= bounds.slowness
+    if seen.failures > bounds.failures:
+        return False
+    is_timed = any(each.new_times for each in tally.by_route.values())
+    return not is_timed or seen.slowness <= bounds.slowness
 
 
 def lowest_scores(
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -97,7 +97,12 @@
         )
         if phase is not rollout.phase:
             self._log(rollout, phase, seen)
-        if phase in trials.PEER_PHASES and phase is not rollout.phase:
+        # That the evidence does not suffice is for the judges to say, who have
+        # all of it.
+        is_shown = phase is canary_data.Phase.FULL or verdict.is_bad(
+            seen, rollout.lowest
+        )
+        if is_shown and phase is not rollout.phase:
             self._trials.set_phase(rollout, phase, 'judged', now)
             self._notes.broadcast_phase(rollout, now)
         if plan.is_over(phase):
