plan: sample as many sessions as give enough answers of a new version

Where a service gets few requests, hardly any evidence about a new version was collected: 147 requests gave seven answers where 18 requests were allowed, as a quarter of the allowed share is sampled in the first half of the time.

Cause: the sampled part was fixed, whatever the rate, and did not look at what the answers said. Now the whole share is sampled until a quarter of it has given twelve answers by the count of requests, or twelve answers show the version good; more than the share if it gives under 30 requests in the ordered time. The budget of trial requests and the limits of the share stay. Sessions that may be sampled are told to all, as before.

--- a/beryllug/core/canary/plan.py
+++ b/beryllug/core/canary/plan.py
@@ -28,9 +28,12 @@
 # with. All processes sample the same sessions, so a session that arrives at
 # another process stays on its version unless that process has used up its
 # budget of trial requests. With the whole share sampled, budgets ran out and
-# four sessions of a fleet of 72 changed version. If a version has too few
-# answers after half of the time, the whole share is sampled.
+# four sessions of a fleet of 72 changed version. Until this part alone has
+# given enough answers, or the answers are enough, the whole share is sampled.
 DRAWN_PART = 0.25
+# Requests on trial within the ordered time that sessions are sampled for if a
+# service gets so few that the whole share gives fewer.
+TRIAL_REQUESTS = 30
 # Part of the ordered time during which sessions stay on their version.
 SESSION_BINDING_RATIO = 0.5
 # Parts of the share and of the slack that are used. The counts are some tenths
@@ -78,6 +81,18 @@
     phase_s: float
 
 
+class Requests(NamedTuple):
+    """Requests for a service in a roll-out, estimated over the fleet.
+
+    Attributes:
+        so_far: Those since the order.
+        expected: Those within the ordered time.
+    """
+
+    so_far: float
+    expected: float
+
+
 def next_phase(
     order: canary_data.Order,
     phase: canary_data.Phase,
@@ -168,13 +183,30 @@
 
 
 def sampled_part(
-    order: canary_data.Order, tally: canary_data.Tally, age_s: float
+    tally: canary_data.Tally, requests: Requests, bounds: canary_data.Bounds
 ) -> float:
-    """Return the part of the allowed share of sessions that is sampled now."""
-    is_late = age_s > order.duration_s * SESSION_BINDING_RATIO
-    if is_late and verdict.count_new_answers(tally) < MIN_ANSWERS:
-        return 1
-    return DRAWN_PART
+    """Return the part of the allowed share of sessions that is sampled now.
+
+    Args:
+        tally: The answers that this process knows of.
+        requests: Requests for the service.
+        bounds: The limits of the roll-out.
+    """
+    drawn = requests.so_far * bounds.share * DRAWN_PART
+    is_enough = verdict.count_new_answers(tally) >= MIN_ANSWERS
+    if drawn >= MIN_ANSWERS or is_enough and _is_proven(tally):
+        return DRAWN_PART
+    return largest_part(requests.expected, bounds)
+
+
+def largest_part(expected: float, bounds: canary_data.Bounds) -> float:
+    """Return the largest part of the allowed share that is ever sampled.
+
+    Args:
+        expected: Requests for the service within the ordered time.
+        bounds: The limits of the roll-out.
+    """
+    return max(1, TRIAL_REQUESTS / (bounds.share * max(expected, 1)))
 
 
 def _completion_lead_s(order: canary_data.Order) -> float:
--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -37,7 +37,7 @@
 # buckets are a doubling, so three are 2.8 times as long.
 SLOW_STEPS = 3
 # Answer times of the other versions needed for a comparison.
-MIN_TIMES = 10
+MIN_TIMES = 4
 # A version is bad only if it has more than this many times the bad answers
 # expected from the others' rates; otherwise the cause is not the version.
 MIN_EXCESS_RATIO = 2.0
--- a/beryllug/router/pins.py
+++ b/beryllug/router/pins.py
@@ -32,19 +32,18 @@
         return sessions.pinned(self.sessions, service, session, session_s, now)
 
     def record_run(
-        self, told: sessions.SessionVersion, *, is_rollout_open: bool
+        self, told: sessions.SessionVersion, sampled_part: float
     ) -> None:
         """Record the version on which a request of a session runs.
 
         Args:
             told: The session and the version.
-            is_rollout_open: Whether a rollout selects sessions of the service
-                now.
+            sampled_part: Largest part of the allowed share of sessions that a
+                rollout of the service may sample; 0 without a rollout.
         """
         now = time.monotonic()
         sessions.record_session_run(self.sessions, *told, now)
-        if is_rollout_open:
-            self._queue(told)
+        self._queue(told, sampled_part)
 
     def merge_sessions(self, told: Iterable[sessions.SessionVersion]) -> None:
         """Record the versions that sessions run on at peers."""
@@ -52,19 +51,27 @@
         for each in told:
             sessions.record_session_run(self.sessions, *each, now)
 
-    def queue_sessions(self, service: str) -> None:
+    def queue_sessions(self, order: canary_data.Order) -> None:
         """Queue a service's sessions for peers when a rollout begins."""
         now = time.monotonic()
         session_s = self._bounds.session_s
-        for told in sessions.of_service(self.sessions, service, session_s, now):
-            self._queue(told)
+        current = sessions.of_service(
+            self.sessions, order.service, session_s, now
+        )
+        # Each session has had a request, at least, in its lifetime.
+        expected = len(current) / session_s * order.duration_s
+        part = plan.largest_part(expected, self._bounds)
+        for told in current:
+            self._queue(told, part)
 
-    def _queue(self, told: sessions.SessionVersion) -> None:
+    def _queue(
+        self, told: sessions.SessionVersion, sampled_part: float
+    ) -> None:
         """Queue a session for peers, if the rollout might select it there.
 
         A process that receives such a session without knowing its pin would
         select it anew and change its version. No process selects the other
         sessions.
         """
-        if plan.is_sampled(told.session, self._bounds):
+        if plan.is_sampled(told.session, self._bounds, sampled_part):
             self.sessions.untold[told] = None
--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -12,6 +12,8 @@
 
 # Seconds below which two durations are not distinguished.
 MIN_TIME_S = 0.0001
+# Seconds of a roll-out from which its rate of requests is computed.
+MIN_AGE_S = 0.1
 # Seconds after an answer of an old server for which requests that are not on
 # trial run on old versions only: several times as long as a server needs to
 # restart.
@@ -82,9 +84,13 @@
         This is called four times a second and for each new session, so the sum
         over the other processes is cached until one of them reports new counts.
         """
+        return verdict.merge((self.others_seen(), self.tally))
+
+    def others_seen(self) -> canary_data.Tally:
+        """Return the counts of all other processes together."""
         if self.others_total is None:
             self.others_total = verdict.merge(self.others.values())
-        return verdict.merge((self.others_total, self.tally))
+        return self.others_total
 
     def is_version_bad(self) -> bool:
         """Return whether the known answers require a rollback."""
@@ -93,6 +99,25 @@
         return verdict.is_bad(seen, self.lowest)
 
 
+def requests(rollout: Rollout, processes: int, now: float) -> plan.Requests:
+    """Return the requests for the service, estimated over the fleet.
+
+    Only judges know the counts of all others.
+    """
+    own = rollout.tally.requests
+    so_far = max(own + rollout.others_seen().requests, own * processes)
+    age_s = max(now - rollout.started_at, MIN_AGE_S)
+    return plan.Requests(so_far, so_far * rollout.order.duration_s / age_s)
+
+
+def largest_part(
+    rollout: Rollout, bounds: canary_data.Bounds, processes: int, now: float
+) -> float:
+    """Return the part of the allowed share that any process may sample."""
+    expected = requests(rollout, processes, now).expected
+    return plan.largest_part(expected, bounds)
+
+
 def count(
     rollout: Rollout,
     server: servers_data.Server,
