judge: an unproven version gets no requests after the time of its order

While the store is away, nothing about a roll-out without enough evidence is stored, and all requests went on to a version that had not been shown good: a result that is not told before it is stored must be told once the ordered time is over.

judge_test.test_unproven: red without it (the phase stays), green with it; it also shows that within the time a process without evidence tells nobody.

--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -97,17 +97,28 @@
         )
         if phase is not rollout.phase:
             self._log(rollout, phase, seen)
-        # That the evidence does not suffice is for the judges to say, who have
-        # all of it.
-        is_shown = phase is canary_data.Phase.FULL or verdict.is_bad(
-            seen, rollout.lowest
-        )
-        if is_shown and phase is not rollout.phase:
-            self._trials.set_phase(rollout, phase, 'judged', now)
-            self._notes.broadcast_phase(rollout, now)
+            if self._is_told(rollout, phase, now):
+                self._trials.set_phase(rollout, phase, 'judged', now)
+                self._notes.broadcast_phase(rollout, now)
         if plan.is_over(phase):
             await self._write_when_due(rollout, phase, now)
 
+    def _is_told(
+        self,
+        rollout: rollout_state.Rollout,
+        phase: canary_data.Phase,
+        now: float,
+    ) -> bool:
+        """Return whether others are told of a phase before it is stored.
+
+        Within its time, only the judges, who have all evidence, may say that
+        there is not enough, and they write.
+        """
+        if phase is not canary_data.Phase.ROLLED_BACK:
+            return phase in trials.PEER_PHASES
+        is_late = now - rollout.started_at >= rollout.order.duration_s
+        return is_late or rollout.is_version_bad()
+
     async def _write_when_due(
         self,
         rollout: rollout_state.Rollout,
--- a/beryllug/router/judge_test.py
+++ b/beryllug/router/judge_test.py
@@ -203,6 +203,33 @@
         await asyncio.sleep(judge.PERIOD_S * 1.5)
         self.assertIsNotNone(self.store.stored_at)
 
+    async def test_unproven(self) -> None:
+        """A process without evidence has a version rolled back everywhere.
+
+        While the store is away, requests go on to a version that is not proven
+        after the time of its order.
+        """
+        store = _Store((0, 1, 2))
+        store.fleet.extend(_Process(rank, store) for rank in range(3))
+        for process in store.fleet:
+            await process.judge.start()
+            self.addAsyncCleanup(process.judge.stop, 0)
+        table = (
+            (ORDER.duration_s - MAX_TAKEOVER_S / 2, 0, Phase.TRIAL),
+            (MAX_TAKEOVER_S / 2 - judge.PERIOD_S, 1, Phase.TRIAL),
+            (2 * judge.PERIOD_S, 3, Phase.ROLLED_BACK),
+        )
+        for wait_s, min_calls, phase in table:
+            with self.subTest(wait_s):
+                await asyncio.sleep(wait_s)
+                self.assertGreaterEqual(len(store.calls), min_calls)
+                phases = {
+                    rollout.phase
+                    for each in store.fleet
+                    for rollout in each.trials.rollouts()
+                }
+                self.assertEqual(phases, {phase})
+
     def _revisions(self) -> set[int]:
         return {revision for _, revision in self.store.calls}
 
