soak: all routers of a zone are cut off from all servers

In three of ten seeds a quarter of the routers is now in another zone and all others lose their links together; callers of the zone must be served like the others'. It is drawn apart, so that a seed keeps its faults. Cuts of links have a module of their own; a router's cut beside that of its zone is no second fault.

--- a/beryllug/soak/checks.py
+++ b/beryllug/soak/checks.py
@@ -298,6 +298,7 @@
     backed_off,
     not_cut,
     load_checks.served_while_cut,
+    load_checks.served_while_zone_cut,
     load_checks.not_fallen,
     crash_checks.not_sent_on,
     answered_in_time,
--- a/beryllug/soak/components.py
+++ b/beryllug/soak/components.py
@@ -2,6 +2,8 @@
 
 STORE = 'store'
 SERVERS = 'servers'
+# The links to servers of all routers in a zone.
+ZONE_LINKS = 'zone links'
 
 
 def restart_of(router: str) -> str:
--- a/beryllug/soak/inject.py
+++ b/beryllug/soak/inject.py
@@ -1,17 +1,14 @@
 """Injects a fault of a plan, and ends it."""
 
 import asyncio
-import contextlib
 import signal
 import time
-from collections.abc import AsyncIterator
-from types import MappingProxyType
 
 from beryllug.platform import store
 from beryllug.soak import (
     checks,
     components,
-    cut_daemon,
+    link_faults,
     load_checks,
     observations,
     plan,
@@ -20,7 +17,6 @@
     store_restore,
 )
 from beryllug.standins import (
-    link_cut,
     platform_runner,
     platform_site,
 )
@@ -39,14 +35,6 @@
 BRITTLE_STATEMENT = platform_runner.ServerStatus(brittle_per_s=4)
 LIMIT_STATEMENT = platform_runner.ServerStatus(limit_per_s=site.LIMIT_PER_S)
 BACKOFF_STATEMENT = platform_runner.ServerStatus(retry_after_s=BACKOFF_S)
-# What a fault does to the links of a router.
-CUT_MODES = MappingProxyType(
-    {
-        Kind.LINKS_HANG: link_cut.Mode.HANG,
-        Kind.LINKS_RESET: link_cut.Mode.RESET,
-        Kind.LINKS_REFUSE: link_cut.Mode.REFUSE,
-    }
-)
 # Seconds for which a sound server pauses.
 PAUSE_S = 1.2
 # A roll-out: its duration in seconds, its version, and the fraction of answers
@@ -58,19 +46,24 @@
 
 
 class Injector:
-    """Injects the faults of a plan into a deployment."""
+    """Injects the faults of a plan into a deployment.
+
+    Attributes:
+        links: Cuts links of routers to servers.
+    """
 
     def __init__(self, deployment: site.SoakSite) -> None:
         """Start without faults."""
         self._deployment = deployment
         self._busy: set[str] = set()
+        self.links = link_faults.LinkFaults(deployment)
 
     async def inject(self, fault: plan.Fault) -> None:
         """Inject a fault, wait for its duration, and end it."""
         for kinds, inject_fault in (
             (plan.ROUTER_FAULTS, self._inject_router),
             (plan.STORE_LINK_FAULTS, self._inject_store_link),
-            (plan.SERVER_LINK_FAULTS, self._cut_links),
+            (plan.SERVER_LINK_FAULTS, self.links.cut_one),
             (plan.STORE_FAULTS, self._inject_store),
             (plan.ROLLOUT_FAULTS, self._roll_out),
             (plan.TABLE_CHANGES, self._change),
@@ -80,16 +73,6 @@
             if fault.kind in kinds:
                 await inject_fault(fault)
 
-    @contextlib.asynccontextmanager
-    async def _record_fault(self, *components: str) -> AsyncIterator[None]:
-        began_at = time.monotonic()
-        try:
-            yield
-        finally:
-            self._deployment.record_fault(
-                components, began_at, time.monotonic()
-            )
-
     async def _inject_router(self, fault: plan.Fault) -> None:
         router = self._deployment.site.routers[fault.target]
         if router.name in self._busy:
@@ -109,7 +92,7 @@
                 running.signal(router.name, signal.SIGHUP)
             case Kind.FREEZE:
                 freeze = components.freeze_of(router.name)
-                async with self._record_fault(router.name, freeze):
+                async with self._deployment.during_fault(router.name, freeze):
                     running.pause(router.name)
                     await asyncio.sleep(fault.for_s)
                     running.resume(router.name)
@@ -117,38 +100,24 @@
                 await running.terminate(router.name)
                 await self._restart(router)
             case _:
-                async with self._record_fault(router.name):
+                async with self._deployment.during_fault(router.name):
                     await running.kill(router.name)
                     await self._restart(router)
 
     async def _restart(self, router: platform_site.Router) -> None:
-        async with self._record_fault(components.restart_of(router.name)):
+        async with self._deployment.during_fault(
+            components.restart_of(router.name)
+        ):
             await asyncio.sleep(RESTART_S)
             await self._deployment.site.restart_router(
                 self._deployment.running, router
             )
             await asyncio.sleep(RESTART_S)
 
-    async def _cut_links(self, fault: plan.Fault) -> None:
-        """Cut a router off from all servers for longer than it may take."""
-        router = self._deployment.site.routers[fault.target]
-        links = components.links_of(router.name)
-        if links in self._busy:
-            return
-        self._busy.add(links)
-        running = self._deployment.running
-        async with self._record_fault(router.name, links):
-            running.write_beside(
-                router.name, cut_daemon.SUFFIX, CUT_MODES[fault.kind]
-            )
-            await asyncio.sleep(load_checks.STABLE_S + fault.for_s)
-            running.write_beside(router.name, cut_daemon.SUFFIX, '')
-        self._busy.discard(links)
-
     async def _inject_store_link(self, fault: plan.Fault) -> None:
         store_proxy = self._deployment.store_proxies[fault.target]
         router = self._deployment.site.routers[fault.target]
-        async with self._record_fault(router.name):
+        async with self._deployment.during_fault(router.name):
             match fault.kind:
                 case Kind.STORE_SILENT:
                     store_proxy.silence()
@@ -162,7 +131,7 @@
             store_proxy.link.is_cut_down = False
 
     async def _inject_store(self, fault: plan.Fault) -> None:
-        async with self._record_fault(components.STORE):
+        async with self._deployment.during_fault(components.STORE):
             match fault.kind:
                 case Kind.STORE_FORGETS:
                     self._deployment.site.store_behaviour.compact()
@@ -266,13 +235,13 @@
         deployment.remove_entry(instance)
         await asyncio.sleep(EXTRA_RUN_S)
         # Requests that still run there are past their deadlines.
-        async with self._record_fault(components.SERVERS):
+        async with self._deployment.during_fault(components.SERVERS):
             deployment.put_faults(instance, refuse=True)
 
     async def _replace_by_cold(self, number: int, instance: str) -> None:
         """Crash a server and replace it at once by a cold one."""
         deployment = self._deployment
-        async with self._record_fault(components.SERVERS):
+        async with self._deployment.during_fault(components.SERVERS):
             deployment.put_faults(instance, refuse=True)
             deployment.server_proxies[instance].reset()
             deployment.remove_entry(instance)
@@ -301,7 +270,7 @@
     async def _break_server(self, fault: plan.Fault, instance: str) -> None:
         deployment = self._deployment
         server_proxy = deployment.server_proxies[instance]
-        async with self._record_fault(components.SERVERS):
+        async with self._deployment.during_fault(components.SERVERS):
             match fault.kind:
                 case Kind.SERVER_CRASH:
                     deployment.site.stand_ins[instance].crash()
--- a/beryllug/soak/load_checks.py
+++ b/beryllug/soak/load_checks.py
@@ -12,6 +12,7 @@
 MAX_UNSERVED = 3
 # Falls of brittle servers that are allowed, whatever their number.
 MAX_FALLS = 2
+NO_ROUTERS: frozenset[str] = frozenset()
 PERMANENT_ERRORS = frozenset((400, 401, 403, 404, 413, 431))
 
 
@@ -21,7 +22,19 @@
         for span in observed.fault_periods:
             is_cut = span.component == components.links_of(router)
             if is_cut and not _is_excused(observed, span):
-                yield from _check_span(observed, router, span)
+                yield from _check_span(observed, frozenset((router,)), span)
+
+
+def served_while_zone_cut(
+    observed: observations.Observations,
+) -> Iterator[str]:
+    """Callers of a zone without links to servers are served like others."""
+    for span in observed.fault_periods:
+        if span.component != components.ZONE_LINKS:
+            continue
+        cut = _cut_with(observed, span)
+        if not _is_excused(observed, span, cut):
+            yield from _check_span(observed, cut, span)
 
 
 def not_fallen(observed: observations.Observations) -> Iterator[str]:
@@ -31,20 +44,38 @@
         yield f'{falls} falls'
 
 
+def _cut_with(
+    observed: observations.Observations, zone: observations.FaultPeriod
+) -> frozenset[str]:
+    """Return the routers that were cut off together with their zone."""
+    spans = {
+        each.component
+        for each in observed.fault_periods
+        if each.began_at == zone.began_at and each.ended_at == zone.ended_at
+    }
+    routers = {sent.router for sent in observed.sent}
+    return frozenset(
+        name for name in routers if components.links_of(name) in spans
+    )
+
+
 def _is_excused(
-    observed: observations.Observations, span: observations.FaultPeriod
+    observed: observations.Observations,
+    span: observations.FaultPeriod,
+    cut: frozenset[str] = NO_ROUTERS,
 ) -> bool:
-    """Return whether something else failed beside a cut."""
+    """Return whether something else failed beside a cut.
+
+    Args:
+        observed: What was observed.
+        span: The cut.
+        cut: Routers that were cut off together.
+    """
     routers = {sent.router for sent in observed.sent}
-    affected = {
-        name
-        for router in routers
-        for name in (
-            components.restart_of(router),
-            components.freeze_of(router),
-            components.links_of(router),
-        )
-    }
+    affected = {components.links_of(name) for name in routers - cut}
+    for name in routers:
+        affected.add(components.restart_of(name))
+        affected.add(components.freeze_of(name))
     affected.discard(span.component)
     affected.update((components.SERVERS, components.STORE))
     return observed.had_fault(frozenset(affected), span.began_at, span.ended_at)
@@ -52,20 +83,21 @@
 
 def _check_span(
     observed: observations.Observations,
-    router: str,
+    cut_off: frozenset[str],
     span: observations.FaultPeriod,
 ) -> Iterator[str]:
     since = span.began_at + STABLE_S
     watched = [
         sent for sent in observed.sent if since <= sent.began_at < span.ended_at
     ]
-    cut = [sent for sent in watched if sent.router == router]
-    others = [sent for sent in watched if sent.router != router]
+    cut = [sent for sent in watched if sent.router in cut_off]
+    others = [sent for sent in watched if sent.router not in cut_off]
     unserved = len(cut) - _count_served(cut)
     least = MIN_SERVED_RATIO * _count_served(others) * len(cut)
     is_far_worse = _count_served(cut) * len(others) < least
     if is_far_worse and unserved > MAX_UNSERVED:
-        yield f'{unserved} of {len(cut)} not served by {router}'
+        names_of_cut = ', '.join(sorted(cut_off))
+        yield f'{unserved} of {len(cut)} not served by {names_of_cut}'
 
 
 def _count_served(requests: list[observations.Sent]) -> int:
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -17,6 +17,10 @@
 LAST_CRASH_START_S = 3.0
 # Fraction of these whose requests are never alike, but for a prompt segment.
 SEGMENT_FRACTION = 0.5
+# Fraction of the seeds in which all routers of a zone are cut off from all
+# servers, and fraction of the routers that are in another zone then.
+ZONE_CUT_FRACTION = 0.3
+OTHER_ZONE_FRACTION = 0.25
 
 
 class Kind(StrEnum):
@@ -113,6 +117,11 @@
         """Return the number of backend servers."""
         return self.models + self.desks
 
+    @property
+    def other_zone_routers(self) -> int:
+        """Return the number of routers outside of a zone that is cut off."""
+        return max(1, round(self.routers * OTHER_ZONE_FRACTION))
+
 
 def draw(seed: int, sizes: Sizes) -> tuple[Fault, ...]:
     """Return the faults of a seed, ordered by time."""
@@ -135,6 +144,22 @@
     return round(rng.uniform(0, LAST_CRASH_START_S), 2)
 
 
+def draw_zone_cut(seed: int) -> Fault | None:
+    """Return how all routers of a zone are cut off; None if they are not.
+
+    It is drawn apart, so that a seed keeps its faults.
+    """
+    rng = random.Random(f'{seed}/zone cut')
+    if rng.random() >= ZONE_CUT_FRACTION:
+        return None
+    return Fault(
+        round(rng.uniform(0, LAST_START_S), 2),
+        rng.choice(sorted(SERVER_LINK_FAULTS)),
+        0,
+        round(rng.uniform(MIN_DURATION_S, MAX_DURATION_S), 2),
+    )
+
+
 def has_crash_segment(seed: int) -> bool:
     """Return whether it is a prompt segment that crashes servers."""
     rng = random.Random(f'{seed}/crash segment')
--- a/beryllug/soak/run.py
+++ b/beryllug/soak/run.py
@@ -8,6 +8,7 @@
 import asyncio
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from beryllug.soak import (
@@ -62,7 +63,8 @@
 
 async def run_seed(seed: int, sizes: plan.Sizes) -> Result:
     """Run one seed and check the observations against the guarantees."""
-    deployment = site.SoakSite(sizes)
+    zone_cut = plan.draw_zone_cut(seed)
+    deployment = site.SoakSite(sizes, has_two_zones=zone_cut is not None)
     faults = plan.draw(seed, sizes)
     try:
         await deployment.open()
@@ -106,7 +108,7 @@
     )
     try:
         await asyncio.gather(
-            _inject_all(deployment, faults),
+            _inject_all(deployment, faults, plan.draw_zone_cut(seed)),
             bad.run(plan.draw_crash_request(seed)),
         )
         await asyncio.sleep(RECOVERY_S)
@@ -119,20 +121,25 @@
 
 
 async def _inject_all(
-    deployment: site.SoakSite, faults: tuple[plan.Fault, ...]
+    deployment: site.SoakSite,
+    faults: tuple[plan.Fault, ...],
+    zone_cut: plan.Fault | None,
 ) -> None:
     injector = inject.Injector(deployment)
     began = time.monotonic()
-    await asyncio.gather(
-        *(_inject_at(injector, fault, began) for fault in faults)
-    )
+    injected = [_inject_at(injector.inject, fault, began) for fault in faults]
+    if zone_cut is not None:
+        injected.append(_inject_at(injector.links.cut_zone, zone_cut, began))
+    await asyncio.gather(*injected)
 
 
 async def _inject_at(
-    injector: inject.Injector, fault: plan.Fault, began: float
+    inject_fault: Callable[[plan.Fault], Awaitable[None]],
+    fault: plan.Fault,
+    began: float,
 ) -> None:
     await asyncio.sleep(max(began + fault.at_s - time.monotonic(), 0))
-    await injector.inject(fault)
+    await inject_fault(fault)
 
 
 def _raise_failures(tasks: list[asyncio.Task[None]]) -> None:
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -3,7 +3,7 @@
 import contextlib
 import functools
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from typing import Any
 
 from beryllug.platform import requests, store
@@ -51,11 +51,22 @@
         server_proxies: Proxies to each backend server, by instance.
         present: Current instances, by the server number that faults refer to.
         seen: Observations that are checked against the guarantees.
+        first_zone_routers: Number of routers in the first zone.
     """
 
-    def __init__(self, sizes: plan.Sizes) -> None:
-        """Create the deployment; `open` starts it."""
+    def __init__(
+        self, sizes: plan.Sizes, *, has_two_zones: bool = False
+    ) -> None:
+        """Create the deployment; `open` starts it.
+
+        Args:
+            sizes: Numbers of routers and servers.
+            has_two_zones: Whether some routers are in the second zone.
+        """
         self.sizes = sizes
+        self.first_zone_routers = sizes.routers
+        if has_two_zones:
+            self.first_zone_routers -= sizes.other_zone_routers
         self.site = platform_site.Site()
         self.running = processes.Processes('beryllug.soak.cut_daemon')
         self.store_proxies: list[proxy.Proxy] = []
@@ -72,12 +83,15 @@
         self.put_table()
         for number in range(self.sizes.servers):
             self.present.append(await self.add_server(number))
-        for _ in range(self.sizes.routers):
+        for number in range(self.sizes.routers):
             store_proxy = proxy.Proxy(self.site.store_stand_in.address)
             await store_proxy.start('127.0.0.1')
             self.store_proxies.append(store_proxy)
             await self.site.spawn_router(
-                self.running, store=store_proxy.address, grace_s=GRACE_S
+                self.running,
+                zone=ZONES[number >= self.first_zone_routers],
+                store=store_proxy.address,
+                grace_s=GRACE_S,
             )
 
     async def close(self) -> None:
@@ -170,6 +184,15 @@
             for component in components
         )
 
+    @contextlib.asynccontextmanager
+    async def during_fault(self, *components: str) -> AsyncIterator[None]:
+        """Record a fault of components for as long as the context lasts."""
+        began_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self.record_fault(components, began_at, time.monotonic())
+
     def collect(self) -> None:
         """Collect the requests that reached or ran at the servers."""
         for instance, runner in self.site.runners.items():
--- a/beryllug/soak/soak_test.py
+++ b/beryllug/soak/soak_test.py
@@ -35,6 +35,11 @@
             fault.kind for seed in range(60) for fault in plan.draw(seed, sizes)
         }
         self.assertEqual(kinds, set(plan.Kind))
+        zone_cuts = [plan.draw_zone_cut(seed) for seed in range(60)]
+        self.assertIn(None, zone_cuts)
+        self.assertEqual(
+            {cut.kind for cut in zone_cuts if cut}, plan.SERVER_LINK_FAULTS
+        )
         crash_requests = [plan.draw_crash_request(seed) for seed in range(60)]
         self.assertIn(None, crash_requests)
         self.assertTrue(any(crash_requests))
