relay_peers: ask peers one after the other again

The next peer was asked when the one before was late by 0.1 s. A peer that is cut answers within 0.15 s, so the head start gained nothing once the peers are of several zones. link_race goes, and the race of the direct connect is what it was.

--- a/beryllug/router/relay_peers.py
+++ b/beryllug/router/relay_peers.py
@@ -1,20 +1,16 @@
 """Connections to backend servers through peers that reach them."""
 
-import functools
 import random
 import time
 from collections.abc import Mapping
 
 from beryllug.core.peering import members, relay_choice
 from beryllug.drivers import answer_timeouts, fleet_key, http_link, relay
-from beryllug.router import link_race
 
 # Timeout in seconds of one peer, which itself has less time to connect, and of
 # all that are asked for one connection.
 PEER_TIMEOUT_S = 0.2
 TOTAL_TIMEOUT_S = 0.35
-# Seconds after which a peer that has not answered is late, many round trips.
-PEER_HEAD_START_S = 0.1
 BAD_GATEWAY = 502
 
 
@@ -48,42 +44,31 @@
         self._keys = keys
         self._timeouts = timeouts
         self._state = relay_choice.RelayState()
-        self._links = link_race.LinkRace()
         self._rng = random.Random(known.name)
 
     async def open(self, address: str) -> http_link.Link:
-        """Connect to a server through a peer, the first of some that connects.
+        """Connect to a server through a peer, some of them in turn.
 
         Raises:
             NotRelayedError: No peer that was asked has connected to it.
+            TimeoutError: None has in time.
         """
         target = relay_choice.Target(self._zone, address)
         asked = relay_choice.choose(
             self._state, self._known, target, time.monotonic(), self._rng
         )
-        outcomes = dict.fromkeys(asked, 'late')
-        ways = [
-            functools.partial(self._try, peer, address, outcomes)
-            for peer in asked
-        ]
-        try:
-            async with self._timeouts.within(TOTAL_TIMEOUT_S):
-                return await self._links.open(ways, PEER_HEAD_START_S)
-        except OSError as exc:
-            raise NotRelayedError(outcomes) from exc
-
-    async def _try(
-        self, peer: str, address: str, outcomes: dict[str, str]
-    ) -> http_link.Link:
-        """Ask a peer, and record what becomes of it."""
-        try:
-            link = await self._ask(peer, address)
-        except OSError as exc:
-            outcomes[peer] = str(exc) or type(exc).__name__
-            self._record_failure(peer, address, exc)
-            raise
-        relay_choice.forwarded(self._state, peer, time.monotonic())
-        return link
+        outcomes: dict[str, str] = {}
+        async with self._timeouts.within(TOTAL_TIMEOUT_S):
+            for peer in asked:
+                try:
+                    link = await self._ask(peer, address)
+                except OSError as exc:
+                    outcomes[peer] = str(exc) or type(exc).__name__
+                    self._record_failure(peer, address, exc)
+                else:
+                    relay_choice.forwarded(self._state, peer, time.monotonic())
+                    return link
+        raise NotRelayedError(outcomes)
 
     async def _ask(self, peer: str, address: str) -> http_link.Link:
         async with self._timeouts.within(PEER_TIMEOUT_S):
--- a/beryllug/router/server_paths.py
+++ b/beryllug/router/server_paths.py
@@ -7,16 +7,15 @@
 """
 
 import asyncio
-import functools
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
 from beryllug.core.placement import reachability
 from beryllug.drivers import answer_timeouts, http_client, http_link
 from beryllug.kernel import log_lines, metrics_data
-from beryllug.router import link_race, path_verdicts
+from beryllug.router import path_verdicts
 
 # Timeout of a connection to a backend server. A round trip between zones takes
 # 3 ms; a lost packet is retransmitted only after a second, by which time
@@ -30,6 +29,8 @@
 # Seconds between two probes while a link is cut.
 PROBE_INTERVAL_S = 0.5
 
+LinkTask = asyncio.Task[http_link.Link]
+
 
 class Relays(Protocol):
     """Opens connections through peers."""
@@ -65,7 +66,7 @@
         self._timeouts = timeouts
         self._rng = random.Random()
         self._probing: asyncio.Task[None] | None = None
-        self._links = link_race.LinkRace()
+        self._pending: set[LinkTask] = set()
 
     async def start(self) -> None:
         """Do nothing: the service is driven by requests."""
@@ -74,7 +75,8 @@
         """Stop probing."""
         if self._probing is not None:
             self._probing.cancel()
-        self._links.cancel()
+        for task in self._pending:
+            task.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Return which servers can't be connected to directly."""
@@ -120,11 +122,31 @@
 
     async def _race(self, address: str) -> http_link.Link:
         """Connect directly, and through a peer if that fails or is late."""
-        ways = (
-            functools.partial(self.connect, address, CONNECT_TIMEOUT_S),
-            functools.partial(self._relay, address),
-        )
-        return await self._links.open(ways, HEAD_START_S)
+        direct = self._begin(self.connect(address, CONNECT_TIMEOUT_S))
+        tasks = [direct]
+        try:
+            await asyncio.wait(tasks, timeout=HEAD_START_S)
+            if not _has_link(direct):
+                tasks.append(self._begin(self._relay(address)))
+            first = await _first_link(tasks)
+        except asyncio.CancelledError:
+            for task in tasks:
+                task.cancel()
+                task.add_done_callback(_close_link)
+            raise
+        for other in tasks:
+            if other is not first:
+                other.add_done_callback(_close_link)
+            if other is not direct:
+                # The outcome of the direct one tells whether the link is cut.
+                other.cancel()
+        return first.result()
+
+    def _begin(self, opening: Coroutine[Any, Any, http_link.Link]) -> LinkTask:
+        task = asyncio.create_task(opening)
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
+        return task
 
     async def _relay(self, address: str) -> http_link.Link:
         if self.relays is None:
@@ -161,3 +183,25 @@
             # It is recorded, and the next probe follows.
             return
         link.abort()
+
+
+def _has_link(task: LinkTask) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
+
+
+async def _first_link(tasks: list[LinkTask]) -> LinkTask:
+    """Return the first task that has a link, else the first task."""
+    pending = set(tasks)
+    while pending:
+        for task in tasks:
+            if _has_link(task):
+                return task
+        _, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+    return next(filter(_has_link, tasks), tasks[0])
+
+
+def _close_link(task: LinkTask) -> None:
+    if _has_link(task):
+        task.result().abort()
