plan: a version that is proven late is not rolled back

Now answers without a time leave the decision to failures, and a proven version goes on, late, as it did before; what is not proven is rolled back.

--- a/beryllug/core/canary/plan.py
+++ b/beryllug/core/canary/plan.py
@@ -1,11 +1,12 @@
 """The phases of a roll-out, and which requests go to the new version.
 
 During the trial a small share of new sessions uses the new version, and a
-session stays on the version it runs on. Once the answers show that the version
-is good, all requests go to it. This happens so late that even a version which
+session stays on the version it runs on. Once the answers speak for the version,
+all requests go to it. This happens so late that even a version which
 starts to fail only then receives no more of the requests than a bad one may.
-Shortly before its time is over the roll-out is complete, and the platform stops
-the old servers.
+Shortly before its time is over the roll-out is complete, if the answers show
+that the version is good, and the platform stops the old servers; otherwise the
+version is rolled back.
 """
 
 from collections.abc import Mapping
@@ -117,13 +118,13 @@
         return canary_data.Phase.ROLLED_BACK
     left_s = order.duration_s - ages.order_s
     lead_s = _completion_lead_s(order)
-    is_full = phase is canary_data.Phase.FULL
-    if is_full and left_s <= lead_s and ages.phase_s >= KNOWN_S:
-        if _is_proven(tally):
-            return canary_data.Phase.COMPLETE
-    if left_s <= lead_s * UNPROVEN_LEAD_RATIO:
+    is_proven = verdict.is_good(tally, COMPLETE_BOUNDS)
+    if left_s <= lead_s * UNPROVEN_LEAD_RATIO and not is_proven:
         return canary_data.Phase.ROLLED_BACK
-    if not is_full and _may_get_all(order, tally, ages.order_s, bounds):
+    if phase is canary_data.Phase.FULL:
+        is_due = left_s <= lead_s and ages.phase_s >= KNOWN_S
+        return canary_data.Phase.COMPLETE if is_due and is_proven else phase
+    if _may_get_all(order, tally, ages.order_s, bounds):
         return canary_data.Phase.FULL
     return phase
 
@@ -194,7 +195,8 @@
     """
     drawn = requests.so_far * bounds.share * DRAWN_PART
     is_enough = verdict.count_new_answers(tally) >= MIN_ANSWERS
-    if drawn >= MIN_ANSWERS or is_enough and _is_proven(tally):
+    is_proven = is_enough and verdict.is_good(tally, COMPLETE_BOUNDS)
+    if drawn >= MIN_ANSWERS or is_proven:
         return DRAWN_PART
     return largest_part(requests.expected, bounds)
 
@@ -219,11 +221,6 @@
     return min(MIN_FULL_S, order.duration_s * MIN_FULL_RATIO)
 
 
-def _is_proven(tally: canary_data.Tally) -> bool:
-    """Return whether the answers are enough to complete a roll-out."""
-    return verdict.is_good(tally, COMPLETE_BOUNDS)
-
-
 def _may_get_all(
     order: canary_data.Order,
     tally: canary_data.Tally,
--- a/beryllug/core/canary/plan_test.py
+++ b/beryllug/core/canary/plan_test.py
@@ -141,6 +141,12 @@
     {'n1': Answers(4), 'n2': Answers(2, 1)},
     new_times={'n1': {-8: 2, -2: 1}, 'n2': {-8: 1, -2: 1}},
 )
+# A proven version whose roll-out was not evaluated in the last moments.
+LATE_PHASES = (
+    ('on trial', Phase.TRIAL, plan.Ages(20.1, 20.1), Phase.FULL),
+    ('just full', Phase.FULL, plan.Ages(20.2, 0.1), Phase.FULL),
+    ('full', Phase.FULL, plan.Ages(20.5, 0.4), Phase.COMPLETE),
+)
 UNDECIDED_PHASES = (
     ('in its time', Phase.TRIAL, plan.Ages(17.9, 17.9), Phase.TRIAL),
     ('no time left', Phase.TRIAL, plan.Ages(18.5, 18.5), Phase.TRIAL),
@@ -240,6 +246,13 @@
                 found = plan.next_phase(ORDER, phase, UNDECIDED, ages, BOUNDS)
                 self.assertIs(found, expected)
 
+    def test_late(self) -> None:
+        """A good version is rolled back as its last evaluations came late."""
+        for title, phase, ages, expected in LATE_PHASES:
+            with self.subTest(title):
+                found = plan.next_phase(ORDER, phase, GOOD, ages, BOUNDS)
+                self.assertIs(found, expected)
+
     def test_unseen(self) -> None:
         """A version turns bad too late to be noticed.
 
--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -142,7 +142,9 @@
     seen = scores(tally)
     if seen.failures > bounds.failures:
         return False
-    is_timed = any(each.new_times for each in tally.by_route.values())
+    is_timed = any(
+        any(each.new_times.values()) for each in tally.by_route.values()
+    )
     return not is_timed or seen.slowness <= bounds.slowness
 
 
