platform_site: the zone of a router is read when it is started

cut_zone sets ZONE of the stand-in for routers of another zone; as a default argument it was bound once, so all routers stood in one zone. ZoneTest names the zone itself, so its red and green stand.

--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -299,7 +299,7 @@
         return [line for line in self.log_records if line['event'] == event]
 
     def _settings(
-        self, zone: str = ZONE, **settings: Any
+        self, zone: str = '', **settings: Any
     ) -> settings_data.Settings:
         # Each deployment has its own addresses. With a shared address,
         # another test's connection or datagram took a port between the check
@@ -316,7 +316,7 @@
         cfg = settings_data.Router(**(given | settings))
         name = f'router-{next(self._numbers)}'
         process = settings_data.Process(
-            name, settings_data.Role.ROUTER, name, zone
+            name, settings_data.Role.ROUTER, name, zone or ZONE
         )
         operators = settings_data.Operators(next(ports), OPERATOR_KEYS)
         fleet = settings_data.Fleet(FLEET_KEYS)
