--- a/beryllug/proofs/platform/rollout_test.py
+++ b/beryllug/proofs/platform/rollout_test.py
@@ -9,7 +9,7 @@
 from beryllug.proofs.platform import site_test
 from beryllug.standins import platform_site
 
-DURATION_S = 6.0
+DURATION_S = 3.0
 POLL_S = 0.02
 
 
@@ -21,7 +21,7 @@
 
 
 class RolloutTest(site_test.SiteCase):
-    """A roll-out of the pool from v1 to v2 within six seconds."""
+    """A roll-out of the pool from v1 to v2 within three seconds."""
 
     routers = 2
     settings = MappingProxyType({'session_s': LONG_SESSION_S})
