--- a/beryllug/core/peering/relay_choice_test.py
+++ b/beryllug/core/peering/relay_choice_test.py
@@ -37,7 +37,7 @@
             self.assertNotIn(self._choose(0)[1], OWN)
 
     def test_not_reached(self) -> None:
-        """A peer that did not reach a server is asked for it again and again."""
+        """A peer that did not reach a server is asked for it again."""
         for number in range(3):
             relay_choice.unreached(self.state, f'n{number}', SERVER, 0)
         for _ in range(20):
