--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,6 @@
 import signal
 import socket
 import sys
-import tempfile
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -37,7 +36,9 @@
 QUEUE_FULL_S = 0.06
 KILL_AFTER_S = 1.5
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = (
+    deployment.HELD, deployment.BROKEN, deployment.NOT_RUN
+)
 
 
 class Runner:
@@ -279,16 +280,5 @@
     return HELD
 
 
-def main():
-    record = deployment.Record(HERE)
-    with tempfile.TemporaryDirectory(prefix='review-1-') as folder:
-        try:
-            code = asyncio.run(asyncio.wait_for(play(record, folder), 100))
-        except Exception as exc:
-            record.write(f'could not run: {type(exc).__name__}: {exc}')
-            code = NOT_RUN
-    sys.exit(code)
-
-
 if __name__ == '__main__':
-    main()
+    deployment.run_case(HERE, play, 100)
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,18 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 cd "$(dirname "$0")" || exit 2
-exec python3 case.py
+python3 case.py &
+case_pid=$!
+trap 'kill -TERM "$case_pid"' TERM INT HUP
+wait "$case_pid"
+code=$?
+trap - TERM INT HUP
+while kill -0 "$case_pid" 2>/dev/null; do
+    wait "$case_pid"
+    code=$?
+done
+case $code in
+    70) exit 0 ;;
+    71) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,6 @@
 import pathlib
 import random
 import sys
-import tempfile
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -41,7 +40,9 @@
 ALLOWED = 3
 TRAFFIC_S = 40
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = (
+    deployment.HELD, deployment.BROKEN, deployment.NOT_RUN
+)
 
 
 class Runner:
@@ -320,16 +321,5 @@
             router.end()
 
 
-def main():
-    record = deployment.Record(HERE)
-    with tempfile.TemporaryDirectory(prefix='review-2-') as folder:
-        try:
-            code = asyncio.run(asyncio.wait_for(play(record, folder), 110))
-        except Exception as exc:
-            record.write(f'could not run: {type(exc).__name__}: {exc}')
-            code = NOT_RUN
-    sys.exit(code)
-
-
 if __name__ == '__main__':
-    main()
+    deployment.run_case(HERE, play, 110)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -15,6 +15,8 @@
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 import tomllib
 import urllib.parse
@@ -325,9 +327,17 @@
 
 
 class Router:
-    """One machine's process of the role `router`."""
+    """One machine's process of the role `router`.
+
+    Attributes:
+        every: All that were made, so that a script ends what it has started
+            whatever it fails at.
+    """
+
+    every = []
 
     def __init__(self, folder, name, ip, ports, site):
+        self.every.append(self)
         self.name = name
         self.ip = ip
         self.front = (ip, ports['front'])
@@ -471,3 +481,41 @@
             if time.monotonic() > until or router.exit_code() is not None:
                 raise RuntimeError(f'{router.name} does not get ready')
             await asyncio.sleep(0.05)
+
+
+# --- Running a case ----------------------------------------------------------
+
+# Results of a case, and the exit codes by which `run.sh` knows them: the
+# interpreter itself exits with 1 or 2 if it fails.
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+EXIT_CODES = {HELD: 70, BROKEN: 71, NOT_RUN: 72}
+
+
+def run_case(case_folder, play, limit_s):
+    """Play a case within some seconds and exit with its result.
+
+    Args:
+        case_folder: Folder of the case, for its record.
+        play: Called with the record and a temporary folder; returns the result.
+        limit_s: Seconds after which the case counts as not run.
+    """
+    record = Record(case_folder)
+    with tempfile.TemporaryDirectory(prefix='review-') as folder:
+        try:
+            result = asyncio.run(_play(play, record, folder, limit_s))
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as exc:
+            record.write(f'could not run: {type(exc).__name__}: {exc}')
+            result = NOT_RUN
+        finally:
+            for router in Router.every:
+                router.end()
+    sys.exit(EXIT_CODES[result])
+
+
+async def _play(play, record, folder, limit_s):
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, task.cancel)
+    async with asyncio.timeout(limit_s):
+        return await play(record, folder)
