relay: an answer whose relay was killed ended as a complete one

Cause: a relay forwarded bare bytes, so the end of its connection meant the end of the answer. The kernel ends the connections of a killed process in the same way. A stop resets them; a killed process runs no code.

Change: what a relay sends comes in frames whose last one states how the server has ended (drivers/relay_frames), agreed on by a header field of CONNECT. Without it the relay was lost. That is not held against the server: it is not counted as failed and not excluded, so a stream is resumed there and a lookup sent again. Bytes of an older relay are bare; the end of its connection is its loss. A read of a link joins only the chunks it returns.

Why it works: a statement that is sent can't be made by a crash.

--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -62,6 +62,8 @@
         headers: Its headers.
         is_reused: Whether its connection had served a request before.
         via: ``ip:port`` of the process that forwarded it, or empty.
+        is_unframed: Whether its body has neither a length nor chunks, and ends
+            with its connection.
         sent_at: Monotonic second at which the request was written, after its
             connection was opened.
     """
@@ -78,6 +80,7 @@
         self.headers = http_headers.decode(head)
         self.is_reused = conn.is_reused
         self.via = conn.link.via
+        self.is_unframed = _is_unframed(self.headers)
         self.sent_at = sent_at
         self._client = client
         self._conn = conn
@@ -391,6 +394,8 @@
 
 def _failure(reason: str, exc: Exception) -> http_data.BrokenError:
     """Return the error that a failed exchange means."""
+    if isinstance(exc, http_link.RelayLostError):
+        return http_data.RelayLostError(reason)
     too_large = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     if getattr(exc, 'error_status_hint', None) == too_large:
         return http_data.ExcessError(reason)
@@ -449,6 +454,13 @@
     return is_complete and not unread and not unsent
 
 
+def _is_unframed(headers: http_data.Headers) -> bool:
+    return (
+        http_headers.CONTENT_LENGTH not in headers
+        and http_headers.TRANSFER_ENCODING not in headers
+    )
+
+
 def _idle_s(headers: http_data.Headers) -> float:
     """Return how many seconds a connection may stay idle."""
     for part in headers.get(KEEP_ALIVE, '').split(','):
--- a/beryllug/drivers/http_data.py
+++ b/beryllug/drivers/http_data.py
@@ -99,6 +99,10 @@
     """The server sent more than a limit allows; the request may have run."""
 
 
+class RelayLostError(BrokenError):
+    """The process that forwards the exchange is lost, not its server."""
+
+
 def retry_after(headers: Headers, absent_s: float = RETRY_AFTER_S) -> float:
     """Parse ``retry-after`` as seconds; `RETRY_AFTER_S` if it is invalid.
 
--- a/beryllug/drivers/http_link.py
+++ b/beryllug/drivers/http_link.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import collections
 import math
 import select
 import socket
@@ -26,6 +27,10 @@
 _RESET = struct.pack('ii', 1, 0)
 
 
+class RelayLostError(ConnectionResetError):
+    """The process that forwards a connection is lost, not its server."""
+
+
 class Link(asyncio.Protocol):
     """A TCP connection with a receive buffer and flow control.
 
@@ -48,7 +53,7 @@
         self.on_idle_end: Callable[[Link], None] | None = None
         self.on_end: Callable[[], None] | None = None
         self.transport: asyncio.Transport
-        self._chunks: list[bytes] = []
+        self._chunks: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
         self.ended = False
         self._loss_cause: Exception | None = None
@@ -193,10 +198,14 @@
 
     def _pop_received(self) -> bytes:
         received = self._chunks
-        chunk = received[0] if len(received) == 1 else b''.join(received)
-        received.clear()
-        if len(chunk) > READ_BYTES:
-            received.append(chunk[READ_BYTES:])
+        parts = [received.popleft()]
+        size = len(parts[0])
+        while received and size < READ_BYTES:
+            parts.append(received.popleft())
+            size += len(parts[-1])
+        chunk = parts[0] if len(parts) == 1 else b''.join(parts)
+        if size > READ_BYTES:
+            received.appendleft(chunk[READ_BYTES:])
             chunk = chunk[:READ_BYTES]
         was_paused = self._unread_bytes > READ_HIGH_WATER_BYTES
         self._unread_bytes -= len(chunk)
--- a/beryllug/drivers/relay_server.py
+++ b/beryllug/drivers/relay_server.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from beryllug.drivers import fleet_key, http_link, relay
+from beryllug.drivers import fleet_key, http_link, relay, relay_frames
 
 # Connections that are forwarded at a time; more are refused.
 MAX_CONNECTIONS = 256
@@ -111,8 +111,8 @@
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         try:
-            address = await self._read_address(link, parser)
-            server = await self._connect(address)
+            req = await self._read_request(link, parser)
+            server = await self._connect(req.target.decode('ascii'))
         except _RefusedError as exc:
             self.refused += 1
             _answer(link, parser, exc.status)
@@ -122,13 +122,14 @@
             link.abort()
         else:
             self.forwarded += 1
-            _answer(link, parser, HTTPStatus.OK)
-            await _forward_both(link, server)
+            is_framed = relay_frames.is_named(req.headers)
+            _answer(link, parser, HTTPStatus.OK, is_framed=is_framed)
+            await _forward_both(link, server, is_framed=is_framed)
 
-    async def _read_address(
+    async def _read_request(
         self, link: http_link.Link, parser: h11.Connection
-    ) -> str:
-        """Read which server is asked for.
+    ) -> h11.Request:
+        """Read which server is asked for, as the target.
 
         Raises:
             _RefusedError: The asking process is not of the fleet.
@@ -136,10 +137,9 @@
         """
         async with asyncio.timeout(HEAD_TIMEOUT_S):
             req = await _read_head(link, parser)
-        address = req.target.decode('ascii')
-        if not self._is_authentic(req, address):
+        if not self._is_authentic(req):
             raise _RefusedError(HTTPStatus.FORBIDDEN)
-        return address
+        return req
 
     async def _connect(self, address: str) -> http_link.Link:
         """Connect to a server.
@@ -157,12 +157,12 @@
         except OSError as exc:
             raise _RefusedError(HTTPStatus.BAD_GATEWAY) from exc
 
-    def _is_authentic(self, req: h11.Request, address: str) -> bool:
+    def _is_authentic(self, req: h11.Request) -> bool:
         if req.method != relay.METHOD.encode():
             return False
         sent = dict(req.headers).get(fleet_key.METADATA_KEY.encode(), b'')
         return self._keys.verify(
-            relay.signed_method(address),
+            relay.signed_method(req.target.decode('ascii')),
             sent.decode('ascii', errors='replace'),
             time.time(),
         )
@@ -181,15 +181,23 @@
 
 
 def _answer(
-    link: http_link.Link, parser: h11.Connection, status: HTTPStatus
+    link: http_link.Link,
+    parser: h11.Connection,
+    status: HTTPStatus,
+    *,
+    is_framed: bool = False,
 ) -> None:
     headers = [] if status is HTTPStatus.OK else [('content-length', '0')]
+    if is_framed:
+        headers.append((relay_frames.FIELD, relay_frames.VERSION))
     head = h11.Response(status_code=status, headers=headers)
     with contextlib.suppress(OSError, h11.LocalProtocolError):
         link.write(parser.send(head) or b'')
 
 
-async def _forward_both(asking: http_link.Link, server: http_link.Link) -> None:
+async def _forward_both(
+    asking: http_link.Link, server: http_link.Link, *, is_framed: bool
+) -> None:
     """Forward until one side closes.
 
     The asking process closes its side when its caller has left, so the
@@ -197,7 +205,8 @@
     delivered before its end is passed on.
     """
     up = asyncio.create_task(_forward(asking, server))
-    down = asyncio.create_task(_forward(server, asking))
+    forward_down = _forward_framed if is_framed else _forward
+    down = asyncio.create_task(forward_down(server, asking))
     try:
         await asyncio.wait((up, down), return_when=asyncio.FIRST_COMPLETED)
     finally:
@@ -231,3 +240,22 @@
         sink.write(chunk)
         await sink.drain()
         chunk = await source.read()
+
+
+async def _forward_framed(source: http_link.Link, sink: http_link.Link) -> None:
+    """Forward in frames, the last of which states how the source ended."""
+    chunk = await _read_or_broken(source)
+    while chunk:
+        sink.write(relay_frames.of_bytes(chunk))
+        await sink.drain()
+        chunk = await _read_or_broken(source)
+    sink.write(relay_frames.BROKEN if chunk is None else relay_frames.END)
+
+
+async def _read_or_broken(source: http_link.Link) -> bytes | None:
+    """Return received bytes, empty at EOF; None if the connection broke."""
+    try:
+        return await source.read()
+    except OSError:
+        # The asking process logs it with the request.
+        return None
--- a/beryllug/drivers/relay_test.py
+++ b/beryllug/drivers/relay_test.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import functools
+import time
 import unittest
 from http import HTTPStatus
+from typing import NamedTuple
 
 from beryllug.drivers import (
     fleet_key,
@@ -12,6 +15,7 @@
     http_link,
     http_server,
     relay,
+    relay_frames,
     relay_server,
 )
 
@@ -24,6 +28,52 @@
 BODY = bytes(1_000_000)
 
 
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nwhole'
+WITH_LENGTH = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
+FRAMED = relay_frames.of_bytes(UNFRAMED)
+HEAD_END = b'\r\n\r\n'
+
+
+class Sent(NamedTuple):
+    """What a relay sends before its connection ends, and what that means.
+
+    Attributes:
+        title: What happens.
+        is_framed: Whether it agrees to send frames.
+        parts: What it sends, in parts that arrive apart.
+        means: The body of the answer, or the error.
+    """
+
+    title: str
+    is_framed: bool
+    parts: tuple[bytes, ...]
+    means: bytes | type[http_data.BrokenError]
+
+
+SENT = (
+    Sent('the server ends', True, (FRAMED, relay_frames.END), b'whole'),
+    Sent('with the head', True, (FRAMED + relay_frames.END,), b'whole'),
+    Sent(
+        'split everywhere',
+        True,
+        tuple(bytes((byte,)) for byte in FRAMED + relay_frames.END),
+        b'whole',
+    ),
+    Sent('killed', True, (FRAMED,), http_data.RelayLostError),
+    Sent('killed in a frame', True, (FRAMED[:-2],), http_data.RelayLostError),
+    Sent('killed before', True, (), http_data.RelayLostError),
+    Sent(
+        'broken by the server',
+        True,
+        (FRAMED, relay_frames.BROKEN),
+        http_data.BrokenError,
+    ),
+    Sent('no frame', True, (b'\x09' * 5,), http_data.RelayLostError),
+    Sent('an older release', False, (UNFRAMED,), http_data.RelayLostError),
+    Sent('with a length', False, (WITH_LENGTH,), b'whole'),
+)
+
+
 class _Access:
     """Connects to one server."""
 
@@ -144,6 +194,29 @@
                 writer.close()
         await self.test_round_trip()
 
+    async def test_ends(self) -> None:
+        """An answer without a length is complete as its relay is killed."""
+        for sent in SENT:
+            with self.subTest(sent.title):
+                self.assertEqual(await self._receive(sent), sent.means)
+
+    async def test_older_asks(self) -> None:
+        """A process of an older release gets frames that it can't read."""
+        reader, writer = await asyncio.open_connection(
+            HOST, int(self.relay_address.rpartition(':')[2])
+        )
+        signature = KEYS.sign(relay.signed_method(self.address), time.time())
+        writer.write(
+            f'CONNECT {self.address} HTTP/1.1\r\nhost: {self.address}\r\n'
+            f'{fleet_key.METADATA_KEY}: {signature}\r\n\r\n'.encode()
+        )
+        head = await reader.readuntil(HEAD_END)
+        self.assertEqual(head.count(b'\r\n'), 2, head)
+        writer.write(b'GET /short HTTP/1.1\r\nhost: x\r\n\r\n')
+        answer = await reader.readuntil(HEAD_END)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+        writer.close()
+
     async def test_stop(self) -> None:
         """Stopping ends what is forwarded."""
         get = http_data.Outgoing('GET', '/wait', {})
@@ -155,6 +228,24 @@
             await request
         await asyncio.wait_for(self.cancelled.wait(), PASSED_ON_S)
 
+    async def _receive(self, sent: Sent) -> bytes | type[http_data.BrokenError]:
+        """Return what an answer means that a stand-in of a relay forwards."""
+
+        await self.relay.stop(0)
+        host, _, port = self.relay_address.rpartition(':')
+        stand_in = await asyncio.start_server(
+            functools.partial(_forward, sent), host, int(port)
+        )
+        get = http_data.Outgoing('GET', '/', {})
+        try:
+            _, body = await self.client.call(self.address, get, 5)
+        except http_data.BrokenError as exc:
+            return type(exc)
+        finally:
+            stand_in.close()
+            await stand_in.wait_closed()
+        return body
+
     async def _ask(self, address: str, keys: fleet_key.KeyRing) -> int:
         try:
             link = await relay.open_link(self.relay_address, address, keys)
@@ -184,6 +275,23 @@
         await exchange.respond(200, req.body)
 
 
+async def _forward(
+    sent: Sent, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Forward an answer as a relay does that is lost after some bytes."""
+    await reader.readuntil(HEAD_END)
+    writer.write(b'HTTP/1.1 200 OK\r\n')
+    if sent.is_framed:
+        field = f'{relay_frames.FIELD}: {relay_frames.VERSION}\r\n'
+        writer.write(field.encode())
+    writer.write(b'\r\n')
+    await reader.readuntil(HEAD_END)
+    for part in sent.parts:
+        writer.write(part)
+        await asyncio.sleep(0)
+    writer.close()
+
+
 def _drop(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Close an accepted connection."""
     writer.close()
--- a/beryllug/router/attempt_servers.py
+++ b/beryllug/router/attempt_servers.py
@@ -134,7 +134,7 @@
         try:
             async with self._suspects.waiting.wait(call, progress):
                 return await self._sender.send(
-                    call, sending, wait_s, is_retry=bool(progress.excluded)
+                    call, sending, wait_s, is_retry=_is_retry(progress)
                 )
         except TimeoutError:
             return dispatch.Withdrawn(suspect_trials.LOST)
@@ -184,6 +184,11 @@
         return None
 
 
+def _is_retry(progress: attempts.Progress) -> bool:
+    """Return whether an attempt has failed before."""
+    return progress.may_have_run or bool(progress.excluded)
+
+
 def _stage(progress: attempts.Progress) -> waiting_requests.Stage:
     """Return how far a request has come."""
     if progress.may_have_run or progress.discarded_at:
--- a/beryllug/router/attempts.py
+++ b/beryllug/router/attempts.py
@@ -30,7 +30,8 @@
 
     Attributes:
         version_choice: The versions that it may run on.
-        excluded: Instances that have failed it.
+        excluded: Instances that have failed it; not those that it was sent to
+            through a process that was lost.
         counted_attempts: Attempts that count against the route's maximum.
         unreachable: Servers that could not be reached.
         may_have_run: Whether the request can no longer be reported as not run.
@@ -116,7 +117,8 @@
     progress: Progress, choice: pool.Choice, failed: dispatch.Outcome
 ) -> None:
     """Record how an attempt failed."""
-    progress.excluded.add(choice.server.instance)
+    if not (isinstance(failed, dispatch.Unknown) and failed.is_relay_lost):
+        progress.excluded.add(choice.server.instance)
     match failed:
         case dispatch.NotRun(reason, is_gone):
             progress.reason = reason
--- a/beryllug/router/dispatch.py
+++ b/beryllug/router/dispatch.py
@@ -65,10 +65,13 @@
     Attributes:
         reason: The reason.
         is_excess: Whether the server sent more than a limit allows.
+        is_relay_lost: Whether the process that forwarded it was lost, which
+            is not the server's fault.
     """
 
     reason: str
     is_excess: bool = False
+    is_relay_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,7 +180,11 @@
 
 def broken(reason: str, exc: http_data.BrokenError) -> Unknown:
     """Return the outcome of an answer that broke off."""
-    return Unknown(reason, is_excess=isinstance(exc, http_data.ExcessError))
+    return Unknown(
+        reason,
+        is_excess=isinstance(exc, http_data.ExcessError),
+        is_relay_lost=isinstance(exc, http_data.RelayLostError),
+    )
 
 
 async def _discard(
--- a/beryllug/router/plain_flow.py
+++ b/beryllug/router/plain_flow.py
@@ -35,6 +35,7 @@
         body: Its body.
         is_reused: Whether it came on a connection that was open before.
         via: The process that forwarded it, or empty.
+        is_unframed: Whether it had neither a length nor chunks.
         took_s: Seconds from writing the request to the end of the answer.
     """
 
@@ -43,6 +44,7 @@
     body: bytes
     is_reused: bool
     via: str
+    is_unframed: bool
     took_s: float
 
 
@@ -123,6 +125,7 @@
                 took_s,
                 reused=outcome.is_reused,
                 via=outcome.via,
+                unframed=outcome.is_unframed,
             )
         else:
             self._log.attempt(call, choice.server, outcome, took_s)
@@ -197,7 +200,7 @@
                     self._pool.failed(choice, at_once=True)
             case dispatch.Unknown(is_excess=True):
                 self._pool.failed(choice, at_once=True, points=suspicion.EXCESS)
-            case dispatch.Unknown() | dispatch.TimedOut():
+            case dispatch.Unknown(is_relay_lost=False) | dispatch.TimedOut():
                 self._pool.failed(choice)
 
     def _is_failure(self, call: call_data.Call, outcome: _FullAnswer) -> bool:
@@ -233,5 +236,6 @@
         body,
         incoming.is_reused,
         incoming.via,
+        incoming.is_unframed,
         time.monotonic() - incoming.sent_at,
     )
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -141,6 +141,7 @@
         stream.events.clear()
         stream.is_reused = None
         stream.via = ''
+        stream.is_unframed = None
         outcome = None
         try:
             outcome = await self._send(call, choice, stream, exchange)
@@ -169,6 +170,7 @@
             resumed=stream.last_event if stream.started else '',
             reused=stream.is_reused,
             via=stream.via,
+            unframed=stream.is_unframed,
             **stream_state.logged_copy(choice),
         )
         match outcome:
@@ -220,6 +222,7 @@
             self._pool.answer_started(choice)
         stream.is_reused = outcome.incoming.is_reused
         stream.via = outcome.incoming.via
+        stream.is_unframed = outcome.incoming.is_unframed
         # Without the time to connect: the servers of a new version have fewer
         # open connections, and are as fast.
         stream.head_s = time.monotonic() - outcome.incoming.sent_at
@@ -329,7 +332,7 @@
                     self._pool.failed(choice, at_once=True)
             case dispatch.Unknown(is_excess=True):
                 self._pool.failed(choice, at_once=True, points=suspicion.EXCESS)
-            case dispatch.Unknown() | dispatch.TimedOut():
+            case dispatch.Unknown(is_relay_lost=False) | dispatch.TimedOut():
                 self._pool.failed(choice)
 
     def _record_length(
--- a/beryllug/router/stream_state.py
+++ b/beryllug/router/stream_state.py
@@ -56,6 +56,8 @@
         is_reused: Whether the last answer came on a connection that was open
             before; None without an answer.
         via: The process that forwarded it, or empty.
+        is_unframed: Whether it has neither a length nor chunks; None without an
+            answer.
         head_s: Seconds from writing the request to the head of the last
             answer.
         first_at: When the first event was sent.
@@ -73,6 +75,7 @@
     confidence: int | None = None
     is_reused: bool | None = None
     via: str = ''
+    is_unframed: bool | None = None
     head_s: float = 0.0
     first_at: float = 0.0
     last_at: float = 0.0
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -35,6 +35,10 @@
     'comment_events',
 )
 OTHER_ZONE_FRACTION = 0.25
+# Fraction of the seeds in which a router that forwards answers without a length
+# is killed, and how often.
+RELAY_LOSS_FRACTION = 0.4
+RELAY_KILLS = (1, 2, 3)
 # Fraction of the seeds in which an account sends ten times its usual load.
 FLOOD_FRACTION = 0.4
 
@@ -136,6 +140,18 @@
     pause_s: float
 
 
+class RelayLoss(NamedTuple):
+    """A router that reaches servers through others, which are killed.
+
+    Attributes:
+        cut: How it is cut off.
+        killed: Numbers of the routers that are killed in turn.
+    """
+
+    cut: Fault
+    killed: tuple[int, ...]
+
+
 class Sizes(NamedTuple):
     """Numbers of routers and backend servers."""
 
@@ -211,6 +227,26 @@
     )
 
 
+def draw_relay_loss(seed: int, sizes: Sizes) -> RelayLoss | None:
+    """Return which routers that forward are killed; None if none is.
+
+    It is drawn apart, so that a seed keeps its faults.
+    """
+    rng = random.Random(f'{seed}/relay loss')
+    if rng.random() >= RELAY_LOSS_FRACTION:
+        return None
+    cut = Fault(
+        round(rng.uniform(0, LAST_START_S), 2),
+        rng.choice(sorted(SERVER_LINK_FAULTS)),
+        rng.randrange(sizes.routers),
+        round(rng.uniform(MIN_DURATION_S, MAX_DURATION_S), 2),
+    )
+    others = [each for each in range(sizes.routers) if each != cut.target]
+    return RelayLoss(
+        cut, tuple(rng.choice(others) for _ in range(rng.choice(RELAY_KILLS)))
+    )
+
+
 def draw_flood(seed: int) -> Span | None:
     """Return when an account sends ten times its usual load; None if never.
 
--- a/beryllug/soak/run.py
+++ b/beryllug/soak/run.py
@@ -20,6 +20,7 @@
     endless_fault,
     inject,
     plan,
+    relay_loss,
     site,
 )
 from beryllug.standins import platform_site
@@ -163,6 +164,10 @@
     zone_cut = plan.draw_zone_cut(seed)
     if zone_cut is not None:
         injected.append(_inject_at(injector.links.cut_zone, zone_cut, began))
+    loss = plan.draw_relay_loss(seed, deployment.sizes)
+    if loss is not None:
+        losing = functools.partial(_lose_relay, deployment, injector, loss)
+        injected.append(_inject_at(losing, loss.cut, began))
     endless = plan.draw_endless(seed, deployment.sizes)
     if endless is not None:
         joining = functools.partial(_join_endless, deployment, endless)
@@ -170,6 +175,15 @@
     await asyncio.gather(*injected)
 
 
+async def _lose_relay(
+    deployment: site.SoakSite,
+    injector: inject.Injector,
+    drawn: plan.RelayLoss,
+    _: plan.Fault,
+) -> None:
+    await relay_loss.inject_loss(deployment, injector, drawn)
+
+
 async def _join_endless(
     deployment: site.SoakSite, endless: plan.Endless, _: plan.Fault
 ) -> None:
--- a/beryllug/soak/soak_test.py
+++ b/beryllug/soak/soak_test.py
@@ -11,6 +11,7 @@
 # Seeds that have failed, each with its cause.
 FAILED_SEEDS: tuple[tuple[int, str], ...] = (
     (1032, 'a bad version got the requests of old servers that had crashed'),
+    (13, 'streams ended as complete when their relay was killed'),
 )
 MAX_CODE_FRACTION = 0.1
 
@@ -45,6 +46,9 @@
         self.assertEqual(
             {each.form for each in endless if each}, set(plan.ENDLESS_FORMS)
         )
+        relay_losses = [plan.draw_relay_loss(seed, sizes) for seed in range(60)]
+        self.assertIn(None, relay_losses)
+        self.assertTrue(any(relay_losses))
         floods = [plan.draw_flood(seed) for seed in range(60)]
         self.assertIn(None, floods)
         self.assertTrue(any(floods))
--- a/beryllug/standins/unframed_server.py
+++ b/beryllug/standins/unframed_server.py
@@ -21,10 +21,16 @@
         is_stream: Whether with events; else with one text.
         cut_at: Bytes of the first answer's body after which it closes the
             connection; None for the whole body.
+        pause_s: Seconds before each event, or before each half of a text.
+        events: Number of events.
+        names_model: Whether events hold the model and their number.
     """
 
     is_stream: bool
     cut_at: int | None = None
+    pause_s: float = 0.0
+    events: int = EVENTS
+    names_model: bool = False
 
 
 class UnframedServer:
@@ -72,11 +78,15 @@
         last_event = headers.get(names.LAST_EVENT, '')
         self.last_events.append(last_event)
         writer.write(self._head(headers[names.ATTEMPT]))
-        body = self._body(int(last_event or 0))
+        parts = self._parts(headers.get(names.MODEL, ''), int(last_event or 0))
         cut_at = self._answer.cut_at
         self._answer = self._answer._replace(cut_at=None)
-        writer.write(body if cut_at is None else body[:cut_at])
-        await writer.drain()
+        if cut_at is not None:
+            parts = [b''.join(parts)[:cut_at]]
+        for part in parts:
+            await asyncio.sleep(self._answer.pause_s)
+            writer.write(part)
+            await writer.drain()
 
     def _head(self, attempt_id: str) -> bytes:
         sent = {
@@ -93,11 +103,15 @@
         ]
         return LINE_END.join(lines).encode() + HEAD_END
 
-    def _body(self, last_event: int) -> bytes:
+    def _parts(self, model: str, last_event: int) -> list[bytes]:
         if not self._answer.is_stream:
-            return b'whole'
-        numbers = range(last_event + 1, EVENTS + 1)
-        return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
+            return [b'who', b'le']
+        numbers = range(last_event + 1, self._answer.events + 1)
+        if self._answer.names_model:
+            events = [f'id: {each}\ndata: {model} {each}' for each in numbers]
+        else:
+            events = [f'id: {each}\ndata: x' for each in numbers]
+        return [f'{event}\n\n'.encode() for event in events]
 
 
 def _headers_of(raw: bytes) -> dict[str, str]:
