suspects: a segment late in a long prompt crashed server after server

Cause: Call.segments took the first 64 segments as the keys of a request. A header holds some 1,700. The bound hid a second limit: each segment under which a server was lost was a note, of which 512 are kept and ten fit into a datagram, and 4,000 answers were remembered, two and a half long prompts.

Change: all segments are keys. A segment's ordinary losses are no notes but the lost servers of its key, shared by all keys with the same (segment_losses); they are told as one text of some 160 a datagram, and vouched for in the same way (segment_reports). Trials, checks and accusations stay notes, on the 64 keys under which most servers were lost.

Why it works: after one bad request all its segments are alike; the next one shares only the bad segment with it, which then has the most lost servers, whatever its place.

test_many_segments expected losses without accused keys in the note of a segment; these are no longer in it, the check of the accused ones stays.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -230,6 +230,20 @@
     trials: tuple[TrialReport, ...] = ()
 
 
+class SegmentsReport(NamedTuple):
+    """Prompt segments under which a server was lost, or that were answered.
+
+    Attributes:
+        ago_s: Seconds since the last of the runs, or the first of the answers.
+        segments: Keys of the segments, without their prefix, joined by commas.
+        instance: The lost server; empty for answers.
+    """
+
+    ago_s: float
+    segments: str
+    instance: str = ''
+
+
 class PeerNote(NamedTuple):
     """A datagram, sent several times a second by each process.
 
@@ -276,6 +290,8 @@
         suspects: Requests under which servers were lost, as far as that has
             just changed; in a probe or its answer, some that may not run
             freely.
+        segments: Prompt segments of runs whose server was just lost, or that
+            were answered and are suspects elsewhere.
     """
 
     name: str
@@ -307,6 +323,7 @@
     table: bytes = b''
     full: tuple[FullServer, ...] = ()
     suspects: tuple[SuspectReport, ...] = ()
+    segments: tuple[SegmentsReport, ...] = ()
 
 
 class HeldOrder(NamedTuple):
--- a/beryllug/core/placement/answered_keys.py
+++ b/beryllug/core/placement/answered_keys.py
@@ -5,15 +5,21 @@
 one at a time.
 """
 
+import math
 from collections.abc import Iterable
 
 from beryllug.core import suspects, suspects_data
-from beryllug.core.placement import crash_checks, poison_data, suspect_keys
+from beryllug.core.placement import (
+    crash_checks,
+    poison_data,
+    segment_losses,
+    suspect_keys,
+)
 
 # Seconds after an answer in which a lost server is not attributed to a request.
 # What many callers send alike runs on each server that is lost.
 SOUND_S = 10.0
-MAX_ANSWERED = 4000
+MAX_ANSWERED = 32768
 
 
 def answered(
@@ -30,15 +36,18 @@
     """
     for at_server in state.ended.values():
         at_server.pop(fingerprint, None)
-    counts = {}
-    for key in (fingerprint, *segments):
+    keys = (fingerprint, *segments)
+    for key in keys:
         state.answered.pop(key, None)
         state.answered[key] = now
-        cleared = _clear(state, key, trial_id)
-        if cleared:
-            counts[key] = cleared
     _trim_answered(state.answered, now)
-    return counts
+    if not (state.table.notes or state.table.segment_losses):
+        return {}
+    counts = {
+        each: _clear(state, each, trial_id) + _clear_segment(state, each)
+        for each in keys
+    }
+    return {each: cleared for each, cleared in counts.items() if cleared}
 
 
 def pop_vouched(state: poison_data.Crashers) -> suspect_keys.Keys:
@@ -48,6 +57,54 @@
     return found
 
 
+def pop_vouched_segments(
+    state: poison_data.Crashers, now: float
+) -> dict[int, list[str]]:
+    """Return the segments that no other process has cleared meanwhile.
+
+    They are grouped by the full seconds since their answers.
+    """
+    found: dict[int, list[str]] = {}
+    for key in state.vouched_segments:
+        ago_s = now - state.answered.get(key, poison_data.NEVER)
+        if ago_s <= SOUND_S:
+            found.setdefault(math.ceil(ago_s), []).append(key)
+    state.vouched_segments.clear()
+    return found
+
+
+def merge_segments(
+    state: poison_data.Crashers, lost: segment_losses.LostServer
+) -> None:
+    """Merge what a peer knows of a server that was lost under segments.
+
+    Those that were answered here are not, and peers are to be told so.
+    """
+    unanswered = []
+    for key in lost.keys:
+        if is_answered(state, key, lost.at):
+            state.vouched_segments[key] = None
+        else:
+            unanswered.append(key)
+    segment_losses.record(
+        state.table.segment_losses, lost._replace(keys=tuple(unanswered))
+    )
+
+
+def merge_answered(
+    state: poison_data.Crashers, keys: Iterable[str], at: float
+) -> None:
+    """Merge which segments were answered at a peer."""
+    for key in keys:
+        state.vouched_segments.pop(key, None)
+        if state.answered.get(key, poison_data.NEVER) < at:
+            state.answered.pop(key, None)
+            state.answered[key] = at
+        segment_losses.clear_before(
+            state.table.segment_losses, key, at + SOUND_S
+        )
+
+
 def is_answered(state: poison_data.Crashers, key: str, at: float) -> bool:
     """Return whether a key was answered since, or shortly before."""
     answered_at = state.answered.get(key, poison_data.NEVER)
@@ -69,6 +126,14 @@
     return len(cleared)
 
 
+def _clear_segment(state: poison_data.Crashers, key: str) -> int:
+    """Clear the losses of a segment; returns their count."""
+    lost = segment_losses.clear(state.table.segment_losses, key)
+    if lost >= poison_data.SUSPECT_AFTER:
+        state.untold_answered[key] = None
+    return lost
+
+
 def _binds(losses: Iterable[suspects_data.Loss]) -> bool:
     """Return whether uncleared losses keep a key from running freely."""
     counted = tuple(losses)
--- a/beryllug/core/placement/loss_attribution.py
+++ b/beryllug/core/placement/loss_attribution.py
@@ -7,6 +7,7 @@
     answered_keys,
     crash_checks,
     poison_data,
+    segment_losses,
     suspect_keys,
 )
 
@@ -15,8 +16,8 @@
     state: poison_data.Crashers,
     instance: str,
     runs: Mapping[str, poison_data.EndedRun],
-) -> list[poison_data.AttributedLoss]:
-    """Return the losses that a lost server means, one for each key.
+) -> poison_data.Attribution:
+    """Return the losses that a lost server means.
 
     Args:
         state: What is known of requests.
@@ -24,11 +25,22 @@
         runs: The runs that ended there a short time ago, by fingerprint.
     """
     found: dict[str, poison_data.AttributedLoss] = {}
-    for fingerprint, run in runs.items():
-        for key, of_key in _runs_by_key(state, fingerprint, run).items():
-            if of_key.trial_id or key not in found:
+    segments: dict[str, None] = {}
+    for fingerprint, run_there in runs.items():
+        by_key = _runs_by_key(state, fingerprint, run_there)
+        for key, of_key in by_key.items():
+            if not of_key.trial_id and suspect_keys.is_segment(key):
+                segments[key] = None
+            elif of_key.trial_id or key not in found:
                 found[key] = poison_data.AttributedLoss(key, instance, of_key)
-    return list(found.values())
+    return poison_data.Attribution(
+        list(found.values()),
+        segment_losses.LostServer(
+            instance,
+            max((each.at for each in runs.values()), default=0),
+            tuple(each for each in segments if each not in found),
+        ),
+    )
 
 
 def note_of(
--- a/beryllug/core/placement/poison_data.py
+++ b/beryllug/core/placement/poison_data.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from beryllug.core import suspects_data
-from beryllug.core.placement import suspect_keys
+from beryllug.core.placement import segment_losses, suspect_keys
 
 # Server losses after which a request is a suspect. Most requests that share a
 # server with one that crashes it are not on the next one, too.
@@ -52,6 +52,18 @@
     run: EndedRun
 
 
+class Attribution(NamedTuple):
+    """What a lost server is attributed to.
+
+    Attributes:
+        found: Losses under requests, and under segments that a trial accuses.
+        segments: The loss under all other segments of these requests.
+    """
+
+    found: list[AttributedLoss]
+    segments: segment_losses.LostServer
+
+
 class Accusation(NamedTuple):
     """A lost trial: one of its keys at least is what crashed the server.
 
@@ -85,6 +97,11 @@
         table: Losses and trials by key.
         untold: Keys whose note has changed and is not reported to peers.
         vouched: Keys that peers suspect, and that this process saw answered.
+        untold_lost: Lost servers whose segments are not reported to peers.
+        untold_answered: Segments that were suspects until they were answered
+            here, which is not reported to peers.
+        vouched_segments: Segments under which peers lost servers, and that
+            this process saw answered.
     """
 
     ended: dict[str, dict[str, EndedRun]] = field(default_factory=dict)
@@ -93,3 +110,6 @@
     table: suspects_data.Table = field(default_factory=_new_table)
     untold: dict[str, None] = field(default_factory=dict)
     vouched: dict[str, None] = field(default_factory=dict)
+    untold_lost: list[segment_losses.LostServer] = field(default_factory=list)
+    untold_answered: dict[str, None] = field(default_factory=dict)
+    vouched_segments: dict[str, None] = field(default_factory=dict)
--- a/beryllug/core/placement/poison_requests.py
+++ b/beryllug/core/placement/poison_requests.py
@@ -25,6 +25,7 @@
     crash_checks,
     loss_attribution,
     poison_data,
+    segment_losses,
     suspect_keys,
 )
 
@@ -39,6 +40,8 @@
 AttributedLoss = poison_data.AttributedLoss
 answered = answered_keys.answered
 pop_vouched = answered_keys.pop_vouched
+pop_vouched_segments = answered_keys.pop_vouched_segments
+merge_answered = answered_keys.merge_answered
 
 
 def run_ended(state: Crashers, loss: Loss, run: EndedRun) -> None:
@@ -66,7 +69,7 @@
 
 def record_server_lost(
     state: Crashers, instance: str, now: float
-) -> list[AttributedLoss]:
+) -> poison_data.Attribution:
     """Record that a server is gone; returns the attributed losses."""
     _set_lost(state, instance, now)
     at_server = state.ended.pop(instance, {})
@@ -75,11 +78,32 @@
         for fingerprint, run in at_server.items()
         if now - run.at <= DETECTED_WITHIN_S
     }
-    found = loss_attribution.attribute(state, instance, recent)
+    attributed = loss_attribution.attribute(state, instance, recent)
+    found = attributed.found
     notes = [loss_attribution.note_of(state, loss, now) for loss in found]
     suspects.merge(state.table, notes, now)
     state.untold.update(dict.fromkeys(loss.fingerprint for loss in found))
-    return found
+    if attributed.segments.keys:
+        _record_segments(state, attributed.segments, now)
+    return attributed
+
+
+def merge_segments(
+    state: Crashers, lost: segment_losses.LostServer, now: float
+) -> None:
+    """Merge what a peer knows of a server that was lost under segments."""
+    _set_lost(state, lost.instance, lost.at)
+    segment_losses.expire(state.table.segment_losses, now)
+    answered_keys.merge_segments(state, lost)
+
+
+def unanswered(
+    state: Crashers, keys: suspect_keys.Keys, now: float
+) -> suspect_keys.Keys:
+    """Return the keys that were not answered a short time ago."""
+    return tuple(
+        key for key in keys if not answered_keys.is_answered(state, key, now)
+    )
 
 
 def merge(
@@ -138,11 +162,15 @@
     own = keys[0]
     counted = tuple(
         key
-        for key in keys
-        if (lost_count(state, key) or runs_once and key == own)
-        and not answered_keys.is_answered(state, key, now)
+        for key in unanswered(state, keys, now)
+        if lost_count(state, key) or runs_once and key == own
+    )
+    added = crash_checks.begin(
+        state.table,
+        suspect_keys.most_lost(state.table, counted, suspect_keys.MAX_TRIED),
+        check,
+        now,
     )
-    added = crash_checks.begin(state.table, counted, check, now)
     state.untold.update(dict.fromkeys(added))
     return added
 
@@ -176,7 +204,11 @@
 ) -> suspect_keys.Keys:
     """Return the keys that the trial of a request tries."""
     keys = (request.fingerprint, *request.segments)
-    return suspect_keys.suspected(state.table, keys, now)
+    return suspect_keys.most_lost(
+        state.table,
+        suspect_keys.suspected(state.table, keys, now),
+        suspect_keys.MAX_TRIED,
+    )
 
 
 def lost_count(state: Crashers, fingerprint: str) -> int:
@@ -198,6 +230,19 @@
     return changed
 
 
+def _record_segments(
+    state: Crashers, lost: segment_losses.LostServer, now: float
+) -> None:
+    table = state.table
+    segment_losses.expire(table.segment_losses, now)
+    worst = suspect_keys.most_lost(
+        table, lost.keys, segment_losses.MAX_OF_SERVER
+    )
+    recorded = lost._replace(keys=worst)
+    segment_losses.record(table.segment_losses, recorded)
+    state.untold_lost.append(recorded)
+
+
 def _set_lost(state: Crashers, instance: str, at: float) -> None:
     """Record when a server was lost: the latest time that is known."""
     latest = max(state.lost.pop(instance, NEVER), at)
--- a/beryllug/core/placement/poison_requests_test.py
+++ b/beryllug/core/placement/poison_requests_test.py
@@ -185,7 +185,7 @@
         note = suspects_data.SuspectNote(GOOD, (loss,))
         poison_requests.merge(self.state, (note,), 0.1)
         self.assertTrue(poison_requests.is_lost(self.state, 'i-1', 0.1))
-        found = poison_requests.record_server_lost(self.state, 'i-1', 0.1)
+        found = poison_requests.record_server_lost(self.state, 'i-1', 0.1).found
         self.assertEqual([each.fingerprint for each in found], [BAD])
 
     def test_alive_again(self) -> None:
--- a/beryllug/core/placement/suspect_keys.py
+++ b/beryllug/core/placement/suspect_keys.py
@@ -17,11 +17,14 @@
 from collections.abc import Iterable
 
 from beryllug.core import suspects, suspects_data
-from beryllug.core.placement import crash_checks
+from beryllug.core.placement import crash_checks, segment_losses
 
 # Longest segment id, in characters, that is its key as it is: notes are small.
 MAX_PLAIN_ID = 18
 DIGEST_BYTES = 8
+# Keys that one trial tries, or one check of a server counts for; those under
+# which most servers were lost are chosen.
+MAX_TRIED = 64
 # Keys in one accused set; those under which most servers were lost are kept.
 MAX_TOGETHER = 4
 # Seconds for which an accused set of segments is refused. All that share them
@@ -36,7 +39,14 @@
 
 def segment_keys(segments: Iterable[str]) -> Keys:
     """Return the keys of prompt segments, in their order."""
-    return tuple(dict.fromkeys(map(_segment_key, segments)))
+    return tuple(
+        dict.fromkeys(
+            f'{SEGMENT}{_shortened(segment)}'
+            if len(segment) > MAX_PLAIN_ID
+            else f'{SEGMENT}{segment}'
+            for segment in segments
+        )
+    )
 
 
 def suspected(table: suspects_data.Table, keys: Keys, now: float) -> Keys:
@@ -92,13 +102,20 @@
     keys = (request.fingerprint, *request.segments)
     if refused_s(table, keys, now):
         return suspects_data.Verdict.REFUSE
-    tried = suspected(table, keys, now)
-    if not tried:
+    suspect = suspected(table, keys, now)
+    if not suspect:
         return suspects_data.Verdict.RUN
-    running = [suspects.open_trial(table.notes[key], now) for key in tried]
-    if any(each and each.trial_id != request.trial_id for each in running):
+    tried = most_lost(table, suspect, MAX_TRIED)
+    running = {
+        key: suspects.open_trial(table.notes[key], now)
+        for key in suspect
+        if key in table.notes
+    }
+    if any(
+        each and each.trial_id != request.trial_id for each in running.values()
+    ):
         return suspects_data.Verdict.WAIT
-    if all(running):
+    if all(running.get(key) for key in tried):
         return suspects_data.Verdict.TRY
     if request.server_id in suspects.trial_servers(table, now):
         return suspects_data.Verdict.WAIT
@@ -108,20 +125,30 @@
 
 def accused(table: suspects_data.Table, tried: Keys) -> Keys:
     """Return the keys that a lost trial accuses, out of those it tried."""
+    return most_lost(table, tried, MAX_TOGETHER)
+
+
+def most_lost(table: suspects_data.Table, keys: Keys, most: int) -> Keys:
+    """Return the keys under which most servers were lost."""
+    if len(keys) <= most:
+        return keys
     by_count = sorted(
-        tried, key=lambda key: lost_count(table, key), reverse=True
+        keys, key=lambda key: lost_count(table, key), reverse=True
     )
-    return tuple(by_count[:MAX_TOGETHER])
+    return tuple(by_count[:most])
 
 
 def lost_count(table: suspects_data.Table, key: str) -> int:
     """Return how many servers were lost under a key since it was cleared."""
     note = table.notes.get(key)
+    ordinary = table.segment_losses.get(key, ())
     if note is None:
-        return 0
+        return len(ordinary)
     losses = [loss for loss in note.losses if not loss.cleared]
     known = max((loss.lost_servers for loss in losses), default=0)
-    return max(len({loss.server_id for loss in losses}), known)
+    lost = {loss.server_id for loss in losses}
+    lost.update(loss.server_id for loss in ordinary)
+    return max(len(lost), known)
 
 
 def next_count(table: suspects_data.Table, tried: Keys, instance: str) -> int:
@@ -154,29 +181,28 @@
     return key.startswith(SEGMENT)
 
 
-def _segment_key(segment: str) -> str:
-    plain = segment
-    if len(segment) > MAX_PLAIN_ID:
-        digest = hashlib.blake2b(segment.encode(), digest_size=DIGEST_BYTES)
-        plain = digest.hexdigest()
-    return f'{SEGMENT}{plain}'
+def _shortened(segment: str) -> str:
+    digest = hashlib.blake2b(segment.encode(), digest_size=DIGEST_BYTES)
+    return digest.hexdigest()
 
 
 def _is_lost(table: suspects_data.Table, key: str, instance: str) -> bool:
     note = table.notes.get(key)
     losses = note.losses if note else ()
+    ordinary = table.segment_losses.get(key, ())
     return any(
         loss.server_id == instance and not loss.cleared for loss in losses
-    )
+    ) or any(loss.server_id == instance for loss in ordinary)
 
 
 def _is_suspect(table: suspects_data.Table, key: str, now: float) -> bool:
     note = table.notes.get(key)
+    ordinary = segment_losses.instances(table.segment_losses, key, now)
     if note is None:
-        return False
+        return len(ordinary) >= table.suspect_after
     if any(loss.together for loss in suspects.lost_trials(note, now)):
         return True
-    lost = suspects.lost_servers(note, now)
+    lost = suspects.lost_servers(note, now) | ordinary
     if lost or not is_segment(key):
         lost |= crash_checks.servers(note, now)
     return len(lost) >= table.suspect_after
@@ -211,6 +237,6 @@
     until = now + min(request.longest_s, suspects.MAX_TRIAL_S)
     trial = suspects_data.Trial(request.trial_id, request.server_id, until)
     for key in tried:
-        note = table.notes[key]
+        note = table.notes.get(key, suspects_data.SuspectNote(key))
         trials = (*note.trials, trial)[-suspects.MAX_TRIALS :]
         table.notes[key] = note._replace(trials=trials)
--- a/beryllug/core/placement/suspect_keys_test.py
+++ b/beryllug/core/placement/suspect_keys_test.py
@@ -3,7 +3,11 @@
 import unittest
 
 from beryllug.core import suspects_data
-from beryllug.core.placement import poison_requests, suspect_keys
+from beryllug.core.placement import (
+    poison_requests,
+    segment_losses,
+    suspect_keys,
+)
 
 BAD, COMMON, RARE = suspect_keys.segment_keys(('bad0', 'a1', 'd2'))
 LONG_S = 20.0
@@ -11,6 +15,14 @@
 Verdict = suspects_data.Verdict
 
 
+def _long(turn: int, place: int | None) -> Keys:
+    """Return the keys of a conversation, the bad one at a place if any."""
+    keys = [f's/{turn}x{number}' for number in range(1700)]
+    if place is not None:
+        keys[place] = BAD
+    return tuple(keys)
+
+
 class SuspectKeysTest(unittest.TestCase):
     """Requests that are never alike; `self.number` numbers them."""
 
@@ -169,10 +181,67 @@
         note = self.state.table.notes[segments[0]]
         self.assertEqual(
             {len(loss.together) for loss in note.losses},
-            {0, suspect_keys.MAX_TOGETHER},
+            {suspect_keys.MAX_TOGETHER},
         )
         self.assertGreater(self.refused_s(segments, 3), 0)
 
+    def test_long_prompts(self) -> None:
+        """A segment anywhere in a long prompt is not found."""
+        for place in (0, 64, 850, 1699):
+            with self.subTest(place):
+                self.setUp()
+                verdicts = [
+                    self.crash(_long(turn, place), turn)
+                    for turn in (0, 0, 0, 1)
+                ]
+                self.assertEqual(
+                    verdicts,
+                    [Verdict.RUN, Verdict.RUN, Verdict.TRY, Verdict.TRY],
+                )
+                self.assertEqual(self.begin(_long(2, place), 2), Verdict.REFUSE)
+                self.assertEqual(self.begin(_long(2, None), 2), Verdict.RUN)
+                self.assertLessEqual(
+                    len(self.state.untold), 2 * suspect_keys.MAX_TRIED
+                )
+
+    def test_told_segments(self) -> None:
+        """What two processes lost under a segment does not add up."""
+        others = [poison_requests.Crashers() for _ in range(2)]
+        for number, other in enumerate(others):
+            loss = poison_requests.Loss(f'request-{number}', f'i-{number}')
+            run = poison_requests.EndedRun(1, '', (COMMON, BAD))
+            poison_requests.run_ended(other, loss, run)
+            poison_requests.record_server_lost(other, loss.instance, 1)
+            for lost in other.untold_lost:
+                poison_requests.merge_segments(self.state, lost, 1)
+        self.assertEqual(self.begin((BAD,), 2), Verdict.TRY)
+        poison_requests.merge_answered(self.state, (COMMON,), 0)
+        self.assertEqual(self.begin((COMMON,), 2), Verdict.RUN)
+
+    def test_vouched_segments(self) -> None:
+        """A segment is tried everywhere that one process answers."""
+        self.answer((COMMON,), 5)
+        lost = segment_losses.LostServer('i-1', 6, (COMMON, BAD))
+        poison_requests.merge_segments(self.state, lost, 6)
+        self.assertEqual(
+            poison_requests.pop_vouched_segments(self.state, 6.5), {2: [COMMON]}
+        )
+        poison_requests.merge_segments(self.state, lost, 6)
+        poison_requests.merge_answered(self.state, (COMMON,), 5)
+        self.assertEqual(
+            poison_requests.pop_vouched_segments(self.state, 6.5), {}
+        )
+
+    def test_cleared_segments(self) -> None:
+        """A segment is tried on after its trial was answered."""
+        for now in range(2):
+            self.crash((BAD, COMMON), now)
+        self.state.untold_lost.clear()
+        self.answer((COMMON,), 2)
+        self.assertEqual(list(self.state.untold_answered), [COMMON])
+        self.assertEqual(self.begin((COMMON,), 2), Verdict.RUN)
+        self.assertEqual(self.begin((BAD,), 2), Verdict.TRY)
+
     def test_long_ids(self) -> None:
         """A long id makes a note too large to be told."""
         key, other = suspect_keys.segment_keys(('a' * 500, 'a' * 501))
--- a/beryllug/core/suspects_data.py
+++ b/beryllug/core/suspects_data.py
@@ -70,6 +70,22 @@
     wants: bool = False
 
 
+class SegmentLoss(NamedTuple):
+    """A backend server that was lost while a prompt segment ran on it.
+
+    Attributes:
+        server_id: The server.
+        at: Second at which the run ended.
+    """
+
+    server_id: str
+    at: float
+
+
+SegmentLossTuple = tuple[SegmentLoss, ...]
+SegmentLosses = dict[str, SegmentLossTuple]
+
+
 @dataclass(slots=True)
 class Table:
     """The notes of one process, by fingerprint.
@@ -80,10 +96,13 @@
             one, a request costs the fewest servers. With more, the others that
             ran on a lost server are sent on at once; where all that decide are
             peers, each trial of theirs is told to all.
+        segment_losses: Servers lost under the keys of prompt segments, the
+            oldest first; losses under trials are in their notes.
     """
 
     notes: dict[str, SuspectNote] = field(default_factory=dict)
     suspect_after: int = 1
+    segment_losses: SegmentLosses = field(default_factory=dict)
 
 
 class Verdict(StrEnum):
--- a/beryllug/proofs/platform/poison_segment_test.py
+++ b/beryllug/proofs/platform/poison_segment_test.py
@@ -42,6 +42,7 @@
     path: str = site_test.DRAFT
     service: str = platform_site.POOL
     entry_s: float | None = 3.6
+    turns: int = 5
 
 
 # Other segments that only the bad requests have cost further servers.
@@ -57,6 +58,36 @@
     ),
 )
 
+# Segments of a long conversation, and as many as a header can hold; ids of
+# several conversations differ.
+LONG = tuple(f'a{number:02x}:20' for number in range(70))
+MOST = tuple(f'a{{turn:x}}{number:03x}:2' for number in range(1700))
+# Those of conversations that only bad requests belong to.
+OTHERS = tuple(f'c{{turn:x}}{number:03x}:2' for number in range(1700))
+BAD = ('bad0:2',)
+
+
+def _long_row(
+    segments: tuple[str, ...], at: int, stage: Stage = Stage.NO_HEAD
+) -> Row:
+    """Return a row of long prompts, the bad segment in place of another."""
+    bad = segments[:at] + BAD + segments[at + 1 :]
+    return Row(stage, bad=','.join(bad), sound=','.join(segments), turns=4)
+
+
+LONG_ROWS = (
+    _long_row(LONG, len(LONG) - 1),
+    _long_row(MOST, len(MOST) - 1),
+    _long_row(MOST, len(MOST) // 2, Stage.EVENT),
+    _long_row(MOST, 0),
+    Row(
+        Stage.NO_HEAD,
+        bad=','.join((*OTHERS, *BAD)),
+        sound=','.join(LONG),
+        turns=16,
+    ),
+)
+
 OTHER_ROUTES = (
     Row(Stage.NO_HEAD, path=site_test.LOOKUP, service=platform_site.DESK),
     Row(Stage.EVENT, path=site_test.REPORT),
@@ -118,7 +149,9 @@
         """Send a request as a caller does that tries twice."""
         sent_at = time.monotonic()
         number = next(self._turns)
-        prompt = f'{shared},f{number:06x}:60'.format(turn=number % 5)
+        prompt = f'{shared},f{number:06x}:60'.format(
+            turn=number % self._row.turns
+        )
         for attempt in range(2):
             router = self.site.routers[number % len(self.site.routers)]
             status = await self._ask(router, b'body %d' % number, prompt)
@@ -200,6 +233,11 @@
         """Each new request with the segment is sent on as if unknown."""
         await self._play_all(ROWS)
 
+    async def test_long_prompts(self) -> None:
+        """A segment late in a long prompt is sent on as if unknown."""
+        for row in LONG_ROWS:
+            await self._play_all((row,))
+
     async def test_other_routes(self) -> None:
         """Lookups, or streams that run once, are sent on with the segment."""
         await self._play_all(OTHER_ROUTES)
--- a/beryllug/router/call.py
+++ b/beryllug/router/call.py
@@ -1,5 +1,6 @@
 """A caller's request as the flows of the router handle it."""
 
+import functools
 import hashlib
 from typing import NamedTuple
 
@@ -16,9 +17,8 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 DIGEST_BYTES = 8
-# Prompt segments by which requests are compared; the header of a caller is
-# bounded by bytes only.
-MAX_SEGMENTS = 64
+# Lists of segments whose keys are kept. Requests of a conversation share them.
+MAX_KEPT_LISTS = 16
 
 
 class Call(NamedTuple):
@@ -53,12 +53,13 @@
         shared = self.asked.shared
         if not shared:
             return ()
-        return tuple(dict.fromkeys(shared.split(',')))[:MAX_SEGMENTS]
+        return tuple(dict.fromkeys(shared.split(',')))
 
     @property
     def segment_keys(self) -> suspect_keys.Keys:
         """Return the keys of these segments."""
-        return suspect_keys.segment_keys(self.segments)
+        shared = self.asked.shared
+        return _segment_keys(shared) if shared else ()
 
     @property
     def keys(self) -> suspect_keys.Keys:
@@ -76,6 +77,11 @@
         return digest.hexdigest()
 
 
+@functools.lru_cache(MAX_KEPT_LISTS)
+def _segment_keys(shared: str) -> suspect_keys.Keys:
+    return suspect_keys.segment_keys(shared.split(','))
+
+
 class RefusedError(Exception):
     """The router itself answers a request with an error.
 
--- a/beryllug/router/crash_watch.py
+++ b/beryllug/router/crash_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from beryllug.core import suspects_data
@@ -10,7 +10,9 @@
     accusations,
     poison_data,
     poison_requests,
+    segment_losses,
     servers_data,
+    suspect_keys,
 )
 from beryllug.kernel import log_lines, metrics_data
 from beryllug.router import (
@@ -26,6 +28,9 @@
 # Seconds after which the server of a trial that ended without an answer is
 # checked again. In traces of busy hosts it crashed 0.1 to 0.24 s after the end.
 LATE_CRASH_S = 0.5
+# Segments that one log line names.
+MAX_LOGGED_SEGMENTS = 32
+MAX_WORST_SEGMENTS = 4
 
 
 class CrashWatch:
@@ -103,7 +108,8 @@
             id=call.asked.attempt_id,
             instance=server.instance,
             fingerprint=call.fingerprint,
-            segments=call.segments,
+            segments=_unanswered(self._state, call)[:MAX_LOGGED_SEGMENTS],
+            segment_count=len(call.segment_keys),
         )
         self._record_run(call, server, progress)
         self._begin_check(call, server)
@@ -130,7 +136,7 @@
         """
         self._record_run(call, server, progress)
         if progress.trial_id:
-            checking = asyncio.create_task(self._check_twice(server))
+            checking = asyncio.create_task(_check_twice(self._is_gone, server))
             self._tasks.add(checking)
             checking.add_done_callback(self._tasks.discard)
             self._begin_check(call, server, checking)
@@ -144,8 +150,11 @@
 
     def record_lost_server(self, instance: str, now: float) -> None:
         """Record that a server is gone without having announced it."""
-        found = poison_requests.record_server_lost(self._state, instance, now)
-        for loss in found:
+        attributed = poison_requests.record_server_lost(
+            self._state, instance, now
+        )
+        _log_segments(self._lines, self._state, attributed.segments)
+        for loss in attributed.found:
             self.suspects.counts['lost'] += 1
             self._lines.write(
                 'server_lost_under',
@@ -157,7 +166,9 @@
                 is_trial=bool(loss.run.trial_id),
                 ended_ago_s=round(now - loss.run.at, SECONDS_PLACES),
             )
-        for accusation in accusations.accusations(self._state, found, now):
+        for accusation in accusations.accusations(
+            self._state, attributed.found, now
+        ):
             self.on_accused(accusation)
         self.suspects.report_changes()
 
@@ -172,7 +183,19 @@
         received = tuple(notes)
         poison_requests.merge(self._state, received, now)
         self.suspects.withdraw_waiting([each.fingerprint for each in received])
-        lost = {loss.server_id for note in received for loss in note.losses}
+        self._record_told(
+            {loss.server_id for note in received for loss in note.losses}, now
+        )
+
+    def merge_segments(
+        self, lost: segment_losses.LostServer, now: float
+    ) -> None:
+        """Merge under which prompt segments a peer has lost a server."""
+        poison_requests.merge_segments(self._state, lost, now)
+        self._record_told({lost.instance}, now)
+
+    def _record_told(self, lost: set[str], now: float) -> None:
+        """Record the runs of this process on servers that peers have lost."""
         for instance in lost.intersection(self._state.ended):
             if poison_requests.is_lost(self._state, instance, now):
                 self.record_lost_server(instance, now)
@@ -196,11 +219,6 @@
         if poison_requests.is_lost(self._state, instance, now):
             self.record_lost_server(instance, now)
 
-    async def _check_twice(self, server: servers_data.Server) -> None:
-        if not await self._is_gone(server):
-            await asyncio.sleep(LATE_CRASH_S)
-            await self._is_gone(server)
-
     def _begin_check(
         self,
         call: call_data.Call,
@@ -234,5 +252,41 @@
             self.record_lost_server(server.instance, time.monotonic())
 
 
+async def _check_twice(
+    is_gone: Callable[[servers_data.Server], Awaitable[bool]],
+    server: servers_data.Server,
+) -> None:
+    if not await is_gone(server):
+        await asyncio.sleep(LATE_CRASH_S)
+        await is_gone(server)
+
+
+def _unanswered(
+    state: poison_data.Crashers, call: call_data.Call
+) -> tuple[str, ...]:
+    """Return the segments of a request that were not answered lately."""
+    keys = poison_requests.unanswered(
+        state, call.segment_keys, time.monotonic()
+    )
+    return tuple(key.removeprefix(suspect_keys.SEGMENT) for key in keys)
+
+
+def _log_segments(
+    lines: log_lines.LineWriter,
+    state: poison_data.Crashers,
+    lost: segment_losses.LostServer,
+) -> None:
+    """Log under how many segments a server was lost, and the worst of them."""
+    if not lost.keys:
+        return
+    worst = suspect_keys.most_lost(state.table, lost.keys, MAX_WORST_SEGMENTS)
+    lines.write(
+        'server_lost_under_segments',
+        instance=lost.instance,
+        count=len(lost.keys),
+        worst={key: suspect_keys.lost_count(state.table, key) for key in worst},
+    )
+
+
 def _ignore(accusation: poison_data.Accusation) -> None:
     """Default of `on_accused`."""
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -70,6 +70,9 @@
             lambda reports: self._broadcast(
                 _with_suspects(self._new_note(), reports)
             ),
+            lambda report: self._broadcast(
+                self._new_note()._replace(segments=(report,))
+            ),
             lambda: len(peers.members.known),
         )
         peers.on_suspects = self._suspects.handle_reports
--- a/beryllug/router/suspect_notes.py
+++ b/beryllug/router/suspect_notes.py
@@ -12,7 +12,11 @@
 from collections.abc import Callable, Iterable
 
 from beryllug.core import suspects
-from beryllug.core.peering import peering_data, suspect_reports
+from beryllug.core.peering import (
+    peering_data,
+    segment_reports,
+    suspect_reports,
+)
 from beryllug.core.placement import poison_requests
 from beryllug.router import crash_watch
 
@@ -24,6 +28,7 @@
 # their delay: the first one tells all, the others then need not.
 VOUCH_SPREAD_S = 0.003
 Reports = tuple[peering_data.SuspectReport, ...]
+SegmentsReports = Iterable[peering_data.SegmentsReport]
 
 
 class SuspectNotes:
@@ -33,6 +38,7 @@
         self,
         crashes: crash_watch.CrashWatch,
         broadcast: Callable[[Reports], None],
+        broadcast_segments: Callable[[peering_data.SegmentsReport], None],
         count_others: Callable[[], int],
     ) -> None:
         """Bind to what is told.
@@ -40,11 +46,13 @@
         Args:
             crashes: Knows the requests.
             broadcast: Sends reports to all processes, in one datagram.
+            broadcast_segments: The same for a report on prompt segments.
             count_others: Returns the number of other processes.
         """
         self._crashes = crashes
         self._state = crashes.suspects.state
         self._broadcast = broadcast
+        self._broadcast_segments = broadcast_segments
         self._count_others = count_others
         self._rng = random.Random()
         self._is_due = False
@@ -57,18 +65,15 @@
             self.handle_reports(note.suspects, now)
         elif note.losses:
             poison_requests.take(self._state, note.losses, now)
+        for report in note.segments:
+            self._handle_segments(report, now)
 
     def handle_reports(self, reports: Reports, now: float) -> None:
         """Handle what another process knows."""
         self._crashes.merge(
             (suspect_reports.note_of(report, now) for report in reports), now
         )
-        if self._state.vouched and not self._is_vouching:
-            self._is_vouching = True
-            spread_s = self._count_others() * VOUCH_SPREAD_S
-            asyncio.get_running_loop().call_later(
-                self._rng.uniform(0, spread_s), self._vouch
-            )
+        self._vouch_soon()
 
     def sample(self, now: float) -> Reports:
         """Return some reports for a probe, one that concerns many if any."""
@@ -102,9 +107,37 @@
             self._is_due = True
             asyncio.get_running_loop().call_soon(self._send)
 
+    def _handle_segments(
+        self, report: peering_data.SegmentsReport, now: float
+    ) -> None:
+        if report.instance:
+            self._crashes.merge_segments(
+                segment_reports.lost_of(report, now), now
+            )
+            self._vouch_soon()
+        else:
+            keys = segment_reports.keys_of(report)
+            poison_requests.merge_answered(
+                self._state, keys, now - report.ago_s
+            )
+
+    def _vouch_soon(self) -> None:
+        is_due = self._state.vouched or self._state.vouched_segments
+        if is_due and not self._is_vouching:
+            self._is_vouching = True
+            spread_s = self._count_others() * VOUCH_SPREAD_S
+            asyncio.get_running_loop().call_later(
+                self._rng.uniform(0, spread_s), self._vouch
+            )
+
     def _vouch(self) -> None:
         """Tell of the keys that were answered here, unless others have."""
         self._is_vouching = False
+        segments = poison_requests.pop_vouched_segments(
+            self._state, time.monotonic()
+        )
+        for ago_s, answered in segments.items():
+            self._send_segments(segment_reports.of_answered(answered, ago_s))
         keys = poison_requests.pop_vouched(self._state)
         self._state.untold.update(dict.fromkeys(keys))
         self._crashes.suspects.report_cleared(keys)
@@ -113,6 +146,13 @@
     def _send(self) -> None:
         self._is_due = False
         now = time.monotonic()
+        for lost in self._state.untold_lost:
+            self._send_segments(segment_reports.of_lost(lost, now))
+        self._state.untold_lost.clear()
+        self._send_segments(
+            segment_reports.of_answered(self._state.untold_answered, 0)
+        )
+        self._state.untold_answered.clear()
         changed: Iterable[peering_data.SuspectReport] = (
             suspect_reports.report_of(part, now)
             for note in poison_requests.pop_untold(self._state)
@@ -120,3 +160,7 @@
         )
         for reports in suspect_reports.split(changed):
             self._broadcast(reports)
+
+    def _send_segments(self, reports: SegmentsReports) -> None:
+        for report in reports:
+            self._broadcast_segments(report)
--- a/beryllug/router/suspect_notes_test.py
+++ b/beryllug/router/suspect_notes_test.py
@@ -204,7 +204,7 @@
         crashes = mock.Mock()
         crashes.suspects.state = self.state
         self.notes = suspect_notes.SuspectNotes(
-            crashes, mock.Mock(), mock.Mock()
+            crashes, mock.Mock(), mock.Mock(), mock.Mock()
         )
         requests = [_note(number) for number in range(100)]
         segment = _shared_note(KEYS[0])
--- a/beryllug/router/suspect_trials.py
+++ b/beryllug/router/suspect_trials.py
@@ -84,11 +84,11 @@
 
     def suspicion(self, call: call_data.Call) -> Suspicion:
         """Return whether, and on which servers, a request may run."""
-        if not self.state.table.notes:
+        table = self.state.table
+        if not (table.notes or table.segment_losses):
             return UNSUSPECTED
         now = time.monotonic()
         keys = call.keys
-        table = self.state.table
         refused_s = suspect_keys.refused_s(table, keys, now)
         if refused_s:
             return Suspicion(self._refuse(call, LOST, refused_s))
@@ -209,8 +209,10 @@
 
     def report_changes(self) -> None:
         """Have peers told of what has changed, if anything has."""
-        if self.state.untold:
-            self.withdraw_waiting(self.state.untold)
+        state = self.state
+        if state.untold:
+            self.withdraw_waiting(state.untold)
+        if state.untold or state.untold_lost or state.untold_answered:
             self.on_changed()
 
     def withdraw_waiting(self, changed: Collection[str]) -> None:
--- a/beryllug/soak/crash_request.py
+++ b/beryllug/soak/crash_request.py
@@ -12,7 +12,7 @@
 import time
 
 from beryllug.platform import requests
-from beryllug.soak import callers, components, site
+from beryllug.soak import callers, components, plan, site
 from beryllug.standins import faults, platform_runner, platform_site
 
 # Seconds from the begin of a run to the crash, and from the crash until the
@@ -21,7 +21,7 @@
 BACK_S = 3.0
 ENTRY_S = 3.6
 # Seconds for which the request is sent, and between two times.
-FOR_S = 8.0
+FOR_S = 12.0
 INTERVAL_S = 0.4
 # How it is told from others.
 NAME = 'bad'
@@ -50,6 +50,8 @@
             is_segment: Whether they share a segment only.
         """
         self._is_segment = is_segment
+        self._prompt = plan.draw_crash_prompt(seed, platform_runner.BAD_SEGMENT)
+        self._count = 0
         if is_segment:
             deployment.seen.known_after = SEGMENT_KNOWN_AFTER
         self._deployment = deployment
@@ -75,10 +77,11 @@
     async def _send(self) -> None:
         router = self._balancer.choose(self._rng)
         sent = self._caller.new_request(router, PATH, platform_runner.BAD)
+        self._count += 1
         if self._is_segment:
             sent = sent._replace(
                 body=sent.attempt_id.encode(),
-                prompt=f'a1:300,{platform_runner.BAD_SEGMENT}:60,b2:100',
+                prompt=self._prompt.format(own=f'{self._count:x}'),
             )
         # It is owed no answer, so its result is not kept.
         await self._caller.send(
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -17,6 +17,9 @@
 LAST_CRASH_START_S = 3.0
 # Fraction of these whose requests are never alike, but for a prompt segment.
 SEGMENT_FRACTION = 0.5
+# Segments before and after that one, up to what a header can hold.
+SEGMENTS_BEFORE = (1, 70, 600)
+SEGMENTS_AFTER = (1, 1, 600)
 # Fraction of the seeds in which all routers of a zone are cut off from all
 # servers, and fraction of the routers that are in another zone then.
 ZONE_CUT_FRACTION = 0.3
@@ -267,6 +270,18 @@
     return rng.random() < SEGMENT_FRACTION
 
 
+def draw_crash_prompt(seed: int, segment: str) -> str:
+    """Return the prompt of a crash segment, with places for an own id."""
+    rng = random.Random(f'{seed}/crash prompt')
+    before = rng.choice(SEGMENTS_BEFORE)
+    after = rng.choice(SEGMENTS_AFTER)
+    parts = ['a1:300']
+    parts += [f'a{{own}}{number:03x}:3' for number in range(1, before)]
+    parts.append(f'{segment}:60')
+    parts += [f'e{{own}}{number:03x}:3' for number in range(after)]
+    return f'{",".join(parts)},f{{own}}:100'
+
+
 def _draw_one(rng: random.Random, sizes: Sizes) -> Fault:
     kind = rng.choice(list(Kind))
     targets = sizes.servers
--- a/beryllug/soak/soak_test.py
+++ b/beryllug/soak/soak_test.py
@@ -11,6 +11,7 @@
 # Seeds that have failed, each with its cause.
 FAILED_SEEDS: tuple[tuple[int, str], ...] = (
     (1032, 'a bad version got the requests of old servers that had crashed'),
+    (21, 'a segment late in a long prompt crashed server after server'),
     (13, 'streams ended as complete when their relay was killed'),
 )
 MAX_CODE_FRACTION = 0.1
