stream_state: a digest names the shared part of a long prompt

Callers see nothing of it by itself; found by the search after "a segment late in a long prompt". Each process keeps the names of 4,000 prompts that servers have in their caches, and a name was the list of segments: with headers of 16 KiB 52 MiB (measured apart), of the 150 MB that a small host has.

Cause: a bound on a number of entries whose size the caller chooses.

Change: a list of more than 256 characters is named by its digest. Shorter ones, so all usual prompts, keep their name, by which processes of all releases prefer the same server. A long prompt may be read anew once while releases differ.

--- a/beryllug/router/stream_state.py
+++ b/beryllug/router/stream_state.py
@@ -1,5 +1,6 @@
 """The state of one stream to a caller, and decisions that depend on it."""
 
+import hashlib
 import itertools
 from dataclasses import dataclass, field
 
@@ -38,6 +39,9 @@
 # many as operators currently assign to routes and accounts.
 MAX_RANK = 9
 RANKS_PER_SIZE = 3
+# Longest list of segments that names a shared part of a prompt as it is.
+MAX_SHARED_NAME = 256
+SHARED_DIGEST_BYTES = 16
 MS = 1000
 
 
@@ -176,13 +180,24 @@
     asked = call.asked
     return backlog.Prompt(
         model_of(call, size) or asked.model,
-        asked.shared,
+        _short_name(asked.shared),
         asked.shared_tokens,
         asked.own_tokens,
         is_priority=size == 0,
     )
 
 
+def _short_name(shared: str) -> str:
+    """Return what names the shared part of a prompt, however long it is.
+
+    Thousands of them are kept.
+    """
+    if len(shared) <= MAX_SHARED_NAME:
+        return shared
+    digest = hashlib.blake2b(shared.encode(), digest_size=SHARED_DIGEST_BYTES)
+    return digest.hexdigest()
+
+
 def answer_timings(
     stream: Stream, choice: pool.Choice
 ) -> list[rollout_state.Timing]:
--- a/beryllug/router/stream_state_test.py
+++ b/beryllug/router/stream_state_test.py
@@ -1,10 +1,14 @@
 """Tests of the timings by which the version of a stream is judged."""
 
+import math
 import unittest
 from typing import NamedTuple
 
 from beryllug.core.canary import answer_times, canary_data
-from beryllug.core.placement import servers_data
+from beryllug.core.placement import backlog, servers_data
+from beryllug.core.routes import routes_data
+from beryllug.drivers import http_data
+from beryllug.platform import names, requests
 from beryllug.router import (
     attempts,
     pool,
@@ -12,6 +16,7 @@
     stream_state,
     trials,
 )
+from beryllug.router import call as call_data
 
 EVENTS = 5
 OLD = servers_data.Server(
@@ -21,6 +26,23 @@
 ORDER = canary_data.Order('pool', 'v2', 15, 1)
 
 
+ROUTE = routes_data.Route(
+    name='draft',
+    host='shop',
+    prefix='/draft/',
+    kind=routes_data.RequestKind.STREAMING,
+    timeout_s=20,
+    target_s=1,
+    gap_s=1,
+    priority=0,
+    models=(),
+    targets=(),
+    max_attempts=2,
+    is_anonymous=True,
+    is_resumable=False,
+)
+
+
 class Pace(NamedTuple):
     """How fast a server answers, in seconds."""
 
@@ -59,6 +81,37 @@
         self.assertEqual(_long_pauses(_compare(ORDINARY, doubled)), EVENTS)
 
 
+class PromptTest(unittest.TestCase):
+    """Prompts by which the caches of servers are told apart."""
+
+    def test_long(self) -> None:
+        """Thousands of kept prompts take as much memory as their headers."""
+        prompts = [_prompt(f'{number:x}', 1700) for number in range(3)]
+        self.assertEqual(len({prompt.key for prompt in prompts}), 3)
+        self.assertEqual(_prompt('0', 1700).key, prompts[0].key)
+        for prompt in prompts:
+            self.assertLess(len(prompt.key), 2 * stream_state.MAX_SHARED_NAME)
+
+    def test_short(self) -> None:
+        """A process of an older release prefers another server."""
+        self.assertEqual(_prompt('a', 3).shared, 'a000,a001,a002')
+
+
+def _prompt(conversation: str, segments: int) -> backlog.Prompt:
+    shared = [f'{conversation}{each:03x}:2' for each in range(segments)]
+    req = http_data.Request(
+        'POST',
+        '/draft/roster',
+        {names.MODEL: 'solo', names.PROMPT: ','.join((*shared, 'f0:60'))},
+        b'',
+        '10.0.0.1',
+    )
+    call = call_data.Call(
+        req, requests.read(req), ROUTE, None, 'pool', 0, math.inf
+    )
+    return stream_state.prompt(call, 0)
+
+
 def _compare(before: Pace, after: Pace) -> canary_data.Evidence:
     """Return what is seen of some answers of each version."""
     rollout = rollout_state.Rollout(ORDER, canary_data.Phase.TRIAL, 0, 0)
