http_server: kept connections had the size limits of the time they opened

Cause: a connection read all limits once. The reason that was given, a client may rely on the idle timeout of the time it connected, holds for that one.

Evidence: the same request on the same connection is refused after the limit is raised and let through after it is lowered (test_changed_limits); new connections behave. A table that is not applied would refuse both.

Change: the limits of a request are those in force as its first byte comes; where the limit of headers differs, another parser goes on with the received bytes. The idle timeout is the longer one of then and now.

Cost: a comparison a request, no parser unless the limit has changed.

--- a/beryllug/drivers/http_events_test.py
+++ b/beryllug/drivers/http_events_test.py
@@ -111,8 +111,7 @@
     async def test_request(self) -> None:
         """A caller whose body comes in chunks of a byte stops all others."""
         self.link.data_received(REQUEST + SMALL_CHUNK * CHUNKS + LAST_CHUNK)
-        parser = h11.Connection(h11.SERVER)
-        reader = http_reader.RequestReader(self.link, parser, LIMITS, '')
+        reader = http_reader.RequestReader(self.link, LIMITS, '')
         req = await reader.read()
         assert req is not None
         self.assertEqual(len(req.body), CHUNKS)
--- a/beryllug/drivers/http_reader.py
+++ b/beryllug/drivers/http_reader.py
@@ -32,21 +32,31 @@
 
 
 class RequestReader:
-    """Reads the requests of one connection in order."""
+    """Reads the requests of one connection in order.
+
+    Attributes:
+        parser: Its parser.
+    """
 
     def __init__(
-        self,
-        link: http_link.Link,
-        parser: h11.Connection,
-        limits: http_data.Limits,
-        peer: str,
+        self, link: http_link.Link, limits: http_data.Limits, peer: str
     ) -> None:
         """Bind the reader to its connection."""
         self._link = link
-        self._parser = parser
-        self._events = http_events.EventReader(link, parser)
         self._limits = limits
         self._peer = peer
+        self.parser = _new_parser(limits)
+        self._events = http_events.EventReader(link, self.parser)
+
+    def apply_limits(self, limits: http_data.Limits) -> None:
+        """Set the limits of the request whose first byte was received."""
+        if limits.header_bytes != self._limits.header_bytes:
+            # The limit of a parser can't be changed.
+            received, _ = self.parser.trailing_data
+            self.parser = _new_parser(limits)
+            self.parser.receive_data(received)
+            self._events = http_events.EventReader(self._link, self.parser)
+        self._limits = limits
 
     async def wait_first_byte(self) -> bool:
         """Wait for the first byte of a request; False at EOF.
@@ -54,13 +64,13 @@
         Raises:
             OSError: The connection broke or its idle timeout expired.
         """
-        if self._parser.trailing_data[0]:
+        if self.parser.trailing_data[0]:
             # Yield to the event loop: many small pipelined requests would
             # otherwise be served in a row while other connections wait.
             await asyncio.sleep(0)
             return True
         received = await self._link.read()
-        self._parser.receive_data(received)
+        self.parser.receive_data(received)
         return bool(received)
 
     async def read(self) -> http_data.Request | None:
@@ -81,7 +91,7 @@
 
     def can_respond(self) -> bool:
         """Return whether the parser's state allows sending a response."""
-        return self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+        return self.parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}
 
     async def discard(self, deadline: float) -> None:
         """Send EOF, then read and discard what the client still sends.
@@ -116,7 +126,7 @@
         )
 
     async def _read_body(self) -> bytes:
-        parser = self._parser
+        parser = self.parser
         if parser.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._link.write(parser.send(interim) or b'')
@@ -133,6 +143,12 @@
         return pieces[0] if len(pieces) == 1 else b''.join(pieces)
 
 
+def _new_parser(limits: http_data.Limits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.header_bytes
+    )
+
+
 def _check_framing(event: h11.Request, headers: http_data.Headers) -> None:
     """Reject a request with ambiguous framing, and any CONNECT.
 
--- a/beryllug/drivers/http_server.py
+++ b/beryllug/drivers/http_server.py
@@ -73,8 +73,9 @@
 
     Attributes:
         shared_state: The limits and whether the server drains. Changed limits
-            of requests and idle time apply to new connections only: a client
-            may rely on the idle timeout in force when it connected.
+            of requests apply from the next request of each connection on. A
+            shorter idle timeout applies to new connections only: a client may
+            rely on the one in force when it connected.
     """
 
     def __init__(
@@ -221,16 +222,18 @@
     async def _serve_requests(self, client: _Client) -> None:
         link = client.link
         limits = self.shared_state.limits
-        parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
-        reader = http_reader.RequestReader(link, parser, limits, client.peer)
+        least_idle_s = limits.idle_s
+        reader = http_reader.RequestReader(link, limits, client.peer)
         while True:
-            exchange = Exchange(parser, link, self.shared_state)
-            link.deadline = _now() + limits.idle_s
+            idle_s = max(least_idle_s, self.shared_state.limits.idle_s)
+            link.deadline = _now() + idle_s
             client.busy = await reader.wait_first_byte()
             if not client.busy:
                 return
+            limits = self.shared_state.limits
+            reader.apply_limits(limits)
+            parser = reader.parser
+            exchange = Exchange(parser, link, self.shared_state)
             link.deadline = _now() + limits.read_s
             req = await self._read(reader, exchange)
             if req is None:
--- a/beryllug/drivers/http_server_test.py
+++ b/beryllug/drivers/http_server_test.py
@@ -21,6 +21,24 @@
 HIDDEN = b'GET /hidden HTTP/1.1\r\nhost: x\r\n\r\n'
 POST = b'POST /a HTTP/1.1\r\nhost: x\r\n'
 
+# Requests that larger limits allow, limits that are too small for each, and how
+# these refuse it.
+LARGER = LIMITS._replace(header_bytes=8192, body_bytes=8192)
+LARGE: tuple[tuple[str, bytes, http_data.Limits, bytes], ...] = (
+    (
+        'body',
+        b'%bcontent-length: 4000\r\n\r\n%b' % (POST, b'y' * 4000),
+        LARGER._replace(body_bytes=1000),
+        b'413',
+    ),
+    (
+        'head',
+        b'%bx: %b\r\n\r\n' % (POST, b'y' * 4000),
+        LARGER._replace(header_bytes=2048),
+        b'431',
+    ),
+)
+
 # Requests that must be rejected, and the expected status.
 REFUSED: tuple[tuple[str, bytes, int], ...] = (
     ('noise', b'\x00\x01\x02\r\n\r\n', 400),
@@ -140,6 +158,37 @@
             while not holds():
                 await asyncio.sleep(0)
 
+    async def send_twice(
+        self, payload: bytes, first: http_data.Limits, then: http_data.Limits
+    ) -> list[bytes]:
+        """Send a small and a large request on a connection.
+
+        Returns:
+            Their statuses.
+        """
+        self.server.shared_state.limits = first
+        reader, writer = await self.connect()
+        statuses = [await self.round_trip(reader, writer, GOOD)]
+        self.server.shared_state.limits = then
+        # In two parts, so that the parser has an incomplete head.
+        writer.write(payload[:-1])
+        await asyncio.sleep(0)
+        statuses.append(await self.round_trip(reader, writer, payload[-1:]))
+        writer.close()
+        return statuses
+
+    async def round_trip(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        payload: bytes,
+    ) -> bytes:
+        """Return the status that a request gets."""
+        writer.write(payload)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            head = await reader.readuntil(b'\r\n\r\n')
+        return head.split(b' ')[1]
+
     async def _handle(
         self, req: http_data.Request, exchange: http_server.Exchange
     ) -> None:
@@ -393,6 +442,25 @@
             await self.connect()
         writer.close()
 
+    async def test_changed_limits(self) -> None:
+        """A kept connection has the size limits of the time it opened."""
+        for title, payload, small, refusal in LARGE:
+            with self.subTest(title):
+                raised = await self.send_twice(payload, small, LARGER)
+                self.assertEqual(raised, [b'200', b'200'])
+                lowered = await self.send_twice(payload, LARGER, small)
+                self.assertEqual(lowered, [b'200', refusal])
+
+    async def test_shorter_idle(self) -> None:
+        """A kept connection ends sooner than its client relies on."""
+        reader, writer = await self.connect()
+        await self.round_trip(reader, writer, GOOD)
+        state = self.server.shared_state
+        state.limits = LIMITS._replace(idle_s=LIMITS.idle_s / 10)
+        await asyncio.sleep(LIMITS.idle_s / 2)
+        self.assertEqual(await self.round_trip(reader, writer, GOOD), b'200')
+        writer.close()
+
     async def test_accepted_in_stop(self) -> None:
         """A client connects at the moment at which the server stops.
 
--- a/beryllug/soak/callers.py
+++ b/beryllug/soak/callers.py
@@ -6,7 +6,7 @@
 
 from beryllug.drivers import http_client, http_data
 from beryllug.platform import names
-from beryllug.soak import observations, site
+from beryllug.soak import components, observations, site
 from beryllug.standins import platform_site
 
 DEADLINE_S = 3.0
@@ -17,9 +17,13 @@
 CHECK_INTERVAL_S = 0.3
 MAX_MISSES = 2
 DISCONNECT_FRACTION = 0.06
+# Seconds within which a raised limit applies.
+RAISED_S = 3.0
 MAX_DISCONNECT_S = 0.4
 REVOKED_KEY_FRACTION = 0.2
 POST_BODY = b'{"slot":7}'
+# A body that a raised limit allows.
+LARGE_BODY = POST_BODY.ljust(2 * site.SMALL_BODY_BYTES)
 # Path, method and body of each kind of request.
 KINDS = (
     ('/lookup/slot', 'GET', b''),
@@ -146,10 +150,24 @@
             answer=answer,
         )
 
+    def _may_send_large(self, router: platform_site.Router) -> bool:
+        """Return whether a router must know that the limit is raised."""
+        seen = self._deployment.seen
+        if seen.raised_at is None:
+            return False
+        now = time.monotonic()
+        affected = frozenset((router.name, components.STORE))
+        return now > seen.raised_at + RAISED_S and not (
+            self._deployment.is_in_fault(affected)
+            or seen.had_fault(affected, seen.raised_at - RAISED_S, now)
+        )
+
     async def _send_next(self) -> None:
         if self._router is None:
             self._router = self._balancer.choose(self._rng)
         path, method, body = self._rng.choice(KINDS)
+        if body and self._may_send_large(self._router):
+            body = LARGE_BODY
         sent = self.new_request(self._router, path, body)
         disconnect_after_s = None
         if self._rng.random() < DISCONNECT_FRACTION:
--- a/beryllug/soak/observations.py
+++ b/beryllug/soak/observations.py
@@ -107,6 +107,7 @@
         sent: Requests of callers.
         fault_periods: Periods of faults.
         revoked_at: When the second key was revoked, or None.
+        raised_at: When the limit of bodies was raised, or None.
         draining_since: When servers were listed as draining, by instance.
         runs: Runs at the servers, by attempt id.
         rollout_result: The roll-out, if there was one.
@@ -126,6 +127,7 @@
     sent: list[Sent] = field(default_factory=list)
     fault_periods: list[FaultPeriod] = field(default_factory=list)
     revoked_at: float | None = None
+    raised_at: float | None = None
     draining_since: dict[str, float] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(default_factory=dict)
     rollout_result: RolloutResult | None = None
--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -44,6 +44,8 @@
 RELAY_KILLS = (1, 2, 3)
 # Fraction of the seeds in which an account sends ten times its usual load.
 FLOOD_FRACTION = 0.4
+# Fraction of the seeds in which the limit of bodies is raised.
+RAISED_LIMIT_FRACTION = 0.4
 
 
 class Kind(StrEnum):
@@ -250,6 +252,17 @@
     )
 
 
+def draw_raised_limit(seed: int) -> float | None:
+    """Return when the limit of bodies is raised; None if it is not.
+
+    It is drawn apart, so that a seed keeps its faults.
+    """
+    rng = random.Random(f'{seed}/raised limit')
+    if rng.random() >= RAISED_LIMIT_FRACTION:
+        return None
+    return round(rng.uniform(0, LAST_START_S), 2)
+
+
 def draw_flood(seed: int) -> Span | None:
     """Return when an account sends ten times its usual load; None if never.
 
--- a/beryllug/soak/run.py
+++ b/beryllug/soak/run.py
@@ -164,6 +164,9 @@
     zone_cut = plan.draw_zone_cut(seed)
     if zone_cut is not None:
         injected.append(_inject_at(injector.links.cut_zone, zone_cut, began))
+    raised_limit_s = plan.draw_raised_limit(seed)
+    if raised_limit_s is not None:
+        injected.append(_raise_limit(deployment, raised_limit_s))
     loss = plan.draw_relay_loss(seed, deployment.sizes)
     if loss is not None:
         losing = functools.partial(_lose_relay, deployment, injector, loss)
@@ -175,6 +178,12 @@
     await asyncio.gather(*injected)
 
 
+async def _raise_limit(deployment: site.SoakSite, at_s: float) -> None:
+    await asyncio.sleep(at_s)
+    deployment.seen.raised_at = time.monotonic()
+    deployment.put_table()
+
+
 async def _lose_relay(
     deployment: site.SoakSite,
     injector: inject.Injector,
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -1,5 +1,6 @@
 """The deployment of a soak: router processes behind proxies."""
 
+import collections
 import contextlib
 import functools
 import time
@@ -35,6 +36,9 @@
 COLD_PER_S = 4
 # Requests per second that a server accepts while it states a limit.
 LIMIT_PER_S = 2.0
+# Limits of bodies before and after it is raised.
+SMALL_BODY_BYTES = 4096
+LARGE_BODY_BYTES = 65536
 RunBad = Callable[
     [
         platform_runner.PlatformRunner,
@@ -81,6 +85,7 @@
         self.version = 1
         self._count = 0
         self._run_bad: RunBad | None = None
+        self._in_fault: collections.Counter[str] = collections.Counter()
 
     async def open(self) -> None:
         """Start everything, and wait until the routers are ready."""
@@ -116,13 +121,16 @@
             {'name': platform_site.ACCOUNT, 'api_keys': keys},
             {'name': FLOOD_ACCOUNT, 'api_keys': [FLOOD_KEY]},
         ]
+        limits = {'max_body_bytes': SMALL_BODY_BYTES}
+        if self.seen.raised_at is not None:
+            limits = {'max_body_bytes': LARGE_BODY_BYTES}
         self.version += 1
         services = [
             {'name': name, 'cold_start_s': COLD_S, 'cold_per_s': COLD_PER_S}
             for name in (platform_site.POOL, platform_site.DESK)
         ]
         document = platform_site.table(
-            self.version, tenants=tenants, services=services
+            self.version, tenants=tenants, services=services, limits=limits
         )
         self.site.put_table(document)
 
@@ -193,13 +201,19 @@
             for component in components
         )
 
+    def is_in_fault(self, components: frozenset[str]) -> bool:
+        """Return whether one of some components has a fault now."""
+        return any(self._in_fault[each] for each in components)
+
     @contextlib.asynccontextmanager
     async def during_fault(self, *components: str) -> AsyncIterator[None]:
         """Record a fault of components for as long as the context lasts."""
         began_at = time.monotonic()
+        self._in_fault.update(components)
         try:
             yield
         finally:
+            self._in_fault.subtract(components)
             self.record_fault(components, began_at, time.monotonic())
 
     def collect(self) -> None:
--- a/beryllug/soak/soak_test.py
+++ b/beryllug/soak/soak_test.py
@@ -50,6 +50,9 @@
         relay_losses = [plan.draw_relay_loss(seed, sizes) for seed in range(60)]
         self.assertIn(None, relay_losses)
         self.assertTrue(any(relay_losses))
+        raised_limits = [plan.draw_raised_limit(seed) for seed in range(60)]
+        self.assertIn(None, raised_limits)
+        self.assertTrue(any(raised_limits))
         floods = [plan.draw_flood(seed) for seed in range(60)]
         self.assertIn(None, floods)
         self.assertTrue(any(floods))
