settings: routers used nothing of a changed settings file

Evidence: all routers log `reload`, none calls the new address, also after all calls that wait at the old one have ended.

Change: live_settings looks at the file once a second and at SIGHUP, and applies the address of the store and the keys; `reload` names what was applied and what needs a restart. A call that waits for events at the old address ends as it changes (movable_server).

Cost: a stat and a turn of the loop a second.

Searched: bounds, regions and own addresses are read at the start by many services and still need a restart, which the line says now. SIGHUP in the first tenths of a second is still fatal (OPEN). The soak changes no file yet.

--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -19,6 +19,7 @@
     http_client,
     http_data,
     json_decode,
+    movable_server,
     object_data,
     store_data,
     store_era,
@@ -74,6 +75,7 @@
     """Client of the store at one address.
 
     Attributes:
+        server: Calls the address.
         calls: Number of calls by operation.
         eras: The era stated by its answers.
         on_unread: Called with unknown names found in its answers.
@@ -83,8 +85,7 @@
         self, client: http_client.HttpClient, address: str, timeout_s: float
     ) -> None:
         """Create a client; each call times out after `timeout_s` seconds."""
-        self._client = client
-        self._address = address
+        self.server = movable_server.MovableServer(client, address)
         self._timeout_s = timeout_s
         self.calls: dict[str, int] = {}
         self.eras = store_era.StoreEra()
@@ -200,14 +201,14 @@
         headers: Mapping[str, str] = JSON if body else {}
         outgoing = http_data.Outgoing(method, target, dict(headers), body)
         try:
-            incoming, content = await self._client.call(
-                self._address, outgoing, timeout_s or self._timeout_s
+            incoming, content = await self.server.call(
+                outgoing,
+                timeout_s or self._timeout_s,
+                is_waiting=operation == 'watch',
             )
         except http_data.NotSentError as exc:
             raise object_data.UnavailableError(str(exc)) from exc
         except http_data.BrokenError as exc:
-            # Other pooled connections may be just as unresponsive.
-            self._client.close_idle(self._address)
             raise object_data.UncertainError(str(exc)) from exc
         self.eras.check_response(incoming.headers.get(names.ERA, ''))
         self.on_unread('store', incoming.headers.keys() - names.ANSWER_HEADERS)
--- a/beryllug/proofs/platform/process_test.py
+++ b/beryllug/proofs/platform/process_test.py
@@ -7,12 +7,16 @@
 
 from beryllug.drivers import http_client, http_data
 from beryllug.platform import names
+from beryllug.soak import proxy
 from beryllug.standins import platform_site, processes
 
 DRAFT = '/draft/roster'
 LOOKUP = '/lookup/slot'
 EVENTS = 20
 EVENT_S = 0.05
+# Seconds until a process uses a changed setting, and a changed table.
+MOVED_S = 2.0
+APPLIED_S = 2.0
 
 
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -89,6 +93,43 @@
         await self._until_logged('"reload"')
         self.assertEqual((await self.site.ask(self.first, LOOKUP)).status, 200)
 
+    async def test_store_moves(self) -> None:
+        """A process stays with the old address of the store for ever."""
+        for version, has_signal in ((2, True), (4, False)):
+            with self.subTest(has_signal=has_signal):
+                await self._move_store(version, has_signal=has_signal)
+
+    async def _move_store(self, version: int, *, has_signal: bool) -> None:
+        old, new = (
+            proxy.Proxy(self.site.store_stand_in.address) for _ in range(2)
+        )
+        for address in (old, new):
+            await address.start('127.0.0.1')
+        # They know of no process that follows the store elsewhere.
+        routers = []
+        seeds: tuple[str, ...] = ()
+        for _ in range(2):
+            routers.append(
+                await self.site.spawn_router(
+                    self.running, store=old.address, seeds=seeds
+                )
+            )
+            seeds = (routers[0].cfg.peer_listen,)
+        for router in routers:
+            self.running.replace_setting(router.name, old.address, new.address)
+            if has_signal:
+                self.running.signal(router.name, signal.SIGHUP)
+        await asyncio.sleep(MOVED_S)
+        await old.stop()
+        self.site.put_table(platform_site.table(version, tenants=[]))
+        await asyncio.sleep(APPLIED_S)
+        for moved in routers:
+            reply = await self.site.ask(moved, LOOKUP)
+            self.assertEqual(reply.status, HTTPStatus.UNAUTHORIZED)
+            await self.running.kill(moved.name)
+        self.site.put_table(platform_site.table(version + 1))
+        await new.stop()
+
     async def _draft(self) -> platform_site.Reply:
         return await self.site.ask(self.first, DRAFT, 'POST')
 
--- a/beryllug/scripts/compose_router.py
+++ b/beryllug/scripts/compose_router.py
@@ -61,6 +61,7 @@
     waiting_requests,
     zone_list,
 )
+from beryllug.scripts import live_settings
 
 # Timeout of a call to the store, which responds in a few milliseconds.
 STORE_TIMEOUT_S = 1.0
@@ -75,6 +76,7 @@
     cfg: settings_data.Router,
     lines: log_lines.LineWriter,
     listener: socket.socket | None = None,
+    live: live_settings.LiveSettings | None = None,
 ) -> registry.Registry:
     """Return the services of a process of this role, not started.
 
@@ -83,6 +85,7 @@
         cfg: The section of this role.
         lines: Writer of log lines.
         listener: Socket that already listens for callers, or None.
+        live: Applies changes of the settings; None if there are none.
     """
     services = registry.Registry()
     ticker = ticks.Ticks()
@@ -259,6 +262,22 @@
         demand.connect(frontend, store_directory)
         waiting.is_within_share = demand.is_within_share
         in_order['account_demand'] = demand
+    if live is not None:
+        live.appliers = {
+            'router.store': lambda new: _move_store(store_api, new),
+            'fleet.keys': lambda new: keys.replace(new.fleet.keys),
+            'operators.keys': lambda new: operators_api.replace_keys(
+                new.operators.keys
+            ),
+        }
+        in_order['settings'] = live
     for service_name, service in in_order.items():
         services.register(service_name, service)
     return services
+
+
+def _move_store(
+    store_api: store.Store, settings: settings_data.Settings
+) -> None:
+    if settings.router is not None:
+        store_api.server.move(settings.router.store)
--- a/beryllug/scripts/router_daemon.py
+++ b/beryllug/scripts/router_daemon.py
@@ -6,10 +6,9 @@
 import socket
 import sys
 
-from beryllug.core import finding, settings_data
+from beryllug.core import settings_data
 from beryllug.kernel import log_lines
-from beryllug.parsing import settings
-from beryllug.scripts import compose_router
+from beryllug.scripts import compose_router, live_settings
 
 EXIT_FAILED = 1
 
@@ -25,7 +24,7 @@
     Args:
         cfg: Its settings.
         router: The `router` section of the settings.
-        path: Path of the settings file, which is validated again on SIGHUP.
+        path: Path of the settings file, whose changes are applied.
         listener: Socket that already listens for callers, or None.
     """
     asyncio.run(_run(cfg, router, path, listener))
@@ -44,8 +43,9 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, lines)
-    services = compose_router.compose(cfg, router, lines, listener)
+    live = live_settings.LiveSettings(cfg, path, lines)
+    loop.add_signal_handler(signal.SIGHUP, live.reload)
+    services = compose_router.compose(cfg, router, lines, listener, live)
     lines.write('start', process=cfg.process.name, zone=cfg.process.zone)
     try:
         await services.start()
@@ -64,12 +64,3 @@
         root.removeHandler(handler)
     root.addHandler(log_lines.LogHandler(lines))
     root.setLevel(logging.WARNING)
-
-
-def _reload(path: str, lines: log_lines.LineWriter) -> None:
-    """Validate the settings file again; no setting is replaced."""
-    cfg, findings = settings.load(path)
-    for item in findings:
-        lines.write('settings_refused', finding=finding.describe(item))
-    if cfg is not None:
-        lines.write('reload', process=cfg.process.name)
