rollout: the process that knew least sent all requests to a bad version

Cause: any process began the full phase for the fleet, on the counts it knew, beside the slack of the whole fleet: the fewer it knew, the earlier. Its estimate of the requests to come was too low for a burst, and those after the completion were not held to anything.

Change: only judges begin the phase; in it each process holds its own requests to its part of share and slack, less those to come after the completion.

Red before: judge_test.test_full (a process of 200 requests of its own begins it), trials_test.test_full_share (2,000 of 2,000 where 303 are allowed).

--- a/beryllug/core/canary/plan.py
+++ b/beryllug/core/canary/plan.py
@@ -167,6 +167,33 @@
     return tally.tried + 1 <= allowed + dither
 
 
+def may_send_in_full(
+    order: canary_data.Order,
+    tally: canary_data.Tally,
+    age_s: float,
+    bounds: canary_data.Bounds,
+    processes: int,
+) -> bool:
+    """Return whether this process may send one more request in full phase.
+
+    Whether that phase keeps within the bounds is estimated as it begins, and
+    requests may come faster then. Each process holds its own requests to them,
+    and leaves room for those that come after the roll-out is complete.
+
+    Args:
+        order: The order.
+        tally: What this process has observed.
+        age_s: Seconds since the order.
+        bounds: The limits of the roll-out.
+        processes: Number of processes in the fleet.
+    """
+    per_s = tally.requests / max(age_s, 1)
+    reserved = per_s * _completion_lead_s(order) * SURGE_FACTOR
+    slack = bounds.slack * USABLE_SLACK_RATIO / max(processes, 1)
+    allowed = bounds.share * USABLE_SHARE_RATIO * tally.requests + slack
+    return tally.tried + 1 + reserved <= allowed
+
+
 def is_sampled(
     subject: str, bounds: canary_data.Bounds, part: float = 1
 ) -> bool:
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -114,8 +114,10 @@
         Within its time, only the judges, who have all evidence, may say that
         there is not enough, and they write.
         """
+        if phase is canary_data.Phase.FULL:
+            return self._rank(rollout.order.service) < verdict_write.JUDGES
         if phase is not canary_data.Phase.ROLLED_BACK:
-            return phase in trials.PEER_PHASES
+            return False
         is_late = now - rollout.started_at >= rollout.order.duration_s
         return is_late or rollout.is_version_bad()
 
--- a/beryllug/router/judge_test.py
+++ b/beryllug/router/judge_test.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from beryllug.control import virtual_time_test
-from beryllug.core.canary import canary_data, verdict_write
+from beryllug.core.canary import canary_data, plan, verdict_write
 from beryllug.core.peering import peering_data
 from beryllug.drivers import object_data
 from beryllug.kernel import log_lines
@@ -14,6 +14,18 @@
 
 ORDER = canary_data.Order('pool', 'v2', 24, 7)
 NEXT_ORDER = canary_data.Order('pool', 'v3', 24, 11)
+GOOD = canary_data.Tally(
+    requests=200,
+    tried=20,
+    by_route={
+        'chat': canary_data.Evidence(
+            answers={'n1': canary_data.Answers(20)},
+            old=canary_data.Answers(180),
+            new_times={'n1': {'next/0': {-8: 20}}},
+            old_times={'next/0': {-8: 180}},
+        )
+    },
+)
 BOUNDS = canary_data.Bounds(share=0.15, slack=30, session_s=5)
 MESSAGE_DELAY_S = 0.005
 WRITE_S = 0.02
@@ -104,6 +116,10 @@
                 )
 
 
+def _rollout(process: _Process) -> rollout_state.Rollout:
+    return next(iter(process.trials.rollouts()))
+
+
 class JudgeTest(virtual_time_test.VirtualTimeCase):
     """Processes that find a version bad; all processes stall together."""
 
@@ -230,6 +246,24 @@
                 }
                 self.assertEqual(phases, {phase})
 
+    async def test_full(self) -> None:
+        """A process that knows few requests sends all to a version."""
+        store = _Store()
+        ranks = (0, 1, verdict_write.JUDGES)
+        store.fleet.extend(_Process(rank, store) for rank in ranks)
+        for process in store.fleet:
+            await process.judge.start()
+            self.addAsyncCleanup(process.judge.stop, 0)
+        knows_first = store.fleet[-1]
+        _rollout(knows_first).tally = GOOD
+        await asyncio.sleep(ORDER.duration_s * (1 - plan.MIN_FULL_RATIO / 2))
+        phases = {_rollout(each).phase for each in store.fleet}
+        self.assertEqual(phases, {Phase.TRIAL})
+        _rollout(store.fleet[0]).tally = GOOD
+        await asyncio.sleep(judge.PERIOD_S + 2 * MESSAGE_DELAY_S)
+        phases = {_rollout(each).phase for each in store.fleet}
+        self.assertEqual(phases, {Phase.FULL})
+
     def _revisions(self) -> set[int]:
         return {revision for _, revision in self.store.calls}
 
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -116,7 +116,7 @@
             self.settle(known, phase, 'store')
         # A store that was restored from a copy may have lost the result.
         known.is_stored = plan.is_over(phase)
-        self._update_ordered()
+        _set_if_open(self.has_open_rollout, self._rollouts.values())
 
     def set_phase(
         self,
@@ -143,7 +143,7 @@
             _log(self._lines, rollout.order, phase, source)
         rollout.phase = phase
         rollout.is_stored = True
-        self._update_ordered()
+        _set_if_open(self.has_open_rollout, self._rollouts.values())
 
     def apply_digest(self, digest: peering_data.Digest, now: float) -> None:
         """Apply the phases and the counts that a peer reports."""
@@ -178,17 +178,18 @@
         listed = self._pool.versions(call.service) - target
         now = time.monotonic()
         old = rollout_state.old_versions(rollout, listed, now)
-        if not old:
+        if not old or rollout.phase is canary_data.Phase.COMPLETE:
             return VersionChoice(target)
         is_bound = rollout_state.is_bound_to_old(rollout, now)
         if rollout.is_open:
             rollout.tally.requests += 1
+        on_old = VersionChoice(old, old, is_bound=is_bound)
         match rollout.phase:
             case canary_data.Phase.ROLLED_BACK:
-                return VersionChoice(old, old, is_bound=is_bound)
-            case canary_data.Phase.COMPLETE:
-                return VersionChoice(target)
+                return on_old
             case canary_data.Phase.FULL:
+                if not self._may_send_in_full(call, rollout, now):
+                    return on_old
                 rollout.tally.tried += 1
                 return VersionChoice(target, old, is_trial=True)
         found = self._choose_trial_versions(call, rollout, target, old)
@@ -242,12 +243,6 @@
             took=took,
         )
 
-    def _update_ordered(self) -> None:
-        if all(each.is_stored for each in self._rollouts.values()):
-            self.has_open_rollout.clear()
-        else:
-            self.has_open_rollout.set()
-
     def _choose_trial_versions(
         self,
         call: call_data.Call,
@@ -273,6 +268,20 @@
         rollout.tally.tried += 1
         return VersionChoice(target, old, is_trial=True)
 
+    def _may_send_in_full(
+        self, call: call_data.Call, rollout: rollout_state.Rollout, now: float
+    ) -> bool:
+        """Return whether a request is sent to a version in its full phase."""
+        session = call.asked.session
+        pinned = session and self.pins.pinned(call.service, session)
+        return pinned == rollout.order.target or plan.may_send_in_full(
+            rollout.order,
+            rollout.tally,
+            now - rollout.started_at,
+            self.bounds,
+            self._pool.repeats.processes,
+        )
+
     def _is_selected(
         self, call: call_data.Call, rollout: rollout_state.Rollout
     ) -> bool:
@@ -306,6 +315,16 @@
     return rollout_state.Rollout(order, canary_data.Phase.TRIAL, now, now)
 
 
+def _set_if_open(
+    event: asyncio.Event, rollouts: Iterable[rollout_state.Rollout]
+) -> None:
+    """Set an event while a rollout has no final result in the store."""
+    if all(each.is_stored for each in rollouts):
+        event.clear()
+    else:
+        event.set()
+
+
 def _find(
     rollouts: Mapping[str, rollout_state.Rollout], service: str, target: str
 ) -> rollout_state.Rollout | None:
--- a/beryllug/router/trials_test.py
+++ b/beryllug/router/trials_test.py
@@ -116,6 +116,23 @@
                 self.assertEqual(version_choice.versions, versions)
                 self.assertEqual(version_choice.others, others)
 
+    def test_full_share(self) -> None:
+        """Faster requests take a version beyond its share in full phase."""
+        self.trials.set_phase(self.rollout, Phase.FULL, 'judged', self.now)
+        age_s = ORDER.duration_s - 2
+        self.now += age_s
+        chosen = [
+            self.trials.choose_versions(_call(f'session-{number}')).versions
+            for number in range(SESSIONS)
+        ]
+        tried = chosen.count(NEW)
+        after_completion = SESSIONS / age_s * plan.COMPLETION_LEAD_S
+        slack = BOUNDS.slack / _Pool.processes
+        self.assertLessEqual(
+            tried + after_completion, BOUNDS.share * SESSIONS + slack
+        )
+        self.assertGreater(tried, BOUNDS.share * SESSIONS / 3)
+
     def test_old_gone(self) -> None:
         """All old servers crash, and an unproven version gets all requests."""
         for phase in (Phase.TRIAL, Phase.ROLLED_BACK):
