trials: log the failures of a version that is complete

Each process now writes the first, second, fourth and so on bad answer of a complete version, with good and bad answers by route since then and how many requests ran at the server. trials_test.test_completed_fails: 4 lines of 10 failures.

--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -53,6 +53,8 @@
         writers: The same as `announced_on` for other processes, by name.
         old: The other versions that were last listed.
         old_answered_at: Monotonic second of their last good answer here.
+        completed: The answers of the version here since it was complete, by
+            route.
     """
 
     order: canary_data.Order
@@ -72,6 +74,7 @@
     writers: dict[str, int] = field(default_factory=dict)
     old: frozenset[str] = frozenset()
     old_answered_at: float = float('-inf')
+    completed: dict[str, canary_data.Answers] = field(default_factory=dict)
 
     @property
     def is_open(self) -> bool:
@@ -142,6 +145,19 @@
         _add_time(works, each)
 
 
+def count_completed(rollout: Rollout, route: str, *, is_good: bool) -> bool:
+    """Count an answer of a version that is complete.
+
+    Returns:
+        Whether the bad answers so far should be logged: they are as the first
+        one, the second, the fourth and so on.
+    """
+    known = rollout.completed.get(route, canary_data.Answers())
+    rollout.completed[route] = _add_answer(known, is_good)
+    bad = sum(each.bad for each in rollout.completed.values())
+    return not is_good and not bad & (bad - 1)
+
+
 def old_versions(
     rollout: Rollout, listed: frozenset[str], now: float
 ) -> frozenset[str]:
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -233,6 +233,10 @@
             return
         if is_good and choice.server.version in rollout.old:
             rollout.old_answered_at = time.monotonic()
+        if rollout.phase is canary_data.Phase.COMPLETE:
+            _count_completed(
+                self._lines, rollout, call, choice, is_good=is_good
+            )
         if not rollout.is_open:
             return
         rollout_state.count(
@@ -334,6 +338,29 @@
     return known
 
 
+def _count_completed(
+    lines: log_lines.LineWriter,
+    rollout: rollout_state.Rollout,
+    call: call_data.Call,
+    choice: pool.Choice,
+    *,
+    is_good: bool,
+) -> None:
+    """Count an answer of a complete version, and log bad ones."""
+    if rollout_state.count_completed(rollout, call.route.name, is_good=is_good):
+        lines.write(
+            'completed_version_failed',
+            service=rollout.order.service,
+            target=rollout.order.target,
+            id=call.asked.attempt_id,
+            server=choice.server.instance,
+            running=choice.running,
+            answers={
+                route: list(each) for route, each in rollout.completed.items()
+            },
+        )
+
+
 def _log(
     lines: log_lines.LineWriter,
     order: canary_data.Order,
--- a/beryllug/router/trials_test.py
+++ b/beryllug/router/trials_test.py
@@ -207,6 +207,24 @@
         self.assertTrue(self.rollout.is_version_bad())
         self.assertEqual(self._trial_sessions(range(SESSIONS)), [])
 
+    def test_completed_fails(self) -> None:
+        """Failures of a complete version leave a bounded number of lines."""
+        written: list[Any] = []
+        lines: Any = mock.Mock()
+        lines.write = lambda event, **fields: written.append((event, fields))
+        self.trials._lines = lines
+        self.trials.settle(self.rollout, Phase.COMPLETE, 'store')
+        written.clear()
+        choice: Any = mock.Mock(running=3)
+        for number in range(20):
+            self.trials.count_answer(
+                _call('guest'), choice, is_good=number % 2 == 0
+            )
+        self.assertEqual(
+            [fields['answers']['chat'] for _, fields in written],
+            [[1, 1], [2, 2], [4, 4], [8, 8]],
+        )
+
     @property
     def rollout(self) -> rollout_state.Rollout:
         """Return the only rollout."""
