tests: a version that is bad on one route is completed on the others

Good versions complete.

The replay sent all requests to the version in the full phase; since a process holds its requests to its part there, and so does the replay now.

--- a/beryllug/router/rollout_replay_test.py
+++ b/beryllug/router/rollout_replay_test.py
@@ -1,7 +1,8 @@
 """Roll-outs of good and bad versions, replayed with a fleet that is simulated.
 
 All processes know all answers, some tenths of a second late. Each request is of
-one kind of work; a bad version spoils half of the answers.
+one kind of work, which has a route of its own; a bad version spoils half of the
+answers, on all routes or on one.
 """
 
 import functools
@@ -54,6 +55,7 @@
     ALL_SLOW = 'all slow'
     FAILS = 'fails'
     FAILS_LATE = 'fails late'
+    FAILS_ON_ONE_ROUTE = 'fails on one route'
 
 
 class Load(NamedTuple):
@@ -65,12 +67,16 @@
         delay: How many times as long answers of busy servers take, in the
             middle; 1 if none is busy.
         delay_spread: Spread of the logarithm of that.
+        mix: Parts of the requests that are of each kind of work.
+        bad_route: Number of the only bad route, if there is one.
     """
 
     rate: float
     duration_s: float
     delay: float = 1
     delay_spread: float = 0
+    mix: tuple[float, ...] = (0.2, 0.2, 0.2, 0.2, 0.2)
+    bad_route: int = 0
 
 
 class Result(NamedTuple):
@@ -87,6 +93,13 @@
 # all requests go to it.
 BUSY = Load(100, 15, delay=2.5, delay_spread=0.8)
 LOADS = (FEW_REQUESTS, MANY_REQUESTS)
+# Three kinds of streams, as on the sites, one of them more frequent.
+UNEVEN_MIX = (0.25, 0.21, 0.54)
+ROUTE_LOADS = tuple(
+    Load(rate, duration_s, mix=UNEVEN_MIX, bad_route=route)
+    for rate, duration_s in ((8, 15), (27, 16), (27, 24), (100, 16))
+    for route in range(len(UNEVEN_MIX))
+)
 BAD_KINDS = (Kind.SLOW, Kind.FAILS, Kind.FAILS_LATE)
 
 
@@ -113,6 +126,7 @@
         self._lowest: dict[str, float] = {}
         self._known = canary_data.Tally()
         self._versions: dict[str, str] = {}
+        self._routes: dict[str, int] = {}
         self._due: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = itertools.count()
 
@@ -138,16 +152,17 @@
             return
         rollout = self._rng.choice(self._fleet)
         rollout.tally.requests += 1
-        target = self._runs_on_target(rollout, now)
+        session = self._session()
+        number = self._routes.setdefault(session, self._draw_route())
+        target = self._runs_on_target(rollout, session, number, now)
         rollout.tally.tried += target
-        number = self._rng.randrange(len(WORK_S))
         seconds = WORK_S[number] * math.exp(self._rng.gauss(0, SPREAD))
         is_good = self._rng.random() >= FAILED
         if not target or self._phase is not Phase.TRIAL:
             seconds *= self._load.delay * math.exp(
                 self._rng.gauss(0, self._load.delay_spread)
             )
-        if target and self._is_spoiled(now):
+        if target and self._is_spoiled(number, now):
             is_slow = self._kind in {Kind.SLOW, Kind.ALL_SLOW}
             is_good = is_good and is_slow
             seconds *= self._slow_factor
@@ -174,19 +189,31 @@
         )
         self._call_at(now + seconds, lambda _: answer())
 
-    def _is_spoiled(self, now: float) -> bool:
+    def _draw_route(self) -> int:
+        kinds = range(len(self._load.mix))
+        return self._rng.choices(kinds, self._load.mix)[0]
+
+    def _is_spoiled(self, route: int, now: float) -> bool:
         if self._kind is Kind.GOOD:
             return False
+        is_one = self._kind is Kind.FAILS_ON_ONE_ROUTE
+        if is_one and route != self._load.bad_route:
+            return False
         if self._kind is Kind.FAILS_LATE and now < LATE_S:
             return False
         return self._kind is Kind.ALL_SLOW or self._rng.random() < SPOILED
 
     def _runs_on_target(
-        self, rollout: rollout_state.Rollout, now: float
+        self,
+        rollout: rollout_state.Rollout,
+        session: str,
+        route: int,
+        now: float,
     ) -> bool:
         if self._phase is not Phase.TRIAL:
-            return True
-        session = self._session()
+            return self._versions.get(session) == 'v2' or plan.may_send_in_full(
+                self._order, rollout.tally, now, BOUNDS, PROCESSES
+            )
         version = self._versions.get(session)
         if version is None:
             part = plan.sampled_part(
@@ -236,6 +263,25 @@
                     {each.phase for each in ends}, {Phase.ROLLED_BACK}
                 )
 
+    def test_bad_on_one_route(self) -> None:
+        """A version that is bad on one route is completed on the others."""
+        for load in ROUTE_LOADS:
+            ends = [
+                Replay(Kind.FAILS_ON_ONE_ROUTE, load, seed).run()
+                for seed in SEEDS
+            ]
+            completed = sum(each.phase is Phase.COMPLETE for each in ends)
+            with self.subTest(load=load):
+                self.assertEqual(completed, 0)
+
+    def test_good_on_uneven_routes(self) -> None:
+        """Good versions are rolled back for want of answers on each route."""
+        for load in ROUTE_LOADS:
+            ends = [Replay(Kind.GOOD, load, seed).run() for seed in SEEDS]
+            completed = sum(each.phase is Phase.COMPLETE for each in ends)
+            with self.subTest(load=load):
+                self.assertGreaterEqual(completed, MIN_COMPLETED * len(SEEDS))
+
     def test_good(self) -> None:
         """Good versions are rolled back for want of answers."""
         for load in LOADS:
