trials: a version that was rolled back ran requests with the next order

A process remembers the targets that were rolled back before an order, and sends them nothing while it knows another old version. trials_test.test_next_order: red before ({v1, v2}), green. A version that is ordered again is tried anew. Left: a process that starts after the next order does not know of the version before, as the store keeps one order a service.

--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -55,6 +55,8 @@
         old_answered_at: Monotonic second of their last good answer here.
         completed: The answers of the version here since it was complete, by
             route.
+        rejected: Targets of earlier orders that were rolled back. Their servers
+            are listed for some seconds more.
     """
 
     order: canary_data.Order
@@ -75,6 +77,7 @@
     old: frozenset[str] = frozenset()
     old_answered_at: float = float('-inf')
     completed: dict[str, canary_data.Answers] = field(default_factory=dict)
+    rejected: frozenset[str] = frozenset()
 
     @property
     def is_open(self) -> bool:
@@ -158,6 +161,16 @@
     return not is_good and not bad & (bad - 1)
 
 
+def rejected_versions(known: Rollout | None, target: str) -> frozenset[str]:
+    """Return the versions that were rolled back before an order."""
+    if known is None:
+        return frozenset()
+    found = known.rejected
+    if known.phase is canary_data.Phase.ROLLED_BACK:
+        found |= {known.order.target}
+    return found - {target}
+
+
 def old_versions(
     rollout: Rollout, listed: frozenset[str], now: float
 ) -> frozenset[str]:
@@ -171,8 +184,9 @@
         listed: Those that listed servers run now.
         now: Current time in seconds.
     """
-    if listed or not is_bound_to_old(rollout, now):
-        rollout.old = listed
+    sound = listed - rollout.rejected
+    if sound or not is_bound_to_old(rollout, now):
+        rollout.old = sound
     return rollout.old
 
 
--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -107,7 +107,9 @@
         if known is None or known.order.target != order.target:
             if known is not None:
                 self._replaced[(order.service, known.order.target)] = known
+            rejected = rollout_state.rejected_versions(known, order.target)
             known = _new_rollout(self._replaced, order, now)
+            known.rejected = rejected
             self._rollouts[order.service] = known
             self.pins.queue_sessions(order)
             _log(self._lines, order, phase, 'ordered')
--- a/beryllug/router/trials_test.py
+++ b/beryllug/router/trials_test.py
@@ -149,6 +149,21 @@
                 found = self.trials.choose_versions(_call('guest'))
                 self.assertEqual(found, trials.VersionChoice(NEW))
 
+    def test_next_order(self) -> None:
+        """A version that was rolled back runs requests with the next order."""
+        for phase, expected in (
+            (Phase.ROLLED_BACK, OLD),
+            (Phase.COMPLETE, OLD | NEW),
+        ):
+            with self.subTest(phase):
+                self.setUp()
+                self.pool.listed = frozenset(('v1', 'v2', 'v3'))
+                self.trials.settle(self.rollout, phase, 'store')
+                later = ORDER._replace(target='v3', revision=9)
+                self.trials.apply_order(later, Phase.TRIAL, self.now)
+                found = self.trials.choose_versions(_call('guest'))
+                self.assertEqual(found.versions, expected)
+
     def test_bound(self) -> None:
         """Only the first attempt of a trial may run on another version."""
         self._trial_sessions(range(SESSIONS))
