rollout_state: the counts of a process were forgotten as it restarted

Failures that it had told of were gone, and a version could be completed on the answers since.

A report names the run of its sender's counts, and the counts of each run are kept. Older releases send no run, and are replaced as before; they drop the field. trials_test.test_restarted: 49 requests, 4 good and 2 bad; by the name alone it is 9, 3 and none.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -51,13 +51,24 @@
 
 
 class RolloutTally(NamedTuple):
-    """What the sender has observed of a roll-out since its order."""
+    """What the sender has observed of a roll-out since its order.
+
+    Attributes:
+        service: Its service.
+        target: The version being rolled out.
+        requests: Number of requests for the service.
+        tried: Number of those that were sent to the new version.
+        by_route: The evidence on each route.
+        run: Identifies the counts of the sender: they start anew with another
+            one as it restarts. Older releases send none.
+    """
 
     service: str
     target: str
     requests: int
     tried: int
     by_route: dict[str, canary_data.Evidence]
+    run: int = 0
 
 
 class Versions(NamedTuple):
--- a/beryllug/router/rollout_state.py
+++ b/beryllug/router/rollout_state.py
@@ -12,6 +12,8 @@
 
 # Seconds below which two durations are not distinguished.
 MIN_TIME_S = 0.0001
+# Bits of the number that identifies the counts of a process.
+RUN_BITS = 32
 # Seconds of a roll-out from which its rate of requests is computed.
 MIN_AGE_S = 0.1
 # Seconds after an answer of an old server for which requests that are not on
@@ -38,7 +40,8 @@
         phase_started_at: Monotonic second at which the phase began here.
         is_stored: Whether its result is in the store.
         tally: The counts of this process.
-        others: The counts reported by other processes, by their names.
+        run: Identifies the counts of this process, until it restarts.
+        others: The counts reported by other processes, by their names and runs.
         has_unreported_answers: Whether the new version has answered since the
             last report to the judges.
         reported_at: Monotonic second of that report.
@@ -65,7 +68,10 @@
     phase_started_at: float
     is_stored: bool = False
     tally: canary_data.Tally = field(default_factory=canary_data.Tally)
-    others: dict[str, canary_data.Tally] = field(default_factory=dict)
+    run: int = field(default_factory=lambda: random.getrandbits(RUN_BITS))
+    others: dict[tuple[str, int], canary_data.Tally] = field(
+        default_factory=dict
+    )
     has_unreported_answers: bool = False
     reported_at: float = float('-inf')
     lowest: dict[str, float] = field(default_factory=dict)
@@ -232,14 +238,18 @@
         tally.requests,
         tally.tried,
         tally.by_route,
+        rollout.run,
     )
 
 
 def merge_tally(
     rollout: Rollout, peer: str, news: peering_data.RolloutTally
 ) -> None:
-    """Replace the counts of a peer by its latest report."""
-    rollout.others[peer] = canary_data.Tally(
+    """Replace the counts of a peer by its latest report.
+
+    What a peer had counted before it restarted still counts.
+    """
+    rollout.others[(peer, news.run)] = canary_data.Tally(
         news.requests, news.tried, news.by_route
     )
     rollout.others_total = None
--- a/beryllug/router/trials_test.py
+++ b/beryllug/router/trials_test.py
@@ -99,6 +99,22 @@
                 self.assertEqual(found.old_times, times)
                 self.assertEqual(found.new_times, {'i-2': times})
 
+    def test_restarted(self) -> None:
+        """Failures that a peer saw before it restarted are forgotten."""
+        bad = canary_data.Evidence(
+            {'i-2': canary_data.Answers(1, 2)}, canary_data.Answers(), {}, {}
+        )
+        good = bad._replace(answers={'i-2': canary_data.Answers(3, 0)})
+        before = peering_data.RolloutTally('pool', 'v2', 40, 3, {'a': bad}, 7)
+        after = before._replace(requests=9, by_route={'a': good}, run=8)
+        for news in (before, before, after, after):
+            rollout_state.merge_tally(self.rollout, 'peer', news)
+        seen = self.rollout.seen()
+        self.assertEqual(seen.requests, 49)
+        self.assertEqual(
+            seen.by_route['a'].answers['i-2'], canary_data.Answers(4, 2)
+        )
+
     def test_phases(self) -> None:
         """The phase decides the versions of all requests and of retries."""
         table: tuple[
