soak: a server joins that closes its connections inside its answers

A bad version while processes are killed was drawn before; one that is bad on one route only is not.

--- a/beryllug/soak/plan.py
+++ b/beryllug/soak/plan.py
@@ -38,6 +38,10 @@
     'comment_events',
 )
 OTHER_ZONE_FRACTION = 0.25
+# Fraction of the seeds in which a server joins that closes its connections in
+# the middle of its answers, and the bytes of an answer that it sends.
+CUTTING_FRACTION = 0.4
+CUTTING_BYTES = (0, 12, 20, 60, 90, 110, 140)
 # Fraction of the seeds in which a router that forwards answers without a length
 # is killed, and how often.
 RELAY_LOSS_FRACTION = 0.4
@@ -145,6 +149,13 @@
     pause_s: float
 
 
+class Cutting(NamedTuple):
+    """A server that closes inside its answers: when, and where."""
+
+    fault: Fault
+    size: int
+
+
 class RelayLoss(NamedTuple):
     """A router that reaches servers through others, which are killed.
 
@@ -232,6 +243,25 @@
     )
 
 
+def draw_cutting(seed: int, sizes: Sizes) -> Cutting | None:
+    """Return the server that closes inside its answers; None if none does.
+
+    It is drawn apart, so that a seed keeps its faults.
+    """
+    rng = random.Random(f'{seed}/cutting')
+    if rng.random() >= CUTTING_FRACTION:
+        return None
+    return Cutting(
+        Fault(
+            round(rng.uniform(0, LAST_START_S), 2),
+            Kind.SERVER_FAILS,
+            rng.randrange(sizes.servers),
+            round(rng.uniform(MIN_DURATION_S, MAX_DURATION_S), 2),
+        ),
+        rng.choice(CUTTING_BYTES),
+    )
+
+
 def draw_relay_loss(seed: int, sizes: Sizes) -> RelayLoss | None:
     """Return which routers that forward are killed; None if none is.
 
--- a/beryllug/soak/run.py
+++ b/beryllug/soak/run.py
@@ -17,6 +17,7 @@
     checks,
     components,
     crash_request,
+    cutting_fault,
     endless_fault,
     inject,
     plan,
@@ -175,6 +176,10 @@
     if endless is not None:
         joining = functools.partial(_join_endless, deployment, endless)
         injected.append(_inject_at(joining, endless.fault, began))
+    cutting = plan.draw_cutting(seed, deployment.sizes)
+    if cutting is not None:
+        joining = functools.partial(_join_cutting, deployment, cutting)
+        injected.append(_inject_at(joining, cutting.fault, began))
     await asyncio.gather(*injected)
 
 
@@ -199,6 +204,12 @@
     await endless_fault.join(deployment, endless)
 
 
+async def _join_cutting(
+    deployment: site.SoakSite, cutting: plan.Cutting, _: plan.Fault
+) -> None:
+    await cutting_fault.join(deployment, cutting)
+
+
 async def _inject_at(
     inject_fault: Callable[[plan.Fault], Awaitable[None]],
     fault: plan.Fault,
--- a/beryllug/soak/soak_test.py
+++ b/beryllug/soak/soak_test.py
@@ -47,6 +47,11 @@
         self.assertEqual(
             {each.form for each in endless if each}, set(plan.ENDLESS_FORMS)
         )
+        cutting = [plan.draw_cutting(seed, sizes) for seed in range(60)]
+        self.assertIn(None, cutting)
+        self.assertEqual(
+            {each.size for each in cutting if each}, set(plan.CUTTING_BYTES)
+        )
         relay_losses = [plan.draw_relay_loss(seed, sizes) for seed in range(60)]
         self.assertIn(None, relay_losses)
         self.assertTrue(any(relay_losses))
--- a/beryllug/standins/cutting_server.py
+++ b/beryllug/standins/cutting_server.py
@@ -34,6 +34,7 @@
     cuts: int = 0
     address: str = ''
     _server: asyncio.Server | None = field(default=None)
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, host: str) -> str:
         """Listen, and return the address."""
@@ -43,13 +44,16 @@
         return self.address
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and close what is open."""
         if self._server is not None:
             self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             for _ in range(self.whole):
                 await self._answer(reader, writer, self.answer)
@@ -61,6 +65,7 @@
         writer.close()
         with contextlib.suppress(OSError):
             await writer.wait_closed()
+        self._writers.discard(writer)
 
     async def _answer(
         self,
