verdict: a route with hardly a request rolled good versions back

One answered probe of an idle route kept a good version from being completed, and its operator got a roll-back.

--- a/beryllug/core/canary/plan.py
+++ b/beryllug/core/canary/plan.py
@@ -245,11 +245,11 @@
     scores = verdict.evidence_scores(tally)
     is_lacking = max(scores.values()) > ROUTE_ENOUGH
     enough = ROUTE_ENOUGH if is_lacking else ROUTE_AMPLE
-    own = scores.get(route, scores.get(route_parts.RARE_ROUTES, 0))
-    is_proven = own <= enough
+    own = scores.get(route, scores.get(route_parts.RARE_ROUTES))
+    is_proven = own is not None and own <= enough
     if is_proven or (drawn >= MIN_ANSWERS and is_binding):
         return DRAWN_PART
-    if is_binding:
+    if is_binding or own is None:
         return largest_part(requests.expected, bounds)
     return 1 / bounds.share
 
--- a/beryllug/core/canary/plan_test.py
+++ b/beryllug/core/canary/plan_test.py
@@ -246,6 +246,16 @@
                 found = plan.next_phase(ORDER, phase, UNDECIDED, ages, BOUNDS)
                 self.assertIs(found, expected)
 
+    def test_idle_route(self) -> None:
+        """A good version is rolled back, as a route has hardly a request."""
+        idle = _evidence({}, old=Answers(2))
+        tally = canary_data.Tally(
+            requests=200, tried=20, by_route=GOOD.by_route | {'idle': idle}
+        )
+        ages = plan.Ages(18.9, 3)
+        found = plan.next_phase(ORDER, Phase.FULL, tally, ages, BOUNDS)
+        self.assertIs(found, Phase.COMPLETE)
+
     def test_late(self) -> None:
         """A good version is rolled back as its last evaluations came late."""
         for title, phase, ages, expected in LATE_PHASES:
--- a/beryllug/core/canary/route_parts.py
+++ b/beryllug/core/canary/route_parts.py
@@ -18,6 +18,14 @@
     )
 
 
+def are_rare_frequent(tally: canary_data.Tally) -> bool:
+    """Return whether all rare routes together have a part of their own."""
+    counts = _counts(tally)
+    total = sum(counts.values())
+    rare = total - sum(counts[each] for each in frequent(tally))
+    return rare >= max(MIN_ROUTE_PART * total, 1)
+
+
 def part_of(tally: canary_data.Tally, route: str) -> float:
     """Return the part of the answers that a route has, or all rare ones.
 
--- a/beryllug/core/canary/verdict.py
+++ b/beryllug/core/canary/verdict.py
@@ -178,7 +178,7 @@
     by_failures = route_scores(tally, failures(tally), ROUTE_FAILURE_RATES)
     by_slowness = route_scores(tally, slowness(tally), ROUTE_SLOWNESS_RATES)
     return {
-        route: max(score, by_slowness[route] or score)
+        route: max(score, by_slowness.get(route) or score)
         for route, score in by_failures.items()
     }
 
@@ -196,14 +196,16 @@
         rates: The rates that are told apart.
 
     Returns:
-        The scores by route, with `RARE_ROUTES` for all rare ones.
+        The scores by route. `RARE_ROUTES` stands for all rare ones, if they
+        have enough answers together or speak against the version.
     """
     found = {
         route: rates.score(seen[route]) for route in route_parts.frequent(tally)
     }
     rare = [each for route, each in seen.items() if route not in found]
-    if rare or not found:
-        found[route_parts.RARE_ROUTES] = rates.score(_combine(rare))
+    score = rates.score(_combine(rare))
+    if score > 0 or not found or route_parts.are_rare_frequent(tally):
+        found[route_parts.RARE_ROUTES] = score
     return found
 
 
