trials: sessions on the new version were not told to other processes

Cause: since, requests beyond the drawn part are sampled in the second half of an order, but only sessions within that part were told to the others. A process that was not told took such a session for a new one, and sent it to the old version.

Every session that runs on the new version while the roll-out is open is told. trials_test.test_late_sessions_are_told: red before, green.

--- a/beryllug/router/trials.py
+++ b/beryllug/router/trials.py
@@ -204,8 +204,12 @@
             return
         told = sessions.SessionVersion(call.service, session, version)
         rollout = self._rollouts.get(call.service)
-        part = 0.0
-        if rollout is not None and rollout.is_open:
+        if rollout is None or not rollout.is_open:
+            part = 0.0
+        elif version == rollout.order.target:
+            # Another process would take it for a session of the old version.
+            part = 1 / self.bounds.share
+        else:
             part = rollout_state.largest_part(
                 rollout,
                 self.bounds,
--- a/beryllug/router/trials_test.py
+++ b/beryllug/router/trials_test.py
@@ -225,6 +225,15 @@
             found = self.trials.choose_versions(_call('regular')).versions
             self.assertEqual(found, OLD)
 
+    def test_late_sessions_are_told(self) -> None:
+        """A session on the new version changes it at another process."""
+        self.rollout.tally.requests = SESSIONS
+        names = [f'session-{number}' for number in range(SESSIONS)]
+        for name in names:
+            self.trials.record_run(_call(name), 'v2')
+        told = sessions.tell(self.trials.pins.sessions, 2 * SESSIONS)
+        self.assertEqual([each.session for each in told], names)
+
     def test_first_second(self) -> None:
         """No session is selected until peers have reported running sessions."""
         self.now = self.ordered_at + 0.5
