tests: rows of one bad route were eased, they are as strict as before again

All rows ask for zero again. The eight rows of slow versions that pass are strict now.

The cap of the list rises from six to seven for this entry; it goes down with it.

--- a/beryllug/proofs/run_all.py
+++ b/beryllug/proofs/run_all.py
@@ -23,7 +23,7 @@
 TEST_COUNT = re.compile(r'^Ran (\d+) tests?', re.MULTILINE)
 FAILED_TEST = re.compile(r'^(?:FAIL|ERROR): \S+ \((\S+?)\)', re.MULTILINE)
 KNOWN_RED = 'KNOWN-RED.txt'
-MAX_KNOWN_RED = 6
+MAX_KNOWN_RED = 7
 
 
 class ModuleResult(NamedTuple):
--- a/beryllug/router/rollout_replay_test.py
+++ b/beryllug/router/rollout_replay_test.py
@@ -110,6 +110,12 @@
 ONE_ROUTE_KINDS = (Kind.FAILS_ON_ONE_ROUTE, Kind.SLOW_ON_ONE_ROUTE)
 BAD_KINDS = (Kind.SLOW, Kind.FAILS, Kind.FAILS_LATE)
 
+# Loads with too few known answers on the bad route.
+HARDLY_SEEN = (
+    *((Kind.FAILS_ON_ONE_ROUTE, load) for load in FEW_ROUTE_LOADS),
+    (Kind.SLOW_ON_ONE_ROUTE, ROUTE_LOADS[4]),
+)
+
 
 class Replay:
     """A roll-out in virtual time."""
@@ -276,44 +282,18 @@
 
     def test_bad_on_one_route(self) -> None:
         """A version that is bad on one route is completed on the others."""
-        for load in ROUTE_LOADS:
-            ends = [
-                Replay(Kind.FAILS_ON_ONE_ROUTE, load, seed).run()
-                for seed in SEEDS
-            ]
-            completed = sum(each.phase is Phase.COMPLETE for each in ends)
-            with self.subTest(load=load):
-                self.assertEqual(completed, 0)
-
-    def test_slow_on_one_route(self) -> None:
-        """A version that is slow on one route is completed on the others."""
-        for load in ROUTE_LOADS:
-            ends = [
-                Replay(Kind.SLOW_ON_ONE_ROUTE, load, seed).run()
-                for seed in SEEDS
-            ]
-            completed = sum(each.phase is Phase.COMPLETE for each in ends)
-            with self.subTest(load=load):
-                self.assertLessEqual(
-                    completed, (1 - MIN_COMPLETED) * len(SEEDS)
-                )
+        for kind, load in itertools.product(ONE_ROUTE_KINDS, ROUTE_LOADS):
+            if (kind, load) not in HARDLY_SEEN:
+                self._check_none_completed(kind, load)
 
-    def test_bad_on_one_route_of_few(self) -> None:
-        """The same with so few requests that some cannot be told apart."""
-        for load in FEW_ROUTE_LOADS:
-            ends = [
-                Replay(Kind.FAILS_ON_ONE_ROUTE, load, seed).run()
-                for seed in SEEDS
-            ]
-            completed = sum(each.phase is Phase.COMPLETE for each in ends)
-            with self.subTest(load=load):
-                self.assertLessEqual(
-                    completed, (1 - MIN_COMPLETED) * len(SEEDS)
-                )
+    def test_hardly_seen_on_one_route(self) -> None:
+        """The same where few of its bad answers on the route are known."""
+        for kind, load in HARDLY_SEEN:
+            self._check_none_completed(kind, load)
 
     def test_good_on_uneven_routes(self) -> None:
         """Good versions are rolled back for want of answers on each route."""
-        loads = (FEW_ROUTE_LOADS[0], ROUTE_LOADS[0], ROUTE_LOADS[3])
+        loads = (FEW_ROUTE_LOADS[0], *ROUTE_LOADS[:: len(UNEVEN_MIX)])
         for load in loads:
             ends = [Replay(Kind.GOOD, load, seed).run() for seed in SEEDS]
             completed = sum(each.phase is Phase.COMPLETE for each in ends)
@@ -354,6 +334,12 @@
                     allowed = BOUNDS.share * end.requests + BOUNDS.slack
                     self.assertLessEqual(end.tried, allowed)
 
+    def _check_none_completed(self, kind: Kind, load: Load) -> None:
+        ends = [Replay(kind, load, seed).run() for seed in SEEDS]
+        completed = sum(each.phase is Phase.COMPLETE for each in ends)
+        with self.subTest(kind=kind, load=load):
+            self.assertEqual(completed, 0)
+
 
 if __name__ == '__main__':
     unittest.main()
