router: a task that ends by an error is logged and started again

The tasks of the role router are held by their services and awaited only when these stop, so an error that nobody named ended a watch, the notes, the calls of peers, the judge or the look at the settings for good, without a line, while the process counted as one that follows the store.

Change: kernel.background_tasks (moved from control, whose leases had it) runs the loops of accusations, sharing, peering, judge, store_liveness and settings: an error is logged with its traceback, the loop starts again after a second. Tasks that run once and are awaited by nobody (compare, catch_up, store_following, path_probe) log the error that ends them; a probe of paths that failed can begin again. StoreWatch lists its kind again after such an error and counts as not current meanwhile, so that another process takes over.

Searched: all create_task of router, drivers, kernel, scripts. Left: connections of callers and relays, and checks of servers, are awaited or end with their connection.

--- a/beryllug/control/commit.py
+++ b/beryllug/control/commit.py
@@ -12,7 +12,7 @@
 
 from absl import logging
 
-from beryllug.control import background_tasks, segments, takeover, waiters
+from beryllug.control import segments, takeover, waiters
 from beryllug.core import (
     journal_data,
     journal_log,
@@ -21,6 +21,7 @@
     usage,
 )
 from beryllug.drivers import object_api, object_data
+from beryllug.kernel import background_tasks
 
 RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
--- a/beryllug/control/lease_task.py
+++ b/beryllug/control/lease_task.py
@@ -8,9 +8,10 @@
 import msgspec
 from absl import logging
 
-from beryllug.control import background_tasks, waiters
+from beryllug.control import waiters
 from beryllug.core import lease, lease_data
 from beryllug.drivers import object_api, object_data
+from beryllug.kernel import background_tasks
 
 PREFIX = 'beryllug/leases/'
 RETRY_S = 0.2
--- a/beryllug/control/leases.py
+++ b/beryllug/control/leases.py
@@ -13,7 +13,6 @@
 
 from beryllug.control import (
     candidate_calls,
-    background_tasks,
     lease_balance,
     lease_lookup,
     lease_outage,
@@ -25,6 +24,7 @@
     rpc_data,
 )
 from beryllug.drivers import methods, object_api, rpc, rpc_peers
+from beryllug.kernel import background_tasks
 
 NOTIFY_TIMEOUT_S = 0.5
 
--- a/beryllug/control/probing.py
+++ b/beryllug/control/probing.py
@@ -12,9 +12,9 @@
 
 from absl import logging
 
-from beryllug.control import background_tasks
 from beryllug.core import member_data, membership
 from beryllug.drivers import methods, rpc, rpc_peers
+from beryllug.kernel import background_tasks
 
 INDIRECT_PROBES = 2
 JOIN_ROUNDS = 10
--- a/beryllug/control/promises.py
+++ b/beryllug/control/promises.py
@@ -6,9 +6,10 @@
 import asyncio
 import time
 
-from beryllug.control import candidate_calls, background_tasks, lease_outage
+from beryllug.control import candidate_calls, lease_outage
 from beryllug.core import lease_data, outage, outage_data
 from beryllug.drivers import answer_timeouts, methods, object_api, object_data
+from beryllug.kernel import background_tasks
 
 PROBE_KEY = 'beryllug/leases/probe'
 PROBE_TIMEOUT_S = 0.5
--- a/beryllug/control/segments.py
+++ b/beryllug/control/segments.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from beryllug.control import background_tasks
 from beryllug.core import journal_data, segment_data
 from beryllug.drivers import object_api, object_data
+from beryllug.kernel import background_tasks
 
 PREFIX = 'beryllug/journal'
 SEQ_DIGITS = 12
--- a/beryllug/control/shard_owner.py
+++ b/beryllug/control/shard_owner.py
@@ -7,7 +7,6 @@
 
 from beryllug.control import (
     commit,
-    background_tasks,
     late_rows,
     readback,
     outage_replicator,
@@ -15,6 +14,7 @@
 )
 from beryllug.core import journal, journal_data, rpc_data, shard_state
 from beryllug.drivers import object_api
+from beryllug.kernel import background_tasks
 
 BEGIN_WAIT_S = 2.0
 # A write that takes longer is treated as a possible platform outage.
--- a/beryllug/router/accusation_writes.py
+++ b/beryllug/router/accusation_writes.py
@@ -11,7 +11,7 @@
 
 from beryllug.core.placement import poison_data
 from beryllug.drivers import object_data
-from beryllug.kernel import log_lines
+from beryllug.kernel import background_tasks, log_lines
 from beryllug.platform import store
 from beryllug.router import accusation_documents, accusation_list
 
@@ -47,7 +47,7 @@
 
     async def start(self) -> None:
         """Start writing."""
-        self._task = asyncio.create_task(self._run())
+        self._task = background_tasks.start('accusations', self._run)
 
     async def stop(self, grace_s: float) -> None:
         """Stop writing; peers and the store know the rest or learn it anew."""
--- a/beryllug/router/catch_up.py
+++ b/beryllug/router/catch_up.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from beryllug.core.peering import members, peering_data
+from beryllug.kernel import background_tasks
 from beryllug.router import peering
 
 # Seconds between two first calls for newer data, and the part of a second over
@@ -62,7 +63,9 @@
         max_delay_s = 0.0
         if not is_small(self._peers.members):
             max_delay_s = SPREAD_S
-        task = asyncio.create_task(self._fetch(address, max_delay_s))
+        task = background_tasks.run_once(
+            'catch_up', self._fetch(address, max_delay_s)
+        )
         self.calls.add(task)
         task.add_done_callback(self.calls.discard)
 
--- a/beryllug/router/judge.py
+++ b/beryllug/router/judge.py
@@ -14,7 +14,7 @@
 from beryllug.core import stamps
 from beryllug.core.canary import canary_data, plan, verdict, verdict_write
 from beryllug.drivers import object_data
-from beryllug.kernel import log_lines
+from beryllug.kernel import background_tasks, log_lines
 from beryllug.platform import documents, store
 from beryllug.router import peering, rollout_state, sharing, trials
 
@@ -45,7 +45,7 @@
 
     async def start(self) -> None:
         """Start to evaluate rollouts."""
-        self._task = asyncio.create_task(self._run())
+        self._task = background_tasks.start('judge', self._run)
 
     async def stop(self, grace_s: float) -> None:
         """Stop evaluating; a peer takes over."""
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -19,7 +19,7 @@
     rpc,
     rpc_peers,
 )
-from beryllug.kernel import log_lines
+from beryllug.kernel import background_tasks, log_lines
 from beryllug.router import store_exchange, rollout_state, roster, trials
 
 # Seconds between two rounds of calls, and peers that are called per round. Two
@@ -103,7 +103,7 @@
 
     async def start(self) -> None:
         """Start calling peers, the seeds first."""
-        self._task = asyncio.create_task(self._run())
+        self._task = background_tasks.start('peering', self._run)
 
     async def stop(self, grace_s: float) -> None:
         """Tell some peers that this process is stopping."""
@@ -153,7 +153,7 @@
 
     def call_later(self, address: str) -> None:
         """Exchange digests with a process in a background task."""
-        task = asyncio.create_task(self.compare(address))
+        task = background_tasks.run_once('compare', self.compare(address))
         self._calls_in_flight.add(task)
         task.add_done_callback(self._calls_in_flight.discard)
 
--- a/beryllug/router/server_paths.py
+++ b/beryllug/router/server_paths.py
@@ -14,7 +14,7 @@
 
 from beryllug.core.placement import reachability
 from beryllug.drivers import answer_timeouts, http_client, http_link
-from beryllug.kernel import log_lines, metrics_data
+from beryllug.kernel import background_tasks, log_lines, metrics_data
 from beryllug.router import path_verdicts
 
 # Timeout of a connection to a backend server. A round trip between zones takes
@@ -162,19 +162,27 @@
 
     def _probe_cut(self) -> None:
         if self.verdicts.state.cut and self._probing is None:
-            self._probing = asyncio.create_task(self._probe())
+            self._probing = background_tasks.run_once(
+                'path_probe', self._probe()
+            )
 
     async def _probe(self) -> None:
         """Connect to servers until no link is taken for cut any more."""
         state = self.verdicts.state
-        while state.cut or state.is_isolated:
-            await asyncio.sleep(PROBE_INTERVAL_S)
-            listed = tuple(self.listed())
-            reachability.forget(state, listed)
-            targets = listed if state.is_isolated else state.cut
-            if targets:
-                await self._probe_one(self._rng.choice(tuple(targets)))
-        self._probing = None
+        try:
+            while state.cut or state.is_isolated:
+                await self._probe_any()
+        finally:
+            self._probing = None
+
+    async def _probe_any(self) -> None:
+        state = self.verdicts.state
+        await asyncio.sleep(PROBE_INTERVAL_S)
+        listed = tuple(self.listed())
+        reachability.forget(state, listed)
+        targets = listed if state.is_isolated else state.cut
+        if targets:
+            await self._probe_one(self._rng.choice(tuple(targets)))
 
     async def _probe_one(self, address: str) -> None:
         try:
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -17,6 +17,7 @@
 from beryllug.core.peering import members, peering_data, suspect_reports
 from beryllug.core.placement import backlog, fleet_size
 from beryllug.drivers import datagrams, fleet_key
+from beryllug.kernel import background_tasks
 from beryllug.router import (
     claims,
     crash_watch,
@@ -113,7 +114,7 @@
         now = time.monotonic()
         self._news.start(now)
         await self._news.update_following(now)
-        self._task = asyncio.create_task(self._run())
+        self._task = background_tasks.start('sharing', self._run)
 
     async def stop(self, grace_s: float) -> None:
         """Stop sending, and tell all others that this process is stopping."""
--- a/beryllug/router/store_following.py
+++ b/beryllug/router/store_following.py
@@ -5,6 +5,7 @@
 import time
 
 from beryllug.core.peering import members, watcher_election
+from beryllug.kernel import background_tasks
 from beryllug.router import directory
 
 
@@ -51,7 +52,9 @@
         )
         is_pending = self._task is not None and not self._task.done()
         if due_at < math.inf and not is_pending:
-            self._task = asyncio.create_task(self._update_after(due_at - now))
+            self._task = background_tasks.run_once(
+                'store_following', self._update_after(due_at - now)
+            )
 
     async def _update_after(self, pause_s: float) -> None:
         await asyncio.sleep(pause_s)
--- a/beryllug/router/store_liveness.py
+++ b/beryllug/router/store_liveness.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Sequence
 
 from beryllug.drivers import object_data
+from beryllug.kernel import background_tasks
 from beryllug.platform import store
 from beryllug.router import store_watch
 
@@ -41,7 +42,7 @@
     def start(self) -> None:
         """Start the checks."""
         if self._task is None:
-            self._task = asyncio.create_task(self._run())
+            self._task = background_tasks.start('store_liveness', self._run)
 
     async def stop(self) -> None:
         """Stop the checks."""
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -3,7 +3,9 @@
 It lists the kind once and watches from there. A failed watch resumes at its
 last revision; the kind is listed again only when the store has dropped that
 history. Loss and recovery are logged once each, the recovery with the number of
-failures between.
+failures between. After an error that nobody expected the kind is listed again:
+a watch that ended would leave the process with outdated data for good, while
+the others believe that it follows the store.
 """
 
 import asyncio
@@ -12,6 +14,8 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from absl import logging
+
 from beryllug.drivers import object_data, store_data
 from beryllug.kernel import log_lines
 from beryllug.platform import store
@@ -135,8 +139,8 @@
             except object_data.CompactedError:
                 self._lines.write('watch_compacted', kind=self._kind)
                 self._revision = 0
-            except object_data.ObjectApiError as exc:
-                self._note_failure(exc)
+            except Exception as exc:
+                self._handle_failure(exc)
                 jittered_s = pause_s * random.uniform(*JITTER)
                 await asyncio.sleep(max(jittered_s, _retry_after_s(exc)))
                 pause_s = min(pause_s * GROWTH, MAX_PAUSE_S)
@@ -166,6 +170,12 @@
         for error in errors:
             self._refusals.log_once(error, error)
 
+    def _handle_failure(self, exc: Exception) -> None:
+        if not isinstance(exc, object_data.ObjectApiError):
+            logging.exception('event=watch_failed kind=%s', self._kind)
+            self._revision = 0
+        self._note_failure(exc)
+
     def _note_failure(self, exc: Exception) -> None:
         self._failures += 1
         self.is_current = False
@@ -187,7 +197,7 @@
         self._failures = 0
 
 
-def _retry_after_s(exc: object_data.ObjectApiError) -> float:
+def _retry_after_s(exc: Exception) -> float:
     """Return the pause in seconds that the store asks for, bounded."""
     if isinstance(exc, object_data.RateLimitedError):
         return min(exc.retry_after_s, MAX_RETRY_AFTER_S)
--- a/beryllug/scripts/live_settings.py
+++ b/beryllug/scripts/live_settings.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from beryllug.core import finding, settings_data
-from beryllug.kernel import log_lines
+from beryllug.kernel import background_tasks, log_lines
 from beryllug.parsing import settings
 
 CHECK_INTERVAL_S = 1.0
@@ -48,7 +48,7 @@
 
     async def start(self) -> None:
         """Start looking at the file."""
-        self._task = asyncio.create_task(self._run())
+        self._task = background_tasks.start('settings', self._run)
 
     async def stop(self, grace_s: float) -> None:
         """Stop looking at it."""
