json_decode: one odd entry spoiled a list, or ended its watch

Cause: the decoder refuses a page whose entries it only skips, and the repair knew two forms; an entry that was skipped and refused later raised a TypeError as its first bytes were shown. Ruled out: the handlers of the lists (48,000 drawn documents raise the two errors that they expect).

Change: lists are split by quotes, brackets and commas, without reading them, and entries decoded one by one, then field by field. A value that can't be read is none, its name is known: a sound server that is overwritten by one is dropped, tombstones count, zones stay evacuated, an order with an odd status is an order. A change without a readable name has the kind listed again.

--- a/beryllug/drivers/store_data.py
+++ b/beryllug/drivers/store_data.py
@@ -9,8 +9,9 @@
     Attributes:
         name: Its name, unique within its kind.
         revision: Revision of the store at its last change.
-        spec: Its specification.
-        status: Its reported status, or None.
+        spec: Its specification; None if it can't be decoded.
+        status: Its reported status; None if there is none, or it can't be
+            decoded.
         is_leaving: Whether its deletion has begun.
     """
 
@@ -27,7 +28,7 @@
     Attributes:
         found: The objects that could be decoded.
         revision: Revision of the store.
-        errors: Decoding errors of the other objects.
+        errors: Decoding errors of values, and of the other objects.
     """
 
     found: tuple[StoredObject, ...]
@@ -55,9 +56,11 @@
     Attributes:
         changes: Changes of objects that could be decoded.
         revision: Revision of the store.
-        errors: Decoding errors of the other changes.
+        errors: Decoding errors of values, and of the other changes.
+        is_complete: Whether there were no other changes.
     """
 
     changes: tuple[Change, ...]
     revision: int
     errors: tuple[str, ...] = ()
+    is_complete: bool = True
--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -55,20 +55,17 @@
 
 
 class _Page(msgspec.Struct):
-    # Decoded one by one, as other writers may store malformed objects.
-    items: tuple[msgspec.Raw, ...] = ()
+    at: int
     has_more: bool = False
-    at: int = 0
 
 
 class _Event(msgspec.Struct):
     object: _Object
-    tombstone: bool = False
+    tombstone: bool
 
 
 class _Events(msgspec.Struct):
     at: int
-    events: tuple[msgspec.Raw, ...] = ()
 
 
 class Store:
@@ -103,19 +100,23 @@
         """
         path = _path(kind)
         if after:
-            path = f'{path}?after={url_parse.quote(after, safe="")}'
+            path = f'{path}?after={_quote(after)}'
         body = await self._call('list', 'GET', path, timeout_s=LIST_TIMEOUT_S)
-        page = json_decode.decode(body, _Page)
-        decoded, errors = json_decode.decode_entries(page.items, _Object)
+        page, entries = json_decode.decode_list(body, _Page, 'items')
+        decoded = json_decode.decode_entries(entries, _Object)
         era = self.eras.era
-        listed = tuple(_to_stored(each, era) for each in decoded)
+        listed = tuple(_to_stored(each, era) for each in decoded.found)
         self._report_unread(kind, listed)
-        is_last = not page.has_more or not listed
+        errors = decoded.errors
+        next_after = ''
+        if page.has_more and decoded.last:
+            next_after = json_decode.text_at(decoded.last, 'metadata', 'name')
+            if next_after in {'', after}:
+                errors = (*errors, f'no page after {after!r}')
+                next_after = ''
         return store_data.Page(
-            store_data.Listing(
-                listed, stamps.stamp(era, page.at), tuple(errors)
-            ),
-            '' if is_last else listed[-1].name,
+            store_data.Listing(listed, stamps.stamp(era, page.at), errors),
+            next_after,
         )
 
     async def watch(
@@ -134,15 +135,19 @@
         body = await self._call('watch', 'GET', target, timeout_s=timeout_s)
         self._require_current_era(after)
         era = self.eras.era
-        events = json_decode.decode(body, _Events)
-        decoded, errors = json_decode.decode_entries(events.events, _Event)
+        batch, entries = json_decode.decode_list(body, _Events, 'events')
+        decoded = json_decode.decode_entries(entries, _Event)
         changes = tuple(
             store_data.Change(_to_stored(event.object, era), event.tombstone)
-            for event in decoded
+            for event in decoded.found
         )
         self._report_unread(kind, (change.stored for change in changes))
-        revision = stamps.stamp(era, events.at)
-        return store_data.Changes(changes, revision, tuple(errors))
+        return store_data.Changes(
+            changes,
+            stamps.stamp(era, batch.at),
+            decoded.errors,
+            is_complete=not decoded.lost,
+        )
 
     async def ping(self, within_s: float) -> None:
         """Request any answer, even stale data; raises as `list_page` does."""
@@ -254,6 +259,15 @@
     return f'{path}/{url_parse.quote(name, safe="")}' if name else path
 
 
+def _quote(text: str) -> str:
+    """Quote a text that may contain what is no Unicode."""
+    try:
+        raw = text.encode(errors='surrogateescape')
+    except UnicodeEncodeError:
+        raw = text.encode(errors='surrogatepass')
+    return url_parse.quote(raw, safe='')
+
+
 def _to_stored(found: _Object, era: int) -> store_data.StoredObject:
     metadata = found.metadata
     return store_data.StoredObject(
--- a/beryllug/router/order_list.py
+++ b/beryllug/router/order_list.py
@@ -74,14 +74,10 @@
         known = self.orders.get(name)
         if known is not None and stored.revision <= known.revision:
             return
-        try:
-            order, phase = documents.order(
-                name, stored.revision, stored.spec, stored.status
-            )
-        except (msgspec.ValidationError, ValueError) as exc:
-            self._refusals.log_once(name, str(exc))
+        decoded = self._decode(name, stored)
+        if decoded is None:
             return
-        self._refusals.clear(name)
+        order, phase = decoded
         if known is not None:
             is_return = stamps.is_restored(stored.revision, known.revision)
             replaced = self._replaced.get(name, {})
@@ -133,6 +129,26 @@
             if not change.is_deleted:
                 self.update(change.stored.name, _stored(change.stored), now)
 
+    def _decode(
+        self, name: str, stored: StoredOrder
+    ) -> tuple[canary_data.Order, canary_data.Phase] | None:
+        """Return an order and its phase; None if it can't be decoded.
+
+        An order whose status can't be decoded has none.
+        """
+        for status in (stored.status, None):
+            try:
+                decoded = documents.order(
+                    name, stored.revision, stored.spec, status
+                )
+            except (msgspec.ValidationError, ValueError) as exc:
+                self._refusals.log_once(name, str(exc))
+                continue
+            if status is stored.status:
+                self._refusals.clear(name)
+            return decoded
+        return None
+
     def _note_replaced(self, name: str, before: str, target: str) -> None:
         """Remember the target versions that came before the present one."""
         replaced = self._replaced.setdefault(name, {})
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -164,6 +164,10 @@
         self._revision = max(changes.revision, self._revision)
         if changes.changes:
             self._follower.changed(changes, time.monotonic())
+        if not changes.is_complete:
+            self._lines.write('watch_incomplete', kind=self._kind)
+            self._revision = 0
+        if changes.changes or not changes.is_complete:
             await asyncio.sleep(BATCH_S)
 
     def _note_errors(self, errors: Iterable[str]) -> None:
