stamps: large revisions were taken for another era

Cause: a stamp had 40 bits for the revision, unchecked. A larger one spilled into the era, which peers then told to one another. Ruled out as the first cause, but faults of the same class: MessagePack has 64 bits, so revisions or a version of a manifest of that size, or the count of an accusation of another writer, ended the notes of a process (OverflowError); eras of over six digits were ignored.

In messages a stamp is packed as before where it fits, else it is sent as text in a field at the end (core/peering/stamp_fields). Packed stamps of older releases are taken as far as they are unambiguous, and tell no era to a process that knows none.

platform_store_test.test_era: its row of an era that can't be read had eight digits, which no page forbids; it has 21 now, one more than a number of 64 bits.

--- a/beryllug/core/peering/peering_data.py
+++ b/beryllug/core/peering/peering_data.py
@@ -28,6 +28,18 @@
     zone: str = ''
 
 
+class LargeNumber(NamedTuple):
+    """A number of over 64 bits in a message.
+
+    Attributes:
+        name: Names the number in its message.
+        text: The number, or a stamp as ``ERA/REVISION``.
+    """
+
+    name: str
+    text: str
+
+
 class RolloutProgress(NamedTuple):
     """The progress of a roll-out, as known to the sender.
 
@@ -36,9 +48,9 @@
         target: The version being rolled out.
         phase: Its phase.
         age_s: Seconds since its order, as far as the sender knows.
-        announced_on: Revision of the order on which the sender is about to
+        announced_on: Stamp of the order on which the sender is about to
             write the result, or has begun to; 0 for none.
-        written_on: Newest revision of the order on which the result is known
+        written_on: Newest stamp of the order on which the result is known
             to be written; 0 for none.
     """
 
@@ -76,9 +88,9 @@
 
     Attributes:
         table: Version of its route table, 0 for none.
-        servers: Store revision of its list of backend servers.
-        orders: Store revision of the latest change of a roll-out order.
-        zones: Store revision of its list of evacuated availability zones.
+        servers: Stamp of its list of backend servers.
+        orders: Stamp of the latest change of a roll-out order.
+        zones: Stamp of its list of evacuated availability zones.
     """
 
     table: int = 0
@@ -266,7 +278,7 @@
         is_watching: Whether the sender watches the store and is answered.
         versions: How recent its data is.
         returned_ago_s: Seconds since the store came back from an outage.
-        since: Store revision that `entries` follow on.
+        since: Stamp that `entries` follow on.
         entries: Changes of the list of backend servers up to its revision,
             as JSON, or empty.
         rollouts: Progress of roll-outs that has just changed.
@@ -303,6 +315,8 @@
             freely.
         segments: Prompt segments of runs whose server was just lost, or that
             were answered and are suspects elsewhere.
+        large: The numbers of over 64 bits, as it is sent; older releases
+            send none.
     """
 
     name: str
@@ -335,6 +349,7 @@
     full: tuple[FullServer, ...] = ()
     suspects: tuple[SuspectReport, ...] = ()
     segments: tuple[SegmentsReport, ...] = ()
+    large: tuple[LargeNumber, ...] | None = None
 
 
 class HeldOrder(NamedTuple):
@@ -361,12 +376,14 @@
         instances: Servers known to be leaving, or to be gone.
         zones: Evacuated availability zones that the store does not list.
         orders: Roll-out orders by name, as JSON.
+        large: Their stamps of over 64 bits by name; older releases send none.
     """
 
     left_s: float = 0
     instances: tuple[str, ...] = ()
     zones: tuple[str, ...] = ()
     orders: bytes = b''
+    large: tuple[LargeNumber, ...] | None = None
 
 
 NOTHING_HELD = HeldState()
@@ -398,6 +415,10 @@
         suspects: Requests that may not run freely, since servers were lost
             under them; in an answer.
         has_accusations: Whether the sender knows what the store has of them.
+        large: The numbers of over 64 bits, as it is sent; older releases
+            send none.
+        large_orders: Stamps of over 64 bits of `orders` by name; older
+            releases send none.
     """
 
     name: str
@@ -417,3 +438,5 @@
     held: HeldState = NOTHING_HELD
     suspects: tuple[SuspectReport, ...] = ()
     has_accusations: bool = False
+    large: tuple[LargeNumber, ...] | None = None
+    large_orders: tuple[LargeNumber, ...] | None = None
--- a/beryllug/drivers/store_era.py
+++ b/beryllug/drivers/store_era.py
@@ -5,8 +5,8 @@
 from beryllug.drivers import object_data
 
 Listener = Callable[[int, int], None]
-# Eras are counted from one; a longer number can't be a count of restores.
-MAX_ERA_DIGITS = 6
+# Stores may count from any number; longer ones are none of 64 bits.
+MAX_ERA_DIGITS = 20
 
 
 class StoreEra:
--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -105,7 +105,7 @@
         page, entries = json_decode.decode_list(body, _Page, 'items')
         decoded = json_decode.decode_entries(entries, _Object)
         era = self.eras.era
-        listed = tuple(_to_stored(each, era) for each in decoded.found)
+        listed = tuple(_to_stored(each, era, page.at) for each in decoded.found)
         self._report_unread(kind, listed)
         errors = decoded.errors
         next_after = ''
@@ -115,7 +115,7 @@
                 errors = (*errors, f'no page after {after!r}')
                 next_after = ''
         return store_data.Page(
-            store_data.Listing(listed, stamps.stamp(era, page.at), errors),
+            store_data.Listing(listed, _stamp(era, page.at), errors),
             next_after,
         )
 
@@ -138,13 +138,15 @@
         batch, entries = json_decode.decode_list(body, _Events, 'events')
         decoded = json_decode.decode_entries(entries, _Event)
         changes = tuple(
-            store_data.Change(_to_stored(event.object, era), event.tombstone)
+            store_data.Change(
+                _to_stored(event.object, era, batch.at), event.tombstone
+            )
             for event in decoded.found
         )
         self._report_unread(kind, (change.stored for change in changes))
         return store_data.Changes(
             changes,
-            stamps.stamp(era, batch.at),
+            _stamp(era, batch.at),
             decoded.errors,
             is_complete=not decoded.lost,
         )
@@ -259,6 +261,13 @@
     return f'{path}/{url_parse.quote(name, safe="")}' if name else path
 
 
+def _stamp(era: int, revision: int) -> int:
+    try:
+        return stamps.stamp(era, revision)
+    except ValueError as exc:
+        raise object_data.ObjectApiError(f'unreadable answer: {exc}') from exc
+
+
 def _quote(text: str) -> str:
     """Quote a text that may contain what is no Unicode."""
     try:
@@ -268,11 +277,14 @@
     return url_parse.quote(raw, safe='')
 
 
-def _to_stored(found: _Object, era: int) -> store_data.StoredObject:
+def _to_stored(
+    found: _Object, era: int, newest: int
+) -> store_data.StoredObject:
     metadata = found.metadata
+    revision = min(max(metadata.revision, 0), newest)
     return store_data.StoredObject(
         metadata.name,
-        stamps.stamp(era, metadata.revision),
+        _stamp(era, revision),
         found.spec,
         found.status,
         metadata.deleting,
--- a/beryllug/proofs/platform/returns_test.py
+++ b/beryllug/proofs/platform/returns_test.py
@@ -220,7 +220,7 @@
         calls = sum(self.party.calls.values()) - before
         self.assertLess(calls, 3 * len(KINDS) * 5)
         noticed = {line['era'] for line in self.site.logged('store_returned')}
-        self.assertEqual(noticed, {2})
+        self.assertEqual(noticed, {self.store_cfg.first_era + 1})
 
     async def _ask_repeatedly(self) -> set[int]:
         until = time.monotonic() + 2 * CATCH_UP_S
--- a/beryllug/proofs/platform/site_test.py
+++ b/beryllug/proofs/platform/site_test.py
@@ -44,9 +44,10 @@
     routers = 1
     # Router settings in addition to the default ones.
     settings: Mapping[str, Any] = MappingProxyType({})
+    store_cfg = platform_site.DEFAULT_STORE
 
     async def asyncSetUp(self) -> None:
-        self.site = platform_site.Site()
+        self.site = platform_site.Site(self.store_cfg)
         await self.site.open()
         for instance in ('p1', 'p2'):
             await self.site.add_runner(platform_site.POOL, instance)
--- a/beryllug/router/accusation_documents.py
+++ b/beryllug/router/accusation_documents.py
@@ -8,6 +8,7 @@
 
 KIND = 'accusations'
 MAX_TEXT_LENGTH = 256
+MAX_LOST_SERVERS = 1_000_000
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
 
 
@@ -17,7 +18,7 @@
         msgspec.Meta(min_length=1, max_length=suspect_keys.MAX_TOGETHER),
     ]
     server: _Text
-    lost_servers: Annotated[int, msgspec.Meta(ge=0)]
+    lost_servers: Annotated[int, msgspec.Meta(ge=0, le=MAX_LOST_SERVERS)]
     # Wall-clock second: the clocks of two processes differ by little against
     # the minutes for which it counts.
     at: float
--- a/beryllug/router/accusation_list_test.py
+++ b/beryllug/router/accusation_list_test.py
@@ -110,10 +110,12 @@
             _stored('a', {'keys': []}),
             _stored('b', 'text'),
             _stored('c', {'keys': ['x'], 'server': 'i-1', 'lost_servers': -1}),
+            # A note can't contain a number of over 64 bits.
+            _stored('d', _spec(1, RARE) | {'lost_servers': 2**64}),
             _stored('trial-1', _spec(1, BAD)),
         )
         self.assertGreater(self.refused_s(BAD), 0)
-        self.assertEqual(self.lines.events.count('accusation_refused'), 3)
+        self.assertEqual(self.lines.events.count('accusation_refused'), 4)
 
     async def test_expired(self) -> None:
         """What was refused hours ago is refused again after each start."""
--- a/beryllug/router/peering.py
+++ b/beryllug/router/peering.py
@@ -12,7 +12,7 @@
 
 from beryllug.core import settings_data
 from beryllug.core.canary import verdict_write
-from beryllug.core.peering import members, peering_data
+from beryllug.core.peering import members, peering_data, stamp_fields
 from beryllug.drivers import (
     answer_timeouts,
     router_methods,
@@ -158,14 +158,16 @@
         task.add_done_callback(self._calls_in_flight.discard)
 
     async def _try_compare(self, address: str) -> peering_data.Digest | None:
+        packed = stamp_fields.pack_digest(self._digest())
         try:
-            return await self._calls.call(
-                address, router_methods.COMPARE, self._digest(), CALL_TIMEOUT_S
+            reply: peering_data.Digest = await self._calls.call(
+                address, router_methods.COMPARE, packed, CALL_TIMEOUT_S
             )
         except rpc.RpcError:
             # The connection may be dead, so it is not reused.
             await self._calls.disconnect(address)
             return None
+        return _unpack(reply, self.store_exchange)
 
     async def _run(self) -> None:
         due_at = 0.0
@@ -225,14 +227,16 @@
         for address in members.addresses(self.members, (name,)):
             self.call_later(address)
 
-    async def _answer(self, digest: peering_data.Digest) -> peering_data.Digest:
+    async def _answer(self, asked: peering_data.Digest) -> peering_data.Digest:
+        digest = _unpack(asked, self.store_exchange)
         self._apply_digest(digest)
         now = time.monotonic()
-        return self.store_exchange.add_missing(
+        reply = self.store_exchange.add_missing(
             self._digest()._replace(suspects=self.suspects(now)),
             digest.versions,
             now,
         )
+        return stamp_fields.pack_digest(reply)
 
     def _digest(self) -> peering_data.Digest:
         now = time.monotonic()
@@ -266,6 +270,12 @@
         self.store_exchange.apply(digest, now)
 
 
+def _unpack(
+    digest: peering_data.Digest, known: store_exchange.StoreExchange
+) -> peering_data.Digest:
+    return stamp_fields.unpack_digest(digest, known.newest_stamp())
+
+
 def _no_suspects(now: float) -> Suspects:
     """Default of `suspects`."""
     return ()
--- a/beryllug/router/sharing.py
+++ b/beryllug/router/sharing.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import time
 from collections.abc import Iterable
@@ -14,7 +15,12 @@
 
 from beryllug.core import settings_data
 from beryllug.core.canary import sessions
-from beryllug.core.peering import members, peering_data, suspect_reports
+from beryllug.core.peering import (
+    members,
+    peering_data,
+    stamp_fields,
+    suspect_reports,
+)
 from beryllug.core.placement import backlog, fleet_size
 from beryllug.drivers import datagrams, fleet_key
 from beryllug.kernel import background_tasks
@@ -81,11 +87,10 @@
         self._notes = datagrams.Datagrams(
             keys, peering_data.PeerNote, self._handle_note
         )
-        self._news = store_news.StoreNews(
-            cfg, zone, peers, known, self._notes.send
-        )
+        self._send = functools.partial(_send_packed, self._notes)
+        self._news = store_news.StoreNews(cfg, zone, peers, known, self._send)
         self._probes = probes.Probes(
-            cfg, zone, peers, decided.trials, self._notes.send
+            cfg, zone, peers, decided.trials, self._send
         )
         self._limits = decided.pool.eligible.limits
         self._claims = claims.Claims(
@@ -94,7 +99,7 @@
             peers,
             self._limits,
             decided.pool.eligible.size,
-            self._notes.send,
+            self._send,
         )
         self._limits.claim = self._claims.claim
         self._statements = decided.statements
@@ -184,7 +189,7 @@
 
     def _broadcast(self, note: peering_data.PeerNote) -> None:
         known = self._peers.members.known.values()
-        self._notes.send((each.notes for each in known), note)
+        self._send((each.notes for each in known), note)
 
     def _send_loads(
         self, messages: Iterable[fleet_loads.OutgoingMessage], now: float
@@ -197,7 +202,7 @@
                 note = note._replace(
                     notes=self._cfg.notes_listen, zone=self._zone
                 )
-            self._notes.send(due.addresses, note)
+            self._send(due.addresses, note)
 
     def _new_note(self) -> peering_data.PeerNote:
         return peering_data.PeerNote(
@@ -238,8 +243,10 @@
         """Tell all processes of a full server, before more are turned away."""
         self._broadcast(self._new_note()._replace(full=(server,)))
 
-    def _handle_note(self, note: peering_data.PeerNote) -> None:
+    def _handle_note(self, received: peering_data.PeerNote) -> None:
         now = time.monotonic()
+        newest = self._peers.store_exchange.newest_stamp()
+        note = stamp_fields.unpack_note(received, newest)
         if note.notes:
             seen = members.KnownPeer(note.address, note.notes, now, note.zone)
             self._peers.roster.record_alive(note.name, seen)
@@ -263,6 +270,14 @@
         self._probes.handle_note(note, now)
 
 
+def _send_packed(
+    notes: datagrams.Datagrams,
+    addresses: Iterable[str],
+    note: peering_data.PeerNote,
+) -> None:
+    notes.send(addresses, stamp_fields.pack_note(note))
+
+
 def with_loads(
     note: peering_data.PeerNote, payload: fleet_loads.LoadMessage
 ) -> peering_data.PeerNote:
--- a/beryllug/router/store_exchange.py
+++ b/beryllug/router/store_exchange.py
@@ -1,12 +1,17 @@
 """Exchange of store data between peers, and of how recent it is."""
 
 import zlib
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
 
 from beryllug.core import stamps
-from beryllug.core.peering import peering_data, watcher_election
+from beryllug.core.peering import (
+    peering_data,
+    stamp_fields,
+    watcher_election,
+)
 from beryllug.router import directory, order_list
 
 # Compression level. Lists of backend servers and route tables repeat much the
@@ -40,6 +45,11 @@
             zones=known.zones.revision,
         )
 
+    def newest_stamp(self) -> int:
+        """Return the newest stamp of the data in this process."""
+        own = self.versions()
+        return max(own.servers, own.orders, own.zones)
+
     def evacuated(self) -> tuple[str, ...]:
         """Return the evacuated availability zones that the store lists."""
         return tuple(sorted(self._known.zones.in_store))
@@ -79,7 +89,8 @@
                 servers=self._compressed_servers(own.servers)
             )
         if asked.orders < own.orders:
-            digest = digest._replace(orders=_encode(known.orders.orders))
+            encoded, large = _encode_orders(known.orders.orders)
+            digest = digest._replace(orders=encoded, large_orders=large)
         return digest
 
     def apply(self, digest: peering_data.Digest, now: float) -> None:
@@ -103,9 +114,11 @@
             orders = msgspec.json.decode(
                 digest.orders, type=dict[str, order_list.StoredOrder]
             )
+            numbers = self._reader(digest.large_orders)
             for name, stored in orders.items():
+                stamped = numbers.stamp(stored.revision, name)
+                stored = stored._replace(revision=stamped)
                 known.orders.update(name, stored, now)
-
         self._apply_held(digest, now)
 
     def take_table(self, compressed: bytes, source: str) -> None:
@@ -132,11 +145,9 @@
         if not left_s:
             return peering_data.NOTHING_HELD
         era = stamps.era(known.servers.revision)
+        encoded, large = _encode_orders(known.orders.held(era))
         return peering_data.HeldState(
-            left_s,
-            instances,
-            known.zones.held(),
-            _encode(known.orders.held(era)),
+            left_s, instances, known.zones.held(), encoded, large
         )
 
     def _apply_held(self, digest: peering_data.Digest, now: float) -> None:
@@ -154,7 +165,21 @@
         orders = msgspec.json.decode(
             held.orders, type=dict[str, peering_data.HeldOrder]
         )
-        known.orders.apply_held(orders, now)
+        numbers = self._reader(held.large)
+        known.orders.apply_held(
+            {
+                name: order._replace(
+                    revision=numbers.stamp(order.revision, name)
+                )
+                for name, order in orders.items()
+            },
+            now,
+        )
+
+    def _reader(
+        self, large: stamp_fields.Numbers | None
+    ) -> stamp_fields.Reader:
+        return stamp_fields.reader(large, self.newest_stamp())
 
     def _compressed_servers(self, revision: int) -> bytes:
         """Return the list of servers, compressed once for all requests.
@@ -168,6 +193,23 @@
         return self._servers_cache[1]
 
 
+def _encode_orders(
+    orders: Mapping[str, order_list.StoredOrder]
+    | Mapping[str, peering_data.HeldOrder],
+) -> tuple[bytes, stamp_fields.Numbers]:
+    """Encode orders; also returns their stamps of over 64 bits."""
+    packed, large = stamp_fields.pack_stamps(
+        {name: order.revision for name, order in orders.items()}
+    )
+    encoded = _encode(
+        {
+            name: order._replace(revision=packed[name])
+            for name, order in orders.items()
+        }
+    )
+    return encoded, large
+
+
 def _encode(document: Any) -> bytes:
     return msgspec.json.encode(document)
 
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -39,6 +39,7 @@
 OPERATOR_KEYS = ('operator-key-of-a-test',)
 TIMEOUT_S = 10.0
 POLL_S = 0.01
+DEFAULT_STORE = platform_store.PlatformStoreCfg()
 
 
 class Reply(NamedTuple):
@@ -107,11 +108,12 @@
         router_by_attempt: Router name by attempt id.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        store_cfg: platform_store.PlatformStoreCfg = DEFAULT_STORE,
+    ) -> None:
         """Create an empty deployment; `open` starts the store."""
-        self.store_behaviour = platform_store.PlatformStore(
-            platform_store.PlatformStoreCfg()
-        )
+        self.store_behaviour = platform_store.PlatformStore(store_cfg)
         self.runners: dict[str, platform_runner.PlatformRunner] = {}
         self.stand_ins: dict[str, http_stand_in.StandIn] = {}
         self.routers: list[Router] = []
--- a/beryllug/standins/platform_store.py
+++ b/beryllug/standins/platform_store.py
@@ -26,11 +26,15 @@
         writes_per_s: Write calls per second; more are rejected.
         reads_per_s: Read calls per second; more are rejected.
         page: Maximum number of objects in one page of a list.
+        first_revision: Revision of the empty store.
+        first_era: Era that it starts with.
     """
 
     writes_per_s: float = 400
     reads_per_s: float = 2000
     page: int = 50
+    first_revision: int = 1
+    first_era: int = 1
 
 
 class _Event(NamedTuple):
@@ -55,22 +59,22 @@
 
     Attributes:
         revision: Revision of the last change.
-        era: Starts at 1 and increases by 1 with every restore.
+        era: Increases by 1 with every restore.
         reported_era: Era in the response headers; empty to omit it.
         calls: Number of calls by operation.
         history: Changes that watches report.
     """
 
     def __init__(self, cfg: PlatformStoreCfg) -> None:
-        """Create an empty store at revision 1."""
-        self.revision = 1
-        self.era = 1
-        self.reported_era = '1'
+        """Create an empty store."""
+        self.revision = cfg.first_revision
+        self.era = cfg.first_era
+        self.reported_era = str(self.era)
         self.calls: dict[str, int] = {}
         self._cfg = cfg
         self._stored: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[_Event] = []
-        self._oldest = 1
+        self._oldest = cfg.first_revision
         self._changed = asyncio.Event()
         self._reads = rate.Bucket(cfg.reads_per_s, 0)
         self._writes = rate.Bucket(cfg.writes_per_s, 0)
--- a/beryllug/standins/platform_store_test.py
+++ b/beryllug/standins/platform_store_test.py
@@ -145,7 +145,7 @@
             ('2', True, 2, 0),
             ('soon', False, 2, 1),
             ('-3', False, 2, 2),
-            ('99999999', False, 2, 3),
+            ('9' * 21, False, 2, 3),
         )
         unreadable: list[str] = []
         self.api.eras.on_invalid = unreadable.append
