soak: odd entries of another writer, and stores that were in use

Half of the seeds have entries in which bytes of a server's entry are missing, doubled or drawn, from before the start on; half have a store whose revisions and era begin at drawn numbers, near powers of two up to 2**70 and 2**30. Both are drawn apart, so a seed keeps its faults.

--- a/beryllug/soak/run.py
+++ b/beryllug/soak/run.py
@@ -20,6 +20,7 @@
     cutting_fault,
     endless_fault,
     inject,
+    odd_writer,
     plan,
     relay_loss,
     site,
@@ -71,8 +72,13 @@
 async def run_seed(seed: int, sizes: plan.Sizes) -> Result:
     """Run one seed and check the observations against the guarantees."""
     zone_cut = plan.draw_zone_cut(seed)
-    deployment = site.SoakSite(sizes, has_two_zones=zone_cut is not None)
+    deployment = site.SoakSite(
+        sizes, odd_writer.draw_store(seed), has_two_zones=zone_cut is not None
+    )
     faults = plan.draw(seed, sizes)
+    for entry in odd_writer.draw_entries(seed):
+        if not entry.at_s:
+            odd_writer.put(deployment.site.store_behaviour, entry)
     try:
         await deployment.open()
         unrecovered = await _inject_and_probe(deployment, faults, seed)
@@ -124,6 +130,7 @@
             _inject_all(deployment, faults, seed),
             bad.run(plan.draw_crash_request(seed)),
             _flood(deployment, flooding, plan.draw_flood(seed)),
+            odd_writer.write(deployment, odd_writer.draw_entries(seed)),
         )
         await asyncio.sleep(RECOVERY_S)
         _raise_failures(tasks)
--- a/beryllug/soak/site.py
+++ b/beryllug/soak/site.py
@@ -14,6 +14,7 @@
     faults,
     platform_runner,
     platform_site,
+    platform_store,
     processes,
 )
 
@@ -64,19 +65,24 @@
     """
 
     def __init__(
-        self, sizes: plan.Sizes, *, has_two_zones: bool = False
+        self,
+        sizes: plan.Sizes,
+        store_cfg: platform_store.PlatformStoreCfg,
+        *,
+        has_two_zones: bool = False,
     ) -> None:
         """Create the deployment; `open` starts it.
 
         Args:
             sizes: Numbers of routers and servers.
+            store_cfg: Options of the store.
             has_two_zones: Whether some routers are in the second zone.
         """
         self.sizes = sizes
         self.first_zone_routers = sizes.routers
         if has_two_zones:
             self.first_zone_routers -= sizes.other_zone_routers
-        self.site = platform_site.Site()
+        self.site = platform_site.Site(store_cfg)
         self.running = processes.Processes('beryllug.soak.cut_daemon')
         self.store_proxies: list[proxy.Proxy] = []
         self.server_proxies: dict[str, proxy.Proxy] = {}
