http_client: an answer that ended before its request was read was whole

Cause: an answer without a length ends with its connection, and an orderly end was taken for it whatever the request had come to. The parser takes any three digits from 200 on for a status.

Change: such an end, before the server's host has acknowledged all that was written, breaks the answer off; a status above 599 is no answer.

A look at the kernel's buffer once an answer without a length, nothing for others.

--- a/beryllug/drivers/http_client.py
+++ b/beryllug/drivers/http_client.py
@@ -35,6 +35,8 @@
 # it. The server counts in whole seconds, from a moment that the client sees a
 # round trip later; one second covers both.
 KEEP_ALIVE_MARGIN_S = 1.0
+# Statuses above it are none of HTTP.
+MAX_STATUS = 599
 BODYLESS_METHODS = ('GET', 'HEAD')
 # Opens a link to ``ip:port``; raises OSError or TimeoutError.
 Opener = Callable[[str], Awaitable[http_link.Link]]
@@ -179,6 +181,9 @@
             pieces.append(bytes(event.data))
             event = events.ready_event()
         if isinstance(event, h11.EndOfMessage):
+            link = self._conn.link
+            if self.is_unframed and http_link.has_unacknowledged(link):
+                raise ConnectionResetError('closed before the request was read')
             self._complete = True
         elif event is not h11.NEED_DATA:
             raise ConnectionResetError('server closed the connection')
@@ -387,6 +392,8 @@
             event = await conn.events.next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionResetError('closed before an answer')
+        if event.status_code > MAX_STATUS:
+            raise h11.RemoteProtocolError(f'status {event.status_code}')
         incoming = IncomingResponse(self, conn, event, sent_at)
         conn.idle_s = _idle_s(incoming.headers)
         return incoming
--- a/beryllug/drivers/http_link.py
+++ b/beryllug/drivers/http_link.py
@@ -8,12 +8,15 @@
 Only one task may use a link at a time.
 """
 
+import array
 import asyncio
 import collections
+import fcntl
 import math
 import select
 import socket
 import struct
+import termios
 from collections.abc import Callable
 
 from beryllug.drivers import tcp_keepalive
@@ -221,6 +224,20 @@
             on_idle_end(self)
 
 
+def has_unacknowledged(link: Link) -> bool:
+    """Return whether the host of the peer has not got all written bytes yet."""
+    if link.transport.get_write_buffer_size():
+        return True
+    sock = link.transport.get_extra_info('socket')
+    queued = array.array('i', (0,))
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
+    except (OSError, AttributeError):
+        # The connection is lost, or the kernel does not tell.
+        return False
+    return queued[0] > 0
+
+
 async def open_link(address: str) -> Link:
     """Connect to ``ip:port``.
 
