documents: an entry whose address nothing can listen at named a server

An entry of another writer names no server to use; one with port 0, above 65535 or with leading zeros, an octet above 255, digits that aren't ASCII or a line end did. Such entries are refused and logged (server_refused).

Test: server_list_test.test_unreachable_addresses, eight of nine red before.

--- a/beryllug/platform/documents.py
+++ b/beryllug/platform/documents.py
@@ -3,6 +3,7 @@
 Unknown fields are ignored, as the platform may add some.
 """
 
+import ipaddress
 from enum import StrEnum
 from types import MappingProxyType
 from typing import Annotated, Any
@@ -20,8 +21,9 @@
 MAX_TEXT_LENGTH = 256
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
 _Address = Annotated[
-    str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+    str, msgspec.Meta(pattern=r'^[0-9.]{7,15}:[1-9][0-9]{0,4}\Z')
 ]
+MAX_PORT = 65535
 _STATE_BY_PHASE = MappingProxyType(
     {
         canary_data.Phase.TRIAL: 'running',
@@ -206,9 +208,11 @@
     document that does not match the schema in every field is rejected.
 
     Raises:
-        ValidationError: The document does not match the schema.
+        ValueError: The document does not match the schema, or nothing can
+            listen at its address.
     """
     decoded = msgspec.convert(spec, _Server)
+    _check_address(decoded.address)
     is_leaving = decoded.state is _ServerState.DRAINING
     return servers_data.Server(
         name=name,
@@ -225,6 +229,13 @@
     )
 
 
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(':')
+    ipaddress.IPv4Address(host)
+    if int(port) > MAX_PORT:
+        raise ValueError(f'port {port}')
+
+
 def server_spec(record: servers_data.Server) -> dict[str, Any]:
     """Return a backend server's entry in stored form, to forward to peers."""
     state = _ServerState.READY
--- a/beryllug/router/server_list_test.py
+++ b/beryllug/router/server_list_test.py
@@ -42,6 +42,17 @@
     {},
     ['a', {'b': 1}],
 )
+UNREACHABLE = (
+    '10.0.0.1:0',
+    '10.0.0.1:65536',
+    '10.0.0.1:99999',
+    '10.0.0.1:080',
+    '10.0.0.1:80\n',
+    '10.0.0.256:80',
+    '10.0.01:80',
+    '10.0.0.1:\u0663',
+    '\u0661.0.0.1:80',
+)
 JSON_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -95,6 +106,12 @@
                 rest = {key: ENTRY[key] for key in ENTRY if key != field}
                 self._check_refused(rest)
 
+    def test_unreachable_addresses(self) -> None:
+        """Requests go to an address at which nothing can listen."""
+        for address in UNREACHABLE:
+            with self.subTest(address):
+                self._check_refused({**ENTRY, 'address': address})
+
     @settings(max_examples=200, deadline=None)
     @example({**ENTRY, 'state': 'retired'})
     @example({**ENTRY, 'address': 'elsewhere:80'})
