stream_flow: comments of a server began the answer of another one

What callers saw: 200 with the comments of one server and all events of another, or, where the connection ends before the first event, nothing but comments, as complete.

Cause: comments began the answer to the caller as events do. So the request was resumed elsewhere as a stream that has begun, and an answer without a length that ends between events was whole.

Change: comments before the first event are held until it comes, as bytes and within the limit of an event, so such a stream is sent elsewhere from its start, or gets 502.

Test: unframed_test, rows 'comments only' (also of what runs once), red before (': wait' in place of the events, and of an error); 'comments before the first event' arrive with it, green before and after.

--- a/beryllug/drivers/event_split.py
+++ b/beryllug/drivers/event_split.py
@@ -30,14 +30,18 @@
 class EventSplitter:
     """Buffers received bytes and returns complete events."""
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, *, holds_comments: bool = False) -> None:
         """Start with an empty buffer.
 
         Args:
             max_bytes: Maximum size of an event, and of all comments before
                 it.
+            holds_comments: Whether comments before the first event are returned
+                as part of it.
         """
         self._max_bytes = max_bytes
+        self._holds_comments = holds_comments
+        self._held = bytearray()
         self._comment_bytes = 0
         self._buffer = bytearray()
 
@@ -68,7 +72,18 @@
             if raw.strip()
         ]
         self._count_comments(events)
-        return events
+        return self._hold_comments(events) if self._holds_comments else events
+
+    def _hold_comments(self, events: list[Event]) -> list[Event]:
+        """Return the events from the first one on that has fields."""
+        for number, event in enumerate(events):
+            self._held += event.raw
+            if event.has_fields:
+                self._holds_comments = False
+                first = event._replace(raw=bytes(self._held))
+                self._held.clear()
+                return [first, *events[number + 1 :]]
+        return []
 
     def _count_comments(self, events: list[Event]) -> None:
         for event in events:
--- a/beryllug/drivers/event_split_test.py
+++ b/beryllug/drivers/event_split_test.py
@@ -57,6 +57,19 @@
         with self.assertRaises(http_data.ExcessError):
             splitter.feed(COMMENT * MAX_BYTES)
 
+    def test_held_comments(self) -> None:
+        """Comments before the first event are an answer by themselves."""
+        splitter = event_split.EventSplitter(MAX_BYTES, holds_comments=True)
+        event = b'id: 1\ndata: a\n\n'
+        self.assertEqual(splitter.feed(COMMENT * 2), [])
+        raw = [
+            each.raw for each in splitter.feed(COMMENT + event * 2 + COMMENT)
+        ]
+        self.assertEqual(raw, [COMMENT * 3 + event, event, COMMENT])
+        self.assertEqual(
+            [each.raw for each in splitter.feed(COMMENT)], [COMMENT]
+        )
+
     def test_comments(self) -> None:
         """A server that sends comments only is taken for one that answers."""
         splitter = event_split.EventSplitter(MAX_BYTES)
--- a/beryllug/proofs/platform/unframed_test.py
+++ b/beryllug/proofs/platform/unframed_test.py
@@ -52,6 +52,25 @@
         STREAM,
         ('1',),
     ),
+    Row(
+        'comments before the first event',
+        site_test.REPORT,
+        STREAMED._replace(comments=2),
+        2 * unframed_server.COMMENT + STREAM,
+    ),
+    Row(
+        'comments only',
+        site_test.DRAFT,
+        STREAMED._replace(comments=2, cut_at=0),
+        STREAM,
+        ('',),
+    ),
+    Row(
+        'comments only, of what runs once',
+        site_test.REPORT,
+        STREAMED._replace(comments=2, cut_at=0),
+        None,
+    ),
     Row(
         'before the first event',
         site_test.DRAFT,
@@ -72,7 +91,10 @@
     """One server breaks its first answer off; another one is whole."""
 
     async def test_answers(self) -> None:
-        """A stream that ends inside an event is taken for a whole one."""
+        """A stream that ends inside an event is taken for a whole one.
+
+        So is one that ends before its first event, behind comments.
+        """
         for row in ROWS:
             with self.subTest(row.title):
                 await self._play(row)
@@ -87,7 +109,9 @@
         task = asyncio.create_task(_ask(site, router, row))
         while not cut.last_events:
             await asyncio.sleep(0)
-        whole = unframed_server.UnframedServer(row.answer._replace(cut_at=None))
+        whole = unframed_server.UnframedServer(
+            row.answer._replace(cut_at=None, comments=0)
+        )
         await _list(site, whole, row)
         body = await task
         await site.close()
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -254,7 +254,10 @@
         if stream.why is escalation.SizeReason.LARGER:
             stream.why = None
             return stream_state.Larger(len(call.route.models) - 1)
-        splitter = event_split.EventSplitter(self._event_bytes)
+        # Comments begin no answer: another server may still be asked.
+        splitter = event_split.EventSplitter(
+            self._event_bytes, holds_comments=not stream.started
+        )
         progress_at = time.monotonic()
         while not incoming.reached_end:
             async with self._stall_timeout(call, stream, progress_at):
--- a/beryllug/standins/unframed_server.py
+++ b/beryllug/standins/unframed_server.py
@@ -12,6 +12,8 @@
 EVENTS = 5
 HEAD_END = b'\r\n\r\n'
 LINE_END = '\r\n'
+COMMENT = b': wait\n\n'
+COMMENT_INTERVAL_S = 0.01
 
 
 class Answer(NamedTuple):
@@ -24,6 +26,7 @@
         pause_s: Seconds before each event, or before each half of a text.
         events: Number of events.
         names_model: Whether events hold the model and their number.
+        comments: Number of comments before the first answer.
     """
 
     is_stream: bool
@@ -31,6 +34,7 @@
     pause_s: float = 0.0
     events: int = EVENTS
     names_model: bool = False
+    comments: int = 0
 
 
 class UnframedServer:
@@ -80,7 +84,10 @@
         writer.write(self._head(headers[names.ATTEMPT]))
         parts = self._parts(headers.get(names.MODEL, ''), int(last_event or 0))
         cut_at = self._answer.cut_at
-        self._answer = self._answer._replace(cut_at=None)
+        for _ in range(self._answer.comments):
+            writer.write(COMMENT)
+            await asyncio.sleep(COMMENT_INTERVAL_S)
+        self._answer = self._answer._replace(cut_at=None, comments=0)
         if cut_at is not None:
             parts = [b''.join(parts)[:cut_at]]
         for part in parts:
