caller_server: requests were accepted into the end of a short grace

What callers saw: with a grace of 3 or 2 s, requests on open connections that came late in a planned stop were passed on and cut at its end, some of them such as may run once. With 8 s, as on the users' sites, none.

Cause: accepted for three seconds whatever the grace; only the wait was bounded by half of it. Ruled out for 8 s: a request every 40 ms on four routes, whole and as uploads over 0.6 s (docs/incidents/short-grace.md).

Change: one bound for both.

Test: planned_stop_test; before, four of its six rows are red (requests that ran end without an answer, from 1.5 s of 2 and 2.5 s of 3 on).

--- a/beryllug/router/caller_server.py
+++ b/beryllug/router/caller_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import socket
 import time
 from collections.abc import Callable
@@ -104,6 +105,7 @@
         )
         self._readiness = http_server.HttpServer(self._answer_readiness)
         self._stopping_at: float | None = None
+        self._refuses_from = math.inf
         known.on_table(self._take_table)
 
     async def start(self) -> None:
@@ -120,7 +122,9 @@
         stop_deadline = stop_started + max(grace_s - KILL_MARGIN_S, 0)
         # What is sent at the last moment needs time for its answer.
         self.drain_waiting((stop_started + stop_deadline) / 2)
-        await asyncio.sleep(min(DRAIN_ACCEPT_S, grace_s / 2))
+        accept_s = min(DRAIN_ACCEPT_S, grace_s / 2)
+        self._refuses_from = stop_started + accept_s
+        await asyncio.sleep(accept_s)
         while self._is_busy() and time.monotonic() < stop_deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         await self._server.stop(max(stop_deadline - time.monotonic(), 0))
@@ -241,8 +245,7 @@
         return table
 
     def _is_refusing_new(self, now: float) -> bool:
-        stopping_at = self._stopping_at
-        return stopping_at is not None and now > stopping_at + DRAIN_ACCEPT_S
+        return now > self._refuses_from
 
 
 async def _refuse(
