--- a/beryllug/proofs/platform/endless_answers_test.py
+++ b/beryllug/proofs/platform/endless_answers_test.py
@@ -8,7 +8,13 @@
 from beryllug.drivers import http_data
 from beryllug.platform import store
 from beryllug.proofs.platform import site_test
-from beryllug.standins import endless_server, platform_site, processes
+from beryllug.soak import cut_daemon
+from beryllug.standins import (
+    endless_server,
+    link_cut,
+    platform_site,
+    processes,
+)
 
 Form = endless_server.Form
 HOLD = site_test.Load(site_test.HOLD, 'POST', ('d1', 'd2'))
@@ -23,6 +29,8 @@
 CUT = 0
 SECONDS = 3.0
 SLOW_PAUSE_S = 0.02
+# Seconds until a process has noticed that its links are cut.
+CUT_S = 0.5
 # Memory of a router process, of which half is in use without requests.
 MAX_MEMORY_KIB = 65536
 # Answers that such a server may begin in `SECONDS`: the first, and one after
@@ -35,11 +43,15 @@
 
 
 class Row(NamedTuple):
-    """What has no end, and the requests sent meanwhile."""
+    """What has no end, and the requests sent meanwhile.
+
+    They may be sent by a process that reaches servers through another one only.
+    """
 
     form: Form
     load: site_test.Load
     pause_s: float = 0
+    is_relayed: bool = False
 
 
 class Played(NamedTuple):
@@ -93,6 +105,15 @@
             Row(Form.COMMENT_EVENTS, DRAFT),
         )
 
+    async def test_relayed(self) -> None:
+        """The process that forwards keeps all bytes for one that is cut off."""
+        await self._check(
+            Row(Form.BODY, LOOKUP, is_relayed=True),
+            Row(Form.GARBAGE, LOOKUP, is_relayed=True),
+            Row(Form.LINE, DRAFT, is_relayed=True),
+            Row(Form.COMMENT_EVENTS, DRAFT, is_relayed=True),
+        )
+
     async def test_avoided(self) -> None:
         """A server whose answers never end gets three requests in a row."""
         for row in (Row(Form.BODY, HOLD), Row(Form.LINE, REPORT)):
@@ -146,14 +167,20 @@
     site.store_behaviour.put(
         store.SERVERS, 'endless', _entry(row.load, await server.start())
     )
-    running = processes.Processes()
+    running = processes.Processes('beryllug.soak.cut_daemon')
     router = await site.spawn_router(running)
+    if row.is_relayed:
+        router = await site.spawn_router(running)
+        mode = link_cut.Mode.REFUSE.value
+        running.write_beside(router.name, cut_daemon.SUFFIX, mode)
+        await asyncio.sleep(CUT_S)
     try:
         statuses = await _ask_repeatedly(site, router, row.load)
-        memory_kib = running.peak_memory_kib(router.name)
+        memory_kib = max(map(running.peak_memory_kib, running.names()))
         begun = await server.stop()
     finally:
-        await running.kill(router.name)
+        for name in running.names():
+            await running.kill(name)
         await running.stop()
     await site.close()
     return Played(statuses, memory_kib, begun)
