stream_flow: an event came twice behind a comment

Cause: the id of the last part of a read counted as the last one sent, and a comment has none. Change: the last id of a read counts.

Test: unframed_test, row 'behind a comment', red before (event 2 twice).

--- a/beryllug/proofs/platform/unframed_test.py
+++ b/beryllug/proofs/platform/unframed_test.py
@@ -17,6 +17,7 @@
 )
 # Bytes of one event.
 EVENT = len(b'id: 1\ndata: x\n\n')
+COMMENTED = EVENT + len(unframed_server.COMMENT)
 
 
 class Row(NamedTuple):
@@ -78,6 +79,13 @@
         STREAM,
         ('',),
     ),
+    Row(
+        'behind a comment',
+        site_test.DRAFT,
+        STREAMED._replace(is_commented=True, cut_at=2 * COMMENTED + 4),
+        STREAM.replace(b'x\n\n', b'x\n\n%b' % unframed_server.COMMENT),
+        ('2',),
+    ),
     Row(
         'inside an event of what runs once',
         site_test.REPORT,
@@ -93,7 +101,8 @@
     async def test_answers(self) -> None:
         """A stream that ends inside an event is taken for a whole one.
 
-        So is one that ends before its first event, behind comments.
+        So is one that ends before its first event, behind comments. One that
+        breaks off behind a comment is resumed an event too early.
         """
         for row in ROWS:
             with self.subTest(row.title):
--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -304,7 +304,10 @@
         if not stream.events:
             self._suspects.end(call, stream.progress)
         stream_state.record_events(stream, time.monotonic())
-        stream.last_event = events[-1].event_id or stream.last_event
+        # Comments have no id.
+        ids = [event.event_id for event in events if event.event_id]
+        if ids:
+            stream.last_event = ids[-1]
         try:
             await exchange.send(b''.join(event.raw for event in events))
         except TimeoutError as exc:
--- a/beryllug/standins/unframed_server.py
+++ b/beryllug/standins/unframed_server.py
@@ -27,6 +27,7 @@
         events: Number of events.
         names_model: Whether events hold the model and their number.
         comments: Number of comments before the first answer.
+        is_commented: Whether a comment follows each event.
     """
 
     is_stream: bool
@@ -35,6 +36,7 @@
     events: int = EVENTS
     names_model: bool = False
     comments: int = 0
+    is_commented: bool = False
 
 
 class UnframedServer:
@@ -118,7 +120,8 @@
             events = [f'id: {each}\ndata: {model} {each}' for each in numbers]
         else:
             events = [f'id: {each}\ndata: x' for each in numbers]
-        return [f'{event}\n\n'.encode() for event in events]
+        comment = COMMENT if self._answer.is_commented else b''
+        return [f'{event}\n\n'.encode() + comment for event in events]
 
 
 def _headers_of(raw: bytes) -> dict[str, str]:
