store_exchange: what a peer sends was inflated without a bound

Documents of peers are inflated to 64 MiB at the most; what is larger, cut off or no JSON is refused with a line. Peers hold the fleet's key, so no caller or server can send them.

--- a/beryllug/router/store_exchange.py
+++ b/beryllug/router/store_exchange.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+from absl import logging
 
 from beryllug.core import stamps
 from beryllug.core.peering import (
@@ -19,6 +20,8 @@
 # take longer over slow links, from the few processes that have it to the whole
 # fleet, than it may take to come into force.
 LEVEL = 1
+# Many times the list of 10,000 backend servers.
+MAX_DOCUMENT_BYTES = 67108864
 
 
 class StoreExchange:
@@ -104,12 +107,11 @@
         if digest.table:
             self.take_table(digest.table, digest.name)
         if digest.servers:
-            known.servers.apply_specs(
-                _decode(zlib.decompress(digest.servers)),
-                digest.versions.servers,
-                digest.name,
-                now,
-            )
+            servers = _inflate(digest.servers, digest.name)
+            if servers is not None:
+                known.servers.apply_specs(
+                    servers, digest.versions.servers, digest.name, now
+                )
         if digest.orders:
             orders = msgspec.json.decode(
                 digest.orders, type=dict[str, order_list.StoredOrder]
@@ -123,8 +125,9 @@
 
     def take_table(self, compressed: bytes, source: str) -> None:
         """Put a compressed route table of a peer in force, if it is newer."""
-        spec = _decode(zlib.decompress(compressed))
-        self._known.take_table_spec(spec, source)
+        spec = _inflate(compressed, source)
+        if spec is not None:
+            self._known.take_table_spec(spec, source)
 
     def compressed_table(self) -> bytes:
         """Return the route table, compressed once for all requests."""
@@ -214,5 +217,12 @@
     return msgspec.json.encode(document)
 
 
-def _decode(raw: bytes) -> Any:
-    return msgspec.json.decode(raw)
+def _inflate(compressed: bytes, source: str) -> Any:
+    """Return a document that a peer has compressed; None if it is invalid."""
+    inflater = zlib.decompressobj()
+    try:
+        raw = inflater.decompress(compressed, MAX_DOCUMENT_BYTES)
+        return msgspec.json.decode(raw)
+    except (zlib.error, ValueError, RecursionError) as exc:
+        logging.error('event=document_refused source=%s: %s', source, exc)
+    return None
