json_parts: records behind an odd entry were lost if blanks are between them

Found in reading: where brackets or quotes of an entry don't match, a list is split at the beginnings of its records, but only right behind a comma. A store that writes a blank there would have had its other records lost with the odd one. odd_entries_test now has such a store in half of its answers: red before (the three sound servers are missing).

--- a/beryllug/drivers/json_parts.py
+++ b/beryllug/drivers/json_parts.py
@@ -110,8 +110,7 @@
     """
     if not beginning:
         return [raw]
-    first, *others = raw.split(b',%b' % beginning)
-    return [first, *(b'%b%b' % (beginning, other) for other in others)]
+    return re.split(rb',\s*+(?=%b)' % re.escape(beginning), raw)
 
 
 def _nest(closing: bytearray, token: bytes) -> bool:
--- a/beryllug/proofs/platform/odd_entries_test.py
+++ b/beryllug/proofs/platform/odd_entries_test.py
@@ -51,6 +51,9 @@
         self, status: int, found: Any, headers: dict[str, str]
     ) -> None:
         body = msgspec.json.encode(found)
+        # Another store writes blanks between the records of a list.
+        if sum(body) % 2:
+            body = body.replace(b',{', b', {')
         self.answer = (_Answer(status, headers), body)
 
     async def respond(self, status: int, headers: dict[str, str]) -> None:
