store: changes above the limit of an answer ended a watch's progress

Found in reading (what may odd entries cost): four entries of the largest size, written at once by another writer, exceed the 4 MiB that an answer may have. The watch failed, and asked for the same changes again, for as long as the store kept its history; what else changed was not known meanwhile.

Change: such a watch lists its kind again, which comes in pages. A list after lost history begins a tenth of a second later, so that a store whose watches always fail is not listed without a pause.

Test: platform_store_test.test_large_changes, red before (UncertainError where the kind has to be listed again).

--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -216,7 +216,7 @@
         except http_data.NotSentError as exc:
             raise object_data.UnavailableError(str(exc)) from exc
         except http_data.BrokenError as exc:
-            raise object_data.UncertainError(str(exc)) from exc
+            raise _broken(operation, exc) from exc
         self.eras.check_response(incoming.headers.get(names.ERA, ''))
         self.on_unread('store', incoming.headers.keys() - names.ANSWER_HEADERS)
         if incoming.status not in SUCCESS:
@@ -238,6 +238,15 @@
     """Ignore unknown names."""
 
 
+def _broken(
+    operation: str, exc: http_data.BrokenError
+) -> object_data.ObjectApiError:
+    if operation == 'watch' and isinstance(exc, http_data.ExcessError):
+        # The same changes would come again; a list comes in pages.
+        return object_data.CompactedError(str(exc))
+    return object_data.UncertainError(str(exc))
+
+
 def _error_of(
     status: int, headers: Mapping[str, str]
 ) -> object_data.ObjectApiError:
--- a/beryllug/router/store_watch.py
+++ b/beryllug/router/store_watch.py
@@ -136,9 +136,12 @@
         while True:
             try:
                 await self._step()
-            except object_data.CompactedError:
-                self._lines.write('watch_compacted', kind=self._kind)
+            except object_data.CompactedError as exc:
+                self._lines.write(
+                    'watch_compacted', kind=self._kind, error=str(exc)
+                )
                 self._revision = 0
+                await asyncio.sleep(FIRST_PAUSE_S * random.uniform(*JITTER))
             except Exception as exc:
                 self._handle_failure(exc)
                 jittered_s = pause_s * random.uniform(*JITTER)
--- a/beryllug/standins/platform_store_test.py
+++ b/beryllug/standins/platform_store_test.py
@@ -4,12 +4,15 @@
 import unittest
 
 from beryllug.core import stamps
-from beryllug.drivers import http_client, object_data
+from beryllug.drivers import http_client, http_data, object_data
 from beryllug.platform import store
 from beryllug.router import store_listing
 from beryllug.standins import platform_store
 
 
+LIMIT_BYTES = 3000
+
+
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     """Store calls and their failures."""
 
@@ -81,6 +84,23 @@
                 self.stand_in.put_faults()
                 await self.stand_in.settle()
 
+    async def test_large_changes(self) -> None:
+        """A watch fails for good, as its changes exceed the answer's limit.
+
+        Another writer stores a few entries of the largest size at once.
+        """
+        limits = http_data.AnswerLimits(LIMIT_BYTES, 2 * LIMIT_BYTES)
+        client = http_client.HttpClient(limits=limits)
+        self.addAsyncCleanup(client.close)
+        api = store.Store(client, self.stand_in.address, 1)
+        revision = (await api.list_page('servers')).listing.revision
+        for name in ('a', 'b', 'c'):
+            self.party.put('servers', name, 'x' * (LIMIT_BYTES // 3))
+        with self.assertRaises(object_data.CompactedError):
+            await api.watch('servers', revision, 0.1)
+        found = await store_listing.list_all(api, 'servers')
+        self.assertEqual(len(found.found), 3)
+
     async def test_compacted(self) -> None:
         """A watch from before the compacted history raises CompactedError."""
         self.party.put('servers', 'a', {})
