stream_flow: comments of a server that broke off came between events

What callers saw: the comments of one server between the events of another. They are now held at each server until its first event. The order and number of events were right.

--- a/beryllug/router/stream_flow.py
+++ b/beryllug/router/stream_flow.py
@@ -256,7 +256,7 @@
             return stream_state.Larger(len(call.route.models) - 1)
         # Comments begin no answer: another server may still be asked.
         splitter = event_split.EventSplitter(
-            self._event_bytes, holds_comments=not stream.started
+            self._event_bytes, holds_comments=True
         )
         progress_at = time.monotonic()
         while not incoming.reached_end:
--- a/beryllug/soak/soak_test.py
+++ b/beryllug/soak/soak_test.py
@@ -13,6 +13,7 @@
     (1032, 'a bad version got the requests of old servers that had crashed'),
     (21, 'a segment late in a long prompt crashed server after server'),
     (13, 'streams ended as complete when their relay was killed'),
+    (81015, 'comments of a server that broke off came between events'),
 )
 MAX_CODE_FRACTION = 0.1
 
