platform: checks of addresses and of stamps moved to the drivers

The check of an address is drivers/tcp_address, the stamp of an answer and the error of one that broke off are drivers/store_era, the quoting of a name is drivers/json_decode.

--- a/beryllug/drivers/json_decode.py
+++ b/beryllug/drivers/json_decode.py
@@ -10,6 +10,7 @@
 import re
 from collections.abc import Iterable
 from typing import Any, NamedTuple
+from urllib import parse as url_parse
 
 import msgspec
 
@@ -108,6 +109,15 @@
     return text if isinstance(text, str) else ''
 
 
+def quote(text: str) -> str:
+    """Quote a text for a URL, also if it contains surrogates of `text_at`."""
+    try:
+        raw = text.encode(errors='surrogateescape')
+    except UnicodeEncodeError:
+        raw = text.encode(errors='surrogatepass')
+    return url_parse.quote(raw, safe='')
+
+
 def field_names(decoded: Any) -> frozenset[str]:
     """Return the field names of an object and of objects in its lists."""
     if not isinstance(decoded, dict):
--- a/beryllug/drivers/store_era.py
+++ b/beryllug/drivers/store_era.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from beryllug.drivers import object_data
+from beryllug.core import stamps
+from beryllug.drivers import http_data, object_data
 
 Listener = Callable[[int, int], None]
 # Stores may count from any number; longer ones are none of 64 bits.
@@ -43,6 +44,19 @@
             raise object_data.UncertainError('an answer of an earlier era')
         self.advance(int(header))
 
+    def stamp(self, revision: int) -> int:
+        """Return the stamp of a revision in this era.
+
+        Raises:
+            ObjectApiError: The revision is out of range.
+        """
+        try:
+            return stamps.stamp(self.era, revision)
+        except ValueError as exc:
+            raise object_data.ObjectApiError(
+                f'unreadable answer: {exc}'
+            ) from exc
+
     def advance(self, era: int) -> None:
         """Record an era that a response or another process reports."""
         previous = self.era
@@ -51,6 +65,16 @@
             self.on_changed(era, previous)
 
 
+def broken(
+    exc: http_data.BrokenError, is_watch: bool
+) -> object_data.ObjectApiError:
+    """Return the error of a call whose answer broke off."""
+    if is_watch and isinstance(exc, http_data.ExcessError):
+        # The same changes would come again; a list comes in pages.
+        return object_data.CompactedError(str(exc))
+    return object_data.UncertainError(str(exc))
+
+
 def _ignore_change(era: int, previous: int) -> None:
     """Default of `on_changed`."""
 
--- a/beryllug/platform/documents.py
+++ b/beryllug/platform/documents.py
@@ -3,7 +3,6 @@
 Unknown fields are ignored, as the platform may add some.
 """
 
-import ipaddress
 from enum import StrEnum
 from types import MappingProxyType
 from typing import Annotated, Any
@@ -13,17 +12,13 @@
 from beryllug.core.canary import canary_data
 from beryllug.core.placement import servers_data
 from beryllug.core.routes import routes_data
-from beryllug.drivers import json_decode
+from beryllug.drivers import json_decode, tcp_address
 
 MS = 1000
 DEFAULT_WEIGHT = 1.0
 # Maximum length of an id, name or version.
 MAX_TEXT_LENGTH = 256
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
-_Address = Annotated[
-    str, msgspec.Meta(pattern=r'^[0-9.]{7,15}:[1-9][0-9]{0,4}\Z')
-]
-MAX_PORT = 65535
 _STATE_BY_PHASE = MappingProxyType(
     {
         canary_data.Phase.TRIAL: 'running',
@@ -116,7 +111,7 @@
 
 class _Server(msgspec.Struct):
     service: _Text
-    address: _Address
+    address: str
     zone: _Text
     version: _Text
     slots: Annotated[int, msgspec.Meta(ge=1)]
@@ -212,7 +207,7 @@
             listen at its address.
     """
     decoded = msgspec.convert(spec, _Server)
-    _check_address(decoded.address)
+    tcp_address.check(decoded.address)
     is_leaving = decoded.state is _ServerState.DRAINING
     return servers_data.Server(
         name=name,
@@ -229,13 +224,6 @@
     )
 
 
-def _check_address(address: str) -> None:
-    host, _, port = address.rpartition(':')
-    ipaddress.IPv4Address(host)
-    if int(port) > MAX_PORT:
-        raise ValueError(f'port {port}')
-
-
 def server_spec(record: servers_data.Server) -> dict[str, Any]:
     """Return a backend server's entry in stored form, to forward to peers."""
     state = _ServerState.READY
--- a/beryllug/platform/store.py
+++ b/beryllug/platform/store.py
@@ -100,23 +100,20 @@
         """
         path = _path(kind)
         if after:
-            path = f'{path}?after={_quote(after)}'
+            path = f'{path}?after={json_decode.quote(after)}'
         body = await self._call('list', 'GET', path, timeout_s=LIST_TIMEOUT_S)
         page, entries = json_decode.decode_list(body, _Page, 'items')
         decoded = json_decode.decode_entries(entries, _Object)
-        era = self.eras.era
-        listed = tuple(_to_stored(each, era, page.at) for each in decoded.found)
+        listed = tuple(self._to_stored(each, page.at) for each in decoded.found)
         self._report_unread(kind, listed)
-        errors = decoded.errors
-        next_after = ''
-        if page.has_more and decoded.last:
-            next_after = json_decode.text_at(decoded.last, 'metadata', 'name')
-            if next_after in {'', after}:
-                errors = (*errors, f'no page after {after!r}')
-                next_after = ''
+        name, errors = '', decoded.errors
+        if page.has_more:
+            name = json_decode.text_at(decoded.last, 'metadata', 'name')
+        if page.has_more and name in {'', after}:
+            name, errors = '', (*errors, f'no page after {after!r}')
+        revision = self.eras.stamp(page.at)
         return store_data.Page(
-            store_data.Listing(listed, _stamp(era, page.at), errors),
-            next_after,
+            store_data.Listing(listed, revision, errors), name
         )
 
     async def watch(
@@ -134,19 +131,18 @@
         timeout_s = wait_s + WATCH_GRACE_S
         body = await self._call('watch', 'GET', target, timeout_s=timeout_s)
         self._require_current_era(after)
-        era = self.eras.era
         batch, entries = json_decode.decode_list(body, _Events, 'events')
         decoded = json_decode.decode_entries(entries, _Event)
         changes = tuple(
             store_data.Change(
-                _to_stored(event.object, era, batch.at), event.tombstone
+                self._to_stored(event.object, batch.at), event.tombstone
             )
             for event in decoded.found
         )
         self._report_unread(kind, (change.stored for change in changes))
         return store_data.Changes(
             changes,
-            _stamp(era, batch.at),
+            self.eras.stamp(batch.at),
             decoded.errors,
             is_complete=not decoded.lost,
         )
@@ -216,7 +212,7 @@
         except http_data.NotSentError as exc:
             raise object_data.UnavailableError(str(exc)) from exc
         except http_data.BrokenError as exc:
-            raise _broken(operation, exc) from exc
+            raise store_era.broken(exc, operation == 'watch') from exc
         self.eras.check_response(incoming.headers.get(names.ERA, ''))
         self.on_unread('store', incoming.headers.keys() - names.ANSWER_HEADERS)
         if incoming.status not in SUCCESS:
@@ -229,6 +225,15 @@
         for stored in found:
             self.on_unread(kind, documents.unknown_fields(stored.spec))
 
+    def _to_stored(
+        self, found: _Object, newest: int
+    ) -> store_data.StoredObject:
+        name, revision, _, is_leaving = msgspec.structs.astuple(found.metadata)
+        stamp = self.eras.stamp(min(max(revision, 0), newest))
+        return store_data.StoredObject(
+            name, stamp, found.spec, found.status, is_leaving
+        )
+
     def _require_current_era(self, stamp: int) -> None:
         if stamps.era(stamp) < self.eras.era:
             raise object_data.CompactedError('history is of an earlier era')
@@ -238,15 +243,6 @@
     """Ignore unknown names."""
 
 
-def _broken(
-    operation: str, exc: http_data.BrokenError
-) -> object_data.ObjectApiError:
-    if operation == 'watch' and isinstance(exc, http_data.ExcessError):
-        # The same changes would come again; a list comes in pages.
-        return object_data.CompactedError(str(exc))
-    return object_data.UncertainError(str(exc))
-
-
 def _error_of(
     status: int, headers: Mapping[str, str]
 ) -> object_data.ObjectApiError:
@@ -268,33 +264,3 @@
 def _path(kind: str, name: str = '') -> str:
     path = f'{names.OBJECTS_PATH}/{kind}'
     return f'{path}/{url_parse.quote(name, safe="")}' if name else path
-
-
-def _stamp(era: int, revision: int) -> int:
-    try:
-        return stamps.stamp(era, revision)
-    except ValueError as exc:
-        raise object_data.ObjectApiError(f'unreadable answer: {exc}') from exc
-
-
-def _quote(text: str) -> str:
-    """Quote a text that may contain what is no Unicode."""
-    try:
-        raw = text.encode(errors='surrogateescape')
-    except UnicodeEncodeError:
-        raw = text.encode(errors='surrogatepass')
-    return url_parse.quote(raw, safe='')
-
-
-def _to_stored(
-    found: _Object, era: int, newest: int
-) -> store_data.StoredObject:
-    metadata = found.metadata
-    revision = min(max(metadata.revision, 0), newest)
-    return store_data.StoredObject(
-        metadata.name,
-        _stamp(era, revision),
-        found.spec,
-        found.status,
-        metadata.deleting,
-    )
