tests: one entry of a server for three tests, the plain daemon again

Cause: reading the change once more. endless_answers_test had been moved to the daemon whose links can be cut for all of its rows, though only the relayed ones need it, and three tests wrote the same entry of a server.

Change: the plain daemon is tested again where nothing is relayed; platform_site.server_entry; names and one line for tests that told more.

--- a/beryllug/kernel/background_tasks_test.py
+++ b/beryllug/kernel/background_tasks_test.py
@@ -10,11 +10,7 @@
     """Tasks whose work fails."""
 
     async def test_failures(self) -> None:
-        """A lease expires for good, as a reply that can't be read ended a task.
-
-        Rounds go on after a failure, each after a pause, and end with
-        `DoneError`.
-        """
+        """A lease expires for good, as an unreadable reply ended its task."""
         failures = [None, ValueError('not readable'), RecursionError()]
         work = mock.AsyncMock(
             side_effect=[*failures, background_tasks.DoneError]
--- a/beryllug/proofs/platform/early_answers_test.py
+++ b/beryllug/proofs/platform/early_answers_test.py
@@ -1,8 +1,4 @@
-"""Answers that come before the whole request was read, and odd statuses.
-
-A server in trouble answers a long upload at once and breaks off, or sends a
-status that is none. Callers must not take either for an answer.
-"""
+"""Answers that come before the whole request was read, and odd statuses."""
 
 import asyncio
 import contextlib
@@ -134,10 +130,7 @@
     """All servers answer in the same way."""
 
     async def test_broken_off(self) -> None:
-        """A caller gets a part of an answer as the whole one.
-
-        It has no length, and its connection ends while the upload is written.
-        """
+        """A part of an answer, cut during the upload, comes as the whole."""
         for title, size, answer in BROKEN:
             for path in PATHS:
                 with self.subTest(title, path=path):
@@ -171,14 +164,7 @@
         address = await server.start()
         is_model = path in {site_test.REPORT, site_test.DRAFT}
         service = platform_site.POOL if is_model else platform_site.DESK
-        spec = {
-            'service': service,
-            'address': address,
-            'zone': platform_site.ZONE,
-            'version': 'v1',
-            'slots': 8,
-            'state': 'ready',
-        }
+        spec = platform_site.server_entry(service, address)
         site = platform_site.Site()
         await site.open()
         site.store_behaviour.put(store.SERVERS, f'i-{address}', spec)
--- a/beryllug/proofs/platform/endless_answers_test.py
+++ b/beryllug/proofs/platform/endless_answers_test.py
@@ -31,6 +31,7 @@
 SLOW_PAUSE_S = 0.02
 # Seconds until a process has noticed that its links are cut.
 CUT_S = 0.5
+CUT_DAEMON = 'beryllug.soak.cut_daemon'
 # Memory of a router process, of which half is in use without requests.
 MAX_MEMORY_KIB = 65536
 # Answers that such a server may begin in `SECONDS`: the first, and one after
@@ -165,9 +166,12 @@
         )
     server = endless_server.EndlessProcess(row.form, row.pause_s)
     site.store_behaviour.put(
-        store.SERVERS, 'endless', _entry(row.load, await server.start())
+        store.SERVERS,
+        'endless',
+        platform_site.server_entry(_service(row.load), await server.start()),
     )
-    running = processes.Processes('beryllug.soak.cut_daemon')
+    daemon = CUT_DAEMON if row.is_relayed else processes.DAEMON
+    running = processes.Processes(daemon)
     router = await site.spawn_router(running)
     if row.is_relayed:
         router = await site.spawn_router(running)
@@ -209,18 +213,5 @@
     return platform_site.POOL if load in {DRAFT, REPORT} else platform_site.DESK
 
 
-def _entry(load: site_test.Load, address: str) -> dict[str, object]:
-    return {
-        'service': _service(load),
-        'address': address,
-        'zone': platform_site.ZONE,
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'born': 0,
-        'cold_remaining_ms': 0,
-    }
-
-
 if __name__ == '__main__':
     unittest.main()
--- a/beryllug/proofs/platform/odd_entries_test.py
+++ b/beryllug/proofs/platform/odd_entries_test.py
@@ -139,11 +139,7 @@
     @example(b'{', 'c')
     @given(ODD_VALUES, strategies.sampled_from((*ODD, *SOUND)))
     def test_watched(self, odd: bytes, name: str) -> None:
-        """Changes of servers are not known after an odd entry.
-
-        It is new or replaces a sound one, and is removed at last. In each
-        batch of changes is one of another server.
-        """
+        """Changes of servers are not known after an odd entry."""
         asyncio.run(self._watch(odd, name))
 
     @settings(deadline=None, max_examples=100)
--- a/beryllug/proofs/platform/planned_stop_test.py
+++ b/beryllug/proofs/platform/planned_stop_test.py
@@ -1,7 +1,4 @@
-"""A planned stop of one process in calm, while callers go on sending.
-
-Requests that came late in the grace were passed on and cut at its end.
-"""
+"""A planned stop of one process in calm, while callers go on sending."""
 
 import asyncio
 import contextlib
--- a/beryllug/proofs/platform/unframed_test.py
+++ b/beryllug/proofs/platform/unframed_test.py
@@ -136,16 +136,7 @@
 ) -> None:
     address = await server.start(HOST)
     service = platform_site.POOL if row.answer.is_stream else platform_site.DESK
-    spec = {
-        'service': service,
-        'address': address,
-        'zone': platform_site.ZONE,
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'born': 0,
-        'cold_remaining_ms': 0,
-    }
+    spec = platform_site.server_entry(service, address)
     site.store_behaviour.put(store.SERVERS, f'i-{address}', spec)
 
 
--- a/beryllug/standins/platform_site.py
+++ b/beryllug/standins/platform_site.py
@@ -101,6 +101,20 @@
     return document | changes
 
 
+def server_entry(service: str, address: str) -> dict[str, Any]:
+    """Return the entry of a backend server that no `Site` has started."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': ZONE,
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'born': 0,
+        'cold_remaining_ms': 0,
+    }
+
+
 class Site:
     """A deployment for one test.
 
